--- /dev/null
+++ b/Makefile
@@ -0,0 +1,5 @@
+.PHONY: run test
+run:
+	bash scripts/run-example.sh
+test:
+	bash .ci/run
--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,12 @@
+# External libraries, all from the distribution's packages.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(fmt REQUIRED)
+find_package(restinio REQUIRED)
+find_package(docopt REQUIRED)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++ protobuf)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET INIReader)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
--- /dev/null
+++ b/cmake/Packages.cmake
@@ -0,0 +1,34 @@
+# Helpers that declare the workspace's packages: libraries, test programs and benchmarks.
+# Every caller lists its sources by hand.
+
+function(wagtailpick_warnings target)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror)
+endfunction()
+
+# wagtailpick_library(NAME SOURCES file... [LINKS target...])
+function(wagtailpick_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS;PRIVATE_LINKS" ${ARGN})
+  add_library(wagtailpick_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(wagtailpick_${name} PUBLIC "${PROJECT_SOURCE_DIR}/src/libs")
+  target_link_libraries(wagtailpick_${name} PUBLIC ${ARG_LINKS} PRIVATE ${ARG_PRIVATE_LINKS})
+  wagtailpick_warnings(wagtailpick_${name})
+endfunction()
+
+# wagtailpick_test(NAME SOURCES file... [LINKS target...]): builds the program test_NAME.
+function(wagtailpick_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+  add_executable(test_${name} ${ARG_SOURCES})
+  target_link_libraries(test_${name} PRIVATE ${ARG_LINKS} PkgConfig::CRITERION)
+  wagtailpick_warnings(test_${name})
+  set_target_properties(test_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/tests")
+  add_test(NAME ${name} COMMAND test_${name})
+endfunction()
+
+# wagtailpick_benchmark(NAME SOURCES file... [LINKS target...]): builds bench_NAME; CI compiles it only.
+function(wagtailpick_benchmark name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+  add_executable(bench_${name} ${ARG_SOURCES})
+  target_link_libraries(bench_${name} PRIVATE ${ARG_LINKS})
+  wagtailpick_warnings(bench_${name})
+  set_target_properties(bench_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/benchmarks")
+endfunction()
