--- /dev/null
+++ b/src/libs/metrics/registry.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace wagtailpick::metrics {
+
+/// A number that only goes up. Thread-safe.
+class Counter {
+ public:
+  void Add(std::uint64_t amount = 1) { value_.fetch_add(amount, std::memory_order_relaxed); }
+  std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint64_t> value_ = 0;
+};
+
+/// A number that goes up and down. Thread-safe.
+class Gauge {
+ public:
+  void Set(std::int64_t value) { value_.store(value, std::memory_order_relaxed); }
+  std::int64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::int64_t> value_ = 0;
+};
+
+/// The metrics of one process. Thread-safe; references stay valid as long as the registry.
+class Registry {
+ public:
+  /// Returns the counter called `name`, made on first use. `labels` is empty or has the Prometheus
+  /// form without braces, such as `verdict="ran"`.
+  Counter& CounterAt(const std::string& name, const std::string& labels = {});
+
+  /// Returns the gauge called `name`, made on first use.
+  Gauge& GaugeAt(const std::string& name, const std::string& labels = {});
+
+  /// Renders all metrics in the Prometheus text format.
+  std::string RenderText() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, std::map<std::string, Counter>> counters_;
+  std::map<std::string, std::map<std::string, Gauge>> gauges_;
+};
+
+}  // namespace wagtailpick::metrics
--- /dev/null
+++ b/src/libs/settings/settings.cpp
@@ -0,0 +1,189 @@
+#include "settings/settings.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace wagtailpick::settings {
+namespace {
+
+std::string KeyOf(const std::string& section, const std::string& key) {
+  return section + "." + key;
+}
+
+std::string Trim(const std::string& text) {
+  const auto first = text.find_first_not_of(" \t");
+  if (first == std::string::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start <= text.size()) {
+    const auto comma = std::min(text.find(',', start), text.size());
+    const std::string part = Trim(text.substr(start, comma - start));
+    if (!part.empty()) parts.push_back(part);
+    start = comma + 1;
+  }
+  return parts;
+}
+
+std::optional<std::int64_t> ParseNumber(const std::string& text) {
+  std::int64_t number = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
+std::string Describe(const KeyRule& rule) {
+  switch (rule.kind) {
+    case KeyKind::kText:
+      return "a text that is not empty";
+    case KeyKind::kNumber:
+      return "a whole number from " + std::to_string(rule.min) + " to " + std::to_string(rule.max);
+    case KeyKind::kEndpoint:
+      return "an IP address with a port, such as 127.0.0.1:8080";
+    case KeyKind::kEndpointList:
+      return "IP addresses with ports, separated by commas";
+    case KeyKind::kChoice:
+    case KeyKind::kChoiceList:
+      break;
+  }
+  std::string text = rule.kind == KeyKind::kChoice ? "one of" : "a comma-separated list of";
+  for (const auto& choice : rule.choices) text += " " + choice;
+  return text;
+}
+
+bool IsChoice(const KeyRule& rule, const std::string& value) {
+  return std::find(rule.choices.begin(), rule.choices.end(), value) != rule.choices.end();
+}
+
+bool Accepts(const KeyRule& rule, const std::string& value) {
+  if (value.empty()) return false;
+  const auto parts = Split(value);
+  const auto is_endpoint = [](const std::string& part) {
+    return base::ParseEndpoint(part).has_value();
+  };
+  switch (rule.kind) {
+    case KeyKind::kText:
+      return true;
+    case KeyKind::kNumber: {
+      const auto number = ParseNumber(value);
+      return number && *number >= rule.min && *number <= rule.max;
+    }
+    case KeyKind::kEndpoint:
+      return is_endpoint(value);
+    case KeyKind::kEndpointList:
+      return !parts.empty() && std::all_of(parts.begin(), parts.end(), is_endpoint);
+    case KeyKind::kChoice:
+      return IsChoice(rule, value);
+    case KeyKind::kChoiceList:
+      return !parts.empty() && std::all_of(parts.begin(), parts.end(),
+                                           [&](const auto& part) { return IsChoice(rule, part); });
+  }
+  return false;
+}
+
+std::string Where(const std::string& path, const std::string& section, const std::string& key) {
+  return path + ": [" + section + "] " + key + ": ";
+}
+
+/// Collects the values of one file; remembers the first problem.
+struct Collector {
+  const std::string* path = nullptr;
+  const std::vector<KeyRule>* schema = nullptr;
+  std::map<std::string, std::string> values = {};
+  std::string problem = {};
+
+  bool KnowsSection(const std::string& section) const {
+    return std::any_of(schema->begin(), schema->end(),
+                       [&](const KeyRule& rule) { return rule.section == section; });
+  }
+
+  const KeyRule* Find(const std::string& section, const std::string& key) const {
+    const auto rule = std::find_if(schema->begin(), schema->end(), [&](const KeyRule& candidate) {
+      return candidate.section == section && candidate.key == key;
+    });
+    return rule == schema->end() ? nullptr : &*rule;
+  }
+
+  void Take(const std::string& section, const std::string& key, const std::string& value) {
+    if (!problem.empty()) return;
+    if (!KnowsSection(section)) {
+      problem = *path + ": [" + section + "]: unknown section";
+      return;
+    }
+    const KeyRule* rule = Find(section, key);
+    if (rule == nullptr) {
+      problem = Where(*path, section, key) + "unknown key";
+    } else if (!Accepts(*rule, value)) {
+      problem = Where(*path, section, key) + "'" + value + "' is not accepted; expected " +
+                Describe(*rule);
+    } else if (!values.emplace(KeyOf(section, key), value).second) {
+      problem = Where(*path, section, key) + "set twice; expected once";
+    }
+  }
+};
+
+int OnValue(void* user, const char* section, const char* name, const char* value) {
+  static_cast<Collector*>(user)->Take(section, name, value);
+  return 1;
+}
+
+}  // namespace
+
+base::Result<Settings> Settings::Load(const std::string& path, const std::vector<KeyRule>& schema) {
+  Collector collector{&path, &schema};
+  const int line = ini_parse(path.c_str(), &OnValue, &collector);
+  if (line < 0) return base::Fail(base::ErrorCode::kIo, path + ": can't be read");
+  if (!collector.problem.empty()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, collector.problem);
+  }
+  if (line > 0) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      path + ": line " + std::to_string(line) +
+                          " is neither a section, a key with a value, nor a comment");
+  }
+  for (const auto& rule : schema) {
+    const bool is_set = collector.values.contains(KeyOf(rule.section, rule.key));
+    if (is_set) continue;
+    if (rule.required) {
+      return base::Fail(
+          base::ErrorCode::kInvalidArgument,
+          Where(path, rule.section, rule.key) + "missing; expected " + Describe(rule));
+    }
+    collector.values.emplace(KeyOf(rule.section, rule.key), rule.default_value);
+  }
+  Settings settings;
+  settings.path_ = path;
+  settings.values_ = std::move(collector.values);
+  return settings;
+}
+
+const std::string& Settings::Text(const std::string& section, const std::string& key) const {
+  return values_.at(KeyOf(section, key));
+}
+
+std::int64_t Settings::Number(const std::string& section, const std::string& key) const {
+  return ParseNumber(Text(section, key)).value_or(0);
+}
+
+base::Result<base::Endpoint> Settings::EndpointAt(const std::string& section,
+                                                  const std::string& key) const {
+  return base::ParseEndpoint(Text(section, key));
+}
+
+std::vector<std::string> Settings::List(const std::string& section, const std::string& key) const {
+  return Split(Text(section, key));
+}
+
+base::Error Settings::ErrorAt(const std::string& section, const std::string& key,
+                              const std::string& problem) const {
+  return {base::ErrorCode::kInvalidArgument, Where(path_, section, key) + problem};
+}
+
+}  // namespace wagtailpick::settings
