Add the thin path as separate processes

Cause: the mechanisms need a running system to be proved in. Change: bundle (strict JSON, checks, Ed25519), rpc, http (RESTinio server, libcurl client that never sends a request twice), entry, a controller with one fixed leader, the daemon, the operator's command, the upstream stand-in and 'make run'. A charge sent twice with one key still runs twice.

--- a/scripts/tidy-one.sh
+++ b/scripts/tidy-one.sh
@@ -1,13 +1,18 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on one source; skips it when neither it nor anything it includes changed since it last passed.
+# Runs clang-tidy on one source; skips it when neither it nor a project file that it includes has
+# changed since it last passed. Needs build/deps.txt, written by lint.sh.
 set -euo pipefail
 source=$1
 cache=${XDG_CACHE_HOME:-$HOME/.cache}/wagtailpick-tidy
 mkdir -p "$cache"
-flags=$(clang-tidy --version | sha256sum | cut -c1-16)
-headers=$(git ls-files -z --cached --others --exclude-standard 'src/*.h' 'tests/*.h' .clang-tidy | sort -z | xargs -0 cat 2>/dev/null | sha256sum | cut -c1-64)
-key=$(printf '%s' "$flags $headers $source $(sha256sum < "$source")" | sha256sum | cut -c1-64)
-[ -e "$cache/$key" ] && exit 0
+# The build's dependency log lists the source first, then everything that it includes.
+includes=$(awk -v source="/$source" '
+  /: #deps/ { wanted = 0; first = 1; next }
+  NF == 0 { next }
+  first { first = 0; wanted = (substr($1, length($1) - length(source) + 1) == source) }
+  wanted && $1 !~ /^\/usr\// { print $1 }' build/deps.txt | sort -u)
+key=$( (echo "$source"; clang-tidy --version; cat .clang-tidy; cd build; echo "$includes" | xargs cat) | sha256sum | cut -c1-64)
+[ -n "$includes" ] && [ -e "$cache/$key" ] && exit 0
 log=$(mktemp)
 if clang-tidy -quiet -p build "$source" > "$log" 2>/dev/null; then
   touch "$cache/$key"
--- /dev/null
+++ b/src/app/wagtailpickd/admin_api.cpp
@@ -0,0 +1,49 @@
+#include "wagtailpickd/admin_api.h"
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "entry/error_answer.h"
+#include "entry/query.h"
+
+namespace wagtailpick::wagtailpickd {
+namespace {
+
+nlohmann::json ToJson(const timeline::Event& event) {
+  return {{"wall_ms", event.stamp.wall_millis},
+          {"counter", event.stamp.counter},
+          {"sequence", event.sequence},
+          {"vm", event.vm},
+          {"event", timeline::ToString(event.kind)},
+          {"subject", event.subject},
+          {"detail", event.detail}};
+}
+
+}  // namespace
+
+AdminApi::AdminApi(const metrics::Registry& metrics, const timeline::EventRing& events)
+    : metrics_(metrics), events_(events) {}
+
+http::Response AdminApi::Answer(const http::Request& request) const {
+  const std::string path = entry::PathOf(request.target);
+  if (request.method != "GET") return entry::BadRequest("only GET is served here");
+  if (path == "/metrics") {
+    return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.RenderText()};
+  }
+  if (path == "/v1/events") return Events(request);
+  return entry::NotFound("paths are /metrics and /v1/events");
+}
+
+http::Response AdminApi::Events(const http::Request& request) const {
+  const auto query = entry::ParseQuery(request.target);
+  const auto after = query.find("after");
+  const auto first = after == query.end() ? 0 : std::strtoull(after->second.c_str(), nullptr, 10);
+  nlohmann::json events = nlohmann::json::array();
+  for (const auto& event : events_.EventsAfter(first)) events.push_back(ToJson(event));
+  const nlohmann::json body{{"events", events}, {"dropped", events_.dropped()}};
+  return {200,
+          {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}},
+          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+}  // namespace wagtailpick::wagtailpickd
--- /dev/null
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -0,0 +1,75 @@
+#include "wagtailpickd/daemon.h"
+
+#include <optional>
+#include <utility>
+
+#include "controller/controller.h"
+#include "entry/entry.h"
+#include "http/server.h"
+#include "metrics/registry.h"
+#include "rpc/server.h"
+#include "timeline/event_ring.h"
+#include "wagtailpickd/admin_api.h"
+
+namespace wagtailpick::wagtailpickd {
+
+struct Daemon::State {
+  explicit State(const NodeSettings& settings)
+      : events(settings.vm, static_cast<std::size_t>(settings.timeline_events)),
+        admin(metrics, events) {}
+
+  ~State() {
+    // No call may come in once the roles begin to stop.
+    rpc_server.reset();
+    admin_server.reset();
+  }
+
+  metrics::Registry metrics;
+  timeline::EventRing events;
+  AdminApi admin;
+  std::unique_ptr<controller::Controller> control;
+  std::unique_ptr<entry::Entry> entry;
+  std::unique_ptr<rpc::Server> rpc_server;
+  std::unique_ptr<http::Server> admin_server;
+};
+
+Daemon::Daemon(std::unique_ptr<State> state) : state_(std::move(state)) {}
+
+Daemon::~Daemon() = default;
+
+base::Result<std::unique_ptr<Daemon>> Daemon::Start(const NodeSettings& settings) {
+  auto state = std::make_unique<State>(settings);
+  std::optional<rpc::ControlHandlers> control_handlers;
+  std::optional<rpc::EntryHandlers> entry_handlers;
+  if (settings.control) {
+    BOOST_OUTCOME_TRY(
+        control, controller::Controller::Start(*settings.control, state->metrics, state->events));
+    state->control = std::move(control);
+    control_handlers = state->control->Handlers();
+  }
+  if (settings.entry) {
+    BOOST_OUTCOME_TRY(entry, entry::Entry::Start(*settings.entry, {state->metrics, state->events}));
+    state->entry = std::move(entry);
+    entry_handlers = state->entry->Handlers();
+  }
+  BOOST_OUTCOME_TRY(rpc_server,
+                    rpc::Server::Start(settings.rpc_address, std::move(control_handlers),
+                                       std::move(entry_handlers)));
+  state->rpc_server = std::move(rpc_server);
+  http::ServerOptions options;
+  options.endpoint = settings.admin_endpoint;
+  BOOST_OUTCOME_TRY(admin_server,
+                    http::Server::Start(options, [raw = state.get()](auto request, auto sink) {
+                      sink(raw->admin.Answer(request));
+                    }));
+  state->admin_server = std::move(admin_server);
+  state->events.Record(base::WallNowMillis(), timeline::EventKind::kProcessStarted, settings.vm,
+                       settings.data_centre);
+  return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
+}
+
+void Daemon::StartDrain() {
+  if (state_->entry != nullptr) state_->entry->StartDrain();
+}
+
+}  // namespace wagtailpick::wagtailpickd
--- /dev/null
+++ b/src/libs/bundle/parse_bundle.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "base/result.h"
+#include "bundle/bundle.h"
+
+namespace wagtailpick::bundle {
+
+/// Largest bundle that is accepted, in bytes.
+inline constexpr std::size_t kMaxBundleBytes = 32UL * 1024 * 1024;
+
+/// Parses the JSON text of a bundle and validates it. Fails with `kInvalidArgument` and a message
+/// that starts with the path of the first wrong field, or with `kLimitExceeded` when it is too
+/// large.
+base::Result<Bundle> ParseBundle(const std::string& text);
+
+}  // namespace wagtailpick::bundle
--- /dev/null
+++ b/src/libs/bundle/service.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wagtailpick::bundle {
+
+/// A service that callers can reach.
+struct Service {
+  std::string name;
+  /// 1 to 9; services with a lower priority are refused first when capacity is short.
+  std::int64_t priority = 5;
+  /// Longest time that a request may take, in milliseconds.
+  std::int64_t request_deadline_ms = 2'000;
+  /// Most slots that one upstream of the service may announce.
+  std::int64_t max_slots = 4;
+  /// Bytes that an answer is expected to have; used to reserve room on links between regions.
+  std::int64_t expected_answer_bytes = 20'000;
+  /// Methods that may run more than once.
+  std::vector<std::string> idempotent_methods = {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
+
+  /// Tells whether a request with `method` may run more than once.
+  bool IsIdempotent(const std::string& method) const {
+    return std::find(idempotent_methods.begin(), idempotent_methods.end(), method) !=
+           idempotent_methods.end();
+  }
+};
+
+}  // namespace wagtailpick::bundle
--- /dev/null
+++ b/src/libs/bundle/shift_cap.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace wagtailpick::bundle {
+
+/// Most requests of a service that may be served in region `to` for clients of region `from`.
+struct ShiftCap {
+  std::string service;
+  std::string from;
+  std::string to;
+  std::int64_t requests_per_s = 0;
+};
+
+}  // namespace wagtailpick::bundle
--- /dev/null
+++ b/src/libs/controller/controller_options.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wagtailpick::controller {
+
+/// Settings of the control role.
+struct ControllerOptions {
+  std::string vm;
+  /// Position of this replica in `replicas`, from 1.
+  std::uint64_t replica_id = 1;
+  /// Addresses of all control replicas, this one included.
+  std::vector<std::string> replicas;
+  std::string data_folder;
+  /// Hexadecimal public keys whose bundles are accepted.
+  std::vector<std::string> operator_keys;
+};
+
+}  // namespace wagtailpick::controller
--- /dev/null
+++ b/src/libs/entry/entry.cpp
@@ -0,0 +1,86 @@
+#include "entry/entry.h"
+
+#include <utility>
+
+#include "entry/control_link.h"
+#include "entry/dispatcher.h"
+#include "entry/error_answer.h"
+#include "entry/lookup_api.h"
+#include "entry/query.h"
+#include "entry/session.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace wagtailpick::entry {
+
+struct Entry::State {
+  State(const EntryOptions& entry_options, const ProcessContext& process,
+        std::unique_ptr<http::Client> http_client)
+      : options(entry_options),
+        context(process),
+        client(std::move(http_client)),
+        control(
+            options, context, session, [](rpc::RenewRequest&) {},
+            [this](const rpc::RenewReply&) { dispatcher.ViewChanged(); }),
+        dispatcher(options, context, session, control, *client),
+        lookup(options.vm, session) {}
+
+  ~State() {
+    // The server goes first, so that nothing new comes in; the client last, as the dispatcher's
+    // ring has to take its completions.
+    server.reset();
+    control.Stop();
+    client.reset();
+    dispatcher.Stop();
+  }
+
+  void Serve(http::Request request, const http::ResponseSink& sink) {
+    const std::string path = PathOf(request.target);
+    if (path == "/v1/lookup") return sink(lookup.Answer(request));
+    if (path == "/v1/announce") return dispatcher.ServeAnnouncement(request, sink);
+    if (path.starts_with("/s/")) {
+      return dispatcher.ServeCaller(std::move(request), sink);
+    }
+    sink(NotFound("paths are /v1/lookup, /v1/announce and /s/<service>/..."));
+  }
+
+  EntryOptions options;
+  ProcessContext context;
+  Session session;
+  std::unique_ptr<http::Client> client;
+  ControlLink control;
+  Dispatcher dispatcher;
+  LookupApi lookup;
+  std::unique_ptr<http::Server> server;
+};
+
+Entry::Entry(std::unique_ptr<State> state) : state_(std::move(state)) {}
+
+Entry::~Entry() = default;
+
+base::Result<std::unique_ptr<Entry>> Entry::Start(const EntryOptions& options,
+                                                  const ProcessContext& context) {
+  http::ClientOptions client_options;
+  client_options.max_body_bytes = options.max_body_bytes;
+  BOOST_OUTCOME_TRY(client, http::Client::Start(client_options));
+  auto state = std::make_unique<State>(options, context, std::move(client));
+  http::ServerOptions server_options;
+  server_options.endpoint = options.http_endpoint;
+  server_options.threads = options.http_threads;
+  server_options.max_body_bytes = options.max_body_bytes;
+  server_options.max_connections = options.max_connections;
+  state->dispatcher.Start();
+  BOOST_OUTCOME_TRY(
+      server, http::Server::Start(server_options, [raw = state.get()](auto request, auto sink) {
+        raw->Serve(std::move(request), std::move(sink));
+      }));
+  state->server = std::move(server);
+  state->control.Start();
+  return std::unique_ptr<Entry>(new Entry(std::move(state)));
+}
+
+rpc::EntryHandlers Entry::Handlers() { return state_->dispatcher.Handlers(); }
+
+void Entry::StartDrain() { state_->control.StartDrain(); }
+
+}  // namespace wagtailpick::entry
--- /dev/null
+++ b/src/libs/entry/exchange_verdict.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+#include "base/verdict.h"
+#include "http/client.h"
+
+namespace wagtailpick::entry {
+
+/// What one exchange with an upstream means for its request.
+struct ExchangeVerdict {
+  base::Verdict verdict = base::Verdict::kNotRun;
+  /// Empty when the upstream answered; otherwise the cause, such as "connection_lost".
+  std::string reason;
+  /// The upstream may have died of the request.
+  bool is_strike = false;
+};
+
+/// Judges an exchange for the request `request_id`. Only a whole answer that doesn't name another
+/// request counts as run; "not run" needs that no byte was sent or that the upstream says so.
+ExchangeVerdict JudgeExchange(const http::Exchange& exchange, const std::string& request_id);
+
+}  // namespace wagtailpick::entry
--- /dev/null
+++ b/src/libs/entry/peer_set.cpp
@@ -0,0 +1,25 @@
+#include "entry/peer_set.h"
+
+#include <utility>
+
+namespace wagtailpick::entry {
+
+PeerSet::PeerSet(std::string own_vm) : own_vm_(std::move(own_vm)) {}
+
+void PeerSet::Update(const View& view) {
+  std::map<std::string, std::shared_ptr<rpc::Client>> next;
+  for (const auto& member : view.members) {
+    if (member.vm == own_vm_) continue;
+    auto known = Find(member.vm);
+    const bool is_same = known != nullptr && known->address() == member.rpc_address;
+    next[member.vm] = is_same ? known : rpc::Client::Create(member.rpc_address);
+  }
+  clients_ = std::move(next);
+}
+
+std::shared_ptr<rpc::Client> PeerSet::Find(const std::string& vm) const {
+  const auto found = clients_.find(vm);
+  return found == clients_.end() ? nullptr : found->second;
+}
+
+}  // namespace wagtailpick::entry
--- /dev/null
+++ b/src/libs/http/exchange_handle.cpp
@@ -0,0 +1,156 @@
+#include "http/exchange_handle.h"
+
+#include <string>
+#include <utility>
+
+namespace wagtailpick::http {
+namespace {
+
+std::string Trim(const std::string& text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+long ToMillis(base::Duration duration) {
+  return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+std::unique_ptr<ExchangeHandle> ExchangeHandle::Create(const ClientOptions& options,
+                                                       ClientRequest request,
+                                                       std::function<void(Exchange)> done) {
+  std::unique_ptr<ExchangeHandle> handle(
+      new ExchangeHandle(options, std::move(request), std::move(done)));
+  if (handle->curl_ == nullptr) return nullptr;
+  handle->Prepare();
+  return handle;
+}
+
+ExchangeHandle::ExchangeHandle(const ClientOptions& options, ClientRequest request,
+                               std::function<void(Exchange)> done)
+    : options_(options),
+      request_(std::move(request)),
+      done_(std::move(done)),
+      curl_(curl_easy_init()),
+      started_(base::MonotonicNow()) {}
+
+ExchangeHandle::~ExchangeHandle() {
+  curl_slist_free_all(header_list_);
+  curl_easy_cleanup(curl_);
+}
+
+void ExchangeHandle::Prepare() {
+  curl_easy_setopt(curl_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(curl_, CURLOPT_URL, request_.url.c_str());
+  curl_easy_setopt(curl_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(curl_, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(curl_, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(curl_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl_, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(curl_, CURLOPT_CONNECTTIMEOUT_MS, ToMillis(options_.connect_timeout));
+  curl_easy_setopt(curl_, CURLOPT_TIMEOUT_MS, std::max(1L, ToMillis(request_.timeout)));
+  curl_easy_setopt(curl_, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(curl_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(curl_, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(curl_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(curl_, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+  curl_easy_setopt(curl_, CURLOPT_PREREQDATA, this);
+  for (const auto& header : request_.headers) {
+    // A semicolon is the library's way to send a field without a value.
+    const std::string line =
+        header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+    header_list_ = curl_slist_append(header_list_, line.c_str());
+  }
+  header_list_ = curl_slist_append(header_list_, "Expect:");
+  curl_easy_setopt(curl_, CURLOPT_HTTPHEADER, header_list_);
+  PrepareMethod();
+}
+
+void ExchangeHandle::PrepareMethod() {
+  if (request_.method == "HEAD") {
+    curl_easy_setopt(curl_, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (!request_.body.empty() || request_.method == "POST") {
+    curl_easy_setopt(curl_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body.size()));
+    curl_easy_setopt(curl_, CURLOPT_POSTFIELDS, request_.body.data());
+  }
+  curl_easy_setopt(curl_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+}
+
+void ExchangeHandle::Finish(CURLcode code) {
+  exchange_.status = Classify(code);
+  exchange_.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+  exchange_.duration = base::MonotonicNow() - started_;
+  long status = 0;
+  curl_easy_getinfo(curl_, CURLINFO_RESPONSE_CODE, &status);
+  exchange_.answer_status = static_cast<int>(status);
+  done_(std::move(exchange_));
+}
+
+void ExchangeHandle::Cancel() {
+  exchange_.status = sends_ == 0 ? ExchangeStatus::kNotSent : ExchangeStatus::kCancelled;
+  exchange_.error = "cancelled";
+  exchange_.duration = base::MonotonicNow() - started_;
+  done_(std::move(exchange_));
+}
+
+ExchangeStatus ExchangeHandle::Classify(CURLcode code) const {
+  if (code == CURLE_OK) return ExchangeStatus::kComplete;
+  if (sends_ == 0) return ExchangeStatus::kNotSent;
+  if (limit_exceeded_) return ExchangeStatus::kBadAnswer;
+  switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+      return ExchangeStatus::kTimedOut;
+    case CURLE_ABORTED_BY_CALLBACK:  // A second send of the same request was stopped.
+    case CURLE_COULDNT_CONNECT:      // The same, when the fresh connection was refused.
+    case CURLE_GOT_NOTHING:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+      return ExchangeStatus::kConnectionLost;
+    default:
+      return ExchangeStatus::kBadAnswer;
+  }
+}
+
+std::size_t ExchangeHandle::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
+  auto* handle = static_cast<ExchangeHandle*>(self);
+  const std::size_t bytes = size * count;
+  if (handle->exchange_.body.size() + bytes > handle->options_.max_body_bytes) {
+    handle->limit_exceeded_ = true;
+    return 0;
+  }
+  handle->exchange_.body.append(data, bytes);
+  return bytes;
+}
+
+std::size_t ExchangeHandle::OnHeader(char* data, std::size_t size, std::size_t count, void* self) {
+  auto* handle = static_cast<ExchangeHandle*>(self);
+  const std::size_t bytes = size * count;
+  handle->header_bytes_ += bytes;
+  if (handle->header_bytes_ > handle->options_.max_header_bytes) {
+    handle->limit_exceeded_ = true;
+    return 0;
+  }
+  const std::string line(data, bytes);
+  // Interim answers (1xx) come first; only the fields of the final answer count.
+  if (line.starts_with("HTTP/")) handle->exchange_.headers.clear();
+  const auto colon = line.find(':');
+  if (colon == std::string::npos) return bytes;
+  handle->exchange_.headers.push_back({Trim(line.substr(0, colon)), Trim(line.substr(colon + 1))});
+  return bytes;
+}
+
+int ExchangeHandle::OnBeforeSend(void* self, char* /*remote_ip*/, char* /*local_ip*/,
+                                 int /*remote_port*/, int /*local_port*/) {
+  auto* handle = static_cast<ExchangeHandle*>(self);
+  ++handle->sends_;
+  return handle->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+}  // namespace wagtailpick::http
--- /dev/null
+++ b/src/libs/http/exchange_handle.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <curl/curl.h>
+
+#include <functional>
+#include <memory>
+
+#include "http/client.h"
+
+namespace wagtailpick::http {
+
+/// The libcurl handle of one exchange. Private to the client.
+class ExchangeHandle {
+ public:
+  /// Prepares `request`. Returns null when the library can't allocate a handle.
+  static std::unique_ptr<ExchangeHandle> Create(const ClientOptions& options, ClientRequest request,
+                                                std::function<void(Exchange)> done);
+
+  ~ExchangeHandle();
+  ExchangeHandle(const ExchangeHandle&) = delete;
+  ExchangeHandle& operator=(const ExchangeHandle&) = delete;
+
+  CURL* curl() const { return curl_; }
+
+  /// Reports the end of the exchange with the library's result.
+  void Finish(CURLcode code);
+
+  /// Reports the end of an exchange that was stopped from outside.
+  void Cancel();
+
+ private:
+  ExchangeHandle(const ClientOptions& options, ClientRequest request,
+                 std::function<void(Exchange)> done);
+
+  void Prepare();
+  void PrepareMethod();
+  ExchangeStatus Classify(CURLcode code) const;
+
+  static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
+  static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self);
+  static int OnBeforeSend(void* self, char* remote_ip, char* local_ip, int remote_port,
+                          int local_port);
+
+  ClientOptions options_;
+  ClientRequest request_;
+  std::function<void(Exchange)> done_;
+  CURL* curl_ = nullptr;
+  curl_slist* header_list_ = nullptr;
+  base::MonotonicTime started_;
+  Exchange exchange_;
+  std::size_t header_bytes_ = 0;
+  int sends_ = 0;
+  bool limit_exceeded_ = false;
+};
+
+}  // namespace wagtailpick::http
--- /dev/null
+++ b/src/libs/http/header.cpp
@@ -0,0 +1,36 @@
+#include "http/header.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wagtailpick::http {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop{
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade",    "proxy-connection"};
+
+char ToLower(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+}  // namespace
+
+bool SameName(std::string_view first, std::string_view second) {
+  return std::equal(first.begin(), first.end(), second.begin(), second.end(),
+                    [](char a, char b) { return ToLower(a) == ToLower(b); });
+}
+
+const std::string* FindHeader(const Headers& headers, std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(), [&](const Header& header) {
+    return SameName(header.name, name);
+  });
+  return found == headers.end() ? nullptr : &found->value;
+}
+
+bool IsHopByHop(std::string_view name) {
+  return std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                     [&](std::string_view hop) { return SameName(hop, name); });
+}
+
+}  // namespace wagtailpick::http
--- /dev/null
+++ b/src/libs/http/server.cpp
@@ -0,0 +1,102 @@
+#include "http/server.h"
+
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+#include <exception>
+#include <restinio/all.hpp>
+#include <utility>
+
+namespace wagtailpick::http {
+namespace {
+
+struct ServerTraits : public restinio::default_traits_t {
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::generic_request_handle_t<restinio::no_extra_data_factory_t::data_t>)>;
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT(*-identifier-naming)
+};
+
+using HttpServer = restinio::http_server_t<ServerTraits>;
+
+Request ToRequest(const restinio::request_handle_t& handle) {
+  Request request;
+  const auto& header = handle->header();
+  request.method = header.method().c_str();
+  request.target = header.request_target();
+  header.for_each_field([&](const auto& field) {
+    request.headers.push_back({field.name(), field.value()});
+  });
+  request.body = handle->body();
+  request.peer = handle->remote_endpoint().address().to_string();
+  return request;
+}
+
+void SendResponse(const restinio::request_handle_t& handle, Response response) {
+  const auto status = restinio::http_status_line_t(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
+      response.status < 400 ? "OK" : "Error");
+  auto builder = handle->create_response(status);
+  if (!handle->header().should_keep_alive()) builder.connection_close();
+  for (auto& field : response.headers) {
+    builder.append_header(std::move(field.name), std::move(field.value));
+  }
+  builder.set_body(std::move(response.body)).done();
+}
+
+restinio::incoming_http_msg_limits_t ToLimits(const ServerOptions& options) {
+  return restinio::incoming_http_msg_limits_t{}
+      .max_url_size(options.max_target_bytes)
+      .max_field_name_size(options.max_header_bytes)
+      .max_field_value_size(options.max_header_bytes)
+      .max_field_count(options.max_header_count)
+      .max_body_size(options.max_body_bytes);
+}
+
+}  // namespace
+
+struct Server::State {
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<restinio::on_pool_runner_t<HttpServer>> runner;
+};
+
+Server::Server(std::unique_ptr<State> state) : state_(std::move(state)) {}
+
+base::Result<std::unique_ptr<Server>> Server::Start(const ServerOptions& options,
+                                                    RequestHandler handler) {
+  auto state = std::make_unique<State>();
+  const auto configure = [&](auto& settings) {
+    settings.address(options.endpoint.address)
+        .port(options.endpoint.port)
+        .protocol(options.endpoint.address.find(':') == std::string::npos
+                      ? restinio::asio_ns::ip::tcp::v4()
+                      : restinio::asio_ns::ip::tcp::v6())
+        .incoming_http_msg_limits(ToLimits(options))
+        .max_parallel_connections(options.max_connections)
+        .read_next_http_message_timelimit(options.read_timeout)
+        .handle_request_timeout(options.handle_timeout)
+        .request_handler([handler = std::move(handler)](const restinio::request_handle_t& handle) {
+          handler(ToRequest(handle),
+                  [handle](Response response) { SendResponse(handle, std::move(response)); });
+          return restinio::request_accepted();
+        });
+  };
+  state->server = std::make_unique<HttpServer>(restinio::own_io_context(), configure);
+  state->runner =
+      std::make_unique<restinio::on_pool_runner_t<HttpServer>>(options.threads, *state->server);
+  try {
+    state->runner->start();
+  } catch (const std::exception& failure) {
+    return base::Fail(
+        base::ErrorCode::kUnavailable,
+        "can't listen on " + base::ToString(options.endpoint) + ": " + failure.what());
+  }
+  return std::unique_ptr<Server>(new Server(std::move(state)));
+}
+
+Server::~Server() {
+  if (!state_->runner->started()) return;
+  state_->runner->stop();
+  state_->runner->wait();
+}
+
+}  // namespace wagtailpick::http
--- /dev/null
+++ b/src/libs/http/server.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/monotonic_time.h"
+#include "base/result.h"
+#include "http/header.h"
+
+namespace wagtailpick::http {
+
+/// A whole request as it came in.
+struct Request {
+  std::string method;
+  /// Path with query.
+  std::string target;
+  Headers headers;
+  std::string body;
+  /// IP address of the client.
+  std::string peer;
+};
+
+/// A whole answer.
+struct Response {
+  int status = 200;
+  Headers headers;
+  std::string body;
+};
+
+/// Sends the answer to one request; called exactly once, on any thread.
+using ResponseSink = std::function<void(Response)>;
+
+/// Serves one request. Called on a server thread, so it must not block.
+using RequestHandler = std::function<void(Request, ResponseSink)>;
+
+/// Limits and address of a server.
+struct ServerOptions {
+  base::Endpoint endpoint;
+  std::size_t threads = 1;
+  std::size_t max_body_bytes = 8UL * 1024 * 1024;
+  std::size_t max_header_count = 100;
+  std::size_t max_header_bytes = 8UL * 1024;
+  std::size_t max_target_bytes = 8UL * 1024;
+  std::size_t max_connections = 4'096;
+  /// Longest time for a client to send a whole request, and for an idle connection.
+  base::Duration read_timeout = std::chrono::seconds(10);
+  /// Longest time that a handler may take.
+  base::Duration handle_timeout = std::chrono::seconds(30);
+};
+
+/// HTTP/1.1 server.
+class Server {
+ public:
+  /// Listens and serves on threads of its own. Fails with `kUnavailable` when the address can't be
+  /// used.
+  static base::Result<std::unique_ptr<Server>> Start(const ServerOptions& options,
+                                                     RequestHandler handler);
+
+  /// Closes all connections and stops.
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+ private:
+  struct State;
+  explicit Server(std::unique_ptr<State> state);
+
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace wagtailpick::http
--- /dev/null
+++ b/src/libs/rpc/client.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/monotonic_time.h"
+#include "rpc/handlers.h"
+
+namespace wagtailpick::rpc {
+
+/// Calls the methods of one other process. Thread-safe; connects by itself when it is needed.
+///
+/// Each call ends within `timeout`. A failed call may have been handled by the peer, unless the
+/// peer answered with an error of its own.
+class Client {
+ public:
+  /// `address` is an IP address with a port. `one_way_delay` is added to each request and to each
+  /// reply; it stands in for the distance between regions when all processes run on one machine.
+  static std::unique_ptr<Client> Create(const std::string& address,
+                                        base::Duration one_way_delay = base::Duration(0));
+
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  const std::string& address() const { return address_; }
+
+  void Submit(const SubmitRequest& request, base::Duration timeout, Responder<SubmitReply> done);
+  void Status(const StatusRequest& request, base::Duration timeout, Responder<StatusReply> done);
+  void Renew(const RenewRequest& request, base::Duration timeout, Responder<RenewReply> done);
+  void Own(const OwnRequest& request, base::Duration timeout, Responder<OwnReply> done);
+  void Disown(const DisownRequest& request, base::Duration timeout, Responder<Empty> done);
+  void Deliver(const ConsensusBatch& request, base::Duration timeout, Responder<Empty> done);
+  void Claim(const ClaimRequest& request, base::Duration timeout, Responder<ClaimReply> done);
+  void Complete(const CompleteRequest& request, base::Duration timeout, Responder<Empty> done);
+  void Release(const ReleaseRequest& request, base::Duration timeout, Responder<Empty> done);
+  void Copy(const CopyRequest& request, base::Duration timeout, Responder<CopyReply> done);
+  void Forward(const ForwardRequest& request, base::Duration timeout, Responder<ForwardReply> done);
+  void Announce(const AnnounceRequest& request, base::Duration timeout,
+                Responder<AnnounceReply> done);
+  void Summarize(const Summary& request, base::Duration timeout, Responder<Empty> done);
+  void Suspect(const SuspectRequest& request, base::Duration timeout, Responder<Empty> done);
+
+ private:
+  struct State;
+  Client(std::string address, std::shared_ptr<State> state);
+
+  std::string address_;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace wagtailpick::rpc
--- /dev/null
+++ b/src/libs/rpc/handlers.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <wagtailpick.pb.h>
+
+#include <functional>
+
+#include "base/result.h"
+
+namespace wagtailpick::rpc {
+
+/// Takes the reply to one call, or the error that it failed with. Called exactly once, on any
+/// thread.
+template <typename Reply>
+using Responder = std::function<void(base::Result<Reply>)>;
+
+/// Serves one method. The request is valid until the responder is called.
+template <typename Request, typename Reply>
+using Handler = std::function<void(const Request&, Responder<Reply>)>;
+
+/// Methods of a control replica.
+struct ControlHandlers {
+  Handler<SubmitRequest, SubmitReply> submit;
+  Handler<StatusRequest, StatusReply> status;
+  Handler<RenewRequest, RenewReply> renew;
+  Handler<OwnRequest, OwnReply> own;
+  Handler<DisownRequest, Empty> disown;
+  Handler<ConsensusBatch, Empty> deliver;
+  Handler<ClaimRequest, ClaimReply> claim;
+  Handler<CompleteRequest, Empty> complete;
+  Handler<ReleaseRequest, Empty> release;
+  Handler<CopyRequest, CopyReply> copy;
+};
+
+/// Methods of an entry.
+struct EntryHandlers {
+  Handler<ForwardRequest, ForwardReply> forward;
+  Handler<AnnounceRequest, AnnounceReply> announce;
+  Handler<Summary, Empty> summarize;
+  Handler<SuspectRequest, Empty> suspect;
+};
+
+}  // namespace wagtailpick::rpc
--- /dev/null
+++ b/src/libs/rpc/status_codes.cpp
@@ -0,0 +1,41 @@
+#include "rpc/status_codes.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wagtailpick::rpc {
+namespace {
+
+struct CodePair {
+  base::ErrorCode error;
+  grpc::StatusCode status;
+};
+
+constexpr std::array<CodePair, 8> kCodes{{
+    {base::ErrorCode::kInvalidArgument, grpc::StatusCode::INVALID_ARGUMENT},
+    {base::ErrorCode::kNotFound, grpc::StatusCode::NOT_FOUND},
+    {base::ErrorCode::kConflict, grpc::StatusCode::ABORTED},
+    {base::ErrorCode::kUnavailable, grpc::StatusCode::UNAVAILABLE},
+    {base::ErrorCode::kDeadlineExceeded, grpc::StatusCode::DEADLINE_EXCEEDED},
+    {base::ErrorCode::kCorrupt, grpc::StatusCode::DATA_LOSS},
+    {base::ErrorCode::kIo, grpc::StatusCode::INTERNAL},
+    {base::ErrorCode::kLimitExceeded, grpc::StatusCode::RESOURCE_EXHAUSTED},
+}};
+
+}  // namespace
+
+grpc::Status ToStatus(const base::Error& error) {
+  const auto* pair = std::find_if(kCodes.begin(), kCodes.end(),
+                                  [&](const CodePair& row) { return row.error == error.code; });
+  return {pair->status, error.message};
+}
+
+base::Error ToError(const grpc::Status& status) {
+  const auto* pair = std::find_if(kCodes.begin(), kCodes.end(), [&](const CodePair& row) {
+    return row.status == status.error_code();
+  });
+  const auto code = pair == kCodes.end() ? base::ErrorCode::kUnavailable : pair->error;
+  return {code, status.error_message()};
+}
+
+}  // namespace wagtailpick::rpc
--- a/src/tools/wagtailpick/main.cpp
+++ b/src/tools/wagtailpick/main.cpp
@@ -1,1 +1,119 @@
-int main() { return 0; }
+#include <docopt/docopt.h>
+
+#include <charconv>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "wagtailpick/bundle_commands.h"
+#include "wagtailpick/control_commands.h"
+#include "wagtailpick/exit_codes.h"
+#include "wagtailpick/timeline_command.h"
+
+namespace {
+
+constexpr const char* kUsage =
+    R"(wagtailpick: the operator's command of the traffic steering system.
+
+Usage:
+  wagtailpick keygen --out=PREFIX
+  wagtailpick check BUNDLE [--json]
+  wagtailpick sign BUNDLE --key=FILE --out=FILE
+  wagtailpick submit SIGNED --control=ADDRESSES [--json]
+  wagtailpick status --control=ADDRESSES [--json]
+  wagtailpick wait VERSION --control=ADDRESSES [--timeout=SECONDS]
+  wagtailpick timeline --admin=ADDRESSES [--json]
+  wagtailpick --help
+  wagtailpick --version
+
+Options:
+  --out=FILE           File to write, or the prefix of a key pair.
+  --key=FILE           Secret key of the operator.
+  --control=ADDRESSES  Control replicas, separated by commas.
+  --admin=ADDRESSES    Admin addresses of daemons, separated by commas.
+  --timeout=SECONDS    Longest wait, 1 to 3600 [default: 30].
+  --json               Print JSON for scripts.
+  --help               Show this text.
+  --version            Show the version.
+
+Exit codes: 0 done, 1 refused or unreachable, 2 wrong arguments, file or bundle.
+)";
+
+using wagtailpick::tool::kExitDone;
+using wagtailpick::tool::kExitWrongInput;
+using Arguments = std::map<std::string, docopt::value>;
+
+std::vector<std::string> SplitAddresses(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, ',')) {
+    if (!part.empty()) parts.push_back(part);
+  }
+  return parts;
+}
+
+std::optional<std::int64_t> ParseWhole(const std::string& text, std::int64_t min,
+                                       std::int64_t max) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value < min || value > max) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+int RunWait(const Arguments& arguments, const std::vector<std::string>& control) {
+  constexpr std::int64_t kMaxVersion = std::int64_t{1} << 53;
+  constexpr std::int64_t kMaxSeconds = 3'600;
+  const auto version = ParseWhole(arguments.at("VERSION").asString(), 1, kMaxVersion);
+  const auto timeout = ParseWhole(arguments.at("--timeout").asString(), 1, kMaxSeconds);
+  if (!version || !timeout) {
+    std::cerr << "wagtailpick: VERSION and --timeout take whole numbers above 0; the timeout is "
+                 "at most 3600\n";
+    return kExitWrongInput;
+  }
+  return wagtailpick::tool::WaitForVersion(static_cast<std::uint64_t>(*version), control, *timeout);
+}
+
+int Run(const Arguments& arguments) {
+  const auto is_set = [&](const char* name) { return arguments.at(name).asBool(); };
+  const auto text = [&](const char* name) { return arguments.at(name).asString(); };
+  const bool as_json = is_set("--json");
+  if (is_set("keygen")) return wagtailpick::tool::MakeKeys(text("--out"));
+  if (is_set("check")) return wagtailpick::tool::CheckBundle(text("BUNDLE"), as_json);
+  if (is_set("sign")) {
+    return wagtailpick::tool::SignBundle(text("BUNDLE"), text("--key"), text("--out"));
+  }
+  if (is_set("timeline")) {
+    return wagtailpick::tool::ShowTimeline(SplitAddresses(text("--admin")), as_json);
+  }
+  const auto control = SplitAddresses(text("--control"));
+  if (is_set("submit")) {
+    return wagtailpick::tool::SubmitBundle(text("SIGNED"), control, as_json);
+  }
+  if (is_set("wait")) return RunWait(arguments, control);
+  return wagtailpick::tool::ShowStatus(control, as_json);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  try {
+    return Run(docopt::docopt_parse(kUsage, words, true, true));
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return kExitDone;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << "wagtailpick " << WAGTAILPICK_VERSION << "\n";
+    return kExitDone;
+  } catch (const std::exception& error) {
+    std::cerr << "wagtailpick: " << error.what() << "\n" << kUsage;
+    return kExitWrongInput;
+  }
+}
--- /dev/null
+++ b/tests/standins/upstream_state.cpp
@@ -0,0 +1,58 @@
+#include "standins/upstream_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/monotonic_time.h"
+
+namespace wagtailpick::standins {
+
+UpstreamState::UpstreamState(std::string service, std::string address, std::string place,
+                             unsigned slots)
+    : service_(std::move(service)),
+      address_(std::move(address)),
+      place_(std::move(place)),
+      slots_(slots),
+      incarnation_(base::WallNowMillis()) {}
+
+std::string UpstreamState::NextAnnouncement() {
+  const std::lock_guard lock(mutex_);
+  return nlohmann::json{{"service", service_},     {"address", address_},
+                        {"place", place_},         {"incarnation", incarnation_},
+                        {"sequence", ++sequence_}, {"slots", slots_},
+                        {"connections", 0},        {"state", state_},
+                        {"load", running_}}
+      .dump();
+}
+
+void UpstreamState::Started(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  ++runs_;
+  ++running_;
+  max_running_ = std::max(max_running_, running_);
+  if (!key.empty()) ++runs_per_key_[key];
+}
+
+void UpstreamState::Finished() {
+  const std::lock_guard lock(mutex_);
+  --running_;
+}
+
+void UpstreamState::SetState(const std::string& state) {
+  const std::lock_guard lock(mutex_);
+  state_ = state;
+}
+
+std::string UpstreamState::StatsJson() const {
+  const std::lock_guard lock(mutex_);
+  return nlohmann::json{{"runs", runs_},
+                        {"running", running_},
+                        {"max_running", max_running_},
+                        {"slots", slots_},
+                        {"refused_expired", refused_expired_.load()},
+                        {"runs_per_key", runs_per_key_}}
+      .dump();
+}
+
+}  // namespace wagtailpick::standins
