--- /dev/null
+++ b/src/libs/storage/snapshot_store.cpp
@@ -0,0 +1,105 @@
+#include "storage/snapshot_store.h"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "storage/file.h"
+#include "storage/record_format.h"
+
+namespace wagtailpick::storage {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Ok;
+using base::Result;
+using nlohmann::json;
+
+json ToBinary(const std::string& bytes) { return json::binary({bytes.begin(), bytes.end()}); }
+
+std::string FromBinary(const json& value) {
+  const auto& bytes = value.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+std::string Encode(const Snapshot& snapshot) {
+  std::string record;
+  json::to_cbor(json::array({snapshot.last.index, snapshot.last.term,
+                             ToBinary(snapshot.configuration), ToBinary(snapshot.data)}),
+                record);
+  return record;
+}
+
+Result<Snapshot> Decode(std::string_view record) {
+  try {
+    const json row = json::from_cbor(record.begin(), record.end());
+    return Snapshot{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()},
+                    FromBinary(row.at(2)),
+                    FromBinary(row.at(3))};
+  } catch (const json::exception& error) {
+    return Fail(ErrorCode::kCorrupt, std::string("snapshot can't be read: ") + error.what());
+  }
+}
+
+Result<void> Replace(const FileOpsPtr& ops, const std::string& path, std::string_view bytes) {
+  BOOST_OUTCOME_TRY(file, File::Open(ops, path + ".tmp", OpenMode::kReplace));
+  BOOST_OUTCOME_TRY(file.WriteAll(0, bytes));
+  BOOST_OUTCOME_TRY(file.Sync());
+  return file.RenameTo(path);
+}
+
+// Returns the only record of the file; its length must match the file's exactly.
+std::optional<std::string_view> OnlyRecord(std::string_view bytes) {
+  if (!bytes.starts_with(kRecordFileHeader)) return std::nullopt;
+  bytes.remove_prefix(kRecordFileHeader.size());
+  const auto header = ParseHeader(bytes);
+  if (!header) return std::nullopt;
+  bytes.remove_prefix(kRecordHeaderBytes);
+  if (!Matches(*header, kRecordFileHeader.size(), bytes)) return std::nullopt;
+  return bytes;
+}
+
+}  // namespace
+
+SnapshotStore::SnapshotStore(FileOpsPtr ops, std::string path)
+    : ops_(std::move(ops)), path_(std::move(path)) {}
+
+Result<void> SnapshotStore::Usable() const {
+  if (!failure_) return Ok();
+  return Fail(ErrorCode::kIo, path_ + " is unusable after a failure: " + failure_->message);
+}
+
+Result<void> SnapshotStore::Save(const Snapshot& snapshot) {
+  BOOST_OUTCOME_TRY(Usable());
+  const std::string record = Encode(snapshot);
+  if (record.size() > kMaxRecordBytes) {
+    return Fail(ErrorCode::kLimitExceeded, path_ + ": snapshot of " +
+                                               std::to_string(record.size()) + " bytes, at most " +
+                                               std::to_string(kMaxRecordBytes) + " are allowed");
+  }
+  std::string bytes(kRecordFileHeader);
+  AppendFramed(bytes, bytes.size(), record);
+  auto replaced = Replace(ops_, path_, bytes);
+  if (replaced.has_error()) failure_ = replaced.error();
+  return replaced;
+}
+
+Result<std::optional<Snapshot>> SnapshotStore::Load() const {
+  BOOST_OUTCOME_TRY(Usable());
+  BOOST_OUTCOME_TRY(exists, Exists(*ops_, path_));
+  if (!exists) return std::nullopt;
+  BOOST_OUTCOME_TRY(file, File::Open(ops_, path_, OpenMode::kExisting));
+  BOOST_OUTCOME_TRY(size, file.Size());
+  BOOST_OUTCOME_TRY(bytes, file.Read(0, size));
+  const auto record = OnlyRecord(bytes);
+  if (!record) {
+    return Fail(ErrorCode::kCorrupt, path_ + ": damaged snapshot of " + std::to_string(size) +
+                                         " bytes, record at offset " +
+                                         std::to_string(kRecordFileHeader.size()));
+  }
+  BOOST_OUTCOME_TRY(snapshot, Decode(*record));
+  return std::optional(std::move(snapshot));
+}
+
+}  // namespace wagtailpick::storage
--- /dev/null
+++ b/tests/auto/storage/record_log_test.cpp
@@ -0,0 +1,118 @@
+#include "storage/record_log.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+
+#include "fake_disk.h"
+
+using wagtailpick::base::ErrorCode;
+using wagtailpick::base::Ok;
+using wagtailpick::base::Result;
+using wagtailpick::storage::FakeDisk;
+using wagtailpick::storage::RecordLog;
+
+namespace {
+
+const std::vector<std::string> kRecords{"first record", "second record", "third record"};
+
+struct Written {
+  std::vector<std::uint64_t> offsets;
+  std::string* content = nullptr;
+};
+
+Written WriteRecords(FakeDisk& disk) {
+  auto log = RecordLog::Create(disk.Ops(), "d/file").value();
+  Written written;
+  for (const auto& record : kRecords) written.offsets.push_back(log.Append(record).value());
+  cr_assert(!log.Sync().has_error());
+  written.content = &disk.ContentOf("d/file");
+  return written;
+}
+
+Result<std::vector<std::string>> ReadRecords(FakeDisk& disk) {
+  std::vector<std::string> records;
+  BOOST_OUTCOME_TRY(RecordLog::Open(disk.Ops(), "d/file", [&](auto, auto record) -> Result<void> {
+    records.emplace_back(record);
+    return Ok();
+  }));
+  return records;
+}
+
+struct DamageCase {
+  const char* name;
+  std::function<void(const Written&)> damage;
+  // Records that are read back; -1 when the file is to be refused.
+  int kept;
+  // Record whose offset the error names.
+  std::size_t at;
+};
+
+constexpr int kRefused = -1;
+
+const DamageCase kCases[] = {
+    {"none", [](const Written&) {}, 3, 0},
+    {"last record cut short", [](const Written& w) { w.content->pop_back(); }, 2, 0},
+    {"last header cut short", [](const Written& w) { w.content->resize(w.offsets[2] + 5); }, 2, 0},
+    {"zeros at the end", [](const Written& w) { w.content->append(100, '\0'); }, 3, 0},
+    {"bit flip in the last record", [](const Written& w) { w.content->back() ^= 1; }, 2, 0},
+    {"huge length in the last header",
+     [](const Written& w) { w.content->at(w.offsets[2] + 7) = '\x7f'; }, 2, 0},
+    {"bit flip in a middle record", [](const Written& w) { w.content->at(w.offsets[1] + 20) ^= 4; },
+     kRefused, 1},
+    {"bit flip in a middle length", [](const Written& w) { w.content->at(w.offsets[1] + 4) ^= 1; },
+     kRefused, 1},
+    {"bit flip in a middle checksum",
+     [](const Written& w) { w.content->at(w.offsets[0] + 9) ^= 1; }, kRefused, 0},
+    {"middle record overwritten by a copy of the first",
+     [](const Written& w) {
+       w.content->replace(w.offsets[1], w.offsets[1] - w.offsets[0],
+                          w.content->substr(w.offsets[0], w.offsets[1] - w.offsets[0]));
+     },
+     kRefused, 1},
+};
+
+}  // namespace
+
+// Guards against a torn tail that stops a replica, and against damage that passes for one.
+Test(record_log, cuts_a_torn_tail_and_refuses_earlier_damage) {
+  for (const auto& test : kCases) {
+    FakeDisk disk(1);
+    const Written written = WriteRecords(disk);
+    test.damage(written);
+    const auto records = ReadRecords(disk);
+    if (test.kept == kRefused) {
+      cr_assert(records.has_error() && records.error().code == ErrorCode::kCorrupt, "%s",
+                test.name);
+      const std::string place = "offset " + std::to_string(written.offsets[test.at]) + ",";
+      cr_assert(records.error().message.find(place) != std::string::npos, "%s: %s", test.name,
+                records.error().message.c_str());
+      cr_assert(records.error().message.starts_with("d/file: "), "%s", test.name);
+      continue;
+    }
+    cr_assert(!records.has_error(), "%s", test.name);
+    const std::vector<std::string> kept(kRecords.begin(), kRecords.begin() + test.kept);
+    cr_assert(records.value() == kept, "%s", test.name);
+    cr_assert(ReadRecords(disk).value() == kept, "%s: second opening", test.name);
+  }
+}
+
+// Guards against a file of another program or format that is read as an empty log.
+Test(record_log, refuses_a_file_without_header) {
+  FakeDisk disk(1);
+  WriteRecords(disk);
+  disk.ContentOf("d/file")[0] = 'x';
+  cr_assert(ReadRecords(disk).error().code == ErrorCode::kCorrupt);
+  disk.ContentOf("d/file").clear();
+  cr_assert(ReadRecords(disk).error().code == ErrorCode::kCorrupt);
+}
+
+// Guards against a record read from a wrong place.
+Test(record_log, reads_by_offset_only_what_is_there) {
+  FakeDisk disk(1);
+  auto log = RecordLog::Create(disk.Ops(), "d/file").value();
+  const auto offset = log.Append("a record").value();
+  cr_assert_str_eq(log.Read(offset).value().c_str(), "a record");
+  cr_assert(log.Read(offset + 1).error().code == ErrorCode::kCorrupt);
+  cr_assert(log.Read(10'000).error().code == ErrorCode::kCorrupt);
+}
