--- a/src/libs/storage/file_ops.cpp
+++ b/src/libs/storage/file_ops.cpp
@@ -85,7 +85,7 @@
 Result<void> SyncFolder(const std::string& path) {
   const int folder = open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (folder < 0) return FailWithErrno();
-  const auto synced = FromStatus(fsync(folder));
+  auto synced = FromStatus(fsync(folder));
   close(folder);
   return synced;
 }
--- a/src/libs/storage/record_log.cpp
+++ b/src/libs/storage/record_log.cpp
@@ -34,7 +34,7 @@
       buffer_ = std::move(bytes);
       start_ = offset;
     }
-    return std::string_view(buffer_).substr(offset - start_, size);
+    return std::string_view{buffer_}.substr(offset - start_, size);
   }
 
   // Returns the intact record at `offset`, or nothing when it is damaged or incomplete.
--- /dev/null
+++ b/tests/auto/control/session_table_test.cpp
@@ -0,0 +1,74 @@
+#include "control/session_table.h"
+
+#include <criterion/criterion.h>
+
+#include "session_world.h"
+
+using wagtailpick::base::MonotonicTime;
+using wagtailpick::control::RenewVerdict;
+using wagtailpick::control::SessionId;
+using wagtailpick::control::SessionTable;
+using wagtailpick::control::SessionWorld;
+using wagtailpick::control::SessionWorldOptions;
+using wagtailpick::control::SessionWorldTally;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+MonotonicTime At(int millis) { return MonotonicTime(milliseconds(millis)); }
+
+SessionWorldTally RunSeeds(std::uint64_t seeds, const SessionWorldOptions& options) {
+  SessionWorldTally sum;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto tally = SessionWorld(seed, options).Run(seconds(30));
+    sum.grants += tally.grants;
+    sum.closed_sessions += tally.closed_sessions;
+    sum.lease_cut_short += tally.lease_cut_short;
+    sum.owned_twice += tally.owned_twice;
+    sum.missing_quarantine += tally.missing_quarantine;
+  }
+  return sum;
+}
+
+}  // namespace
+
+// Guards against an upstream with two owners at a time, and a session that ends while its holder
+// counts on it.
+Test(session_table, no_lease_is_cut_short_and_no_upstream_is_owned_twice) {
+  const auto tally = RunSeeds(200, {});
+  cr_assert_gt(tally.grants, 1'000U);
+  cr_assert_gt(tally.closed_sessions, 100U);
+  cr_assert_eq(tally.lease_cut_short, 0U);
+  cr_assert_eq(tally.owned_twice, 0U);
+  cr_assert_eq(tally.missing_quarantine, 0U);
+}
+
+// Guards against runs that couldn't notice a missing rule.
+Test(session_table, runs_notice_a_missing_margin_and_a_missing_wait) {
+  SessionWorldOptions no_margin;
+  no_margin.leader_terms.lease = milliseconds(1'960);
+  no_margin.leader_terms.clock_rate_percent = 0;
+  cr_assert_gt(RunSeeds(100, no_margin).lease_cut_short, 0U);
+  SessionWorldOptions no_renewal;
+  no_renewal.renew_at_election = false;
+  const auto tally = RunSeeds(100, no_renewal);
+  cr_assert_gt(tally.lease_cut_short, 0U);
+  cr_assert_gt(tally.owned_twice, 0U);
+}
+
+// Guards against a renewal that comes between the end of the lease and the close of the session.
+Test(session_table, an_expired_lease_cannot_be_renewed) {
+  SessionTable table;
+  table.Reset(std::vector<SessionId>{1, 2, 3}, At(0));
+  cr_assert(table.Renew(1, At(2'019)) == RenewVerdict::kRenewed);
+  cr_assert(table.TakeExpired(At(2'019)).empty());
+  cr_assert(table.TakeExpired(At(2'020)) == (std::vector<SessionId>{2, 3}));
+  cr_assert(table.Renew(2, At(2'021)) == RenewVerdict::kExpired);
+  cr_assert(table.TakeExpired(At(2'500)).empty(), "the close is under way");
+  table.Remove(3);
+  cr_assert(table.TakeExpired(At(3'020)) == std::vector<SessionId>{2}, "the close was lost");
+  cr_assert(table.Renew(3, At(3'021)) == RenewVerdict::kUnknown);
+  cr_assert(table.Renew(1, At(4'100)) == RenewVerdict::kExpired);
+}
--- /dev/null
+++ b/tests/auto/control/session_world.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "control/control_state.h"
+#include "control/session_table.h"
+#include "simulation.h"
+
+namespace wagtailpick::control {
+
+/// What a run of sessions is made of; the defaults are the real rules.
+struct SessionWorldOptions {
+  /// Terms of the leaders. Holders always use the real ones.
+  LeaseTerms leader_terms;
+  /// Whether a new leader treats every session as renewed at its election.
+  bool renew_at_election = true;
+  double drift_percent = 1.0;
+};
+
+struct SessionWorldTally {
+  std::uint64_t events = 0;
+  std::uint64_t grants = 0;
+  std::uint64_t closed_sessions = 0;
+  /// Sessions that were closed while their holder still counted on the lease.
+  std::uint64_t lease_cut_short = 0;
+  /// Upstreams that two holders used at the same time.
+  std::uint64_t owned_twice = 0;
+  /// Grants that follow an owner which may have left requests, without a quarantine.
+  std::uint64_t missing_quarantine = 0;
+};
+
+/// Several entries that own upstreams, pause, restart and resume, and three replicas that take
+/// turns as leader, over messages that are lost or late and clocks that run up to 1% fast or slow.
+class SessionWorld {
+ public:
+  SessionWorld(std::uint64_t seed, SessionWorldOptions options);
+
+  /// Runs for `length` of true time and returns what was counted.
+  SessionWorldTally Run(base::Duration length);
+
+ private:
+  struct Holder {
+    std::string vm;
+    DriftingClock clock;
+    std::uint64_t incarnation = 1;
+    SessionId session = 0;
+    base::MonotonicTime lease_ends;
+    bool paused = false;
+    // Epochs of the upstreams that the holder believes to own under its session.
+    std::map<std::size_t, std::uint64_t> owned;
+  };
+
+  struct Replica {
+    DriftingClock clock;
+    SessionTable table;
+  };
+
+  void ChangeLeader();
+  void Propose(Command command, Holder* holder);
+  void Commit(const Command& command, Holder* holder);
+  void OnOpened(const SessionOutcome& outcome, Holder* holder);
+  void OnGranted(const GrantOwnership& command, const OwnershipOutcome& outcome, Holder* holder);
+  void CheckClosed(SessionId session);
+  void CloseExpired();
+  void Act(Holder& holder);
+  void Renew(Holder& holder);
+  void Open(Holder& holder);
+  void TryOwn(Holder& holder);
+  void GiveUp(Holder& holder);
+  void Restart(Holder& holder);
+  void CheckOwners();
+  bool LeaseHolds(const Holder& holder) const;
+  base::MonotonicTime LeaderTime() const;
+
+  Simulation simulation_;
+  SessionWorldOptions options_;
+  std::vector<Holder> holders_;
+  std::vector<Replica> replicas_;
+  std::optional<std::size_t> leader_;
+  std::uint64_t term_ = 0;
+  ControlState state_;
+  // Upstreams that an earlier owner left with requests that may still run.
+  std::map<std::size_t, bool> may_be_busy_;
+  SessionWorldTally tally_;
+};
+
+}  // namespace wagtailpick::control
--- a/tests/auto/storage/data_folder_test.cpp
+++ b/tests/auto/storage/data_folder_test.cpp
@@ -9,7 +9,6 @@
 #include "storage/log_store.h"
 
 using wagtailpick::base::ErrorCode;
-using wagtailpick::base::Ok;
 using wagtailpick::base::Result;
 using wagtailpick::storage::DataFolder;
 using wagtailpick::storage::FakeDisk;
--- a/tests/auto/storage/record_log_test.cpp
+++ b/tests/auto/storage/record_log_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const std::vector<std::string> kRecords{"first record", "second record", "third record"};
+const std::vector<std::string> all_records{"first record", "second record", "third record"};
 
 struct Written {
   std::vector<std::uint64_t> offsets;
@@ -24,7 +24,7 @@
 Written WriteRecords(FakeDisk& disk) {
   auto log = RecordLog::Create(disk.Ops(), "d/file").value();
   Written written;
-  for (const auto& record : kRecords) written.offsets.push_back(log.Append(record).value());
+  for (const auto& record : all_records) written.offsets.push_back(log.Append(record).value());
   cr_assert(!log.Sync().has_error());
   written.content = &disk.ContentOf("d/file");
   return written;
@@ -50,7 +50,7 @@
 
 constexpr int kRefused = -1;
 
-const DamageCase kCases[] = {
+const DamageCase damage_cases[] = {
     {"none", [](const Written&) {}, 3, 0},
     {"last record cut short", [](const Written& w) { w.content->pop_back(); }, 2, 0},
     {"last header cut short", [](const Written& w) { w.content->resize(w.offsets[2] + 5); }, 2, 0},
@@ -76,7 +76,7 @@
 
 // Guards against a torn tail that stops a replica, and against damage that passes for one.
 Test(record_log, cuts_a_torn_tail_and_refuses_earlier_damage) {
-  for (const auto& test : kCases) {
+  for (const auto& test : damage_cases) {
     FakeDisk disk(1);
     const Written written = WriteRecords(disk);
     test.damage(written);
@@ -91,7 +91,7 @@
       continue;
     }
     cr_assert(!records.has_error(), "%s", test.name);
-    const std::vector<std::string> kept(kRecords.begin(), kRecords.begin() + test.kept);
+    const std::vector<std::string> kept(all_records.begin(), all_records.begin() + test.kept);
     cr_assert(records.value() == kept, "%s", test.name);
     cr_assert(ReadRecords(disk).value() == kept, "%s: second opening", test.name);
   }
--- a/tests/auto/storage/store_fault_test.cpp
+++ b/tests/auto/storage/store_fault_test.cpp
@@ -22,14 +22,14 @@
   const char* reason;
 };
 
-const FaultCase kWriteFaults[] = {
+const FaultCase write_faults[] = {
     {"failed write", Fault::kFailedWrite, "write of d/store"},
     {"short write", Fault::kShortWrite, nullptr},
     {"full disk", Fault::kFullDisk, "no space left"},
     {"failed sync", Fault::kFailedSync, "sync of d/store"},
 };
 
-const FaultCase kReplaceFaults[] = {
+const FaultCase replace_faults[] = {
     {"failed write", Fault::kFailedWrite, "write of d/store"},
     {"short write", Fault::kShortWrite, nullptr},
     {"full disk", Fault::kFullDisk, "no space left"},
@@ -38,7 +38,7 @@
     {"failed folder sync", Fault::kFailedFolderSync, "sync of d failed"},
 };
 
-const std::vector<LogEntry> kEntries{{1, 1, 0, "a"}, {2, 1, 0, "b"}};
+const std::vector<LogEntry> two_entries{{1, 1, 0, "a"}, {2, 1, 0, "b"}};
 
 template <typename T>
 void ExpectFailure(const FaultCase& test, const T& result) {
@@ -51,17 +51,17 @@
 
 // Guards against a store that goes on after a failure and acknowledges what it may not hold.
 Test(store_fault, log_store_says_so_on_each_call_after_a_failure) {
-  for (const auto& test : kWriteFaults) {
+  for (const auto& test : write_faults) {
     FakeDisk disk(1);
     auto store = LogStore::Create(disk.Ops(), "d/store").value();
     disk.Inject(test.fault, 1);
-    cr_assert(!store.Append(kEntries).has_error(), "%s", test.name);
+    cr_assert(!store.Append(two_entries).has_error(), "%s", test.name);
     const auto synced = store.Sync();
     if (test.reason == nullptr) {
       cr_assert(!synced.has_error(), "%s", test.name);
       disk.Restart();
       auto reopened = LogStore::Open(disk.Ops(), "d/store").value();
-      cr_assert(reopened.ReadAll().value() == kEntries, "%s", test.name);
+      cr_assert(reopened.ReadAll().value() == two_entries, "%s", test.name);
       continue;
     }
     ExpectFailure(test, synced);
@@ -76,7 +76,7 @@
 
 // Guards against a failed compaction after which records are written to the old file.
 Test(store_fault, claim_log_says_so_on_each_call_after_a_failed_compaction) {
-  for (const auto& test : kReplaceFaults) {
+  for (const auto& test : replace_faults) {
     FakeDisk disk(1);
     auto log = ClaimLog::Create(disk.Ops(), "d/store").value();
     const auto offset = log.Append("claim").value();
@@ -97,7 +97,7 @@
 // Guards against a snapshot store that reports a snapshot of which it doesn't know whether it
 // holds.
 Test(store_fault, snapshot_store_says_so_on_each_call_after_a_failure) {
-  for (const auto& test : kReplaceFaults) {
+  for (const auto& test : replace_faults) {
     FakeDisk disk(1);
     SnapshotStore store(disk.Ops(), "d/store");
     cr_assert(!store.Save({{1, 1}, "members", "state"}).has_error());
