--- /dev/null
+++ b/src/libs/claims/claim_store.cpp
@@ -0,0 +1,256 @@
+#include "claims/claim_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailpick::claims {
+namespace {
+
+// The assumed bound on the difference between the wall clocks of two VMs.
+constexpr WallMillis kClockDifferenceMs = 100;
+
+ClaimStatus StatusOf(const HeldClaim& claim) {
+  switch (claim.state) {
+    case ClaimState::kAnswerStored:
+      return ClaimStatus::kCompleted;
+    case ClaimState::kAnswerNotKept:
+      return ClaimStatus::kAnswerNotKept;
+    case ClaimState::kClaimed:
+    case ClaimState::kAnswerPending:
+      break;
+  }
+  return ClaimStatus::kHeld;
+}
+
+void ShowHolder(const HeldClaim& claim, ClaimReply& reply) {
+  reply.status = StatusOf(claim);
+  reply.holder = claim.attempt;
+  reply.holder_body = claim.body;
+  reply.holder_deadline = claim.deadline();
+  reply.answer_position = claim.answer_position;
+}
+
+}  // namespace
+
+ClaimStore::ClaimStore(const StoreLimits& limits, const ReplicaIdentity& identity)
+    : limits_(limits),
+      identity_(identity),
+      requests_(Table::kRequests, limits.max_keys, limits.retention_ms),
+      trials_(Table::kTrials, limits.max_trials, limits.trial_retention_ms),
+      tombstones_(limits.max_tombstones, limits.tombstone_ms),
+      ready_(identity.first_start) {
+  known_.Raise(identity.index, identity.incarnation);
+}
+
+void ClaimStore::Recover(const std::vector<Record>& records, WallMillis now) {
+  now = Advance(now);
+  for (const Record& record : records) Apply(record, now);
+  Expire(now);
+}
+
+ClaimOutcome ClaimStore::Claim(const ClaimRequest& request, WallMillis now) {
+  now = Advance(now);
+  ClaimOutcome outcome;
+  ClaimReply& reply = outcome.reply;
+  reply.replica = identity_.index;
+  reply.incarnation = identity_.incarnation;
+  reply.known = known_;
+  reply.attempt = request.attempt;
+  ClaimTable& table = TableOf(request.table);
+  if (const HeldClaim* held = table.Find(request.key, request.attempt, now)) {
+    ShowHolder(*held, reply);
+    if (reply.status == ClaimStatus::kHeld && held->attempt == request.attempt) {
+      // The record of the first copy of this message may still wait for its sync.
+      reply.status = ready_ ? ClaimStatus::kAccepted : ClaimStatus::kCopying;
+      outcome.mutation.sync_before_reply = handed_out_;
+    }
+    return outcome;
+  }
+  Accept(request, now, outcome);
+  return outcome;
+}
+
+void ClaimStore::Accept(const ClaimRequest& request, WallMillis now, ClaimOutcome& outcome) {
+  ClaimStatus& status = outcome.reply.status;
+  if (!ready_) {
+    status = ClaimStatus::kCopying;
+  } else if (tombstones_.Contains(request.attempt)) {
+    status = ClaimStatus::kReleased;
+  } else if (request.deadline + kClockDifferenceMs < now) {
+    status = ClaimStatus::kExpired;
+  } else if (!TableOf(request.table).HasRoom(now)) {
+    status = ClaimStatus::kFull;
+  } else {
+    status = ClaimStatus::kAccepted;
+    Record record;
+    record.table = request.table;
+    record.key = request.key;
+    record.body = request.body;
+    record.attempt = request.attempt;
+    record.claimed_at = now;
+    record.deadline = request.deadline;
+    Apply(record, now);
+    outcome.mutation = HandOut(std::move(record));
+  }
+}
+
+Mutation ClaimStore::Complete(const CompleteRequest& request, WallMillis now) {
+  now = Advance(now);
+  ClaimTable& table = TableOf(request.table);
+  const HeldClaim* held = table.Find(request.key, request.attempt, now);
+  if (held != nullptr && held->ran()) {
+    return {.record = std::nullopt,
+            .sync_before_reply = handed_out_,
+            .applied = held->attempt == request.attempt};
+  }
+  if (held == nullptr && !table.HasRoom(now)) return {};
+  Record record;
+  record.kind = RecordKind::kCompleted;
+  record.table = request.table;
+  record.key = request.key;
+  record.body = request.body;
+  record.attempt = request.attempt;
+  record.claimed_at = held != nullptr ? held->claimed_at : now;
+  record.deadline = request.deadline;
+  record.answer_kept = request.answer.size() <= limits_.max_answer_bytes;
+  Apply(record, now);
+  if (record.answer_kept) record.answer = request.answer;
+  return HandOut(std::move(record));
+}
+
+Mutation ClaimStore::Release(const ReleaseRequest& request, WallMillis now) {
+  now = Advance(now);
+  if (tombstones_.Contains(request.attempt)) {
+    return {.record = std::nullopt, .sync_before_reply = handed_out_, .applied = true};
+  }
+  Record record;
+  record.kind = RecordKind::kReleased;
+  record.table = request.table;
+  record.key = request.key;
+  record.attempt = request.attempt;
+  record.claimed_at = now;
+  Apply(record, now);
+  return HandOut(std::move(record));
+}
+
+void ClaimStore::SetAnswerPosition(Table table, const KeyDigest& key, const AttemptId& attempt,
+                                   std::uint64_t position) {
+  TableOf(table).SetAnswerPosition(key, attempt, position);
+}
+
+Mutation ClaimStore::Fence(ReplicaIndex replica, Incarnation incarnation) {
+  if (replica >= kMaxReplicas || known_.of(replica) >= incarnation) {
+    return {.record = std::nullopt, .sync_before_reply = handed_out_, .applied = true};
+  }
+  known_.Raise(replica, incarnation);
+  Record record;
+  record.kind = RecordKind::kFence;
+  record.replica = replica;
+  record.incarnation = incarnation;
+  return HandOut(std::move(record));
+}
+
+Mutation ClaimStore::Absorb(Record record, WallMillis now) {
+  now = Advance(now);
+  // Positions are those of the source's disk.
+  record.answer_position = kNoPosition;
+  if (!Apply(record, now)) return {};
+  return HandOut(std::move(record));
+}
+
+Mutation ClaimStore::FinishCopy() {
+  ready_ = true;
+  Record record;
+  record.kind = RecordKind::kReady;
+  record.replica = identity_.index;
+  record.incarnation = identity_.incarnation;
+  return HandOut(std::move(record));
+}
+
+void ClaimStore::ForEachLive(WallMillis now,
+                             const std::function<void(const Record&)>& visit) const {
+  std::vector<Record> records;
+  for (const Table table : {Table::kRequests, Table::kTrials}) {
+    TableOf(table).ForEachKey([&](const KeyDigest& key) {
+      records.clear();
+      AppendRecords(table, key, now, records);
+      for (const Record& record : records) visit(record);
+    });
+  }
+  records.clear();
+  AppendTombstones(now, records);
+  for (const Record& record : records) visit(record);
+  for (ReplicaIndex replica = 0; replica < kMaxReplicas; ++replica) {
+    if (known_.of(replica) == 0) continue;
+    Record fence;
+    fence.kind = RecordKind::kFence;
+    fence.replica = replica;
+    fence.incarnation = known_.of(replica);
+    visit(fence);
+  }
+  if (!ready_) return;
+  Record ready;
+  ready.kind = RecordKind::kReady;
+  ready.replica = identity_.index;
+  ready.incarnation = identity_.incarnation;
+  visit(ready);
+}
+
+void ClaimStore::Expire(WallMillis now) {
+  now = Advance(now);
+  requests_.ExpireAll(now);
+  trials_.ExpireAll(now);
+  tombstones_.Expire(now);
+}
+
+std::vector<KeyDigest> ClaimStore::keys(Table table) const { return TableOf(table).keys(); }
+
+void ClaimStore::AppendRecords(Table table, const KeyDigest& key, WallMillis now,
+                               std::vector<Record>& out) const {
+  TableOf(table).AppendRecords(key, now, out);
+}
+
+void ClaimStore::AppendTombstones(WallMillis now, std::vector<Record>& out) const {
+  tombstones_.AppendRecords(now, out);
+}
+
+std::size_t ClaimStore::size(Table table) const { return TableOf(table).size(); }
+
+bool ClaimStore::Apply(const Record& record, WallMillis now) {
+  switch (record.kind) {
+    case RecordKind::kClaimed:
+      if (tombstones_.Contains(record.attempt)) return false;
+      TableOf(record.table).Add(record);
+      return true;
+    case RecordKind::kCompleted:
+      TableOf(record.table).Add(record);
+      return true;
+    case RecordKind::kReleased: {
+      const bool freed = TableOf(record.table).Remove(record.key, record.attempt);
+      const bool is_new = !tombstones_.Contains(record.attempt);
+      tombstones_.Add(record, now);
+      return freed || is_new;
+    }
+    case RecordKind::kFence:
+      if (known_.of(record.replica) >= record.incarnation) return false;
+      known_.Raise(record.replica, record.incarnation);
+      return true;
+    case RecordKind::kReady:
+      ready_ = ready_ || record.incarnation == identity_.incarnation;
+      return true;
+  }
+  return false;
+}
+
+Mutation ClaimStore::HandOut(Record record) {
+  ++handed_out_;
+  return {.record = std::move(record), .sync_before_reply = handed_out_, .applied = true};
+}
+
+WallMillis ClaimStore::Advance(WallMillis now) {
+  // A wall clock that steps back must not bring expired claims back to life.
+  now_ = std::max(now_, now);
+  return now_;
+}
+
+}  // namespace wagtailpick::claims
--- /dev/null
+++ b/src/libs/safety/suspect_table.cpp
@@ -0,0 +1,170 @@
+#include "safety/suspect_table.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "base/enum_names.h"
+
+namespace wagtailpick::safety {
+namespace {
+
+constexpr std::size_t kStrikesToBlock = 2;
+
+// An announcement sent just before the crash can arrive after the loss of the connection was seen.
+constexpr std::uint64_t kAnnouncementsInFlight = 1;
+
+constexpr std::array<base::EnumName<Action>, 3> kActionNames{{
+    {Action::kServe, "serve"},
+    {Action::kTrial, "trial"},
+    {Action::kBlocked, "blocked"},
+}};
+
+std::string TrialKeyOf(const SuspectReport& report) {
+  const auto first = std::find_if(report.strikes.begin(), report.strikes.end(),
+                                  [](const Strike& strike) { return !strike.is_void; });
+  return "trial:" + ToHex(report.fingerprint) + ":" + first->id;
+}
+
+}  // namespace
+
+std::string_view ToString(Action action) { return base::NameOf(kActionNames, action); }
+
+SuspectTable::SuspectTable(const SuspectLimits& limits)
+    : limits_(limits), successes_(limits.max_recent_successes) {}
+
+Ruling SuspectTable::Check(const Fingerprint& fingerprint, WallMillis now) {
+  SuspectReport* report = Find(fingerprint, now);
+  if (report == nullptr) return {};
+  const std::size_t lost = UpstreamsLost(*report);
+  if (lost == 0) return {};
+  if (lost >= kStrikesToBlock) {
+    report->renewed_at = std::max(report->renewed_at, now);
+    changed_.insert(fingerprint);
+    return {Action::kBlocked, {}};
+  }
+  if (SucceededElsewhere(*report, now - limits_.recent_success_ms)) return {};
+  return {Action::kTrial, TrialKeyOf(*report)};
+}
+
+SuspectReport SuspectTable::AddStrike(const Fingerprint& fingerprint, const LostConnection& lost,
+                                      WallMillis now) {
+  SuspectReport& report = FindOrAdd(fingerprint, now);
+  safety::AddStrike(report, {lost.event_id, lost.upstream, lost.announcement, now, false});
+  return Changed(report);
+}
+
+std::optional<SuspectReport> SuspectTable::AddSuccess(const Fingerprint& fingerprint,
+                                                      const std::string& address, WallMillis now) {
+  successes_.Add(fingerprint, {address, now});
+  SuspectReport* report = Find(fingerprint, now);
+  if (report == nullptr) return std::nullopt;
+  safety::AddSuccess(report->successes, {address, now});
+  const bool was_suspect = UpstreamsLost(*report) > 0;
+  for (Strike& strike : report->strikes) strike.is_void = true;
+  if (!was_suspect) return std::nullopt;
+  return Changed(*report);
+}
+
+std::vector<SuspectReport> SuspectTable::ProveAlive(const UpstreamRun& upstream,
+                                                    std::uint64_t announcement, WallMillis now) {
+  std::vector<SuspectReport> withdrawn;
+  for (auto& [fingerprint, report] : suspects_) {
+    if (IsExpired(report, now)) continue;
+    bool changed = false;
+    for (Strike& strike : report.strikes) {
+      if (strike.is_void || strike.upstream != upstream) continue;
+      if (announcement <= strike.announcement + kAnnouncementsInFlight) continue;
+      strike.is_void = true;
+      changed = true;
+    }
+    if (changed) withdrawn.push_back(Changed(report));
+  }
+  return withdrawn;
+}
+
+SuspectReport SuspectTable::AddUnresolvedTrial(const Fingerprint& fingerprint,
+                                               const std::string& trial_key, WallMillis now) {
+  SuspectReport& report = FindOrAdd(fingerprint, now);
+  // Every entry that notices gives the strike the same id, so that it counts once. No announcement
+  // withdraws it, as the upstream isn't known.
+  safety::AddStrike(report,
+                    {"unresolved:" + trial_key, {"unresolved:" + trial_key, 0}, 0, now, false});
+  return Changed(report);
+}
+
+std::optional<SuspectReport> SuspectTable::Merge(const SuspectReport& report, WallMillis now) {
+  if (IsExpired(report, now)) return std::nullopt;
+  SuspectReport& known = FindOrAdd(report.fingerprint, now);
+  if (MergeInto(known, report)) changed_.insert(report.fingerprint);
+  if (known == report) return std::nullopt;
+  return known;
+}
+
+std::vector<SuspectReport> SuspectTable::TakeChanges(WallMillis now) {
+  std::vector<SuspectReport> changes;
+  for (const Fingerprint& fingerprint : changed_) {
+    if (const SuspectReport* report = Find(fingerprint, now)) changes.push_back(*report);
+  }
+  changed_.clear();
+  return changes;
+}
+
+std::vector<SuspectReport> SuspectTable::reports(WallMillis now) const {
+  std::vector<SuspectReport> result;
+  for (const auto& [fingerprint, report] : suspects_) {
+    if (!IsExpired(report, now)) result.push_back(report);
+  }
+  return result;
+}
+
+SuspectReport* SuspectTable::Find(const Fingerprint& fingerprint, WallMillis now) {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) return nullptr;
+  if (!IsExpired(found->second, now)) return &found->second;
+  suspects_.erase(found);
+  return nullptr;
+}
+
+SuspectReport& SuspectTable::FindOrAdd(const Fingerprint& fingerprint, WallMillis now) {
+  if (SuspectReport* found = Find(fingerprint, now)) return *found;
+  if (suspects_.size() >= limits_.max_fingerprints) MakeRoom(now, fingerprint);
+  SuspectReport& report = suspects_[fingerprint];
+  report.fingerprint = fingerprint;
+  if (const Successes* successes = successes_.Find(fingerprint)) report.successes = *successes;
+  return report;
+}
+
+bool SuspectTable::IsExpired(const SuspectReport& report, WallMillis now) const {
+  return ExpiresAt(report) <= now;
+}
+
+WallMillis SuspectTable::ExpiresAt(const SuspectReport& report) const {
+  WallMillis last = report.renewed_at;
+  for (const Strike& strike : report.strikes) last = std::max(last, strike.at);
+  const bool is_blocked = UpstreamsLost(report) >= kStrikesToBlock;
+  return last + (is_blocked ? limits_.block_ms : limits_.suspect_ms);
+}
+
+// Drops what has expired, else the suspect that expires first, else the block that does.
+void SuspectTable::MakeRoom(WallMillis now, const Fingerprint& keep) {
+  std::erase_if(suspects_, [&](const auto& item) {
+    return IsExpired(item.second, now) && item.first != keep;
+  });
+  if (suspects_.size() < limits_.max_fingerprints || suspects_.empty()) return;
+  const auto order = [&](const auto& item) {
+    return std::make_pair(UpstreamsLost(item.second) >= kStrikesToBlock, ExpiresAt(item.second));
+  };
+  const auto victim =
+      std::min_element(suspects_.begin(), suspects_.end(),
+                       [&](const auto& a, const auto& b) { return order(a) < order(b); });
+  changed_.erase(victim->first);
+  suspects_.erase(victim);
+}
+
+const SuspectReport& SuspectTable::Changed(const SuspectReport& report) {
+  changed_.insert(report.fingerprint);
+  return report;
+}
+
+}  // namespace wagtailpick::safety
--- /dev/null
+++ b/src/libs/safety/suspect_table.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "safety/recent_successes.h"
+#include "safety/suspect_record.h"
+
+namespace wagtailpick::safety {
+
+/// Bounds of a `SuspectTable`. The defaults are the design page's.
+struct SuspectLimits {
+  std::size_t max_fingerprints = 10'000;
+  std::size_t max_recent_successes = 10'000;
+  WallMillis block_ms = 600'000;
+  /// Shorter than replicas keep the claim of a trial, so that a suspicion never outlives the claim
+  /// and gets a second trial.
+  WallMillis suspect_ms = 590'000;
+  WallMillis recent_success_ms = 60'000;
+};
+
+enum class Action : std::uint8_t {
+  kServe,
+  /// Run it only after winning the claim register `Ruling::trial_key`.
+  kTrial,
+  /// Refuse it; this renewed the block.
+  kBlocked,
+};
+
+/// Returns the action's name for logs.
+std::string_view ToString(Action action);
+
+struct Ruling {
+  Action action = Action::kServe;
+  /// Equal on all entries that know the same strikes.
+  std::string trial_key;
+};
+
+/// A lost connection, as the owner of the upstream saw it.
+struct LostConnection {
+  /// Random; one for all requests that were running on the upstream.
+  std::string event_id;
+  UpstreamRun upstream;
+  /// The last announcement of the upstream that was heard.
+  std::uint64_t announcement = 0;
+};
+
+/// Requests that may crash the upstreams that run them, as one entry knows them.
+class SuspectTable {
+ public:
+  explicit SuspectTable(const SuspectLimits& limits);
+
+  /// Says how a request may run now. To be asked by the entry that is about to send it.
+  Ruling Check(const Fingerprint& fingerprint, WallMillis now);
+
+  /// Adds a strike for one request that was running when the connection was lost. The report goes
+  /// to all entries before the caller gets its answer.
+  SuspectReport AddStrike(const Fingerprint& fingerprint, const LostConnection& lost,
+                          WallMillis now);
+
+  /// Takes note of a complete answer from `address`. A strike that is known is cleared by it; then
+  /// the report goes to all entries.
+  std::optional<SuspectReport> AddSuccess(const Fingerprint& fingerprint,
+                                          const std::string& address, WallMillis now);
+
+  /// Withdraws the strikes of an upstream that announces itself under the same incarnation. Returns
+  /// the reports that go to all entries.
+  std::vector<SuspectReport> ProveAlive(const UpstreamRun& upstream, std::uint64_t announcement,
+                                        WallMillis now);
+
+  /// The claim register of the trial is held by an attempt whose deadline has passed without a
+  /// known end: it may have crashed its upstream, and its entry as well. Counts as a strike.
+  SuspectReport AddUnresolvedTrial(const Fingerprint& fingerprint, const std::string& trial_key,
+                                   WallMillis now);
+
+  /// Takes in what another entry knows. Returns this entry's report when the sender lacks some of
+  /// it, so that the sender learns it in the reply.
+  std::optional<SuspectReport> Merge(const SuspectReport& report, WallMillis now);
+
+  /// Returns and forgets what changed since the last call, for the regular exchange among entries
+  /// that makes up for lost messages.
+  std::vector<SuspectReport> TakeChanges(WallMillis now);
+
+  /// Returns all that is known, for an entry that has just started.
+  std::vector<SuspectReport> reports(WallMillis now) const;
+
+  std::size_t size() const { return suspects_.size(); }
+
+ private:
+  using Suspects = std::unordered_map<Fingerprint, SuspectReport, FingerprintHash>;
+
+  SuspectReport* Find(const Fingerprint& fingerprint, WallMillis now);
+  SuspectReport& FindOrAdd(const Fingerprint& fingerprint, WallMillis now);
+  bool IsExpired(const SuspectReport& report, WallMillis now) const;
+  WallMillis ExpiresAt(const SuspectReport& report) const;
+  void MakeRoom(WallMillis now, const Fingerprint& keep);
+  const SuspectReport& Changed(const SuspectReport& report);
+
+  SuspectLimits limits_;
+  Suspects suspects_;
+  RecentSuccesses successes_;
+  std::unordered_set<Fingerprint, FingerprintHash> changed_;
+};
+
+}  // namespace wagtailpick::safety
