--- a/src/libs/claims/claim_round.cpp
+++ b/src/libs/claims/claim_round.cpp
@@ -30,7 +30,9 @@
 std::string_view ToString(RoundResult result) { return base::NameOf(kResultNames, result); }
 
 ClaimRound::ClaimRound(std::size_t replicas, const ClaimRequest& own, const Incarnations& known)
-    : replicas_(std::min(replicas, kMaxReplicas)), own_(own), known_(known) {}
+    : replicas_(static_cast<ReplicaIndex>(std::min(replicas, kMaxReplicas))),
+      own_(own),
+      known_(known) {}
 
 std::optional<Decision> ClaimRound::OnReply(const ClaimReply& reply, WallMillis now) {
   if (reply.replica >= replicas_ || reply.attempt != own_.attempt) return std::nullopt;
@@ -144,10 +146,9 @@
   for (ReplicaIndex first = 0; first < replicas_; ++first) {
     if (votes_[first].vote != Vote::kHeld || votes_[first].holder_body == own_.body) continue;
     const auto same =
-        std::count_if(votes_.begin(), votes_.begin() + static_cast<std::ptrdiff_t>(replicas_),
-                      [&](const Replica& other) {
-                        return other.vote == Vote::kHeld && other.holder == votes_[first].holder;
-                      });
+        std::count_if(votes_.begin(), votes_.begin() + replicas_, [&](const Replica& other) {
+          return other.vote == Vote::kHeld && other.holder == votes_[first].holder;
+        });
     if (static_cast<std::size_t>(same) >= MajorityOf(replicas_)) return true;
   }
   return false;
--- a/src/libs/claims/claim_round.h
+++ b/src/libs/claims/claim_round.h
@@ -83,7 +83,7 @@
   bool MajorityHasOtherBody() const;
   std::optional<Decision> TakeCompleted(const ClaimReply& reply);
 
-  std::size_t replicas_;
+  ReplicaIndex replicas_;
   ClaimRequest own_;
   Incarnations known_;
   std::array<Replica, kMaxReplicas> votes_;
--- a/src/libs/claims/claim_store.cpp
+++ b/src/libs/claims/claim_store.cpp
@@ -37,8 +37,7 @@
       identity_(identity),
       requests_(Table::kRequests, limits.max_keys, limits.retention_ms),
       trials_(Table::kTrials, limits.max_trials, limits.trial_retention_ms),
-      tombstones_(limits.max_tombstones, limits.tombstone_ms),
-      ready_(identity.first_start) {
+      tombstones_(limits.max_tombstones, limits.tombstone_ms) {
   known_.Raise(identity.index, identity.incarnation);
 }
 
@@ -158,7 +157,7 @@
   return HandOut(std::move(record));
 }
 
-Mutation ClaimStore::FinishCopy() {
+Mutation ClaimStore::BecomeReady() {
   ready_ = true;
   Record record;
   record.kind = RecordKind::kReady;
--- a/src/libs/claims/claim_store.h
+++ b/src/libs/claims/claim_store.h
@@ -18,19 +18,17 @@
   WallMillis retention_ms = 24LL * 3600 * 1000;
   std::size_t max_trials = 20'000;
   WallMillis trial_retention_ms = 600'000;
-  std::size_t max_answer_bytes = 64 * 1024;
+  std::size_t max_answer_bytes = 65'536;
   std::size_t max_tombstones = 100'000;
   /// Longer than a request's longest deadline plus the difference between wall clocks: after that a
   /// late claim is refused for its deadline.
   WallMillis tombstone_ms = 60'000;
 };
 
-/// Who the replica is and whether its disk has all that it promised.
+/// Which replica this is, and which of its disks.
 struct ReplicaIdentity {
   ReplicaIndex index = 0;
   Incarnation incarnation = 1;
-  /// True only at the first start ever: an empty disk then lost nothing.
-  bool first_start = false;
 };
 
 /// What a mutation changed and when it may be answered.
@@ -79,8 +77,9 @@
   /// new.
   Mutation Absorb(Record record, WallMillis now);
 
-  /// Ends a copy: claims are accepted from now on.
-  Mutation FinishCopy();
+  /// Accepts claims from now on. For the end of a copy, and for the first start of a replica whose
+  /// disk was never lost; `Recover` does the same when it finds the record.
+  Mutation BecomeReady();
 
   /// Calls `visit` for every live record; a log that holds just these recovers the same state.
   void ForEachLive(WallMillis now, const std::function<void(const Record&)>& visit) const;
--- a/src/libs/claims/claim_table.cpp
+++ b/src/libs/claims/claim_table.cpp
@@ -154,15 +154,16 @@
 
 Record ClaimTable::ToRecord(const KeyDigest& key, const HeldClaim& claim) const {
   Record record;
-  record.kind = claim.ran() ? RecordKind::kCompleted : RecordKind::kClaimed;
+  // An answer that isn't on disk yet can't be listed; as a claim the key stays taken.
+  const bool is_listed_as_run = claim.ran() && claim.state != ClaimState::kAnswerPending;
+  record.kind = is_listed_as_run ? RecordKind::kCompleted : RecordKind::kClaimed;
   record.table = table_;
   record.key = key;
   record.body = claim.body;
   record.attempt = claim.attempt;
   record.claimed_at = claim.claimed_at;
   record.deadline = claim.deadline();
-  record.answer_kept =
-      claim.state == ClaimState::kAnswerStored || claim.state == ClaimState::kAnswerPending;
+  record.answer_kept = claim.state == ClaimState::kAnswerStored;
   record.answer_position = claim.answer_position;
   return record;
 }
--- a/src/libs/claims/replica_copy.cpp
+++ b/src/libs/claims/replica_copy.cpp
@@ -7,7 +7,7 @@
 
 ReplicaCopy::ReplicaCopy(std::size_t replicas, const ReplicaIdentity& identity,
                          std::uint64_t first_copy_id)
-    : replicas_(std::min(replicas, kMaxReplicas)),
+    : replicas_(static_cast<ReplicaIndex>(std::min(replicas, kMaxReplicas))),
       identity_(identity),
       next_copy_id_(std::max<std::uint64_t>(first_copy_id, 1)) {
   for (Source& source : sources_) Restart(source);
@@ -48,7 +48,7 @@
   source.complete = page.last;
   if (complete() < CopiesNeeded(replicas_)) return to_sync;
   done_ = true;
-  keep(store.FinishCopy());
+  keep(store.BecomeReady());
   return to_sync;
 }
 
--- a/src/libs/claims/replica_copy.h
+++ b/src/libs/claims/replica_copy.h
@@ -43,7 +43,7 @@
   void DropOutdated();
   std::size_t complete() const;
 
-  std::size_t replicas_;
+  ReplicaIndex replicas_;
   ReplicaIdentity identity_;
   std::array<Source, kMaxReplicas> sources_;
   Incarnations known_;
