Refuse attempts that started before a key was refused as not run

Change: a release after a win carries the time of the refusal; replicas refuse the key to attempts that started before it, for as long as such claims live.

--- a/src/libs/claims/claim_messages.h
+++ b/src/libs/claims/claim_messages.h
@@ -14,6 +14,8 @@
   KeyDigest key{};
   BodyDigest body{};
   AttemptId attempt{};
+  /// When the entry read the request from its caller.
+  WallMillis started_at = 0;
   WallMillis deadline = 0;
 };
 
@@ -33,6 +35,9 @@
   Table table = Table::kRequests;
   KeyDigest key{};
   AttemptId attempt{};
+  /// Set to the current time when the attempt had won and its caller is told "not run": then no
+  /// attempt that started earlier may win either. 0 when the caller is told "may have run".
+  WallMillis refused_at = 0;
 };
 
 enum class ClaimStatus : std::uint8_t {
@@ -47,7 +52,7 @@
   kCopying,
   /// The deadline of the claim has passed.
   kExpired,
-  /// This attempt was released before.
+  /// This attempt was released before, or it started before the key was refused as "not run".
   kReleased,
 };
 
--- a/src/libs/claims/claim_round.cpp
+++ b/src/libs/claims/claim_round.cpp
@@ -8,9 +8,6 @@
 namespace wagtailpick::claims {
 namespace {
 
-// The assumed bound on the difference between the wall clocks of two VMs.
-constexpr WallMillis kClockDifferenceMs = 100;
-
 constexpr std::array<base::EnumName<RoundResult>, 7> kResultNames{{
     {RoundResult::kRun, "run"},
     {RoundResult::kInProgress, "in_progress"},
@@ -38,7 +35,6 @@
   if (reply.replica >= replicas_ || reply.attempt != own_.attempt) return std::nullopt;
   known_.Merge(reply.known);
   known_.Raise(reply.replica, reply.incarnation);
-  if (reply.status == ClaimStatus::kHeld) foreign_seen_ = true;
   if (decided_) return std::nullopt;
   if (reply.status == ClaimStatus::kCompleted || reply.status == ClaimStatus::kAnswerNotKept) {
     return TakeCompleted(reply);
@@ -71,10 +67,6 @@
   return Decide(now);
 }
 
-base::Verdict ClaimRound::refusal_verdict() const {
-  return foreign_seen_ ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun;
-}
-
 std::optional<Decision> ClaimRound::TakeCompleted(const ClaimReply& reply) {
   // One replica is proof enough: only an attempt that won and ran is completed.
   if (reply.holder_body != own_.body) {
--- a/src/libs/claims/claim_round.h
+++ b/src/libs/claims/claim_round.h
@@ -11,7 +11,8 @@
 namespace wagtailpick::claims {
 
 enum class RoundResult : std::uint8_t {
-  /// This attempt alone may run the request.
+  /// This attempt alone may run the request. To refuse it as "not run" instead, send a
+  /// `ReleaseRequest` with `refused_at` to every replica.
   kRun,
   /// Another attempt holds the key and its deadline has not passed.
   kInProgress,
@@ -60,10 +61,6 @@
   /// Incarnations learned from the replies, for the entry's next rounds.
   const Incarnations& known() const { return known_; }
 
-  /// What may be said of the request when this attempt won and is then refused without having been
-  /// sent: "not run", unless another attempt was seen that could still win.
-  base::Verdict refusal_verdict() const;
-
  private:
   enum class Vote : std::uint8_t { kWaiting, kLost, kAccepted, kHeld, kNone };
 
@@ -87,7 +84,6 @@
   ClaimRequest own_;
   Incarnations known_;
   std::array<Replica, kMaxReplicas> votes_;
-  bool foreign_seen_ = false;
   bool decided_ = false;
 };
 
--- a/src/libs/claims/claim_store.cpp
+++ b/src/libs/claims/claim_store.cpp
@@ -6,9 +6,6 @@
 namespace wagtailpick::claims {
 namespace {
 
-// The assumed bound on the difference between the wall clocks of two VMs.
-constexpr WallMillis kClockDifferenceMs = 100;
-
 ClaimStatus StatusOf(const HeldClaim& claim) {
   switch (claim.state) {
     case ClaimState::kAnswerStored:
@@ -55,42 +52,41 @@
   reply.incarnation = identity_.incarnation;
   reply.known = known_;
   reply.attempt = request.attempt;
-  ClaimTable& table = TableOf(request.table);
-  if (const HeldClaim* held = table.Find(request.key, request.attempt, now)) {
-    ShowHolder(*held, reply);
-    if (reply.status == ClaimStatus::kHeld && held->attempt == request.attempt) {
-      // The record of the first copy of this message may still wait for its sync.
-      reply.status = ready_ ? ClaimStatus::kAccepted : ClaimStatus::kCopying;
-      outcome.mutation.sync_before_reply = handed_out_;
-    }
-    return outcome;
+  const HeldClaim* held = TableOf(request.table).Find(request.key, request.attempt, now);
+  if (held != nullptr) ShowHolder(*held, reply);
+  const bool held_by_other = held != nullptr && held->attempt != request.attempt;
+  if (held_by_other || (held != nullptr && held->ran())) return outcome;
+  reply.status = MayAccept(request, now);
+  if (reply.status != ClaimStatus::kAccepted) return outcome;
+  if (held != nullptr) {
+    // The record of the first copy of this message may still wait for its sync.
+    outcome.mutation.sync_before_reply = handed_out_;
+  } else if (!TableOf(request.table).HasRoom(now)) {
+    reply.status = ClaimStatus::kFull;
+  } else {
+    outcome.mutation = AddClaim(request, now);
   }
-  Accept(request, now, outcome);
   return outcome;
 }
 
-void ClaimStore::Accept(const ClaimRequest& request, WallMillis now, ClaimOutcome& outcome) {
-  ClaimStatus& status = outcome.reply.status;
-  if (!ready_) {
-    status = ClaimStatus::kCopying;
-  } else if (tombstones_.Contains(request.attempt)) {
-    status = ClaimStatus::kReleased;
-  } else if (request.deadline + kClockDifferenceMs < now) {
-    status = ClaimStatus::kExpired;
-  } else if (!TableOf(request.table).HasRoom(now)) {
-    status = ClaimStatus::kFull;
-  } else {
-    status = ClaimStatus::kAccepted;
-    Record record;
-    record.table = request.table;
-    record.key = request.key;
-    record.body = request.body;
-    record.attempt = request.attempt;
-    record.claimed_at = now;
-    record.deadline = request.deadline;
-    Apply(record, now);
-    outcome.mutation = HandOut(std::move(record));
-  }
+ClaimStatus ClaimStore::MayAccept(const ClaimRequest& request, WallMillis now) const {
+  if (!ready_) return ClaimStatus::kCopying;
+  if (tombstones_.Contains(request.attempt)) return ClaimStatus::kReleased;
+  if (tombstones_.Forbids(request.key, request.started_at)) return ClaimStatus::kReleased;
+  if (request.deadline + kClockDifferenceMs < now) return ClaimStatus::kExpired;
+  return ClaimStatus::kAccepted;
+}
+
+Mutation ClaimStore::AddClaim(const ClaimRequest& request, WallMillis now) {
+  Record record;
+  record.table = request.table;
+  record.key = request.key;
+  record.body = request.body;
+  record.attempt = request.attempt;
+  record.claimed_at = now;
+  record.deadline = request.deadline;
+  Apply(record, now);
+  return HandOut(std::move(record));
 }
 
 Mutation ClaimStore::Complete(const CompleteRequest& request, WallMillis now) {
@@ -122,12 +118,15 @@
   if (tombstones_.Contains(request.attempt)) {
     return {.record = std::nullopt, .sync_before_reply = handed_out_, .applied = true};
   }
+  // Without a tombstone the key can't be freed safely, so it stays taken.
+  if (!tombstones_.HasRoom(now)) return {};
   Record record;
   record.kind = RecordKind::kReleased;
   record.table = request.table;
   record.key = request.key;
   record.attempt = request.attempt;
   record.claimed_at = now;
+  record.refused_at = request.refused_at;
   Apply(record, now);
   return HandOut(std::move(record));
 }
--- a/src/libs/claims/claim_store.h
+++ b/src/libs/claims/claim_store.h
@@ -19,9 +19,11 @@
   std::size_t max_trials = 20'000;
   WallMillis trial_retention_ms = 600'000;
   std::size_t max_answer_bytes = 65'536;
-  std::size_t max_tombstones = 100'000;
-  /// Longer than a request's longest deadline plus the difference between wall clocks: after that a
-  /// late claim is refused for its deadline.
+  /// A store with this many recent releases frees no further key: 50,000 are 800 releases a second
+  /// and take about 12 MB.
+  std::size_t max_tombstones = 50'000;
+  /// Longer than a request's longest deadline (10 s) plus the difference between wall clocks: after
+  /// that a late claim is refused for its deadline.
   WallMillis tombstone_ms = 60'000;
 };
 
@@ -62,7 +64,8 @@
   /// Stores the answer of an attempt that ran.
   Mutation Complete(const CompleteRequest& request, WallMillis now);
 
-  /// Frees the key if the attempt holds it, and refuses the attempt's later claims.
+  /// Frees the key if the attempt holds it, and refuses the attempt's later claims; with
+  /// `refused_at` also those of all attempts that started earlier.
   Mutation Release(const ReleaseRequest& request, WallMillis now);
 
   /// Tells where the answer of a completed claim is stored; until then it isn't replayed. Also used
@@ -104,7 +107,8 @@
     return table == Table::kRequests ? requests_ : trials_;
   }
   bool Apply(const Record& record, WallMillis now);
-  void Accept(const ClaimRequest& request, WallMillis now, ClaimOutcome& outcome);
+  ClaimStatus MayAccept(const ClaimRequest& request, WallMillis now) const;
+  Mutation AddClaim(const ClaimRequest& request, WallMillis now);
   Mutation HandOut(Record record);
   WallMillis Advance(WallMillis now);
 
--- a/src/libs/claims/copy_source.cpp
+++ b/src/libs/claims/copy_source.cpp
@@ -23,38 +23,39 @@
   const bool is_current =
       snapshot.incarnation == request.incarnation && snapshot.copy_id == request.copy_id;
   // Page 0 of the running copy may arrive twice; a second list of keys could have another order.
-  if (!is_current && request.page == 0) Begin(request, store, now);
+  if (!is_current && request.page == 0) Begin(request, store);
   if (!is_current && request.page != 0) return outcome;
   page.restart = false;
   Fill(snapshot, store, now, page);
   return outcome;
 }
 
-void CopySource::Begin(const CopyRequest& request, const ClaimStore& store, WallMillis now) {
+void CopySource::Begin(const CopyRequest& request, const ClaimStore& store) {
   Snapshot& snapshot = snapshots_[request.replica];
-  snapshot = {request.incarnation, request.copy_id, {}, {}};
+  snapshot = {request.incarnation, request.copy_id, {}, std::nullopt};
   for (const Table table : {Table::kRequests, Table::kTrials}) {
     for (const KeyDigest& key : store.keys(table)) snapshot.keys.push_back({table, key});
   }
-  store.AppendTombstones(now, snapshot.tombstones);
 }
 
-void CopySource::Fill(const Snapshot& snapshot, const ClaimStore& store, WallMillis now,
+// Releases go last: a claim that was released while its page was due is then among them.
+void CopySource::Fill(Snapshot& snapshot, const ClaimStore& store, WallMillis now,
                       CopyPage& page) const {
-  // Tombstones go first, so that the copy doesn't take in claims that other sources have freed.
-  const std::size_t tombstones = snapshot.tombstones.size();
-  const std::size_t total = tombstones + snapshot.keys.size();
-  const std::size_t first = std::min(page.number * keys_per_page_, total);
-  const std::size_t end = std::min(first + keys_per_page_, total);
+  const std::size_t first = page.number * keys_per_page_;
+  const std::size_t end = std::min(first + keys_per_page_, snapshot.keys.size());
   for (std::size_t i = first; i < end; ++i) {
-    if (i < tombstones) {
-      page.records.push_back(snapshot.tombstones[i]);
-      continue;
-    }
-    const TableKey& key = snapshot.keys[i - tombstones];
-    store.AppendRecords(key.table, key.key, now, page.records);
+    store.AppendRecords(snapshot.keys[i].table, snapshot.keys[i].key, now, page.records);
   }
-  page.last = end == total;
+  if (first + keys_per_page_ <= snapshot.keys.size()) return;
+  if (!snapshot.tombstones) store.AppendTombstones(now, snapshot.tombstones.emplace());
+  const std::size_t key_pages = snapshot.keys.size() / keys_per_page_ + 1;
+  const std::size_t total = snapshot.tombstones->size();
+  const std::size_t begin = std::min((page.number + 1 - key_pages) * keys_per_page_, total);
+  const std::size_t stop = std::min(begin + keys_per_page_, total);
+  const auto from = snapshot.tombstones->begin();
+  page.records.insert(page.records.end(), from + static_cast<std::ptrdiff_t>(begin),
+                      from + static_cast<std::ptrdiff_t>(stop));
+  page.last = stop == total;
 }
 
 }  // namespace wagtailpick::claims
--- a/src/libs/claims/copy_source.h
+++ b/src/libs/claims/copy_source.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "claims/claim_store.h"
@@ -37,12 +38,12 @@
     Incarnation incarnation = 0;
     std::uint64_t copy_id = 0;
     std::vector<TableKey> keys;
-    std::vector<Record> tombstones;
+    /// Taken when all keys have been read.
+    std::optional<std::vector<Record>> tombstones;
   };
 
-  void Begin(const CopyRequest& request, const ClaimStore& store, WallMillis now);
-  void Fill(const Snapshot& snapshot, const ClaimStore& store, WallMillis now,
-            CopyPage& page) const;
+  void Begin(const CopyRequest& request, const ClaimStore& store);
+  void Fill(Snapshot& snapshot, const ClaimStore& store, WallMillis now, CopyPage& page) const;
 
   std::size_t keys_per_page_;
   std::array<Snapshot, kMaxReplicas> snapshots_;
--- a/src/libs/claims/digests.h
+++ b/src/libs/claims/digests.h
@@ -11,6 +11,9 @@
 /// Wall-clock time in milliseconds since the Unix epoch.
 using WallMillis = std::int64_t;
 
+/// The assumed bound on the difference between the wall clocks of two VMs.
+constexpr WallMillis kClockDifferenceMs = 100;
+
 /// BLAKE2b-256 of what identifies a claim.
 using KeyDigest = std::array<std::uint8_t, 32>;
 
--- a/src/libs/claims/record.h
+++ b/src/libs/claims/record.h
@@ -36,6 +36,8 @@
   WallMillis claimed_at = 0;
   /// After this time the attempt no longer runs.
   WallMillis deadline = 0;
+  /// Of a release: attempts that started until then must not win.
+  WallMillis refused_at = 0;
   /// False for an answer that was too large to store.
   bool answer_kept = false;
   /// The stored answer of a completed claim. Listings leave it empty and give `answer_position`.
--- a/tests/auto/claims/fake_replica.h
+++ b/tests/auto/claims/fake_replica.h
@@ -21,11 +21,14 @@
     EventQueue& queue;
     Dice& dice;
     LossyNetwork& network;
+    LossyNetwork& copy_network;
     const WorldOptions& options;
     Counts& counts;
     std::function<FakeReplica&(ReplicaIndex)> replica;
     /// Called when a lost disk is copied back.
     std::function<void()> on_repaired;
+    /// Called when a claim is accepted, the worst time for many faults.
+    std::function<void(ReplicaIndex)> on_accepted;
   };
 
   FakeReplica(Surroundings surroundings, ReplicaIndex index);
