Add membership and admission libraries

Cause: an owner entry needs exact slots, leases and shares, and the state of the upstreams it hears of.

--- /dev/null
+++ b/src/libs/admission/owned_upstream.cpp
@@ -0,0 +1,167 @@
+#include "admission/owned_upstream.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "admission/lease_clock.h"
+
+namespace wagtailpick::admission {
+namespace {
+
+/// The longest deadline that a bundle can set: assumed until the service's own is known.
+constexpr std::int64_t kLongestBundleDeadlineMs = 10'000;
+
+}  // namespace
+
+OwnedUpstream::OwnedUpstream(OwnershipGrant grant, const membership::LocalTime& now)
+    : grant_(std::move(grant)),
+      granted_(now.monotonic),
+      quarantine_deadline_ms_(kLongestBundleDeadlineMs),
+      last_freed_(now.monotonic) {
+  slow_start_.Restart(now.monotonic);
+  if (grant_.warm) slow_start_.MarkWarm();
+}
+
+void OwnedUpstream::SetLimits(const ServiceLimits& limits) {
+  quarantine_deadline_ms_ = limits_known_
+                                ? std::max(quarantine_deadline_ms_, limits.longest_deadline_ms)
+                                : limits.longest_deadline_ms;
+  limits_known_ = true;
+  max_slots_ = limits.max_slots;
+  slots_.Resize(std::min(max_slots_, announced_slots_));
+}
+
+void OwnedUpstream::Observe(const membership::Upstream& seen, const membership::LocalTime& now) {
+  const membership::Announcement& announcement = seen.announcement;
+  if (announcement.incarnation() != incarnation_) Restart(announcement, now.monotonic);
+  grant_.service = announcement.service();
+  grant_.place = announcement.place();
+  heard_ = seen.heard;
+  state_ = announcement.state();
+  announced_slots_ = announcement.slots();
+  slots_.Resize(std::min(max_slots_, announced_slots_));
+  UpdateReportedLoad(announcement.load());
+  UpdateDrain(now.monotonic);
+}
+
+void OwnedUpstream::Restart(const membership::Announcement& announcement, base::MonotonicTime now) {
+  const bool first = incarnation_ == 0;
+  incarnation_ = announcement.incarnation();
+  if (first) return;
+  // Slots taken under the old incarnation stay taken, and a quarantine goes on: a sender that was
+  // paused before it sent can reach the new process until the request's deadline.
+  slots_.StartGeneration();
+  if (const base::Duration median = WarmMedian(); median.count() > 0) past_median_ = median;
+  answers_.Clear();
+  slow_start_.Restart(now);
+  outlier_ = {};
+}
+
+void OwnedUpstream::UpdateReportedLoad(std::uint32_t load) {
+  // The report is some milliseconds old, so it is compared with the most that ran here since the
+  // announcement before the last one.
+  const std::uint32_t own = std::max(peak_, previous_peak_);
+  foreign_load_ = load > own ? load - own : 0;
+  previous_peak_ = peak_;
+  peak_ = slots_.taken();
+}
+
+void OwnedUpstream::SetDrained(bool drained, const membership::LocalTime& now) {
+  drained_ = drained;
+  UpdateDrain(now.monotonic);
+}
+
+void OwnedUpstream::BeginHandover(const membership::LocalTime& now) {
+  handing_over_ = true;
+  UpdateDrain(now.monotonic);
+}
+
+bool OwnedUpstream::Draining() const {
+  return state_ != membership::AnnouncedState::kUp || drained_ || handing_over_;
+}
+
+void OwnedUpstream::UpdateDrain(base::MonotonicTime now) {
+  if (Draining() == drain_started_.has_value()) return;
+  drain_started_ = Draining() ? std::optional(now) : std::nullopt;
+  notice_given_ = false;
+}
+
+base::MonotonicTime OwnedUpstream::QuarantineEnd() const {
+  if (!grant_.quarantine) return granted_;
+  const std::chrono::milliseconds wait(quarantine_deadline_ms_ + membership::kWallClockBoundMs);
+  // Stretched by the clock rate bound: 1% of a 10 s deadline would use up the wall clock margin.
+  return granted_ + LongEnough(wait);
+}
+
+Refusal OwnedUpstream::WhyNoSlot(const membership::LocalTime& now) const {
+  if (Quarantined(now.monotonic)) return Refusal::kQuarantine;
+  if (Draining()) return Refusal::kDraining;
+  if (incarnation_ == 0 || !heard_.fresh(now)) return Refusal::kSilent;
+  if (ejected(now.monotonic)) return Refusal::kEjected;
+  return FreeSlots(now) > 0 ? Refusal::kNone : Refusal::kNoFreeSlot;
+}
+
+std::uint32_t OwnedUpstream::FreeSlots(const membership::LocalTime& now) const {
+  if (Quarantined(now.monotonic) || Draining() || incarnation_ == 0 || !heard_.fresh(now) ||
+      ejected(now.monotonic)) {
+    return 0;
+  }
+  const std::uint32_t count = slots_.count();
+  const std::uint32_t all_taken = slots_.taken() + foreign_load_;
+  const std::uint32_t usable = slow_start_.UsableSlots(count);
+  const std::uint32_t usable_taken = slots_.taken_in_generation();
+  if (all_taken >= count || usable_taken >= usable) return 0;
+  return std::min(count - all_taken, usable - usable_taken);
+}
+
+std::optional<std::uint32_t> OwnedUpstream::Take(std::uint64_t serial,
+                                                 std::int64_t deadline_unix_ms) {
+  const auto slot = slots_.Take(serial, deadline_unix_ms + membership::kWallClockBoundMs);
+  peak_ = std::max(peak_, slots_.taken());
+  return slot;
+}
+
+bool OwnedUpstream::Release(std::uint32_t slot, std::uint64_t serial, SlotOutcome outcome,
+                            const membership::LocalTime& now) {
+  if (LeavesSlotInDoubt(outcome)) return slots_.MarkInDoubt(slot, serial);
+  if (!slots_.Free(slot, serial)) return false;
+  last_freed_ = now.monotonic;
+  return true;
+}
+
+void OwnedUpstream::Record(const SlotResult& result, base::Duration peers,
+                           base::MonotonicTime now) {
+  if (IsUpstreamError(result.outcome)) {
+    slow_start_.OnError(now);
+    outlier_.Record(true);
+  }
+  if (result.outcome != SlotOutcome::kAnswered) return;
+  outlier_.Record(false);
+  const base::Duration reference = peers.count() > 0 ? peers : past_median_;
+  slow_start_.OnAnswer(result.latency, reference, slots_.count(), now);
+  answers_.Add(result.latency);
+}
+
+base::Duration OwnedUpstream::WarmMedian() const {
+  return !cold() && answers_.full() ? answers_.Median() : base::Duration{};
+}
+
+void OwnedUpstream::Expire(const membership::LocalTime& now) {
+  const std::uint32_t before = slots_.taken();
+  slots_.Expire(now.wall_ms);
+  if (slots_.taken() < before) last_freed_ = now.monotonic;
+}
+
+bool OwnedUpstream::Idle(const membership::LocalTime& now) const {
+  return slots_.taken() == 0 && !Quarantined(now.monotonic);
+}
+
+std::optional<IdleNotice> OwnedUpstream::TakeIdleNotice(const membership::LocalTime& now) {
+  if (!drain_started_ || notice_given_ || !Idle(now)) return std::nullopt;
+  notice_given_ = true;
+  const base::MonotonicTime idle = std::max({*drain_started_, last_freed_, QuarantineEnd()});
+  return IdleNotice{grant_.address, {grant_.service, grant_.place}, *drain_started_, idle};
+}
+
+}  // namespace wagtailpick::admission
