Add the routing and shift libraries

Cause: entries have to choose a place and an upstream for each request, list entries in lookup answers, and pace shifts between regions. Both are pure: time and randomness are passed in. No test has run. Conclusion: the interfaces can be used; tests and measurements follow.

--- /dev/null
+++ b/src/libs/routing/drain_set.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "routing/ids.h"
+
+namespace wagtailpick::routing {
+
+/// A place that gets no new work. The driver lists each data centre of a drained region.
+struct Drain {
+  PlaceId place = 0;
+  /// Nothing drains all services.
+  std::optional<ServiceId> service;
+};
+
+/// The drains of the bundle in force.
+class DrainSet {
+ public:
+  DrainSet(std::size_t place_count, std::size_t service_count)
+      : places_(place_count), drained_(place_count * service_count, false) {}
+
+  /// Adds a drain; one that names an unknown place or service has no effect.
+  void Add(const Drain& drain) {
+    if (drain.place >= places_) return;
+    const std::size_t services = places_ == 0 ? 0 : drained_.size() / places_;
+    for (std::size_t service = 0; service < services; ++service) {
+      if (drain.service.value_or(static_cast<ServiceId>(service)) != service) continue;
+      drained_[service * places_ + drain.place] = true;
+    }
+  }
+
+  bool Contains(PlaceId place, ServiceId service) const {
+    const std::size_t at = static_cast<std::size_t>(service) * places_ + place;
+    return at < drained_.size() && drained_[at];
+  }
+
+ private:
+  std::size_t places_;
+  std::vector<bool> drained_;
+};
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/routing/place_chooser.cpp
@@ -0,0 +1,212 @@
+#include "routing/place_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <utility>
+
+namespace wagtailpick::routing {
+namespace {
+
+// Bounds the work of a choice; a region has 130 to 140 places at the target size.
+constexpr std::size_t kMaxScanned = 256;
+// Below half a slot a request would more likely be shed than served.
+constexpr float kLeastFree = 0.5F;
+// Rows whose expected latency differs by less than this count as equal and share the load.
+constexpr float kEqualMargin = 0.05F;
+constexpr float kEqualMarginUs = 250;
+// Time of a refusal at the owner and of the next choice, besides the network.
+constexpr float kShedCostUs = 500;
+
+double Unit(const RandomSource& random) {
+  constexpr double kScale = 1.0 / 9007199254740992.0;  // 2^-53
+  return static_cast<double>(random() >> 11U) * kScale;
+}
+
+}  // namespace
+
+// Eligible rows of one region with what the policy compares.
+struct PlaceChooser::Scan {
+  std::span<const Source> rows;
+  std::array<std::uint16_t, kMaxScanned> row{};
+  std::array<float, kMaxScanned> free{};
+  std::array<float, kMaxScanned> cost{};
+  std::size_t count = 0;
+  // Whether a row was passed over only because it has no free slot.
+  bool full = false;
+
+  const Source& at(std::size_t index) const { return rows[row[index]]; }
+};
+
+PlaceChooser::PlaceChooser(std::shared_ptr<const Topology> topology, ChooserRules rules,
+                           DrainSet drains, ShareHooks hooks)
+    : topology_(std::move(topology)),
+      rules_(rules),
+      drains_(std::move(drains)),
+      hooks_(std::move(hooks)) {}
+
+bool PlaceChooser::Eligible(const ChoiceRequest& request, const Source& row) const {
+  if (drains_.Contains(row.place, request.service)) return false;
+  return std::none_of(request.tried.begin(), request.tried.end(), [&](const SourceKey& tried) {
+    return tried.entry == row.entry && tried.place == row.place;
+  });
+}
+
+void PlaceChooser::FillScan(const ChoiceRequest& request, RegionId region,
+                            std::span<const Source> rows, base::MonotonicTime now,
+                            Scan& scan) const {
+  scan.rows = rows;
+  scan.count = 0;
+  const bool shifted = region != topology_->RegionOf(request.home);
+  const float reserve = shifted ? static_cast<float>(rules_.shift_headroom_percent) / 100.0F : 0;
+  const std::size_t scanned = std::min(rows.size(), kMaxScanned);
+  for (std::size_t i = 0; i < scanned; ++i) {
+    const Source& row = rows[i];
+    if (!Eligible(request, row)) continue;
+    const float free = row.Free(now);
+    if (free < kLeastFree || free <= reserve * row.total_slots) {
+      scan.full = true;
+      continue;
+    }
+    const auto round_trip =
+        static_cast<float>(topology_->RoundTrip(request.here, row.place).count());
+    const float shed_risk = row.local ? 0 : 1.0F / (1.0F + free);
+    scan.row[scan.count] = static_cast<std::uint16_t>(i);
+    scan.free[scan.count] = free;
+    scan.cost[scan.count] = round_trip + row.latency_us + shed_risk * (round_trip + kShedCostUs);
+    ++scan.count;
+  }
+}
+
+// Power of two choices: two picks weighted by free slots, of which the better one is taken, so that
+// entries with the same view don't all send to the same owner.
+std::size_t PlaceChooser::Pick(const Scan& scan, const RandomSource& random) const {
+  const bool latency = rules_.policy == Policy::kLatency;
+  float best = scan.cost[0];
+  for (std::size_t i = 1; i < scan.count; ++i) best = std::min(best, scan.cost[i]);
+  const float limit = best * (1.0F + kEqualMargin) + kEqualMarginUs;
+  const auto weight = [&](std::size_t i) {
+    return latency && scan.cost[i] > limit ? 0.0F : scan.free[i];
+  };
+  float sum = 0;
+  for (std::size_t i = 0; i < scan.count; ++i) sum += weight(i);
+  const auto draw = [&] {
+    float left = static_cast<float>(Unit(random)) * sum;
+    std::size_t last = 0;
+    for (std::size_t i = 0; i < scan.count; ++i) {
+      if (weight(i) <= 0) continue;
+      last = i;
+      left -= weight(i);
+      if (left < 0) break;
+    }
+    return last;
+  };
+  const std::size_t first = draw();
+  const std::size_t second = draw();
+  const auto share = [&](std::size_t i) { return scan.free[i] / scan.at(i).total_slots; };
+  return share(second) > share(first) ? second : first;
+}
+
+std::size_t PlaceChooser::PickNext(const Scan& scan, std::size_t first) const {
+  const auto badness = [&](std::size_t i) {
+    if (rules_.policy == Policy::kLatency) return scan.cost[i];
+    return -scan.free[i] / scan.at(i).total_slots;
+  };
+  std::size_t best = scan.count;
+  for (std::size_t i = 0; i < scan.count; ++i) {
+    if (i != first && (best == scan.count || badness(i) < badness(best))) best = i;
+  }
+  return best;
+}
+
+bool PlaceChooser::TakeShares(const ChoiceRequest& request, RegionId region,
+                              base::MonotonicTime now, Choice& choice) const {
+  const RegionId home = topology_->RegionOf(request.home);
+  const RegionId here = topology_->RegionOf(request.here);
+  const bool shifted = region != home;
+  if (shifted && !(hooks_.take_shift && hooks_.take_shift(request.service, home, region, now))) {
+    choice.reason = ChoiceReason::kNoCapShare;
+    return false;
+  }
+  if (region == here) return true;
+  if (hooks_.take_link && hooks_.take_link(here, region, request.link_bytes, now)) return true;
+  if (shifted && hooks_.return_shift) hooks_.return_shift(request.service, home, region, now);
+  choice.reason = ChoiceReason::kNoLinkShare;
+  return false;
+}
+
+void PlaceChooser::ChooseHome(const ChoiceRequest& request, const Scan& scan,
+                              const RandomSource& random, base::MonotonicTime now,
+                              Choice& choice) const {
+  const RegionId home = topology_->RegionOf(request.home);
+  const bool crosses = home != topology_->RegionOf(request.here);
+  if (!TakeShares(request, home, now, choice)) return;
+  const auto add = [&](std::size_t i, ChoiceReason reason) {
+    const Source& row = scan.at(i);
+    const auto network = topology_->RoundTrip(request.here, row.place);
+    choice.candidates[choice.count++] = {
+        {row.entry, row.place, request.service},
+        reason,
+        false,
+        crosses,
+        network + base::Duration(static_cast<std::int64_t>(row.latency_us))};
+  };
+  const std::size_t first = Pick(scan, random);
+  choice.reason =
+      rules_.policy == Policy::kLatency ? ChoiceReason::kLowestLatency : ChoiceReason::kMostFree;
+  add(first, choice.reason);
+  // One link share was taken, so there is one candidate across a link.
+  if (crosses) return;
+  const std::size_t next = PickNext(scan, first);
+  if (next < scan.count) add(next, ChoiceReason::kNextBest);
+}
+
+void PlaceChooser::ChooseOther(const ChoiceRequest& request, const SummaryTable& table,
+                               const RandomSource& random, base::MonotonicTime now,
+                               Choice& choice) const {
+  const RegionId home = topology_->RegionOf(request.home);
+  const auto near = topology_->RegionsNear(home);
+  const bool full = choice.reason == ChoiceReason::kNoFreeSlot;
+  const ChoiceReason reason = full ? ChoiceReason::kHomeFull : ChoiceReason::kHomeUnavailable;
+  choice.reason = ChoiceReason::kNoFreeSlot;
+  Scan scan;
+  // Starts at a random region among those equally near, so that shifts spread over them.
+  for (std::size_t begin = 0; begin < near.size();) {
+    std::size_t end = begin + 1;
+    const auto distance = [&](std::size_t i) { return topology_->RegionRoundTrip(home, near[i]); };
+    while (end < near.size() && distance(end) == distance(begin)) ++end;
+    const std::size_t offset = random() % (end - begin);
+    for (std::size_t i = 0; i < end - begin; ++i) {
+      const RegionId region = near[begin + (offset + i) % (end - begin)];
+      FillScan(request, region, table.Rows(request.service, region), now, scan);
+      if (scan.count == 0 || !TakeShares(request, region, now, choice)) continue;
+      const Source& row = scan.at(Pick(scan, random));
+      const auto network = topology_->RoundTrip(request.here, row.place);
+      choice.candidates[0] = {{row.entry, row.place, request.service},
+                              reason,
+                              true,
+                              region != topology_->RegionOf(request.here),
+                              network + base::Duration(static_cast<std::int64_t>(row.latency_us))};
+      choice.count = 1;
+      choice.reason = reason;
+      return;
+    }
+    begin = end;
+  }
+}
+
+Choice PlaceChooser::Choose(const ChoiceRequest& request, const SummaryTable& table,
+                            const RandomSource& random, base::MonotonicTime now) const {
+  Choice choice;
+  Scan scan;
+  const RegionId home = topology_->RegionOf(request.home);
+  FillScan(request, home, table.Rows(request.service, home), now, scan);
+  if (scan.count > 0) ChooseHome(request, scan, random, now, choice);
+  if (choice.count > 0) return choice;
+  choice.reason =
+      scan.full || scan.count > 0 ? ChoiceReason::kNoFreeSlot : ChoiceReason::kHomeUnavailable;
+  ChooseOther(request, table, random, now, choice);
+  return choice;
+}
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/routing/source.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/monotonic_time.h"
+#include "routing/ids.h"
+
+namespace wagtailpick::routing {
+
+/// Age up to which a summary's free slots count in full.
+inline constexpr base::Duration kFreshSummary{300'000};
+/// Age from which a summary's free slots count as none.
+inline constexpr base::Duration kStaleSummary{1'000'000};
+
+/// One row of `SummaryTable`: the slots of one owner, as `PlaceChooser` reads them.
+struct Source {
+  EntryId entry = 0;
+  PlaceId place = 0;
+  /// Owned by this entry: the counts are exact and have no age.
+  bool local = false;
+  float free_slots = 0;
+  float total_slots = 0;
+  /// Requests that this entry sent to the owner since it made the summary and that still run.
+  float forwarded_since = 0;
+  /// Share of this entry's requests that the owner took, 0 to 1; falls with each shed.
+  float trust = 1;
+  /// Microseconds; 0 when unknown.
+  float latency_us = 0;
+  base::MonotonicTime received;
+
+  /// Free slots that this entry can count on at `now`.
+  float Free(base::MonotonicTime now) const {
+    if (local) return free_slots;
+    const auto age = static_cast<float>((now - received).count());
+    constexpr auto kStale = static_cast<float>(kStaleSummary.count());
+    constexpr auto kSpan = static_cast<float>((kStaleSummary - kFreshSummary).count());
+    const float weight = std::clamp((kStale - age) / kSpan, 0.0F, 1.0F);
+    return std::max(0.0F, free_slots * weight - forwarded_since) * trust;
+  }
+};
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/routing/summary_table.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "routing/source.h"
+#include "routing/summary.h"
+#include "routing/topology.h"
+
+namespace wagtailpick::routing {
+
+/// Free slots and latency of each place and service as their owners report them, corrected by what
+/// this entry did since. Owned by one thread.
+class SummaryTable {
+ public:
+  SummaryTable(std::shared_ptr<const Topology> topology, std::size_t service_count);
+
+  /// Takes a summary from another entry; `round_trip` is the network time to it and back. Returns
+  /// false when the summary is older than the one held, or names an unknown place or service.
+  bool Apply(const Summary& summary, base::Duration round_trip, base::MonotonicTime now);
+
+  /// Sets the exact counts of this entry's own slots; call it before each choice when they changed.
+  bool SetLocal(const Summary& summary);
+
+  /// Counts a request that this entry sends to the owner `key`.
+  void CountForward(const SourceKey& key, base::MonotonicTime sent_at);
+
+  /// Takes back a request counted by `CountForward` once its outcome is known; `latency` is the
+  /// time it took without the network.
+  void CountAnswer(const SourceKey& key, base::MonotonicTime sent_at, base::Duration latency,
+                   base::MonotonicTime now);
+
+  /// Takes back a request that the owner refused for lack of a slot: it has none until it reports
+  /// again.
+  void CountShed(const SourceKey& key, base::MonotonicTime sent_at);
+
+  /// Forgets an entry that is gone, so that no request waits for it.
+  void Remove(EntryId entry);
+
+  /// Rows of one service in one region.
+  std::span<const Source> Rows(ServiceId service, RegionId region) const;
+
+  /// Sum of the free slots of a service in a region at `now`.
+  float FreeInRegion(ServiceId service, RegionId region, base::MonotonicTime now) const;
+
+  std::size_t memory_bytes() const;
+
+ private:
+  // What isn't read by a choice, kept apart so that a scan touches fewer cache lines.
+  struct History {
+    std::uint64_t sequence = 0;
+    base::Duration round_trip{0};
+    float observed_us = 0;
+    std::uint32_t observed = 0;
+    base::MonotonicTime observed_at;
+    std::vector<base::MonotonicTime> forwards;
+  };
+  struct Shelf {
+    std::vector<Source> rows;
+    std::vector<History> histories;
+  };
+  struct RowRef {
+    Shelf* shelf = nullptr;
+    std::size_t row = 0;
+  };
+
+  bool Known(const SourceKey& key) const;
+  Shelf& ShelfOf(const SourceKey& key);
+  RowRef FindRow(const SourceKey& key);
+  RowRef FindOrAddRow(const SourceKey& key);
+  static void DropForward(const RowRef& ref, base::MonotonicTime sent_at);
+  static void Observe(const RowRef& ref, base::Duration latency, base::MonotonicTime now);
+
+  std::shared_ptr<const Topology> topology_;
+  std::size_t service_count_;
+  std::vector<Shelf> shelves_;
+};
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/routing/upstream_chooser.cpp
@@ -0,0 +1,93 @@
+#include "routing/upstream_chooser.h"
+
+#include <algorithm>
+
+namespace wagtailpick::routing {
+namespace {
+
+// Opening a connection takes about one round trip and the handshake.
+constexpr float kConnectUs = 1'000;
+// An upstream runs slower as its slots fill; breaks ties towards the emptier one.
+constexpr float kBusyWeight = 0.1F;
+// An error costs the caller a whole request and often a retry elsewhere.
+constexpr float kErrorWeight = 10;
+constexpr float kUnknownLatencyUs = 10'000;
+constexpr std::size_t kEjectableShare = 3;
+
+bool HasFreeSlot(const UpstreamState& upstream) {
+  return upstream.accepts_work && upstream.slots_in_use < upstream.usable_slots;
+}
+
+}  // namespace
+
+void UpstreamChooser::Observe(UpstreamId id, const UpstreamOutcome& outcome,
+                              base::MonotonicTime now) {
+  UpstreamHealth& health = health_[id];
+  health.Observe(outcome, now);
+  if (!health.ShouldEject(now)) return;
+  const auto ejected = std::count_if(health_.begin(), health_.end(),
+                                     [&](const auto& entry) { return entry.second.Ejected(now); });
+  const bool allowed = (static_cast<std::size_t>(ejected) + 1) * kEjectableShare <= health_.size();
+  if (allowed) health.Eject(now);
+}
+
+bool UpstreamChooser::Ejected(UpstreamId id, base::MonotonicTime now) const {
+  const auto found = health_.find(id);
+  return found != health_.end() && found->second.Ejected(now);
+}
+
+float UpstreamChooser::UsualLatency() const {
+  std::vector<float> known;
+  for (const auto& [id, health] : health_) {
+    if (health.has_latency()) known.push_back(health.latency_us());
+  }
+  if (known.empty()) return 0;
+  const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
+float UpstreamChooser::Cost(const UpstreamState& upstream, float usual_us,
+                            base::MonotonicTime now) const {
+  const auto found = health_.find(upstream.id);
+  float latency = usual_us;
+  float errors = 0;
+  if (found != health_.end()) {
+    latency = found->second.ExpectedLatency(usual_us, now);
+    errors = found->second.ErrorShare();
+  }
+  const float busy =
+      static_cast<float>(upstream.slots_in_use) / static_cast<float>(upstream.usable_slots);
+  const float connect = upstream.idle_connections > 0 ? 0 : kConnectUs;
+  return latency * (1 + kBusyWeight * busy) + connect + errors * kErrorWeight * usual_us;
+}
+
+std::optional<UpstreamId> UpstreamChooser::Choose(std::span<const UpstreamState> upstreams,
+                                                  base::MonotonicTime now, bool prefer_idle) {
+  const float known = UsualLatency();
+  const float usual = known > 0 ? known : kUnknownLatencyUs;
+  const UpstreamState* best = nullptr;
+  float best_cost = 0;
+  for (const auto& upstream : upstreams) {
+    if (!HasFreeSlot(upstream) || Ejected(upstream.id, now)) continue;
+    float cost = Cost(upstream, usual, now);
+    if (prefer_idle) cost += static_cast<float>(upstream.slots_in_use) * kErrorWeight * usual;
+    if (best != nullptr && cost >= best_cost) continue;
+    best = &upstream;
+    best_cost = cost;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->id;
+}
+
+std::uint32_t UpstreamChooser::FreeSlots(std::span<const UpstreamState> upstreams,
+                                         base::MonotonicTime now) const {
+  std::uint32_t free = 0;
+  for (const auto& upstream : upstreams) {
+    if (!HasFreeSlot(upstream) || Ejected(upstream.id, now)) continue;
+    free += upstream.usable_slots - upstream.slots_in_use;
+  }
+  return free;
+}
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/routing/upstream_health.cpp
@@ -0,0 +1,57 @@
+#include "routing/upstream_health.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace wagtailpick::routing {
+namespace {
+
+constexpr std::uint32_t kAnswerWindow = 20;
+constexpr std::uint32_t kAnswerMask = (1U << kAnswerWindow) - 1;
+// Fewer answers say too little: one error in two would eject an upstream that just started.
+constexpr std::uint32_t kLeastAnswers = 5;
+constexpr base::Duration kFirstEjection{5'000'000};
+constexpr base::Duration kLongestEjection{60'000'000};
+constexpr float kLatencyGain = 0.1F;
+constexpr float kMemoryUs = 5'000'000;
+
+}  // namespace
+
+void UpstreamHealth::Observe(const UpstreamOutcome& outcome, base::MonotonicTime now) {
+  errors_ = ((errors_ << 1U) | (outcome.ok ? 0U : 1U)) & kAnswerMask;
+  answers_ = std::min(answers_ + 1, kAnswerWindow);
+  // A fast error must not look like a fast answer.
+  if (!outcome.ok) return;
+  const auto sample = static_cast<float>(outcome.latency.count());
+  ++samples_;
+  observed_at_ = now;
+  const float gain = std::max(kLatencyGain, 1.0F / static_cast<float>(samples_));
+  latency_us_ += (sample - latency_us_) * gain;
+}
+
+float UpstreamHealth::ErrorShare() const {
+  if (answers_ == 0) return 0;
+  return static_cast<float>(std::popcount(errors_)) / static_cast<float>(answers_);
+}
+
+bool UpstreamHealth::ShouldEject(base::MonotonicTime now) const {
+  return !Ejected(now) && answers_ >= kLeastAnswers && ErrorShare() > 0.5F;
+}
+
+void UpstreamHealth::Eject(base::MonotonicTime now) {
+  // An ejection that ended longer ago than the longest one lasts has no bearing on this one.
+  const bool recent = ejection_ > base::Duration::zero() && now - ejected_until_ < kLongestEjection;
+  ejection_ = recent ? std::min(2 * ejection_, kLongestEjection) : kFirstEjection;
+  ejected_until_ = now + ejection_;
+  errors_ = 0;
+  answers_ = 0;
+}
+
+float UpstreamHealth::ExpectedLatency(float usual_us, base::MonotonicTime now) const {
+  if (samples_ == 0) return usual_us;
+  const auto age = static_cast<float>((now - observed_at_).count());
+  return usual_us + (latency_us_ - usual_us) * std::exp(-std::max(0.0F, age) / kMemoryUs);
+}
+
+}  // namespace wagtailpick::routing
--- /dev/null
+++ b/src/libs/shift/forced_shift.cpp
@@ -0,0 +1,94 @@
+#include "shift/forced_shift.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace wagtailpick::shift {
+namespace {
+
+// Room for one service in one region while the plan is made.
+struct Room {
+  std::uint16_t region = 0;
+  std::uint32_t requests = 0;
+};
+
+class Planner {
+ public:
+  explicit Planner(std::span<const ForcedLink> links) : links_(links.begin(), links.end()) {}
+
+  void Serve(const ForcedDemand& demand, std::span<const ForcedTarget> targets, ForcedPlan& plan) {
+    std::vector<Room> rooms;
+    std::uint64_t sum = 0;
+    for (const auto& target : targets) {
+      if (target.service != demand.service) continue;
+      const std::uint32_t requests = std::min(target.cap_per_s, target.bearable_per_s);
+      rooms.push_back({target.region, requests});
+      sum += requests;
+    }
+    std::vector<std::uint32_t> granted(rooms.size(), 0);
+    std::uint32_t left = demand.requests_per_s;
+    const auto grant = [&](std::size_t i, std::uint32_t wanted) {
+      const std::uint32_t room = rooms[i].requests - granted[i];
+      const std::uint32_t given =
+          TakeLink(rooms[i].region, std::min({wanted, room, left}), demand.bytes_per_request);
+      granted[i] += given;
+      left -= given;
+    };
+    // In proportion first, then what rounding and full links left over.
+    for (std::size_t i = 0; i < rooms.size() && sum > 0; ++i) {
+      const std::uint64_t part = std::uint64_t{demand.requests_per_s} * rooms[i].requests / sum;
+      grant(i, static_cast<std::uint32_t>(part));
+    }
+    for (std::size_t i = 0; i < rooms.size(); ++i) grant(i, left);
+    for (std::size_t i = 0; i < rooms.size(); ++i) {
+      if (granted[i] > 0) plan.grants.push_back({demand.service, rooms[i].region, granted[i]});
+    }
+    if (left > 0) plan.refusals.push_back({demand.service, left});
+  }
+
+ private:
+  // Takes link bytes for up to `wanted` requests; returns how many fit.
+  std::uint32_t TakeLink(std::uint16_t region, std::uint32_t wanted, std::uint32_t bytes) {
+    const auto link = std::find_if(links_.begin(), links_.end(),
+                                   [&](const ForcedLink& entry) { return entry.region == region; });
+    if (link == links_.end()) return 0;
+    if (bytes == 0) return wanted;
+    const auto fitting = std::min<std::uint64_t>(wanted, link->bytes_per_s / bytes);
+    link->bytes_per_s -= fitting * bytes;
+    return static_cast<std::uint32_t>(fitting);
+  }
+
+  std::vector<ForcedLink> links_;
+};
+
+}  // namespace
+
+std::uint32_t BearableRate(std::uint32_t free_slots, std::uint32_t total_slots,
+                           std::uint32_t headroom_percent, base::Duration slot_time) {
+  constexpr std::uint64_t kMicrosPerSecond = 1'000'000;
+  constexpr std::uint64_t kPercent = 100;
+  if (slot_time <= base::Duration::zero()) return 0;
+  const std::uint64_t reserve =
+      (std::uint64_t{total_slots} * headroom_percent + kPercent - 1) / kPercent;
+  if (free_slots <= reserve) return 0;
+  const std::uint64_t rate =
+      (free_slots - reserve) * kMicrosPerSecond / static_cast<std::uint64_t>(slot_time.count());
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(rate, std::numeric_limits<std::uint32_t>::max()));
+}
+
+ForcedPlan PlanForcedShift(std::span<const ForcedDemand> demands,
+                           std::span<const ForcedTarget> targets,
+                           std::span<const ForcedLink> links) {
+  std::vector<ForcedDemand> ordered(demands.begin(), demands.end());
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const ForcedDemand& left, const ForcedDemand& right) {
+                     return left.priority > right.priority;
+                   });
+  ForcedPlan plan;
+  Planner planner(links);
+  for (const auto& demand : ordered) planner.Serve(demand, targets, plan);
+  return plan;
+}
+
+}  // namespace wagtailpick::shift
