--- /dev/null
+++ b/tests/auto/routing/summary_table_test.cpp
@@ -0,0 +1,109 @@
+#include "routing/summary_table.h"
+
+#include <criterion/criterion.h>
+
+#include <cmath>
+
+#include "fixtures.h"
+
+namespace wagtailpick::routing {
+namespace {
+
+bool Near(float left, float right) { return std::abs(left - right) < 0.01F; }
+
+class OneSource {
+ public:
+  OneSource() { table.Apply(SummaryOf(1, 8, 10), 2 * kMs, At(1'000)); }
+
+  float Free(std::int64_t at) const { return table.Rows(0, 0).front().Free(At(at)); }
+  const Source& row() const { return table.Rows(0, 0).front(); }
+
+  SummaryTable table{ThreeRegions(), 2};
+  SourceKey key{101, 1, 0};
+};
+
+}  // namespace
+
+// Guards against requests that are sent on the strength of an old report.
+Test(summary_table, free_slots_decay_with_age) {
+  const OneSource source;
+  cr_expect(Near(source.Free(1'000), 8));
+  cr_expect(Near(source.Free(1'300), 8));
+  cr_expect(Near(source.Free(1'650), 4));
+  cr_expect(Near(source.Free(2'000), 0));
+  cr_expect(Near(source.Free(60'000), 0));
+}
+
+// Guards against an entry that fills a place many times over between two summaries.
+Test(summary_table, own_forwards_since_the_summary_are_subtracted) {
+  OneSource source;
+  source.table.CountForward(source.key, At(1'010));
+  source.table.CountForward(source.key, At(1'099));
+  cr_expect(Near(source.Free(1'100), 6));
+  // The first one had arrived when the next summary was made, the second one hadn't.
+  source.table.Apply(SummaryOf(1, 7, 10, 2), 2 * kMs, At(1'100));
+  cr_expect(Near(source.Free(1'100), 6));
+  source.table.CountAnswer(source.key, At(1'099), 10 * kMs, At(1'110));
+  cr_expect(Near(source.Free(1'110), 7));
+}
+
+// Guards against a late summary that undoes a newer one, and against an entry that restarted and
+// counts from 1 again being ignored for good.
+Test(summary_table, older_summaries_are_ignored_until_the_newer_one_is_stale) {
+  OneSource source;
+  cr_expect(source.table.Apply(SummaryOf(1, 5, 10, 9), 2 * kMs, At(1'100)));
+  cr_expect(!source.table.Apply(SummaryOf(1, 10, 10, 8), 2 * kMs, At(1'150)));
+  cr_expect(!source.table.Apply(SummaryOf(1, 10, 10, 9), 2 * kMs, At(1'150)));
+  cr_expect(Near(source.Free(1'150), 5));
+  cr_expect(source.table.Apply(SummaryOf(1, 6, 10, 1), 2 * kMs, At(2'101)));
+  cr_expect(Near(source.Free(2'101), 6));
+}
+
+// Guards against an owner that reports free slots and sheds all the same.
+Test(summary_table, an_owner_that_sheds_is_trusted_less_and_has_no_slot_until_it_reports) {
+  OneSource source;
+  std::uint64_t sequence = 1;
+  for (std::int64_t at = 1'000; at < 3'000; at += 100) {
+    source.table.CountForward(source.key, At(at));
+    source.table.CountShed(source.key, At(at));
+    cr_expect(Near(source.Free(at), 0));
+    source.table.Apply(SummaryOf(1, 10, 10, ++sequence), 2 * kMs, At(at + 100));
+  }
+  cr_expect(source.Free(3'000) < 1.0F);
+  for (std::int64_t at = 3'000; at < 20'000; at += 100) {
+    source.table.Apply(SummaryOf(1, 10, 10, ++sequence), 2 * kMs, At(at + 100));
+  }
+  cr_expect(source.Free(20'000) > 9.0F);
+}
+
+// Guards against a reported latency that hides what this entry observes itself.
+Test(summary_table, own_observations_replace_the_reported_latency) {
+  OneSource source;
+  for (int i = 0; i < 50; ++i) {
+    source.table.CountAnswer(source.key, At(0), 40 * kMs, At(1'001));
+  }
+  source.table.Apply(SummaryOf(1, 8, 10, 2, kMs), 2 * kMs, At(1'100));
+  cr_expect(Near(source.row().latency_us, 40'000));
+  source.table.Apply(SummaryOf(1, 8, 10, 3, kMs), 2 * kMs, At(3'200));
+  cr_expect(Near(source.row().latency_us, 1'000));
+}
+
+// Guards against exact counts that are treated like a report.
+Test(summary_table, own_slots_have_no_age) {
+  OneSource source;
+  source.table.SetLocal(SummaryOf(1, 3, 10));
+  source.table.CountForward(source.key, At(1'000));
+  cr_expect(Near(source.Free(90'000), 3));
+}
+
+// Guards against rows of an entry that is gone, and against writes outside the table.
+Test(summary_table, unknown_places_are_refused_and_gone_entries_removed) {
+  OneSource source;
+  cr_expect(!source.table.Apply({{1, 6, 0}, 1, 1, kMs, 1}, kMs, At(1'000)));
+  cr_expect(!source.table.Apply({{1, 0, 2}, 1, 1, kMs, 1}, kMs, At(1'000)));
+  cr_expect(source.table.Rows(2, 0).empty() && source.table.Rows(0, 3).empty());
+  source.table.Remove(101);
+  cr_expect(source.table.Rows(0, 0).empty());
+}
+
+}  // namespace wagtailpick::routing
