Add a load model that compares the routing decisions with naive ways and an oracle

Cause: nothing measured how the decision libraries do under load and faults. Change: bench_routing drives the libraries over a seeded model of both deployments, with random, round robin, least loaded by report and an oracle. A forced shift is now set as thousandths of the cap, since each entry knows only its own share.

--- a/src/libs/shift/shift_controller.cpp
+++ b/src/libs/shift/shift_controller.cpp
@@ -120,14 +120,12 @@
   return {reason, level_};
 }
 
-void ShiftController::Force(std::uint32_t requests_per_window, base::MonotonicTime now) {
+void ShiftController::ForceLevel(std::uint32_t permille, base::MonotonicTime now) {
   started_ = true;
   changed_at_ = now;
   refused_at_ = now;
   ceiling_ = kWholeLevel;
-  if (share_ == 0) return;
-  const std::uint64_t wanted = std::uint64_t{requests_per_window} * kWholeLevel / share_;
-  level_ = static_cast<std::uint32_t>(std::min<std::uint64_t>(wanted, kWholeLevel));
+  level_ = std::min(permille, kWholeLevel);
 }
 
 }  // namespace wagtailpick::shift
--- a/src/libs/shift/shift_controller.h
+++ b/src/libs/shift/shift_controller.h
@@ -41,9 +41,10 @@
   /// Adjusts the level; call it several times a second with the newest measurement, if any.
   ShiftStep Tick(const std::optional<ShiftMeasurement>& measured, base::MonotonicTime now);
 
-  /// Sets the level without steps, as planned by `PlanForcedShift` for a region that failed. The
-  /// share still holds, and later measurements halve the level as usual.
-  void Force(std::uint32_t requests_per_window, base::MonotonicTime now);
+  /// Sets the level without steps, as planned by `PlanForcedShift` for a region that failed: the
+  /// planned requests as thousandths of the cap, rounded up. The share still holds, and later
+  /// measurements halve the level as usual.
+  void ForceLevel(std::uint32_t permille, base::MonotonicTime now);
 
   std::uint32_t level_permille() const { return level_; }
 
--- /dev/null
+++ b/tests/benchmarks/routing/report.cpp
@@ -0,0 +1,140 @@
+#include "report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+
+namespace wagtailpick::benchmarks {
+namespace {
+
+constexpr std::size_t kParallelRuns = 5;
+// Differences below these are noise between ways that are equally good.
+constexpr double kNoise = 0.02;
+constexpr double kRefusedNoise = 0.002;
+// The latency of served requests says little when many more than necessary are refused.
+constexpr double kUnservedMargin = 0.01;
+
+bool SameCase(const Row& left, const Row& right) {
+  return left.deployment == right.deployment && left.scenario == right.scenario;
+}
+
+const Row* Find(const std::vector<Row>& rows, const Row& like, Way way) {
+  const auto found = std::find_if(rows.begin(), rows.end(), [&](const Row& row) {
+    return SameCase(row, like) && row.way == way;
+  });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+const Row* FindScenario(const std::vector<Row>& rows, const Row& like, const char* scenario) {
+  const auto found = std::find_if(rows.begin(), rows.end(), [&](const Row& row) {
+    return row.deployment == like.deployment && row.way == like.way && row.scenario == scenario;
+  });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+double Unserved(const Row& row) { return row.result.refused + row.result.failed; }
+
+// A baseline is better only when it doesn't buy its figure by serving fewer requests.
+bool Better(const Row& other, const Row& ours) {
+  if (Unserved(other) > Unserved(ours) + kRefusedNoise) return false;
+  if (ours.policy == routing::Policy::kLatency) {
+    return other.result.p99_ms < ours.result.p99_ms * (1 - kNoise) ||
+           other.result.p50_ms < ours.result.p50_ms * (1 - kNoise);
+  }
+  return other.result.least_headroom > ours.result.least_headroom * (1 + kNoise);
+}
+
+std::string Verdict(const std::vector<Row>& rows, const Row& ours) {
+  std::string text;
+  const Row* oracle = Find(rows, ours, Way::kOracle);
+  const double ratio = ours.result.p99_ms / oracle->result.p99_ms;
+  if (ratio > 1.1) text += fmt::format(" p99 {:.2f} x oracle;", ratio);
+  for (const Way way : {Way::kRandom, Way::kRoundRobin, Way::kLeastLoaded}) {
+    const Row* other = Find(rows, ours, way);
+    if (Better(*other, ours)) text += fmt::format(" {} is better;", ToString(way));
+  }
+  if (Unserved(ours) > Unserved(*oracle) + kUnservedMargin) {
+    text += fmt::format(" unserved {:.1f}% (oracle {:.1f}%);", 100 * Unserved(ours),
+                        100 * Unserved(*oracle));
+  }
+  if (ours.result.worst_shift > 1) text += " shift cap exceeded;";
+  if (ours.scenario == "retry storm at 2x") {
+    const Row* full = FindScenario(rows, ours, "at capacity");
+    const double goodput = ours.result.goodput_per_s / full->result.goodput_per_s;
+    text += fmt::format(" goodput {:.2f} x that at capacity;", goodput);
+  }
+  return text.empty() ? " aims met" : text;
+}
+
+}  // namespace
+
+std::vector<Row> RunAll(std::uint64_t seed) {
+  static const std::vector<Deployment> deployments{MantaAlta(), Peachtree()};
+  static const std::vector<Scenario> scenarios = AllScenarios();
+  std::vector<Row> rows;
+  std::vector<std::future<RunResult>> running;
+  std::size_t collected = 0;
+  const auto collect = [&] {
+    rows[collected].result = running[collected].get();
+    ++collected;
+  };
+  for (const auto& deployment : deployments) {
+    for (const auto& scenario : scenarios) {
+      for (const Way way :
+           {Way::kOurs, Way::kRandom, Way::kRoundRobin, Way::kLeastLoaded, Way::kOracle}) {
+        if (running.size() - collected >= kParallelRuns) collect();
+        rows.push_back({deployment.name, scenario.name, deployment.policy, way, {}});
+        running.push_back(std::async(std::launch::async, [&deployment, &scenario, way, seed] {
+          return LoadModel(deployment, scenario, way, seed).Run();
+        }));
+      }
+    }
+  }
+  while (collected < running.size()) collect();
+  return rows;
+}
+
+std::string RenderTable(const std::vector<Row>& rows) {
+  std::string text =
+      "| deployment | scenario | way | p50 ms | p99 ms | headroom | refused | failed | goodput/s "
+      "| shift/cap | drain ms |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
+  for (const Row& row : rows) {
+    const RunResult& result = row.result;
+    const auto drain = result.drain_ms < 0 ? "-" : fmt::format("{:.0f}", result.drain_ms);
+    text += fmt::format(
+        "| {} | {} | {} | {:.1f} | {:.1f} | {:.1f}% | {:.2f}% | {:.2f}% | {:.0f} | {:.2f} | {} |\n",
+        row.deployment, row.scenario, ToString(row.way), result.p50_ms, result.p99_ms,
+        100 * result.least_headroom, 100 * result.refused, 100 * result.failed,
+        result.goodput_per_s, result.worst_shift, drain);
+  }
+  return text;
+}
+
+std::string RenderCsv(const std::vector<Row>& rows) {
+  std::string text =
+      "deployment,scenario,way,p50_ms,p99_ms,refused,failed,goodput_per_s,shift_per_cap,drain_ms";
+  for (std::size_t place = 0; place < kPlaces; ++place) text += fmt::format(",headroom_{}", place);
+  text += '\n';
+  for (const Row& row : rows) {
+    const RunResult& result = row.result;
+    text +=
+        fmt::format("{},{},{},{:.3f},{:.3f},{:.5f},{:.5f},{:.1f},{:.3f},{:.0f}", row.deployment,
+                    row.scenario, ToString(row.way), result.p50_ms, result.p99_ms, result.refused,
+                    result.failed, result.goodput_per_s, result.worst_shift, result.drain_ms);
+    for (const double headroom : result.headroom) text += fmt::format(",{:.4f}", headroom);
+    text += '\n';
+  }
+  return text;
+}
+
+std::string RenderVerdicts(const std::vector<Row>& rows) {
+  std::string text;
+  for (const Row& row : rows) {
+    if (row.way != Way::kOurs) continue;
+    text += fmt::format("{}, {}:{}\n", row.deployment, row.scenario, Verdict(rows, row));
+  }
+  return text;
+}
+
+}  // namespace wagtailpick::benchmarks
--- /dev/null
+++ b/tests/benchmarks/routing/share_book.cpp
@@ -0,0 +1,163 @@
+#include "share_book.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "shift/forced_shift.h"
+
+namespace wagtailpick::benchmarks {
+namespace {
+
+constexpr base::MonotonicTime kForever{base::Duration(1'000'000'000'000)};
+// The warm median is learnt before the faults begin.
+constexpr base::MonotonicTime kLearnUntil{5'000 * kMs};
+
+}  // namespace
+
+ShareBook::ShareBook(const Cluster& cluster) : cluster_(cluster) { Grant(); }
+
+std::uint32_t ShareBook::Cap(std::uint16_t service) const {
+  return static_cast<std::uint32_t>(cluster_.deployment().RegionCapacity(service) * kCapShare);
+}
+
+void ShareBook::GrantCap(const Key& pair) {
+  const auto& entries = cluster_.entries();
+  std::vector<routing::EntryId> holders;
+  for (const routing::RegionId region : {pair.from, pair.to}) {
+    if (!holders.empty()) break;
+    for (routing::EntryId id = 0; id < entries.size(); ++id) {
+      if (entries[id].alive && cluster_.RegionOf(entries[id].place) == region) {
+        holders.push_back(id);
+      }
+    }
+  }
+  const std::uint32_t cap = Cap(pair.service);
+  for (std::size_t i = 0; i < holders.size(); ++i) {
+    const auto count = static_cast<std::uint32_t>(holders.size());
+    const std::uint32_t share = cap / count + (i < cap % count ? 1 : 0);
+    shifts_[{holders[i], pair.service, pair.from, pair.to}].SetShare(share, kForever);
+  }
+}
+
+void ShareBook::GrantLink(routing::RegionId from, routing::RegionId to) {
+  const auto& entries = cluster_.entries();
+  const auto holder = [&](const EntryVm& entry) {
+    return entry.alive && cluster_.RegionOf(entry.place) == from;
+  };
+  const auto count = std::count_if(entries.begin(), entries.end(), holder);
+  if (count == 0) return;
+  const std::uint64_t share =
+      cluster_.deployment().link_bytes_per_s / static_cast<std::uint64_t>(count);
+  for (routing::EntryId id = 0; id < entries.size(); ++id) {
+    if (holder(entries[id])) links_[{id, 0, from, to}].SetShare(share, kForever);
+  }
+}
+
+void ShareBook::Grant() {
+  for (routing::RegionId from = 0; from < kRegions; ++from) {
+    for (routing::RegionId to = 0; to < kRegions; ++to) {
+      if (from == to) continue;
+      GrantLink(from, to);
+      for (std::uint16_t service = 0; service < cluster_.deployment().services.size(); ++service) {
+        GrantCap({0, service, from, to});
+      }
+    }
+  }
+}
+
+void ShareBook::ForceAll(base::MonotonicTime now) {
+  for (auto& [key, controller] : shifts_) {
+    controller.ForceLevel(1'000, now);
+  }
+}
+
+routing::ShareHooks ShareBook::HooksOf(routing::EntryId entry) {
+  routing::ShareHooks hooks;
+  hooks.take_shift = [this, entry](routing::ServiceId service, routing::RegionId from,
+                                   routing::RegionId to, base::MonotonicTime now) {
+    const auto found = shifts_.find({entry, service, from, to});
+    if (found == shifts_.end() || !found->second.TryAdmit(now)) return false;
+    taken_[{0, service, from, to}].push_back(now);
+    return true;
+  };
+  hooks.return_shift = [this, entry](routing::ServiceId service, routing::RegionId from,
+                                     routing::RegionId to, base::MonotonicTime now) {
+    shifts_[{entry, service, from, to}].Return(now);
+    taken_[{0, service, from, to}].pop_back();
+  };
+  hooks.take_link = [this, entry](routing::RegionId from, routing::RegionId to, std::uint32_t bytes,
+                                  base::MonotonicTime now) {
+    const auto found = links_.find({entry, 0, from, to});
+    return found != links_.end() && found->second.TryReserve(bytes, now);
+  };
+  return hooks;
+}
+
+ShareBook::RegionView ShareBook::ViewOf(const Key& key, const routing::SummaryTable& table,
+                                        base::MonotonicTime now) {
+  RegionView view;
+  double latency = 0;
+  base::MonotonicTime oldest = now;
+  for (const auto& row : table.Rows(key.service, key.to)) {
+    view.free += static_cast<std::uint32_t>(row.Free(now));
+    view.total += static_cast<std::uint32_t>(row.total_slots);
+    latency += row.latency_us * row.total_slots;
+    if (!row.local) oldest = std::min(oldest, row.received);
+  }
+  if (view.total == 0) return view;
+  latency /= view.total;
+  double& warm = warm_us_[key];
+  if (now < kLearnUntil || warm == 0) warm = latency;
+  view.measured = {oldest, base::Duration(static_cast<std::int64_t>(latency)),
+                   base::Duration(static_cast<std::int64_t>(warm)),
+                   static_cast<double>(view.free) / view.total};
+  return view;
+}
+
+void ShareBook::Tick(routing::EntryId entry, const routing::SummaryTable& table,
+                     base::MonotonicTime now) {
+  for (auto& [key, controller] : shifts_) {
+    if (key.entry == entry) controller.Tick(ViewOf(key, table, now).measured, now);
+  }
+}
+
+void ShareBook::ForceLost(routing::EntryId entry, routing::RegionId lost,
+                          const routing::SummaryTable& table, base::MonotonicTime now) {
+  std::vector<shift::ForcedDemand> demands;
+  std::vector<shift::ForcedTarget> targets;
+  std::vector<shift::ForcedLink> links;
+  const Deployment& deployment = cluster_.deployment();
+  for (std::uint16_t service = 0; service < deployment.services.size(); ++service) {
+    const ServiceSpec& spec = deployment.services[service];
+    const auto load = cluster_.scenario().load_before[lost] * deployment.RegionCapacity(service);
+    demands.push_back({service, spec.priority, static_cast<std::uint32_t>(load), spec.bytes});
+    for (routing::RegionId to = 0; to < kRegions; ++to) {
+      if (to == lost) continue;
+      const RegionView view = ViewOf({entry, service, lost, to}, table, now);
+      const auto bearable =
+          shift::BearableRate(view.free, view.total, kShiftHeadroomPercent, spec.mean_time);
+      targets.push_back({to, service, Cap(service), bearable});
+      if (service == 0) links.push_back({to, deployment.link_bytes_per_s});
+    }
+  }
+  for (const auto& grant : shift::PlanForcedShift(demands, targets, links).grants) {
+    const auto found = shifts_.find({entry, grant.service, lost, grant.region});
+    if (found == shifts_.end()) continue;
+    const double part = static_cast<double>(grant.requests_per_s) / Cap(grant.service);
+    found->second.ForceLevel(static_cast<std::uint32_t>(std::ceil(part * 1'000)), now);
+  }
+}
+
+double ShareBook::WorstShiftShare() const {
+  double worst = 0;
+  for (const auto& [key, taken] : taken_) {
+    std::size_t begin = 0;
+    for (std::size_t end = 0; end < taken.size(); ++end) {
+      while (taken[end] - taken[begin] >= shift::AdmitWindow::kLength) ++begin;
+      worst = std::max(worst, static_cast<double>(end - begin + 1) / Cap(key.service));
+    }
+  }
+  return worst;
+}
+
+}  // namespace wagtailpick::benchmarks
--- /dev/null
+++ b/tests/benchmarks/routing/share_book.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "cluster.h"
+#include "routing/link_budget.h"
+#include "routing/place_chooser.h"
+#include "routing/summary_table.h"
+#include "shift/shift_controller.h"
+
+namespace wagtailpick::benchmarks {
+
+/// Stand-in for the leader's grants: each cap and link share is divided over the entries of the
+/// region that sends (of the region that receives once the home region is lost).
+class ShareBook {
+ public:
+  /// Cap of each pair of regions, as a share of the capacity of one region.
+  static constexpr double kCapShare = 0.4;
+
+  explicit ShareBook(const Cluster& cluster);
+
+  /// Divides all caps and links anew, after entries were lost.
+  void Grant();
+
+  /// Lifts every level to the whole share: for choosers that don't pace shifts.
+  void ForceAll(base::MonotonicTime now);
+
+  routing::ShareHooks HooksOf(routing::EntryId entry);
+
+  /// Adjusts the levels of `entry` by what its summaries say about the other regions.
+  void Tick(routing::EntryId entry, const routing::SummaryTable& table, base::MonotonicTime now);
+
+  /// Sets the levels of `entry` for a lost home region as the plan says.
+  void ForceLost(routing::EntryId entry, routing::RegionId lost, const routing::SummaryTable& table,
+                 base::MonotonicTime now);
+
+  /// Largest number of shifted requests in any window of 1,000 ms, as a share of the cap.
+  double WorstShiftShare() const;
+
+ private:
+  struct Key {
+    routing::EntryId entry = 0;
+    std::uint16_t service = 0;
+    routing::RegionId from = 0;
+    routing::RegionId to = 0;
+    auto operator<=>(const Key&) const = default;
+  };
+  struct RegionView {
+    std::optional<shift::ShiftMeasurement> measured;
+    std::uint32_t free = 0;
+    std::uint32_t total = 0;
+  };
+
+  std::uint32_t Cap(std::uint16_t service) const;
+  void GrantCap(const Key& pair);
+  void GrantLink(routing::RegionId from, routing::RegionId to);
+  RegionView ViewOf(const Key& key, const routing::SummaryTable& table, base::MonotonicTime now);
+
+  const Cluster& cluster_;
+  std::map<Key, shift::ShiftController> shifts_;
+  std::map<Key, routing::LinkBudget> links_;
+  std::map<Key, std::vector<base::MonotonicTime>> taken_;
+  std::map<Key, double> warm_us_;
+};
+
+}  // namespace wagtailpick::benchmarks
