Pace shifts by an averaged share of free slots

Cause: a place of 3 to 6 slots is full for an instant at any load, so single readings held or halved the shift level most of the time. Change: SummaryTable averages the reported share of free slots over about half a second and reports it per region with the age of its oldest row. Many shifts are needless: the home region has free slots that the last summary doesn't show.

--- a/src/libs/routing/source.h
+++ b/src/libs/routing/source.h
@@ -27,6 +27,9 @@
   float trust = 1;
   /// Microseconds; 0 when unknown.
   float latency_us = 0;
+  /// Share of free slots as reported, averaged over about half a second: a place of few slots is
+  /// full for an instant now and then at any load.
+  float mean_free_share = 0;
   base::MonotonicTime received;
 
   /// Free slots that this entry can count on at `now`.
--- a/src/libs/routing/summary_table.cpp
+++ b/src/libs/routing/summary_table.cpp
@@ -18,6 +18,19 @@
 constexpr std::uint32_t kEnoughObservations = 10;
 constexpr base::Duration kObservationLifetime{2'000'000};
 
+constexpr float kMeanTimeUs = 500'000;
+
+// Takes over the counts of `summary`; the average weighs each count by the time since the last one.
+void SetCounts(Source& row, const Summary& summary, base::MonotonicTime now) {
+  row.free_slots = static_cast<float>(summary.free_slots);
+  row.total_slots = static_cast<float>(summary.total_slots);
+  const auto elapsed = static_cast<float>((now - row.received).count());
+  row.received = now;
+  if (row.total_slots <= 0) return;
+  const float gain = elapsed / (elapsed + kMeanTimeUs);
+  row.mean_free_share += (row.free_slots / row.total_slots - row.mean_free_share) * gain;
+}
+
 void RaiseTrust(Source& row, float gain) { row.trust += (1.0F - row.trust) * gain; }
 
 }  // namespace
@@ -73,9 +86,7 @@
   std::erase_if(history.forwards, [&](auto sent_at) { return sent_at <= now - round_trip; });
   row.forwarded_since = static_cast<float>(history.forwards.size());
   row.local = false;
-  row.free_slots = static_cast<float>(summary.free_slots);
-  row.total_slots = static_cast<float>(summary.total_slots);
-  row.received = now;
+  SetCounts(row, summary, now);
   RaiseTrust(row, kTrustPerSummary);
   const bool observed =
       history.observed >= kEnoughObservations && now - history.observed_at <= kObservationLifetime;
@@ -83,13 +94,12 @@
   return true;
 }
 
-bool SummaryTable::SetLocal(const Summary& summary) {
+bool SummaryTable::SetLocal(const Summary& summary, base::MonotonicTime now) {
   if (!Known(summary.key)) return false;
   const RowRef ref = FindOrAddRow(summary.key);
   Source& row = ref.shelf->rows[ref.row];
   row.local = true;
-  row.free_slots = static_cast<float>(summary.free_slots);
-  row.total_slots = static_cast<float>(summary.total_slots);
+  SetCounts(row, summary, now);
   row.latency_us = static_cast<float>(summary.latency.count());
   return true;
 }
@@ -158,11 +168,23 @@
   return shelves_[service * topology_->region_count() + region].rows;
 }
 
-float SummaryTable::FreeInRegion(ServiceId service, RegionId region,
-                                 base::MonotonicTime now) const {
-  float sum = 0;
-  for (const Source& row : Rows(service, region)) sum += row.Free(now);
-  return sum;
+std::optional<RegionReport> SummaryTable::ReportOf(ServiceId service, RegionId region) const {
+  RegionReport report;
+  report.taken_at = base::MonotonicTime::max();
+  float total = 0;
+  float free = 0;
+  float latency = 0;
+  for (const Source& row : Rows(service, region)) {
+    total += row.total_slots;
+    free += row.mean_free_share * row.total_slots;
+    latency += row.latency_us * row.total_slots;
+    report.taken_at = std::min(report.taken_at, row.received);
+  }
+  if (total <= 0) return std::nullopt;
+  report.total_slots = static_cast<std::uint32_t>(total);
+  report.free_share = free / total;
+  report.latency = base::Duration(static_cast<std::int64_t>(latency / total));
+  return report;
 }
 
 std::size_t SummaryTable::memory_bytes() const {
--- a/src/libs/routing/summary_table.h
+++ b/src/libs/routing/summary_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -12,6 +13,17 @@
 
 namespace wagtailpick::routing {
 
+/// What the summaries say about one service in one region; the input of a shift's pacing.
+struct RegionReport {
+  /// Receipt of the oldest summary in it; a region is known as well as its least known owner.
+  base::MonotonicTime taken_at;
+  std::uint32_t total_slots = 0;
+  /// Averaged over about half a second.
+  float free_share = 0;
+  /// Average of the owners' medians, weighted by their slots; 0 when unknown.
+  base::Duration latency{0};
+};
+
 /// Free slots and latency of each place and service as their owners report them, corrected by what
 /// this entry did since. Owned by one thread.
 class SummaryTable {
@@ -23,7 +35,7 @@
   bool Apply(const Summary& summary, base::Duration round_trip, base::MonotonicTime now);
 
   /// Sets the exact counts of this entry's own slots; call it before each choice when they changed.
-  bool SetLocal(const Summary& summary);
+  bool SetLocal(const Summary& summary, base::MonotonicTime now);
 
   /// Counts a request that this entry sends to the owner `key`.
   void CountForward(const SourceKey& key, base::MonotonicTime sent_at);
@@ -43,8 +55,8 @@
   /// Rows of one service in one region.
   std::span<const Source> Rows(ServiceId service, RegionId region) const;
 
-  /// Sum of the free slots of a service in a region at `now`.
-  float FreeInRegion(ServiceId service, RegionId region, base::MonotonicTime now) const;
+  /// Returns nothing when no owner is known.
+  std::optional<RegionReport> ReportOf(ServiceId service, RegionId region) const;
 
   std::size_t memory_bytes() const;
 
--- a/tests/auto/routing/choice_schedule.cpp
+++ b/tests/auto/routing/choice_schedule.cpp
@@ -151,7 +151,7 @@
         if (place != here) entry.table.Apply(Truth(place), base::Duration::zero(), now_);
       }
     }
-    entry.table.SetLocal(Truth(here));
+    entry.table.SetLocal(Truth(here), now_);
     DrainSet drains(kPlaces, 1);
     for (PlaceId place = 0; place < kPlaces; ++place) {
       if (drained_[place]) drains.Add({place, std::nullopt});
--- a/tests/auto/routing/place_chooser_test.cpp
+++ b/tests/auto/routing/place_chooser_test.cpp
@@ -22,7 +22,7 @@
     return *this;
   }
   Scene& PutLocal(PlaceId place, std::uint32_t free, base::Duration latency = 10 * kMs) {
-    table_.SetLocal(SummaryOf(place, free, 10, 1, latency));
+    table_.SetLocal(SummaryOf(place, free, 10, 1, latency), At(1'000));
     return *this;
   }
   Scene& DrainPlace(PlaceId place) {
--- a/tests/auto/routing/summary_table_test.cpp
+++ b/tests/auto/routing/summary_table_test.cpp
@@ -91,7 +91,7 @@
 // Guards against exact counts that are treated like a report.
 Test(summary_table, own_slots_have_no_age) {
   OneSource source;
-  source.table.SetLocal(SummaryOf(1, 3, 10));
+  source.table.SetLocal(SummaryOf(1, 3, 10), At(1'000));
   source.table.CountForward(source.key, At(1'000));
   cr_expect(Near(source.Free(90'000), 3));
 }
--- a/tests/benchmarks/routing/library_steering.cpp
+++ b/tests/benchmarks/routing/library_steering.cpp
@@ -19,7 +19,7 @@
                          base::MonotonicTime now) override {
     for (auto& group : cluster_.groups()) {
       if (group.key.entry == entry && group.key.service == request.service) {
-        tables_[entry].SetLocal(SummaryOf(group, now));
+        tables_[entry].SetLocal(SummaryOf(group, now), now);
       }
     }
     return choosers_[entry].Choose(
@@ -51,7 +51,7 @@
   void Tick(base::MonotonicTime now) override {
     for (routing::EntryId i = 0; i < tables_.size(); ++i) {
       for (auto& group : cluster_.groups()) {
-        if (group.key.entry == i) tables_[i].SetLocal(SummaryOf(group, now));
+        if (group.key.entry == i) tables_[i].SetLocal(SummaryOf(group, now), now);
       }
       shares_.Tick(i, tables_[i], now);
     }
--- a/tests/benchmarks/routing/share_book.cpp
+++ b/tests/benchmarks/routing/share_book.cpp
@@ -96,21 +96,14 @@
 ShareBook::RegionView ShareBook::ViewOf(const Key& key, const routing::SummaryTable& table,
                                         base::MonotonicTime now) {
   RegionView view;
-  double latency = 0;
-  base::MonotonicTime oldest = now;
-  for (const auto& row : table.Rows(key.service, key.to)) {
-    view.free += static_cast<std::uint32_t>(row.Free(now));
-    view.total += static_cast<std::uint32_t>(row.total_slots);
-    latency += row.latency_us * row.total_slots;
-    if (!row.local) oldest = std::min(oldest, row.received);
-  }
-  if (view.total == 0) return view;
-  latency /= view.total;
+  const auto report = table.ReportOf(key.service, key.to);
+  if (!report) return view;
   double& warm = warm_us_[key];
-  if (now < kLearnUntil || warm == 0) warm = latency;
-  view.measured = {oldest, base::Duration(static_cast<std::int64_t>(latency)),
-                   base::Duration(static_cast<std::int64_t>(warm)),
-                   static_cast<double>(view.free) / view.total};
+  if (now < kLearnUntil || warm == 0) warm = static_cast<double>(report->latency.count());
+  view.measured = {report->taken_at, report->latency,
+                   base::Duration(static_cast<std::int64_t>(warm)), report->free_share};
+  view.total = report->total_slots;
+  view.free = static_cast<std::uint32_t>(report->free_share * static_cast<float>(view.total));
   return view;
 }
 
