Try a place that was full in its last report before a shift

Cause: a report is up to 100 ms old while a request takes 12 ms, so a place that was full for an instant was passed over for a shift or a refusal; once reports stopped, only the entry's own slots were used. Change: when no owner of the home region is known to have a free slot, one is tried as often as a free slot is likely by its average and by its past sheds. The owner's exact counts decide, as for every request.

--- a/src/libs/routing/choice.cpp
+++ b/src/libs/routing/choice.cpp
@@ -9,6 +9,7 @@
     base::EnumName<ChoiceReason>{ChoiceReason::kLowestLatency, "lowest_latency"},
     base::EnumName<ChoiceReason>{ChoiceReason::kMostFree, "most_free"},
     base::EnumName<ChoiceReason>{ChoiceReason::kNextBest, "next_best"},
+    base::EnumName<ChoiceReason>{ChoiceReason::kDoubtful, "doubtful"},
     base::EnumName<ChoiceReason>{ChoiceReason::kHomeFull, "home_full"},
     base::EnumName<ChoiceReason>{ChoiceReason::kHomeUnavailable, "home_unavailable"},
     base::EnumName<ChoiceReason>{ChoiceReason::kNoFreeSlot, "no_free_slot"},
--- a/src/libs/routing/choice.h
+++ b/src/libs/routing/choice.h
@@ -23,6 +23,8 @@
   kMostFree,
   /// The next best of the home region, for the case that the first one sheds.
   kNextBest,
+  /// In the home region, though the last report shows no free slot or is too old: the owner knows.
+  kDoubtful,
   /// Another region, as no place of the home region has a free slot.
   kHomeFull,
   /// Another region, as all places of the home region are drained or unknown.
--- a/src/libs/routing/place_chooser.cpp
+++ b/src/libs/routing/place_chooser.cpp
@@ -195,17 +195,58 @@
   }
 }
 
+// A report is a snapshot: a place that was full then has free slots again after a few milliseconds,
+// and its owner decides by exact counts. A try costs a round trip within the region, less than a
+// shift, so it is made as often as a free slot is likely.
+bool PlaceChooser::ChooseDoubtful(const ChoiceRequest& request, std::span<const Source> rows,
+                                  const RandomSource& random, Choice& choice) const {
+  std::array<float, kMaxScanned> likely{};
+  const std::size_t scanned = std::min(rows.size(), kMaxScanned);
+  float sum = 0;
+  float most = 0;
+  for (std::size_t i = 0; i < scanned; ++i) {
+    if (rows[i].local || !Eligible(request, rows[i])) continue;
+    likely[i] = rows[i].mean_free_share * rows[i].total_slots * rows[i].trust;
+    sum += likely[i];
+    most = std::max(most, std::min(1.0F, likely[i]) * rows[i].trust);
+  }
+  if (sum <= 0 || static_cast<float>(Unit(random)) >= most) return false;
+  float left = static_cast<float>(Unit(random)) * sum;
+  std::size_t picked = 0;
+  for (std::size_t i = 0; i < scanned && left >= 0; ++i) {
+    if (likely[i] <= 0) continue;
+    picked = i;
+    left -= likely[i];
+  }
+  const Source& row = rows[picked];
+  choice.reason = ChoiceReason::kDoubtful;
+  choice.count = 1;
+  choice.candidates[0] = {{row.entry, row.place, request.service},
+                          choice.reason,
+                          false,
+                          false,
+                          topology_->RoundTrip(request.here, row.place) +
+                              base::Duration(static_cast<std::int64_t>(row.latency_us))};
+  return true;
+}
+
 Choice PlaceChooser::Choose(const ChoiceRequest& request, const SummaryTable& table,
                             const RandomSource& random, base::MonotonicTime now) const {
   Choice choice;
   Scan scan;
   const RegionId home = topology_->RegionOf(request.home);
-  FillScan(request, home, table.Rows(request.service, home), now, scan);
+  const auto rows = table.Rows(request.service, home);
+  FillScan(request, home, rows, now, scan);
   if (scan.count > 0) ChooseHome(request, scan, random, now, choice);
   if (choice.count > 0) return choice;
+  // A second try goes where a free slot is known, as there is no third one.
+  const bool doubtful = home == topology_->RegionOf(request.here);
+  const bool first_try = request.tried.empty();
+  if (doubtful && first_try && ChooseDoubtful(request, rows, random, choice)) return choice;
   choice.reason =
       scan.full || scan.count > 0 ? ChoiceReason::kNoFreeSlot : ChoiceReason::kHomeUnavailable;
   ChooseOther(request, table, random, now, choice);
+  if (choice.count == 0 && doubtful && !first_try) ChooseDoubtful(request, rows, random, choice);
   return choice;
 }
 
--- a/tests/auto/routing/choice_schedule.cpp
+++ b/tests/auto/routing/choice_schedule.cpp
@@ -172,12 +172,16 @@
       const RegionId region = topology_->RegionOf(candidate.key.place);
       counts_.drained_work += drained_[candidate.key.place] ? 1U : 0U;
       const auto rows = entry.table.Rows(0, region);
+      const bool doubtful = candidate.reason == ChoiceReason::kDoubtful;
       const bool listed = std::any_of(rows.begin(), rows.end(), [&](const Source& row) {
-        return row.entry == candidate.key.entry && MayServe(row, region != home);
+        if (row.entry != candidate.key.entry) return false;
+        if (doubtful) return !row.local && region == home && home == here && !drained_[row.place];
+        return MayServe(row, region != home);
       });
       const bool home_first = region == home || asked_[home] || !RegionMayServe(entry, home, home);
       const bool flags =
           candidate.shifted == (region != home) && candidate.crosses_link == (region != here);
+      if (doubtful && RegionMayServe(entry, home, home)) ++counts_.not_eligible;
       counts_.not_eligible += listed && home_first && flags ? 0U : 1U;
     }
     if (choice.count > 0) return;
--- a/tests/auto/routing/place_chooser_test.cpp
+++ b/tests/auto/routing/place_chooser_test.cpp
@@ -140,6 +140,27 @@
   cr_expect(!choice.candidates[0].crosses_link && choice.candidates[0].shifted);
 }
 
+// Guards against a shift or a refusal on the strength of a snapshot, when the place has free slots
+// most of the time; and against tries at places that are full or shed all the time.
+Test(place_chooser, a_place_that_was_full_for_an_instant_is_tried_before_a_shift) {
+  for (const std::uint32_t usual : {0U, 5U}) {
+    SummaryTable table(ThreeRegions(), 1);
+    table.Apply(SummaryOf(1, usual, 10, 1), 2 * kMs, At(10'000));
+    table.Apply(SummaryOf(1, 0, 10, 2), 2 * kMs, At(10'010));
+    const PlaceChooser chooser(ThreeRegions(), {}, DrainSet(6, 1), {});
+    std::mt19937_64 random(1);
+    const auto choose = [&] {
+      return chooser.Choose(
+          {0, 0, 0, 1, {}}, table, [&] { return random(); }, At(10'010));
+    };
+    cr_expect((choose().reason == ChoiceReason::kDoubtful) == (usual > 0));
+    for (int i = 0; i < 20; ++i) table.CountShed({101, 1, 0}, At(10'010));
+    int tries = 0;
+    for (int i = 0; i < 100; ++i) tries += choose().count > 0 ? 1 : 0;
+    cr_expect(tries < 10);
+  }
+}
+
 // Guards against a second try at the owner that has just shed the request.
 Test(place_chooser, owners_that_shed_are_not_tried_again) {
   auto scene = Scene(Policy::kLatency).PutLocal(0, 9).Put(1, 9);
