Pace shifts by the receiver's own median answer time

Cause: the latency that paced a shift was an average, and after ten forwards it was this entry's own: all shifted, all at cold caches. So a shift that hurt nobody in the receiving region was halved to nothing. Change: the owner keeps a running median of all its answers and reports it; SummaryTable keeps it apart from what this entry observes.

--- a/src/libs/routing/source.h
+++ b/src/libs/routing/source.h
@@ -25,8 +25,10 @@
   float forwarded_since = 0;
   /// Share of this entry's requests that the owner took, 0 to 1; falls with each shed.
   float trust = 1;
-  /// Microseconds; 0 when unknown.
+  /// What a request of this entry takes at the owner, in microseconds; 0 when unknown.
   float latency_us = 0;
+  /// The owner's median over the requests of all entries, in microseconds; 0 when unknown.
+  float reported_us = 0;
   /// Share of free slots as reported, averaged over about half a second: a place of few slots is
   /// full for an instant now and then at any load.
   float mean_free_share = 0;
--- a/src/libs/routing/summary_table.cpp
+++ b/src/libs/routing/summary_table.cpp
@@ -24,6 +24,7 @@
 void SetCounts(Source& row, const Summary& summary, base::MonotonicTime now) {
   row.free_slots = static_cast<float>(summary.free_slots);
   row.total_slots = static_cast<float>(summary.total_slots);
+  row.reported_us = static_cast<float>(summary.latency.count());
   const auto elapsed = static_cast<float>((now - row.received).count());
   row.received = now;
   if (row.total_slots <= 0) return;
@@ -90,7 +91,7 @@
   RaiseTrust(row, kTrustPerSummary);
   const bool observed =
       history.observed >= kEnoughObservations && now - history.observed_at <= kObservationLifetime;
-  if (!observed) row.latency_us = static_cast<float>(summary.latency.count());
+  if (!observed) row.latency_us = row.reported_us;
   return true;
 }
 
@@ -100,7 +101,7 @@
   Source& row = ref.shelf->rows[ref.row];
   row.local = true;
   SetCounts(row, summary, now);
-  row.latency_us = static_cast<float>(summary.latency.count());
+  row.latency_us = row.reported_us;
   return true;
 }
 
@@ -177,7 +178,7 @@
   for (const Source& row : Rows(service, region)) {
     total += row.total_slots;
     free += row.mean_free_share * row.total_slots;
-    latency += row.latency_us * row.total_slots;
+    latency += row.reported_us * row.total_slots;
     report.taken_at = std::min(report.taken_at, row.received);
   }
   if (total <= 0) return std::nullopt;
--- a/src/libs/routing/upstream_chooser.cpp
+++ b/src/libs/routing/upstream_chooser.cpp
@@ -12,6 +12,8 @@
 // An error costs the caller a whole request and often a retry elsewhere.
 constexpr float kErrorWeight = 10;
 constexpr float kUnknownLatencyUs = 10'000;
+// A running median moves by this factor towards each answer, whatever its distance.
+constexpr float kMedianStep = 0.01F;
 constexpr std::size_t kEjectableShare = 3;
 
 bool HasFreeSlot(const UpstreamState& upstream) {
@@ -22,6 +24,11 @@
 
 void UpstreamChooser::Observe(UpstreamId id, const UpstreamOutcome& outcome,
                               base::MonotonicTime now) {
+  if (outcome.ok) {
+    const auto sample = static_cast<float>(outcome.latency.count());
+    if (median_us_ <= 0) median_us_ = sample;
+    median_us_ *= sample > median_us_ ? 1 + kMedianStep : 1 - kMedianStep;
+  }
   UpstreamHealth& health = health_[id];
   health.Observe(outcome, now);
   if (!health.ShouldEject(now)) return;
--- a/src/libs/routing/upstream_chooser.h
+++ b/src/libs/routing/upstream_chooser.h
@@ -45,12 +45,17 @@
   /// Median over the upstreams of their average latency in microseconds; 0 when unknown.
   float UsualLatency() const;
 
+  /// Running median of the whole answers of all upstreams in microseconds, for the owner's summary;
+  /// 0 when unknown. Unlike an average it stays low while a few requests meet cold caches.
+  float MedianLatency() const { return median_us_; }
+
   bool Ejected(UpstreamId id, base::MonotonicTime now) const;
 
  private:
   float Cost(const UpstreamState& upstream, float usual_us, base::MonotonicTime now) const;
 
   std::unordered_map<UpstreamId, UpstreamHealth> health_;
+  float median_us_ = 0;
 };
 
 }  // namespace wagtailpick::routing
--- a/tests/benchmarks/routing/library_steering.cpp
+++ b/tests/benchmarks/routing/library_steering.cpp
@@ -93,7 +93,7 @@
 
   routing::Summary SummaryOf(OwnedGroup& group, base::MonotonicTime now) {
     return {group.key, group.chooser.FreeSlots(States(group, now), now), cluster_.TotalSlots(group),
-            base::Duration(static_cast<std::int64_t>(group.chooser.UsualLatency())), 0};
+            base::Duration(static_cast<std::int64_t>(group.chooser.MedianLatency())), 0};
   }
 
   Cluster& cluster_;
--- a/tests/benchmarks/routing/load_model.cpp
+++ b/tests/benchmarks/routing/load_model.cpp
@@ -131,7 +131,7 @@
     summary.key = group.key;
     summary.total_slots = cluster_.TotalSlots(group);
     summary.free_slots = cluster_.FreeSlots(group, now_);
-    summary.latency = base::Duration(static_cast<std::int64_t>(group.chooser.UsualLatency()));
+    summary.latency = base::Duration(static_cast<std::int64_t>(group.chooser.MedianLatency()));
     summary.sequence = ++sequence_;
     if (fault_ && scenario_.lying_place == group.key.place) {
       summary.free_slots = summary.total_slots;
