Let answers to forwarded requests carry the owner's summary in the model

Cause: between two reports an owner of 3 to 6 slots turns over several times, so entries chose by counts that were no longer true. SummaryTable takes it as any other.

--- a/tests/benchmarks/routing/load_model.cpp
+++ b/tests/benchmarks/routing/load_model.cpp
@@ -122,21 +122,34 @@
   }
 }
 
+routing::Summary LoadModel::SummaryOf(const OwnedGroup& group) {
+  routing::Summary summary;
+  summary.key = group.key;
+  summary.total_slots = cluster_.TotalSlots(group);
+  summary.free_slots = cluster_.FreeSlots(group, now_);
+  summary.latency = base::Duration(static_cast<std::int64_t>(group.chooser.MedianLatency()));
+  summary.sequence = ++sequence_;
+  if (fault_ && scenario_.lying_place == group.key.place) {
+    summary.free_slots = summary.total_slots;
+    summary.latency = kMs;
+  }
+  return summary;
+}
+
+// An owner's answer to a forwarded request carries its summary as well.
+void LoadModel::ReportTo(routing::EntryId to, const routing::SourceKey& key, base::Duration delay) {
+  if (to == key.entry || (scenario_.reports_stop && fault_)) return;
+  const routing::Summary summary = SummaryOf(cluster_.GroupOf(key));
+  After(delay,
+        [this, to, summary, delay] { steering_->TakeSummary(to, summary, 2 * delay, now_); });
+}
+
 void LoadModel::Report() {
   After(kReportInterval, [this] { Report(); });
   if (scenario_.reports_stop && fault_) return;
   for (auto& group : cluster_.groups()) {
     if (!cluster_.entries()[group.key.entry].alive) continue;
-    routing::Summary summary;
-    summary.key = group.key;
-    summary.total_slots = cluster_.TotalSlots(group);
-    summary.free_slots = cluster_.FreeSlots(group, now_);
-    summary.latency = base::Duration(static_cast<std::int64_t>(group.chooser.MedianLatency()));
-    summary.sequence = ++sequence_;
-    if (fault_ && scenario_.lying_place == group.key.place) {
-      summary.free_slots = summary.total_slots;
-      summary.latency = kMs;
-    }
+    const routing::Summary summary = SummaryOf(group);
     for (routing::EntryId to = 0; to < cluster_.entries().size(); ++to) {
       if (to == group.key.entry || !cluster_.entries()[to].alive) continue;
       const auto delay = Network(group.key.place, cluster_.entries()[to].place);
@@ -236,6 +249,7 @@
   const auto admitted_at = now_;
   Start(request, *index, [this, request, key, sent_at, admitted_at, back](bool ok) {
     const auto took = now_ - admitted_at;
+    ReportTo(request->entry, key, back);
     After(back, [this, request, key, sent_at, took, ok] {
       if (key.entry != request->entry) {
         steering_->Answered(request->entry, key, sent_at, took, now_);
--- a/tests/benchmarks/routing/load_model.h
+++ b/tests/benchmarks/routing/load_model.h
@@ -91,6 +91,8 @@
   void Refuse(const RequestPtr& request);
   void Complete(const RequestPtr& request, bool ok);
 
+  routing::Summary SummaryOf(const OwnedGroup& group);
+  void ReportTo(routing::EntryId to, const routing::SourceKey& key, base::Duration delay);
   void Report();
   void Sample();
   base::Duration Network(routing::PlaceId from, routing::PlaceId to) const;
