Make the second try whenever it can be made

Cause: a doubtful second try was left out as often as the first one, though its cost is already paid; and with reports stopped the last average decided for good. Change: a second try isn't gated; with reports stopped only the outcomes of the entry's own requests count.

--- a/src/libs/routing/place_chooser.cpp
+++ b/src/libs/routing/place_chooser.cpp
@@ -199,18 +199,24 @@
 // and its owner decides by exact counts. A try costs a round trip within the region, less than a
 // shift, so it is made as often as a free slot is likely.
 bool PlaceChooser::ChooseDoubtful(const ChoiceRequest& request, std::span<const Source> rows,
-                                  const RandomSource& random, Choice& choice) const {
+                                  const RandomSource& random, base::MonotonicTime now,
+                                  Choice& choice) const {
   std::array<float, kMaxScanned> likely{};
   const std::size_t scanned = std::min(rows.size(), kMaxScanned);
   float sum = 0;
   float most = 0;
   for (std::size_t i = 0; i < scanned; ++i) {
     if (rows[i].local || !Eligible(request, rows[i])) continue;
-    likely[i] = rows[i].mean_free_share * rows[i].total_slots * rows[i].trust;
+    // Once reports have stopped, only the outcomes of this entry's own requests say anything.
+    const bool silent = now - rows[i].received > kStaleSummary;
+    const float share = silent ? 1.0F : rows[i].mean_free_share;
+    likely[i] = share * rows[i].total_slots * rows[i].trust;
     sum += likely[i];
-    most = std::max(most, std::min(1.0F, likely[i]) * rows[i].trust);
+    most = std::max(most, std::min(rows[i].trust, likely[i]));
   }
-  if (sum <= 0 || static_cast<float>(Unit(random)) >= most) return false;
+  // A second try has been paid for from the retry budget and would else end in a refusal.
+  const bool tries = !request.tried.empty() || static_cast<float>(Unit(random)) < most;
+  if (sum <= 0 || !tries) return false;
   float left = static_cast<float>(Unit(random)) * sum;
   std::size_t picked = 0;
   for (std::size_t i = 0; i < scanned && left >= 0; ++i) {
@@ -242,11 +248,12 @@
   // A second try goes where a free slot is known, as there is no third one.
   const bool doubtful = home == topology_->RegionOf(request.here);
   const bool first_try = request.tried.empty();
-  if (doubtful && first_try && ChooseDoubtful(request, rows, random, choice)) return choice;
+  if (doubtful && first_try && ChooseDoubtful(request, rows, random, now, choice)) return choice;
   choice.reason =
       scan.full || scan.count > 0 ? ChoiceReason::kNoFreeSlot : ChoiceReason::kHomeUnavailable;
   ChooseOther(request, table, random, now, choice);
-  if (choice.count == 0 && doubtful && !first_try) ChooseDoubtful(request, rows, random, choice);
+  if (choice.count == 0 && doubtful && !first_try)
+    ChooseDoubtful(request, rows, random, now, choice);
   return choice;
 }
 
--- a/src/libs/routing/place_chooser.h
+++ b/src/libs/routing/place_chooser.h
@@ -58,7 +58,7 @@
   void ChooseOther(const ChoiceRequest& request, const SummaryTable& table,
                    const RandomSource& random, base::MonotonicTime now, Choice& choice) const;
   bool ChooseDoubtful(const ChoiceRequest& request, std::span<const Source> rows,
-                      const RandomSource& random, Choice& choice) const;
+                      const RandomSource& random, base::MonotonicTime now, Choice& choice) const;
   bool TakeShares(const ChoiceRequest& request, RegionId region, base::MonotonicTime now,
                   Choice& choice) const;
 
