Trust an owner by the share of requests it took, recovering with time

Cause: trust fell by 30% with each shed and rose only with summaries, so once reports stopped an owner that shed a few times in a row stayed untried, although it took most requests. Change: trust is the share of the last requests that the owner took and recovers in full within 5 s.

--- a/src/libs/routing/place_chooser.cpp
+++ b/src/libs/routing/place_chooser.cpp
@@ -210,9 +210,10 @@
     // Once reports have stopped, only the outcomes of this entry's own requests say anything.
     const bool silent = now - rows[i].received > kStaleSummary;
     const float share = silent ? 1.0F : rows[i].mean_free_share;
-    likely[i] = share * rows[i].total_slots * rows[i].trust;
+    const float trust = rows[i].Trust(now);
+    likely[i] = share * rows[i].total_slots * trust;
     sum += likely[i];
-    most = std::max(most, std::min(rows[i].trust, likely[i]));
+    most = std::max(most, std::min(trust, likely[i]));
   }
   // A second try has been paid for from the retry budget and would else end in a refusal.
   const bool tries = !request.tried.empty() || static_cast<float>(Unit(random)) < most;
--- a/src/libs/routing/source.h
+++ b/src/libs/routing/source.h
@@ -13,6 +13,9 @@
 /// Age from which a summary's free slots count as none.
 inline constexpr base::Duration kStaleSummary{1'000'000};
 
+/// Time after which an owner that shed is tried again in full.
+inline constexpr base::Duration kTrustRecovery{5'000'000};
+
 /// One row of `SummaryTable`: the slots of one owner, as `PlaceChooser` reads them.
 struct Source {
   EntryId entry = 0;
@@ -23,8 +26,9 @@
   float total_slots = 0;
   /// Requests that this entry sent to the owner since it made the summary and that still run.
   float forwarded_since = 0;
-  /// Share of this entry's requests that the owner took, 0 to 1; falls with each shed.
+  /// Share of this entry's last requests that the owner took, 0 to 1, as of `trusted_at`.
   float trust = 1;
+  base::MonotonicTime trusted_at;
   /// What a request of this entry takes at the owner, in microseconds; 0 when unknown.
   float latency_us = 0;
   /// The owner's median over the requests of all entries, in microseconds; 0 when unknown.
@@ -34,6 +38,14 @@
   float mean_free_share = 0;
   base::MonotonicTime received;
 
+  /// `trust` with the time that has passed: no outcome is held against an owner for good.
+  float Trust(base::MonotonicTime now) const {
+    if (trust >= 1.0F) return 1.0F;
+    const auto age = static_cast<float>((now - trusted_at).count());
+    constexpr auto kRecovery = static_cast<float>(kTrustRecovery.count());
+    return trust + (1.0F - trust) * std::clamp(age / kRecovery, 0.0F, 1.0F);
+  }
+
   /// Free slots that this entry can count on at `now`.
   float Free(base::MonotonicTime now) const {
     if (local) return free_slots;
@@ -41,7 +53,7 @@
     constexpr auto kStale = static_cast<float>(kStaleSummary.count());
     constexpr auto kSpan = static_cast<float>((kStaleSummary - kFreshSummary).count());
     const float weight = std::clamp((kStale - age) / kSpan, 0.0F, 1.0F);
-    return std::max(0.0F, free_slots * weight - forwarded_since) * trust;
+    return std::max(0.0F, free_slots * weight - forwarded_since) * Trust(now);
   }
 };
 
--- a/src/libs/routing/summary_table.cpp
+++ b/src/libs/routing/summary_table.cpp
@@ -6,11 +6,7 @@
 namespace wagtailpick::routing {
 namespace {
 
-// A shed costs a network round trip, so trust falls faster than it rises.
-constexpr float kTrustAfterShed = 0.7F;
-constexpr float kTrustPerAnswer = 0.1F;
-// At 10 summaries a second an owner that shed is tried again in full after about 5 s.
-constexpr float kTrustPerSummary = 0.02F;
+constexpr float kTrustGain = 0.15F;
 constexpr float kLeastTrust = 0.02F;
 constexpr float kLatencyGain = 0.1F;
 // Own observations replace the reported latency once there are enough recent ones: a report can lag
@@ -32,7 +28,11 @@
   row.mean_free_share += (row.free_slots / row.total_slots - row.mean_free_share) * gain;
 }
 
-void RaiseTrust(Source& row, float gain) { row.trust += (1.0F - row.trust) * gain; }
+void CountOutcome(Source& row, bool taken, base::MonotonicTime now) {
+  const float trust = row.Trust(now);
+  row.trust = std::max(kLeastTrust, trust + ((taken ? 1.0F : 0.0F) - trust) * kTrustGain);
+  row.trusted_at = now;
+}
 
 }  // namespace
 
@@ -88,7 +88,6 @@
   row.forwarded_since = static_cast<float>(history.forwards.size());
   row.local = false;
   SetCounts(row, summary, now);
-  RaiseTrust(row, kTrustPerSummary);
   const bool observed =
       history.observed >= kEnoughObservations && now - history.observed_at <= kObservationLifetime;
   if (!observed) row.latency_us = row.reported_us;
@@ -142,16 +141,17 @@
   if (ref.shelf == nullptr || ref.shelf->rows[ref.row].local) return;
   DropForward(ref, sent_at);
   Observe(ref, latency, now);
-  RaiseTrust(ref.shelf->rows[ref.row], kTrustPerAnswer);
+  CountOutcome(ref.shelf->rows[ref.row], true, now);
 }
 
-void SummaryTable::CountShed(const SourceKey& key, base::MonotonicTime sent_at) {
+void SummaryTable::CountShed(const SourceKey& key, base::MonotonicTime sent_at,
+                             base::MonotonicTime now) {
   const RowRef ref = FindRow(key);
   if (ref.shelf == nullptr || ref.shelf->rows[ref.row].local) return;
   DropForward(ref, sent_at);
   Source& row = ref.shelf->rows[ref.row];
   row.free_slots = 0;
-  row.trust = std::max(kLeastTrust, row.trust * kTrustAfterShed);
+  CountOutcome(row, false, now);
 }
 
 void SummaryTable::Remove(EntryId entry) {
--- a/src/libs/routing/summary_table.h
+++ b/src/libs/routing/summary_table.h
@@ -47,7 +47,7 @@
 
   /// Takes back a request that the owner refused for lack of a slot: it has none until it reports
   /// again.
-  void CountShed(const SourceKey& key, base::MonotonicTime sent_at);
+  void CountShed(const SourceKey& key, base::MonotonicTime sent_at, base::MonotonicTime now);
 
   /// Forgets an entry that is gone, so that no request waits for it.
   void Remove(EntryId entry);
