Run the control replicas on the consensus, storage, control and claims libraries

Cause: the thin path had one fixed leader and kept only a bundle file. Conclusion: the control plane runs as three processes; entries come next.

--- a/scripts/run-example.sh
+++ b/scripts/run-example.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/install-packages.sh
-bash scripts/build.sh
+bash scripts/build.sh wagtailpickd wagtailpick standin_upstream
 daemon=build/src/app/wagtailpickd/wagtailpickd
 tool=build/src/tools/wagtailpick/wagtailpick
 upstream=build/tests/standins/standin_upstream
@@ -22,6 +22,9 @@
 $tool keygen --out=run/operator
 $tool check example/bundle.json
 $tool sign example/bundle.json --key=run/operator.key --out=run/bundle.signed
+for vm in control-mvd control-pde control-col; do
+  $daemon --config=example/$vm.ini --init-group
+done
 for vm in control-mvd control-pde control-col entry-mvd entry-pde entry-col; do
   $daemon --config=example/$vm.ini &
   pids+=($!)
--- a/src/app/wagtailpickd/main.cpp
+++ b/src/app/wagtailpickd/main.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "controller/controller.h"
 #include "logging/log.h"
 #include "wagtailpickd/daemon.h"
 #include "wagtailpickd/node_settings.h"
@@ -15,13 +16,15 @@
 constexpr const char* kUsage = R"(wagtailpickd: one VM of the traffic steering system.
 
 Usage:
-  wagtailpickd --config=FILE [--check]
+  wagtailpickd --config=FILE [--check | --init-group]
   wagtailpickd --help
   wagtailpickd --version
 
 Options:
   --config=FILE  Settings of this VM, in INI form.
   --check        Check the settings and stop.
+  --init-group   Prepare the empty data folder of a replica of a new control group and stop. Never
+                 for a replica whose disk was lost: start it without, and it joins again.
   --help         Show this text.
   --version      Show the version.
 
@@ -53,6 +56,17 @@
   return 0;
 }
 
+int InitGroup(const wagtailpick::wagtailpickd::NodeSettings& settings) {
+  if (!settings.control) {
+    std::cerr << "wagtailpickd: --init-group needs the role control\n";
+    return kExitWrongInput;
+  }
+  const auto done = wagtailpick::controller::Controller::InitGroup(*settings.control);
+  if (done) return 0;
+  std::cerr << "wagtailpickd: " << done.error().message << "\n";
+  return kExitCannotStart;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -78,6 +92,7 @@
   }
   if (arguments.at("--check").asBool()) return 0;
   const auto& node = settings.value();
+  if (arguments.at("--init-group").asBool()) return InitGroup(node);
   const auto logging = wagtailpick::logging::Start({node.vm, node.data_centre, node.log_file});
   if (!logging) {
     std::cerr << "wagtailpickd: " << logging.error().message << "\n";
--- /dev/null
+++ b/src/libs/controller/claim_codec.cpp
@@ -0,0 +1,183 @@
+#include "controller/claim_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <utility>
+
+namespace wagtailpick::controller {
+namespace {
+
+using base::Result;
+
+template <std::size_t Size>
+std::string Bytes(const std::array<std::uint8_t, Size>& value) {
+  return {value.begin(), value.end()};
+}
+
+template <std::size_t Size>
+Result<void> Read(const std::string& bytes, const char* field,
+                  std::array<std::uint8_t, Size>& out) {
+  if (bytes.size() != Size) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      std::string(field) + ": expected " + std::to_string(Size) + " bytes");
+  }
+  std::copy(bytes.begin(), bytes.end(), out.begin());
+  return base::Ok();
+}
+
+Result<claims::Table> ReadTable(std::uint32_t table) {
+  if (table > static_cast<std::uint32_t>(claims::Table::kTrials)) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "table: unknown");
+  }
+  return static_cast<claims::Table>(table);
+}
+
+template <typename Wire>
+void WriteKnown(const claims::Incarnations& known, Wire& wire) {
+  for (claims::ReplicaIndex i = 0; i < claims::kMaxReplicas; ++i) wire.add_known(known.of(i));
+}
+
+template <typename Wire>
+claims::Incarnations ReadKnown(const Wire& wire) {
+  claims::Incarnations known;
+  for (int i = 0; i < wire.known_size(); ++i) {
+    known.Raise(static_cast<claims::ReplicaIndex>(i), wire.known(i));
+  }
+  return known;
+}
+
+}  // namespace
+
+rpc::ClaimRecord ToWire(const claims::Record& record) {
+  rpc::ClaimRecord wire;
+  wire.set_kind(static_cast<std::uint32_t>(record.kind));
+  wire.set_table(static_cast<std::uint32_t>(record.table));
+  wire.set_key(Bytes(record.key));
+  wire.set_body(Bytes(record.body));
+  wire.set_attempt(Bytes(record.attempt));
+  wire.set_claimed_at(record.claimed_at);
+  wire.set_deadline(record.deadline);
+  wire.set_refused_at(record.refused_at);
+  wire.set_answer_kept(record.answer_kept);
+  wire.set_answer(record.answer);
+  wire.set_replica(record.replica);
+  wire.set_incarnation(record.incarnation);
+  return wire;
+}
+
+Result<claims::Record> FromWire(const rpc::ClaimRecord& wire) {
+  claims::Record record;
+  if (wire.kind() > static_cast<std::uint32_t>(claims::RecordKind::kReady)) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "kind: unknown");
+  }
+  record.kind = static_cast<claims::RecordKind>(wire.kind());
+  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
+  record.table = table;
+  BOOST_OUTCOME_TRY(Read(wire.key(), "key", record.key));
+  BOOST_OUTCOME_TRY(Read(wire.body(), "body", record.body));
+  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", record.attempt));
+  record.claimed_at = wire.claimed_at();
+  record.deadline = wire.deadline();
+  record.refused_at = wire.refused_at();
+  record.answer_kept = wire.answer_kept();
+  record.answer = wire.answer();
+  record.replica = static_cast<claims::ReplicaIndex>(wire.replica());
+  record.incarnation = wire.incarnation();
+  return record;
+}
+
+Result<claims::ClaimRequest> FromWire(const rpc::ClaimRequest& wire) {
+  claims::ClaimRequest request;
+  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
+  request.table = table;
+  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
+  BOOST_OUTCOME_TRY(Read(wire.body(), "body", request.body));
+  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
+  request.started_at = wire.started_at();
+  request.deadline = wire.deadline();
+  return request;
+}
+
+rpc::ClaimReply ToWire(const claims::ClaimReply& reply) {
+  rpc::ClaimReply wire;
+  wire.set_replica(reply.replica);
+  wire.set_incarnation(reply.incarnation);
+  WriteKnown(reply.known, wire);
+  wire.set_attempt(Bytes(reply.attempt));
+  wire.set_status(static_cast<std::uint32_t>(reply.status));
+  wire.set_holder(Bytes(reply.holder));
+  wire.set_holder_body(Bytes(reply.holder_body));
+  wire.set_holder_deadline(reply.holder_deadline);
+  wire.set_answer(reply.answer);
+  return wire;
+}
+
+Result<claims::CompleteRequest> FromWire(const rpc::CompleteRequest& wire) {
+  claims::CompleteRequest request;
+  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
+  request.table = table;
+  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
+  BOOST_OUTCOME_TRY(Read(wire.body(), "body", request.body));
+  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
+  request.deadline = wire.deadline();
+  request.answer = wire.answer();
+  return request;
+}
+
+Result<claims::ReleaseRequest> FromWire(const rpc::ReleaseRequest& wire) {
+  claims::ReleaseRequest request;
+  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
+  request.table = table;
+  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
+  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
+  request.refused_at = wire.refused_at();
+  return request;
+}
+
+rpc::CopyRequest ToWire(const claims::CopyRequest& request) {
+  rpc::CopyRequest wire;
+  wire.set_replica(request.replica);
+  wire.set_incarnation(request.incarnation);
+  wire.set_copy_id(request.copy_id);
+  wire.set_page(request.page);
+  return wire;
+}
+
+claims::CopyRequest FromWire(const rpc::CopyRequest& wire) {
+  return {static_cast<claims::ReplicaIndex>(wire.replica()), wire.incarnation(), wire.copy_id(),
+          wire.page()};
+}
+
+rpc::CopyReply ToWire(const claims::CopyPage& page) {
+  rpc::CopyReply wire;
+  wire.set_source(page.source);
+  wire.set_source_incarnation(page.source_incarnation);
+  WriteKnown(page.known, wire);
+  wire.set_for_incarnation(page.for_incarnation);
+  wire.set_copy_id(page.copy_id);
+  wire.set_number(page.number);
+  wire.set_restart(page.restart);
+  wire.set_last(page.last);
+  for (const auto& record : page.records) *wire.add_records() = ToWire(record);
+  return wire;
+}
+
+Result<claims::CopyPage> FromWire(const rpc::CopyReply& wire) {
+  claims::CopyPage page;
+  page.source = static_cast<claims::ReplicaIndex>(wire.source());
+  page.source_incarnation = wire.source_incarnation();
+  page.known = ReadKnown(wire);
+  page.for_incarnation = wire.for_incarnation();
+  page.copy_id = wire.copy_id();
+  page.number = wire.number();
+  page.restart = wire.restart();
+  page.last = wire.last();
+  for (const auto& record : wire.records()) {
+    BOOST_OUTCOME_TRY(read, FromWire(record));
+    page.records.push_back(std::move(read));
+  }
+  return page;
+}
+
+}  // namespace wagtailpick::controller
--- /dev/null
+++ b/src/libs/controller/claim_service.cpp
@@ -0,0 +1,185 @@
+#include "controller/claim_service.h"
+
+#include <utility>
+
+#include "base/monotonic_time.h"
+#include "controller/claim_codec.h"
+#include "logging/log.h"
+
+namespace wagtailpick::controller {
+namespace {
+
+using base::Result;
+
+constexpr std::size_t kKeysPerPage = 2'000;
+constexpr base::Duration kCopyTimeout = std::chrono::seconds(2);
+
+claims::ReplicaIdentity IdentityOf(const ControllerOptions& options, std::uint64_t incarnation) {
+  return {static_cast<claims::ReplicaIndex>(options.replica_id - 1),
+          static_cast<claims::Incarnation>(incarnation)};
+}
+
+}  // namespace
+
+ClaimService::ClaimService(const ControllerOptions& options, storage::ClaimLog log,
+                           const RecoveredClaims& recovered, base::EventLoop& loop,
+                           timeline::EventRing& events)
+    : options_(options),
+      log_(std::move(log)),
+      store_({}, IdentityOf(options, recovered.incarnation)),
+      source_(kKeysPerPage),
+      loop_(loop),
+      events_(events) {
+  Recover(recovered);
+  if (store_.ready()) return;
+  if (recovered.incarnation == 1) {
+    // The group's first disks hold all claims that were ever made: none.
+    const auto mutation = store_.BecomeReady();
+    if (mutation.record) Store(*mutation.record);
+    return;
+  }
+  copy_.emplace(options_.replicas.size(), store_.identity(),
+                static_cast<std::uint64_t>(base::WallNowMillis()));
+  for (const auto& address : options_.replicas) peers_.push_back(rpc::Client::Create(address));
+}
+
+void ClaimService::Recover(const RecoveredClaims& recovered) {
+  std::vector<claims::Record> records;
+  records.reserve(recovered.records.size());
+  for (std::size_t i = 0; i < recovered.records.size(); ++i) {
+    rpc::ClaimRecord wire;
+    if (!wire.ParseFromString(recovered.records[i])) continue;
+    auto record = FromWire(wire);
+    if (!record) continue;
+    if (!record.value().answer.empty()) record.value().answer_position = recovered.offsets[i];
+    record.value().answer.clear();
+    records.push_back(std::move(record.value()));
+  }
+  store_.Recover(records, base::WallNowMillis());
+}
+
+void ClaimService::Store(const claims::Record& record) {
+  ++stored_;
+  if (failure_) return;
+  const auto offset = log_.Append(ToWire(record).SerializeAsString());
+  if (!offset) {
+    failure_ = offset.error();
+    return;
+  }
+  if (record.kind == claims::RecordKind::kCompleted && !record.answer.empty()) {
+    store_.SetAnswerPosition(record.table, record.key, record.attempt, offset.value());
+  }
+}
+
+void ClaimService::ReplyAfterSync(const claims::Mutation& mutation,
+                                  std::function<void(Result<void>)> reply) {
+  if (mutation.record) Store(*mutation.record);
+  waiting_.push_back({mutation.sync_before_reply, std::move(reply)});
+  if (!flush_scheduled_) flush_scheduled_ = loop_.TryPost([this] { Flush(); });
+}
+
+void ClaimService::Flush() {
+  flush_scheduled_ = false;
+  if (!failure_ && stored_ > synced_) {
+    const auto result = log_.Sync();
+    if (result) {
+      synced_ = stored_;
+    } else {
+      failure_ = result.error();
+      logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
+    }
+  }
+  auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (auto& entry : waiting) {
+    if (entry.sync_before <= synced_) {
+      entry.reply(base::Ok());
+    } else {
+      entry.reply(base::Fail(base::ErrorCode::kIo, "the claim log can't be synced"));
+    }
+  }
+}
+
+void ClaimService::FillAnswer(std::uint64_t position, std::string& answer) {
+  if (position == claims::kNoPosition) return;
+  const auto bytes = log_.Read(position);
+  rpc::ClaimRecord wire;
+  if (bytes && wire.ParseFromString(bytes.value())) answer = wire.answer();
+}
+
+void ClaimService::Claim(const rpc::ClaimRequest& request,
+                         const rpc::Responder<rpc::ClaimReply>& done) {
+  const auto claim = FromWire(request);
+  if (!claim) return done(boost::outcome_v2::failure(claim.error()));
+  auto outcome = store_.Claim(claim.value(), base::WallNowMillis());
+  FillAnswer(outcome.reply.answer_position, outcome.reply.answer);
+  ReplyAfterSync(outcome.mutation, [done, reply = ToWire(outcome.reply)](const Result<void>& ok) {
+    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+    done(reply);
+  });
+}
+
+void ClaimService::Complete(const rpc::CompleteRequest& request,
+                            const rpc::Responder<rpc::Empty>& done) {
+  const auto complete = FromWire(request);
+  if (!complete) return done(boost::outcome_v2::failure(complete.error()));
+  ReplyAfterSync(store_.Complete(complete.value(), base::WallNowMillis()),
+                 [done](const Result<void>& ok) {
+                   if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+                   done(rpc::Empty());
+                 });
+}
+
+void ClaimService::Release(const rpc::ReleaseRequest& request,
+                           const rpc::Responder<rpc::Empty>& done) {
+  const auto release = FromWire(request);
+  if (!release) return done(boost::outcome_v2::failure(release.error()));
+  ReplyAfterSync(store_.Release(release.value(), base::WallNowMillis()),
+                 [done](const Result<void>& ok) {
+                   if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+                   done(rpc::Empty());
+                 });
+}
+
+void ClaimService::Copy(const rpc::CopyRequest& request,
+                        const rpc::Responder<rpc::CopyReply>& done) {
+  auto outcome = source_.Handle(FromWire(request), store_, base::WallNowMillis());
+  for (auto& record : outcome.page.records) FillAnswer(record.answer_position, record.answer);
+  ReplyAfterSync(outcome.mutation, [done, page = ToWire(outcome.page)](const Result<void>& ok) {
+    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+    done(page);
+  });
+}
+
+void ClaimService::Tick() {
+  store_.Expire(base::WallNowMillis());
+  if (copy_) ContinueCopy();
+  Flush();
+}
+
+void ClaimService::ContinueCopy() {
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    const auto index = static_cast<claims::ReplicaIndex>(i);
+    if (index == store_.identity().index) continue;
+    const auto request = copy_->NextRequest(index);
+    if (!request) continue;
+    peers_[i]->Copy(ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
+      loop_.TryPost([this, reply = std::move(reply)] { TakePage(reply); });
+    });
+  }
+}
+
+void ClaimService::TakePage(const Result<rpc::CopyReply>& reply) {
+  if (!reply || !copy_) return;
+  const auto page = FromWire(reply.value());
+  if (!page) return;
+  const auto records = copy_->TakePage(page.value(), store_, base::WallNowMillis());
+  for (const auto& record : records) Store(record);
+  Flush();
+  if (!copy_->done()) return ContinueCopy();
+  copy_.reset();
+  events_.Record(base::WallNowMillis(), timeline::EventKind::kReplicaCaughtUp, options_.vm,
+                 "claims");
+}
+
+}  // namespace wagtailpick::controller
--- /dev/null
+++ b/src/libs/controller/control_service.cpp
@@ -0,0 +1,429 @@
+#include "controller/control_service.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bundle/parse_bundle.h"
+#include "bundle/signed_bundle.h"
+#include "control/command_codec.h"
+#include "controller/share_limits.h"
+#include "controller/wire_session.h"
+#include "logging/log.h"
+
+namespace wagtailpick::controller {
+namespace {
+
+using base::Result;
+using timeline::EventKind;
+
+constexpr base::Duration kForwardTimeout = std::chrono::seconds(2);
+/// Longer than any request deadline (10 s), so that nothing can run at a forgotten upstream.
+constexpr base::Duration kForgetOrphanAfter = std::chrono::seconds(30);
+
+rpc::SubmitReply Unavailable(const std::string& message) {
+  rpc::SubmitReply reply;
+  reply.set_outcome(rpc::SUBMIT_OUTCOME_UNAVAILABLE);
+  reply.set_message(message);
+  return reply;
+}
+
+rpc::SubmitOutcome ToWire(control::BundleVerdict verdict) {
+  switch (verdict) {
+    case control::BundleVerdict::kAccepted:
+      return rpc::SUBMIT_OUTCOME_ACCEPTED;
+    case control::BundleVerdict::kRepeated:
+      return rpc::SUBMIT_OUTCOME_ALREADY_ACCEPTED;
+    case control::BundleVerdict::kConflict:
+      return rpc::SUBMIT_OUTCOME_CONFLICT;
+    case control::BundleVerdict::kSuperseded:
+      break;
+  }
+  return rpc::SUBMIT_OUTCOME_SUPERSEDED;
+}
+
+struct CheckedBundle {
+  bundle::SignedBundle stored;
+  bundle::Bundle parsed;
+};
+
+Result<CheckedBundle> Check(const std::string& bytes, const std::vector<std::string>& keys) {
+  BOOST_OUTCOME_TRY(stored, bundle::DecodeSignedBundle(bytes));
+  BOOST_OUTCOME_TRY(bundle::Verify(stored, keys));
+  BOOST_OUTCOME_TRY(parsed, bundle::ParseBundle(stored.payload));
+  return CheckedBundle{std::move(stored), std::move(parsed)};
+}
+
+control::AcceptBundle ToCommand(const CheckedBundle& checked, const std::string& bytes) {
+  control::AcceptBundle command;
+  command.version = checked.parsed.version;
+  command.digest = checked.stored.Digest();
+  command.signed_bytes = bytes;
+  for (const auto& service : checked.parsed.services) {
+    command.deadlines.push_back(
+        {service.name, static_cast<std::uint32_t>(service.request_deadline_ms)});
+  }
+  return command;
+}
+
+}  // namespace
+
+ControlService::ControlService(const ControllerOptions& options, metrics::Registry& metrics,
+                               timeline::EventRing& events)
+    : options_(options),
+      metrics_(metrics),
+      events_(events),
+      self_(options.replicas.at(options.replica_id - 1)),
+      last_outcome_(control::Outcome()) {}
+
+Result<std::unique_ptr<ControlService>> ControlService::Create(const ControllerOptions& options,
+                                                               ReplicaDisk disk,
+                                                               base::EventLoop& loop,
+                                                               metrics::Registry& metrics,
+                                                               timeline::EventRing& events) {
+  std::unique_ptr<ControlService> service(new ControlService(options, metrics, events));
+  auto* raw = service.get();
+  LogDriver::Hooks hooks;
+  hooks.apply = [raw](std::uint64_t index, const std::string& data) { raw->Apply(index, data); };
+  hooks.restore = [raw](const std::string& snapshot) { raw->Restore(snapshot); };
+  hooks.snapshot = [raw] { return raw->state_.EncodeSnapshot(); };
+  BOOST_OUTCOME_TRY(log, LogDriver::Create(service->self_, options.replicas, std::move(disk), loop,
+                                           std::move(hooks)));
+  service->log_ = std::move(log);
+  return service;
+}
+
+void ControlService::Apply(std::uint64_t index, const std::string& data) {
+  const auto command = control::DecodeCommand(data);
+  if (!command) {
+    logging::Write(logging::Level::kError, "record_unreadable", command.error().message);
+    last_outcome_ = command.error();
+    return;
+  }
+  last_outcome_ = state_.Apply(index, command.value());
+  if (last_outcome_) TakeOutcome(command.value(), last_outcome_.value());
+}
+
+void ControlService::Restore(const std::string& snapshot) {
+  auto state = control::ControlState::DecodeSnapshot(snapshot);
+  if (!state) {
+    logging::Write(logging::Level::kError, "snapshot_unreadable", state.error().message);
+    return;
+  }
+  state_ = std::move(state.value());
+  view_version_ = state_.applied_index();
+  const auto stored = bundle::DecodeSignedBundle(state_.bundle().signed_bytes);
+  if (!stored) return;
+  auto parsed = bundle::ParseBundle(stored.value().payload);
+  if (parsed) bundle_ = std::move(parsed.value());
+}
+
+void ControlService::TakeOutcome(const control::Command& command, const control::Outcome& outcome) {
+  const auto now = base::MonotonicNow();
+  if (const auto* bundle = std::get_if<control::BundleOutcome>(&outcome)) {
+    if (bundle->verdict == control::BundleVerdict::kAccepted) {
+      BundleAccepted(std::get<control::AcceptBundle>(command));
+    }
+  } else if (const auto* session = std::get_if<control::SessionOutcome>(&outcome)) {
+    for (const auto ended : session->ended) SessionEnded(ended);
+    if (session->verdict == control::SessionVerdict::kOpened) sessions_.Add(session->session, now);
+  } else if (const auto* close = std::get_if<control::CloseOutcome>(&outcome)) {
+    SessionEnded(std::get<control::CloseSession>(command).session);
+    for (const auto& orphan : close->orphans) orphans_[orphan] = now;
+  }
+  view_version_ = state_.applied_index();
+}
+
+void ControlService::BundleAccepted(const control::AcceptBundle& command) {
+  const auto stored = bundle::DecodeSignedBundle(command.signed_bytes);
+  auto parsed = bundle::ParseBundle(stored.value().payload);
+  if (parsed) bundle_ = std::move(parsed.value());
+  shares_.SetLimits(LimitsOf(bundle_), base::MonotonicNow());
+  events_.Record(base::WallNowMillis(), EventKind::kBundleAccepted, std::to_string(command.version),
+                 command.digest);
+}
+
+void ControlService::SessionEnded(control::SessionId session) {
+  sessions_.Remove(session);
+  shares_.EndSession(session);
+  reports_.erase(session);
+  events_.Record(base::WallNowMillis(), EventKind::kLeaseEnded, std::to_string(session), "");
+}
+
+template <typename Outcome>
+void ControlService::Propose(const control::Command& command,
+                             std::function<void(Result<Outcome>)> done) {
+  log_->Propose(control::EncodeCommand(command), [this, done](const Result<void>& proposed) {
+    if (!proposed) return done(boost::outcome_v2::failure(proposed.error()));
+    if (!last_outcome_) return done(boost::outcome_v2::failure(last_outcome_.error()));
+    done(std::get<Outcome>(last_outcome_.value()));
+  });
+}
+
+void ControlService::Tick() {
+  log_->Tick();
+  CheckLeadership();
+  if (led_term_ == 0) return;
+  CloseExpired();
+  ForgetOrphans();
+}
+
+void ControlService::CheckLeadership() {
+  if (!log_->HasLease()) {
+    const bool lost = led_term_ != 0 && log_->replica().role() != consensus::Role::kLeader;
+    if (lost) {
+      led_term_ = 0;
+      events_.Record(base::WallNowMillis(), EventKind::kLeaderLost, self_, "");
+    }
+    return;
+  }
+  if (led_term_ == log_->replica().term()) return;
+  led_term_ = log_->replica().term();
+  const auto now = base::MonotonicNow();
+  sessions_.Reset(state_.OpenSessions(), now);
+  shares_.Reset(now);
+  shares_.SetLimits(LimitsOf(bundle_), now);
+  for (const auto& [key, ownership] : state_.upstreams()) {
+    if (ownership.owner == 0) orphans_[key] = now;
+  }
+  events_.Record(base::WallNowMillis(), EventKind::kLeaderElected, self_,
+                 "term " + std::to_string(led_term_));
+}
+
+void ControlService::CloseExpired() {
+  for (const auto session : sessions_.TakeExpired(base::MonotonicNow())) {
+    Propose<control::CloseOutcome>(control::CloseSession{session},
+                                   [](const Result<control::CloseOutcome>&) {});
+  }
+}
+
+void ControlService::ForgetOrphans() {
+  const auto now = base::MonotonicNow();
+  for (auto orphan = orphans_.begin(); orphan != orphans_.end();) {
+    const auto known = state_.upstreams().find(orphan->first);
+    const bool is_orphan = known != state_.upstreams().end() && known->second.owner == 0;
+    if (is_orphan && now - orphan->second < kForgetOrphanAfter) {
+      ++orphan;
+      continue;
+    }
+    if (is_orphan) {
+      Propose<control::ReleaseOutcome>(control::ForgetUpstream{orphan->first, known->second.epoch},
+                                       [](const Result<control::ReleaseOutcome>&) {});
+    }
+    orphan = orphans_.erase(orphan);
+  }
+}
+
+rpc::Client* ControlService::leader_client() {
+  const std::string leader = log_->leader();
+  if (leader.empty() || leader == self_) return nullptr;
+  auto& client = clients_[leader];
+  if (client == nullptr) client = rpc::Client::Create(leader);
+  return client.get();
+}
+
+void ControlService::Submit(const rpc::SubmitRequest& request,
+                            const rpc::Responder<rpc::SubmitReply>& done) {
+  const auto checked = Check(request.signed_bundle(), options_.operator_keys);
+  if (!checked) {
+    rpc::SubmitReply reply;
+    reply.set_outcome(rpc::SUBMIT_OUTCOME_INVALID);
+    reply.set_message(checked.error().message);
+    return done(std::move(reply));
+  }
+  if (log_->replica().role() != consensus::Role::kLeader) {
+    rpc::Client* leader = leader_client();
+    if (leader == nullptr || request.forwarded()) return done(Unavailable("no leader is known"));
+    rpc::SubmitRequest passed_on = request;
+    passed_on.set_forwarded(true);
+    return leader->Submit(passed_on, kForwardTimeout, done);
+  }
+  Propose<control::BundleOutcome>(ToCommand(checked.value(), request.signed_bundle()),
+                                  [this, done, version = checked.value().parsed.version](
+                                      const Result<control::BundleOutcome>& outcome) {
+                                    if (!outcome) return done(Unavailable(outcome.error().message));
+                                    rpc::SubmitReply reply;
+                                    reply.set_version(version);
+                                    FillSubmitReply(outcome.value(), reply);
+                                    done(std::move(reply));
+                                  });
+}
+
+void ControlService::FillSubmitReply(const control::BundleOutcome& outcome,
+                                     rpc::SubmitReply& reply) const {
+  reply.set_outcome(ToWire(outcome.verdict));
+  reply.set_digest(outcome.answer.digest);
+  reply.set_current_version(state_.bundle().version);
+  if (outcome.verdict == control::BundleVerdict::kSuperseded) {
+    reply.set_message("version " + std::to_string(state_.bundle().version) + " is in force");
+  }
+  if (outcome.verdict == control::BundleVerdict::kConflict) {
+    reply.set_message("another bundle has this version");
+  }
+}
+
+void ControlService::Status(const rpc::StatusRequest& request,
+                            const rpc::Responder<rpc::StatusReply>& done) {
+  if (!log_->HasLease()) {
+    rpc::Client* leader = leader_client();
+    if (leader == nullptr || request.forwarded()) {
+      return done(base::Fail(base::ErrorCode::kUnavailable, "no leader is known"));
+    }
+    rpc::StatusRequest passed_on;
+    passed_on.set_forwarded(true);
+    return leader->Status(passed_on, kForwardTimeout, done);
+  }
+  rpc::StatusReply reply;
+  reply.set_current(true);
+  reply.set_replica(options_.vm);
+  reply.set_leader(self_);
+  reply.set_term(log_->replica().term());
+  reply.set_bundle_version(state_.bundle().version);
+  reply.set_bundle_digest(state_.bundle().digest);
+  reply.set_upstreams(static_cast<std::uint32_t>(state_.upstreams().size()));
+  for (const auto& [id, session] : state_.sessions()) {
+    auto* status = reply.add_sessions();
+    status->set_vm(session.vm);
+    status->set_data_centre(session.place);
+    const auto report = reports_.find(id);
+    status->set_bundle_version(report == reports_.end() ? 0 : report->second.bundle_version);
+    status->set_lease_held(report != reports_.end());
+    status->set_draining(session.draining);
+  }
+  done(std::move(reply));
+}
+
+control::SessionId ControlService::FindSession(const std::string& vm) const {
+  for (const auto& [id, session] : state_.sessions()) {
+    if (session.vm == vm) return id;
+  }
+  return 0;
+}
+
+rpc::RenewReply ControlService::NotLeader() const {
+  rpc::RenewReply reply;
+  reply.set_granted(false);
+  const std::string leader = log_->leader();
+  if (leader != self_) reply.set_leader_address(leader);
+  return reply;
+}
+
+void ControlService::Renew(const rpc::RenewRequest& request,
+                           const rpc::Responder<rpc::RenewReply>& done) {
+  if (led_term_ == 0 || !log_->HasLease()) return done(NotLeader());
+  const auto now = base::MonotonicNow();
+  const control::SessionId id = FindSession(request.vm());
+  const bool is_known = id != 0 && MatchesSession(state_.sessions().at(id), request);
+  if (!is_known) return OpenSession(request, done);
+  if (sessions_.Renew(id, now) != control::RenewVerdict::kRenewed) {
+    // The session is being closed; the entry opens a new one with its next renewal.
+    rpc::RenewReply reply;
+    reply.set_leader_address(self_);
+    return done(std::move(reply));
+  }
+  done(Granted(request, id, now));
+}
+
+void ControlService::OpenSession(const rpc::RenewRequest& request,
+                                 const rpc::Responder<rpc::RenewReply>& done) {
+  auto session = ToSession(request);
+  if (!session) return done(boost::outcome_v2::failure(session.error()));
+  Propose<control::SessionOutcome>(
+      control::OpenSession{session.value()},
+      [this, request, done](const Result<control::SessionOutcome>& outcome) {
+        if (!outcome) return done(boost::outcome_v2::failure(outcome.error()));
+        const auto now = base::MonotonicNow();
+        const auto id = outcome.value().session;
+        const bool is_open = outcome.value().verdict != control::SessionVerdict::kStale;
+        const bool may_answer = led_term_ != 0 && log_->HasLease();
+        if (!is_open || !may_answer ||
+            sessions_.Renew(id, now) != control::RenewVerdict::kRenewed) {
+          return done(NotLeader());
+        }
+        events_.Record(base::WallNowMillis(), EventKind::kLeaseGranted, request.vm(),
+                       "session " + std::to_string(id));
+        done(Granted(request, id, now));
+      });
+}
+
+rpc::RenewReply ControlService::Granted(const rpc::RenewRequest& request,
+                                        control::SessionId session, base::MonotonicTime now) {
+  rpc::RenewReply reply;
+  reply.set_granted(true);
+  reply.set_leader_address(self_);
+  reply.set_session_epoch(session);
+  reply.set_lease_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(control::LeaseTerms().lease).count()));
+  reply.set_bundle_version(state_.bundle().version);
+  reply.set_view_version(view_version_);
+  if (request.bundle_version() < state_.bundle().version) {
+    reply.set_signed_bundle(state_.bundle().signed_bytes);
+  }
+  if (request.view_version() != view_version_) FillView(*reply.mutable_view());
+  reports_[session].bundle_version = request.bundle_version();
+  const auto demands = ToDemands(request);
+  for (const auto& share : shares_.Renew(session, demands, now)) {
+    AddGrant(share, *reply.add_shares());
+  }
+  return reply;
+}
+
+void ControlService::FillView(rpc::ClusterView& view) const {
+  for (const auto& [id, session] : state_.sessions()) {
+    auto* member = view.add_members();
+    FillMember(session, *member);
+    member->set_region(bundle_.RegionOf(session.place));
+  }
+  for (const auto& [key, ownership] : state_.upstreams()) {
+    const auto owner = state_.sessions().find(ownership.owner);
+    if (owner == state_.sessions().end()) continue;
+    auto* out = view.add_ownerships();
+    out->set_service(key.service);
+    out->set_address(key.address);
+    out->set_owner_vm(owner->second.vm);
+    out->set_epoch(ownership.epoch);
+  }
+  for (const auto& service : bundle_.services) {
+    auto* deadline = view.add_longest_deadlines();
+    deadline->set_service(service.name);
+    deadline->set_deadline_ms(state_.LongestDeadlineMs(service.name));
+  }
+}
+
+void ControlService::Own(const rpc::OwnRequest& request,
+                         const rpc::Responder<rpc::OwnReply>& done) {
+  if (led_term_ == 0 || !log_->HasLease()) {
+    return done(base::Fail(base::ErrorCode::kUnavailable, "this replica does not lead"));
+  }
+  control::GrantOwnership command{
+      {request.service(), request.address()}, request.incarnation(), request.session_epoch()};
+  Propose<control::OwnershipOutcome>(
+      command, [this, done](const Result<control::OwnershipOutcome>& outcome) {
+        if (!outcome) return done(boost::outcome_v2::failure(outcome.error()));
+        const auto& value = outcome.value();
+        rpc::OwnReply reply;
+        reply.set_granted(value.verdict == control::OwnershipVerdict::kGranted ||
+                          value.verdict == control::OwnershipVerdict::kAlreadyOwned);
+        reply.set_epoch(value.ownership.epoch);
+        reply.set_quarantine(value.ownership.quarantine);
+        const auto owner = state_.sessions().find(value.ownership.owner);
+        if (owner != state_.sessions().end()) reply.set_owner_vm(owner->second.vm);
+        done(std::move(reply));
+      });
+}
+
+void ControlService::Disown(const rpc::DisownRequest& request,
+                            const rpc::Responder<rpc::Empty>& done) {
+  control::ReleaseOwnership command{{request.service(), request.address()},
+                                    request.session_epoch(),
+                                    request.epoch(),
+                                    request.idle()};
+  Propose<control::ReleaseOutcome>(command, [done](const Result<control::ReleaseOutcome>& outcome) {
+    if (!outcome) {
+      return done(boost::outcome_v2::failure(outcome.error()));
+    }
+    done(rpc::Empty());
+  });
+}
+
+}  // namespace wagtailpick::controller
--- a/src/libs/controller/controller.h
+++ b/src/libs/controller/controller.h
@@ -10,11 +10,17 @@
 
 namespace wagtailpick::controller {
 
-/// The control role of a process: bundles, sessions and ownership.
+/// The control role of a process: one thread for the replicated log and what is built from it, one
+/// for claims.
 class Controller {
  public:
-  /// Recovers the state from the data folder and starts the role's threads. Fails with `kIo` or
-  /// `kCorrupt` when the state can't be read.
+  /// Prepares the folder of a replica of a new group; once for each replica, before the first
+  /// start. Fails with `kConflict` when the folder was set up before.
+  static base::Result<void> InitGroup(const ControllerOptions& options);
+
+  /// Recovers the state from the data folder and starts the threads. An empty folder counts as a
+  /// lost disk: the replica then asks the others to take it in again. Fails with `kIo`, `kConflict`
+  /// or `kCorrupt` when the folder can't be used.
   static base::Result<std::unique_ptr<Controller>> Start(const ControllerOptions& options,
                                                          metrics::Registry& metrics,
                                                          timeline::EventRing& events);
--- /dev/null
+++ b/src/libs/controller/log_driver.cpp
@@ -0,0 +1,153 @@
+#include "controller/log_driver.h"
+
+#include <random>
+#include <utility>
+
+#include "controller/message_codec.h"
+#include "logging/log.h"
+
+namespace wagtailpick::controller {
+namespace {
+
+constexpr base::Duration kDeliverTimeout = std::chrono::milliseconds(500);
+/// Entries between two snapshots: bounds the log on disk and what a restart has to replay.
+constexpr std::uint64_t kSnapshotInterval = 2'000;
+
+auto OutcomeUnknown() {
+  return base::Fail(base::ErrorCode::kUnavailable,
+                    "this replica is no longer the leader; the outcome is unknown");
+}
+
+}  // namespace
+
+base::Result<std::unique_ptr<LogDriver>> LogDriver::Create(const std::string& self,
+                                                           const std::vector<std::string>& peers,
+                                                           ReplicaDisk disk, base::EventLoop& loop,
+                                                           Hooks hooks) {
+  consensus::Options options;
+  options.self = {self, disk.incarnation()};
+  options.peers = peers;
+  options.random = [engine = std::make_shared<std::mt19937_64>(std::random_device()())] {
+    return (*engine)();
+  };
+  BOOST_OUTCOME_TRY(replica, consensus::Replica::Create(std::move(options), disk.TakeRecovered(),
+                                                        base::MonotonicNow()));
+  std::unique_ptr<LogDriver> driver(
+      new LogDriver(self, std::move(disk), loop, std::move(hooks), std::move(replica)));
+  for (const auto& peer : peers) {
+    if (peer != self) driver->peers_[peer] = rpc::Client::Create(peer);
+  }
+  driver->Flush();
+  return driver;
+}
+
+LogDriver::LogDriver(std::string self, ReplicaDisk disk, base::EventLoop& loop, Hooks hooks,
+                     consensus::Replica replica)
+    : self_(std::move(self)),
+      disk_(std::move(disk)),
+      loop_(loop),
+      hooks_(std::move(hooks)),
+      replica_(std::move(replica)) {}
+
+void LogDriver::Propose(std::string data, Proposed done) {
+  const auto position = replica_.Propose(std::move(data), base::MonotonicNow());
+  if (!position) return done(boost::outcome_v2::failure(position.error()));
+  pending_[position.value().index] = {position.value().term, std::move(done)};
+  ScheduleFlush();
+}
+
+void LogDriver::Step(const rpc::ConsensusBatch& batch) {
+  const auto now = base::MonotonicNow();
+  for (const auto& message : batch.messages()) replica_.Step(FromWire(message), now);
+  ScheduleFlush();
+}
+
+void LogDriver::Tick() {
+  replica_.Tick(base::MonotonicNow());
+  Flush();
+}
+
+bool LogDriver::HasLease() const { return replica_.HasLease(base::MonotonicNow()); }
+
+std::string LogDriver::leader() const {
+  const auto hint = replica_.LeaderHint();
+  return hint ? hint->name : std::string();
+}
+
+// Inputs that are already queued are handled before the flush, so that one sync covers them all.
+void LogDriver::ScheduleFlush() {
+  if (flush_scheduled_) return;
+  flush_scheduled_ = loop_.TryPost([this] { Flush(); });
+}
+
+void LogDriver::Flush() {
+  flush_scheduled_ = false;
+  while (true) {
+    const consensus::Output output = replica_.TakeOutput();
+    Send(output.messages);
+    Apply(output);
+    if (output.sync.empty()) break;
+    const auto written = disk_.Write(output.sync);
+    if (!written) {
+      logging::Write(logging::Level::kError, "disk_failed", written.error().message);
+      replica_.SyncFailed();
+      FailPending();
+      break;
+    }
+    replica_.Synced(output.sync.id, base::MonotonicNow());
+  }
+  TakeSnapshotWhenDue();
+  if (replica_.role() != consensus::Role::kLeader) FailPending();
+}
+
+void LogDriver::Send(const std::vector<consensus::Message>& messages) {
+  std::map<std::string, rpc::ConsensusBatch> batches;
+  for (const auto& message : messages) {
+    *batches[message.to.name].add_messages() = ToWire(message);
+  }
+  for (const auto& [name, batch] : batches) {
+    const auto peer = peers_.find(name);
+    if (peer == peers_.end()) continue;
+    // A lost message is made good by the next heartbeat.
+    peer->second->Deliver(batch, kDeliverTimeout, [](const base::Result<rpc::Empty>&) {});
+  }
+}
+
+void LogDriver::Apply(const consensus::Output& output) {
+  if (output.restore && output.restore->data != nullptr) {
+    hooks_.restore(*output.restore->data);
+    applied_ = output.restore->index;
+  }
+  for (const auto& entry : output.committed) {
+    const bool has_data = entry.kind == consensus::EntryKind::kData;
+    if (has_data) hooks_.apply(entry.index, entry.data);
+    applied_ = entry.index;
+    SettlePending(entry);
+  }
+}
+
+void LogDriver::SettlePending(const consensus::Entry& entry) {
+  const auto found = pending_.find(entry.index);
+  if (found == pending_.end()) return;
+  const Pending pending = std::move(found->second);
+  pending_.erase(found);
+  if (pending.term == entry.term) {
+    pending.done(base::Ok());
+  } else {
+    pending.done(OutcomeUnknown());
+  }
+}
+
+void LogDriver::FailPending() {
+  auto pending = std::move(pending_);
+  pending_.clear();
+  for (auto& [index, waiting] : pending) waiting.done(OutcomeUnknown());
+}
+
+void LogDriver::TakeSnapshotWhenDue() {
+  if (applied_ < replica_.snapshot_index() + kSnapshotInterval) return;
+  const auto taken = replica_.TakeSnapshot(applied_, hooks_.snapshot());
+  if (!taken) logging::Write(logging::Level::kError, "snapshot_failed", taken.error().message);
+}
+
+}  // namespace wagtailpick::controller
--- /dev/null
+++ b/src/libs/controller/replica_disk.cpp
@@ -0,0 +1,166 @@
+#include "controller/replica_disk.h"
+
+#include <memory>
+#include <utility>
+
+#include "consensus/replica.h"
+#include "storage/file_ops.h"
+
+namespace wagtailpick::controller {
+namespace {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Result;
+
+/// Incarnation of the disks that a group starts with.
+constexpr std::uint64_t kFirstIncarnation = 1;
+
+storage::Snapshot ToStored(const consensus::Snapshot& snapshot) {
+  return {{snapshot.index, snapshot.term},
+          snapshot.membership.Encode(),
+          snapshot.data == nullptr ? std::string() : *snapshot.data};
+}
+
+Result<consensus::Snapshot> FromStored(const storage::Snapshot& stored) {
+  BOOST_OUTCOME_TRY(membership, consensus::Membership::Parse(stored.configuration));
+  consensus::Snapshot snapshot;
+  snapshot.index = stored.last.index;
+  snapshot.term = stored.last.term;
+  snapshot.membership = std::move(membership);
+  snapshot.data = std::make_shared<const std::string>(stored.data);
+  return snapshot;
+}
+
+// The store keeps a vote as one text; a line end can't be part of an address.
+std::string EncodeVote(const consensus::ReplicaKey& key) {
+  return key.name.empty() ? "" : key.name + "\n" + std::to_string(key.incarnation);
+}
+
+consensus::ReplicaKey DecodeVote(const std::string& text) {
+  const auto end = text.find('\n');
+  if (end == std::string::npos) return {};
+  return {text.substr(0, end), std::stoull(text.substr(end + 1))};
+}
+
+/// The stores of a folder, created empty.
+Result<void> CreateStores(const storage::FileOpsPtr& ops, const storage::DataFolder& folder) {
+  BOOST_OUTCOME_TRY(storage::LogStore::Create(ops, folder.log_path()));
+  BOOST_OUTCOME_TRY(storage::ClaimLog::Create(ops, folder.claims_path()));
+  return base::Ok();
+}
+
+}  // namespace
+
+Result<void> ReplicaDisk::InitGroup(const std::string& folder_path, const std::string& self,
+                                    const std::vector<std::string>& members) {
+  const auto ops = storage::PosixFileOps();
+  BOOST_OUTCOME_TRY(folder, storage::DataFolder::Open(ops, folder_path, self));
+  if (folder.state() != storage::FolderState::kNew) {
+    return Fail(ErrorCode::kConflict, folder_path + ": was set up before");
+  }
+  BOOST_OUTCOME_TRY(folder.BeginSetUp(kFirstIncarnation));
+  BOOST_OUTCOME_TRY(CreateStores(ops, folder));
+  const auto initial = consensus::Replica::InitialState(members);
+  storage::SnapshotStore snapshots(ops, folder.snapshot_path());
+  BOOST_OUTCOME_TRY(snapshots.Save(ToStored(*initial.snapshot)));
+  return folder.FinishSetUp();
+}
+
+Result<ReplicaDisk> ReplicaDisk::Open(const std::string& folder_path, const std::string& self,
+                                      std::uint64_t new_incarnation) {
+  const auto ops = storage::PosixFileOps();
+  BOOST_OUTCOME_TRY(folder, storage::DataFolder::Open(ops, folder_path, self));
+  if (folder.state() == storage::FolderState::kNew) {
+    BOOST_OUTCOME_TRY(folder.BeginSetUp(new_incarnation));
+    BOOST_OUTCOME_TRY(CreateStores(ops, folder));
+    BOOST_OUTCOME_TRY(folder.FinishSetUp());
+  }
+  BOOST_OUTCOME_TRY(log, storage::LogStore::Open(ops, folder.log_path()));
+  std::vector<std::string> records;
+  std::vector<std::uint64_t> offsets;
+  BOOST_OUTCOME_TRY(claims, storage::ClaimLog::Open(
+                                ops, folder.claims_path(),
+                                [&](std::uint64_t offset, std::string_view bytes) -> Result<void> {
+                                  records.emplace_back(bytes);
+                                  offsets.push_back(offset);
+                                  return base::Ok();
+                                }));
+  storage::SnapshotStore snapshots(ops, folder.snapshot_path());
+  ReplicaDisk disk(std::move(folder), std::move(log), std::move(snapshots), std::move(claims));
+  disk.claim_records_ = std::move(records);
+  disk.claim_offsets_ = std::move(offsets);
+  BOOST_OUTCOME_TRY(disk.Recover());
+  return disk;
+}
+
+ReplicaDisk::ReplicaDisk(storage::DataFolder folder, storage::LogStore log,
+                         storage::SnapshotStore snapshots, storage::ClaimLog claims)
+    : folder_(std::move(folder)),
+      log_(std::move(log)),
+      snapshots_(std::move(snapshots)),
+      claims_(std::move(claims)) {}
+
+Result<void> ReplicaDisk::Recover() {
+  BOOST_OUTCOME_TRY(stored, snapshots_.Load());
+  if (stored) {
+    last_snapshot_ = stored->last;
+    BOOST_OUTCOME_TRY(snapshot, FromStored(*stored));
+    recovered_.snapshot = std::move(snapshot);
+  }
+  recovered_.hard_state = {log_.hard_state().term, DecodeVote(log_.hard_state().voted_for)};
+  BOOST_OUTCOME_TRY(entries, log_.ReadAll());
+  for (auto& entry : entries) {
+    recovered_.entries.push_back({entry.index, entry.term,
+                                  static_cast<consensus::EntryKind>(entry.kind),
+                                  std::move(entry.data)});
+  }
+  return base::Ok();
+}
+
+Result<void> ReplicaDisk::WriteHardState(const consensus::HardState& state) {
+  return log_.SetHardState({state.term, EncodeVote(state.voted_for), folder_.incarnation()});
+}
+
+Result<void> ReplicaDisk::DropLog(const consensus::SyncBatch& batch) {
+  if (batch.drop_log) {
+    if (log_.last_index() >= log_.first_index()) {
+      BOOST_OUTCOME_TRY(log_.TruncateFrom(log_.first_index()));
+    }
+    return log_.TrimTo(last_snapshot_);
+  }
+  if (batch.trim_through < log_.first_index()) return base::Ok();
+  BOOST_OUTCOME_TRY(entry, log_.Read(batch.trim_through));
+  return log_.TrimTo({entry.index, entry.term});
+}
+
+Result<void> ReplicaDisk::Write(const consensus::SyncBatch& batch) {
+  if (batch.hard_state) {
+    BOOST_OUTCOME_TRY(WriteHardState(*batch.hard_state));
+  }
+  if (batch.snapshot) {
+    // The snapshot replaces entries, so the term that came before it has to be on disk first.
+    BOOST_OUTCOME_TRY(log_.Sync());
+    BOOST_OUTCOME_TRY(snapshots_.Save(ToStored(*batch.snapshot)));
+    last_snapshot_ = {batch.snapshot->index, batch.snapshot->term};
+  }
+  if (batch.drop_log || batch.trim_through > 0) {
+    BOOST_OUTCOME_TRY(DropLog(batch));
+  }
+  if (!batch.entries.empty()) {
+    const std::uint64_t first = batch.entries.front().index;
+    if (first <= log_.last_index()) {
+      BOOST_OUTCOME_TRY(log_.TruncateFrom(first));
+    }
+    std::vector<storage::LogEntry> entries;
+    entries.reserve(batch.entries.size());
+    for (const auto& entry : batch.entries) {
+      entries.push_back(
+          {entry.index, entry.term, static_cast<std::uint32_t>(entry.kind), entry.data});
+    }
+    BOOST_OUTCOME_TRY(log_.Append(entries));
+  }
+  return log_.Sync();
+}
+
+}  // namespace wagtailpick::controller
--- a/src/libs/entry/control_link.cpp
+++ b/src/libs/entry/control_link.cpp
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "base/event_loop.h"
-#include "base/random_id.h"
 #include "bundle/parse_bundle.h"
 #include "bundle/signed_bundle.h"
 #include "logging/log.h"
@@ -130,7 +129,7 @@
   std::vector<std::unique_ptr<rpc::Client>> clients;
   std::mutex mutex;
   std::size_t leader_index = 0;
-  std::string incarnation = base::RandomId();
+  std::uint64_t incarnation = static_cast<std::uint64_t>(base::WallNowMillis());
   std::atomic<bool> draining = false;
   base::EventLoop loop;
 };
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -238,7 +238,7 @@
     rpc::AnnounceReply answer;
     answer.set_owner_vm(value.owner_vm());
     if (value.granted()) {
-      const auto quarantine = std::chrono::milliseconds(value.quarantine_ms());
+      const auto quarantine = std::chrono::milliseconds(value.quarantine() ? 10'100 : 0);
       loop_.Post([this, announcement, epoch = value.epoch(), quarantine] {
         owner_.TakeOwnership(announcement, epoch, quarantine);
       });
--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -171,7 +171,7 @@
     auto& summary = places[KeyOf(known.service(), known.data_centre())];
     summary.set_service(known.service());
     summary.set_data_centre(known.data_centre());
-    summary.set_usable_slots(summary.usable_slots() + known.slots());
+    summary.set_total_slots(summary.total_slots() + known.slots());
     summary.set_free_slots(summary.free_slots() + known.slots() - upstream.busy);
   }
   std::vector<rpc::PlaceSummary> list;
--- a/src/libs/rpc/client.cpp
+++ b/src/libs/rpc/client.cpp
@@ -112,7 +112,7 @@
 WAGTAILPICK_RPC_METHOD(entry, Forward, ForwardRequest, ForwardReply)
 WAGTAILPICK_RPC_METHOD(entry, Announce, AnnounceRequest, AnnounceReply)
 WAGTAILPICK_RPC_METHOD(entry, Summarize, Summary, Empty)
-WAGTAILPICK_RPC_METHOD(entry, Suspect, SuspectRequest, Empty)
+WAGTAILPICK_RPC_METHOD(entry, Suspect, SuspectRequest, SuspectReply)
 
 #undef WAGTAILPICK_RPC_METHOD
 
--- a/src/libs/rpc/client.h
+++ b/src/libs/rpc/client.h
@@ -39,7 +39,7 @@
   void Announce(const AnnounceRequest& request, base::Duration timeout,
                 Responder<AnnounceReply> done);
   void Summarize(const Summary& request, base::Duration timeout, Responder<Empty> done);
-  void Suspect(const SuspectRequest& request, base::Duration timeout, Responder<Empty> done);
+  void Suspect(const SuspectRequest& request, base::Duration timeout, Responder<SuspectReply> done);
 
  private:
   struct State;
--- a/src/libs/rpc/handlers.h
+++ b/src/libs/rpc/handlers.h
@@ -36,7 +36,7 @@
   Handler<ForwardRequest, ForwardReply> forward;
   Handler<AnnounceRequest, AnnounceReply> announce;
   Handler<Summary, Empty> summarize;
-  Handler<SuspectRequest, Empty> suspect;
+  Handler<SuspectRequest, SuspectReply> suspect;
 };
 
 }  // namespace wagtailpick::rpc
--- a/src/libs/rpc/server.cpp
+++ b/src/libs/rpc/server.cpp
@@ -108,7 +108,7 @@
   Reactor* Summarize(Context* context, const Summary* request, Empty* reply) override {
     return Serve(context, handlers_.summarize, request, reply);
   }
-  Reactor* Suspect(Context* context, const SuspectRequest* request, Empty* reply) override {
+  Reactor* Suspect(Context* context, const SuspectRequest* request, SuspectReply* reply) override {
     return Serve(context, handlers_.suspect, request, reply);
   }
 
