--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/monotonic_time.h"
-#include "controller/claim_codec.h"
+#include "rpc/claim_codec.h"
 #include "logging/log.h"
 
 namespace wagtailpick::controller {
--- a/src/libs/entry/announcement_json.cpp
+++ b/src/libs/entry/announcement_json.cpp
@@ -34,6 +34,7 @@
       static_cast<std::uint32_t>(reader.Number("connections", 0, kMaxConnections, 0)));
   announcement.set_state(reader.Text("state"));
   announcement.set_load(static_cast<std::uint32_t>(reader.Number("load", 0, kMaxSlots, 0)));
+  announcement.set_sent_unix_ms(reader.Number("sent_unix_ms", 1, kMax));
   reader.Finish();
   if (problem.empty() && !IsState(announcement.state())) {
     problem = "state: expected up, draining or leaving";
--- a/src/libs/entry/caller_request.cpp
+++ b/src/libs/entry/caller_request.cpp
@@ -26,7 +26,8 @@
   return !http::IsHopByHop(name) && !http::SameName(name, "Host") &&
          !http::SameName(name, "Content-Length") && !http::SameName(name, "Expect") &&
          !http::SameName(name, "X-Request-Id") && !http::SameName(name, "X-Request-Deadline-Ms") &&
-         !http::SameName(name, "X-Request-Deadline-Unix-Ms");
+         !http::SameName(name, "X-Request-Deadline-Unix-Ms") &&
+         !http::SameName(name, "X-Request-Start-By-Unix-Ms");
 }
 
 base::Result<std::int64_t> DeadlineMillis(const http::Request& request,
@@ -75,6 +76,8 @@
   }
   BOOST_OUTCOME_TRY(deadline, DeadlineMillis(request, *service));
   checked.caller_address = request.peer;
+  const std::string* authorization = http::FindHeader(request.headers, "Authorization");
+  if (authorization != nullptr) checked.authorization = *authorization;
   auto& forward = checked.forward;
   forward.set_request_id(base::RandomId());
   forward.set_service(name);
--- a/src/libs/entry/caller_request.h
+++ b/src/libs/entry/caller_request.h
@@ -17,6 +17,8 @@
   std::string caller_address;
   /// Empty for requests that may run more than once.
   std::string idempotency_key;
+  /// The caller's `Authorization` header; empty when there is none.
+  std::string authorization;
   bool is_idempotent = true;
 };
 
--- a/src/libs/entry/control_link.cpp
+++ b/src/libs/entry/control_link.cpp
@@ -42,7 +42,7 @@
     request.set_rpc_address(options.rpc_address);
     request.set_draining(draining);
     request.set_bundle_version(view == nullptr ? 0 : view->bundle.version);
-    request.set_view_version(view == nullptr ? 0 : view->members_version);
+    request.set_view_version(view == nullptr ? 0 : view->version);
     prepare(request);
     const base::MonotonicTime sent = base::MonotonicNow();
     leader().Renew(request, kCallTimeout,
@@ -67,9 +67,8 @@
       logging::Write(logging::Level::kError, "bundle_unusable", view.error().message);
       return;
     }
-    const base::Duration lease = std::chrono::milliseconds(value.lease_ms());
-    session.Renewed(value.session_epoch(), sent, lease, std::move(view.value()));
-    renewed(value);
+    session.Renewed(value.session_epoch(), sent, std::move(view.value()));
+    renewed(value, sent);
   }
 
   /// Returns the next view, or null when nothing changed.
@@ -83,20 +82,28 @@
       BOOST_OUTCOME_TRY(parsed, bundle::ParseBundle(signed_bundle.payload));
       // A late reply must not bring an older bundle back.
       if (parsed.version > next->bundle.version) {
+        BOOST_OUTCOME_TRY(directory, PlaceDirectory::Build(parsed));
         next->bundle = std::move(parsed);
         next->bundle_digest = signed_bundle.Digest();
+        next->directory = std::move(directory);
         context.events.Record(base::WallNowMillis(), timeline::EventKind::kBundleInForce,
                               std::to_string(next->bundle.version), next->bundle_digest);
       }
     }
-    if (reply.has_view() && reply.view_version() != next->members_version) {
-      next->members.clear();
-      for (const auto& member : reply.view().members()) next->members.push_back(ToMember(member));
-      next->members_version = reply.view_version();
-    }
+    if (reply.has_view()) TakeView(reply, *next);
     return ViewPtr(std::move(next));
   }
 
+  static void TakeView(const rpc::RenewReply& reply, View& view) {
+    view.members.clear();
+    for (const auto& member : reply.view().members()) view.members.push_back(ToMember(member));
+    view.longest_deadlines.clear();
+    for (const auto& deadline : reply.view().longest_deadlines()) {
+      view.longest_deadlines[deadline.service()] = deadline.deadline_ms();
+    }
+    view.version = reply.view_version();
+  }
+
   rpc::Client& leader() {
     const std::lock_guard lock(mutex);
     return *clients[leader_index];
--- a/src/libs/entry/control_link.h
+++ b/src/libs/entry/control_link.h
@@ -16,7 +16,7 @@
 class ControlLink {
  public:
   /// Called on the link's thread after each granted renewal.
-  using RenewedHook = std::function<void(const rpc::RenewReply&)>;
+  using RenewedHook = std::function<void(const rpc::RenewReply&, base::MonotonicTime sent)>;
   /// Adds what the entry asks for to a renewal.
   using PrepareHook = std::function<void(rpc::RenewRequest&)>;
 
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -1,38 +1,42 @@
 #include "entry/dispatcher.h"
 
 #include <algorithm>
+#include <future>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
-#include <vector>
 
 #include "base/random_id.h"
 #include "entry/announcement_json.h"
-#include "entry/error_answer.h"
+#include "entry/decision_answer.h"
 
 namespace wagtailpick::entry {
 namespace {
 
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(300);
-constexpr base::Duration kSummaryMaxAge = std::chrono::seconds(1);
 constexpr std::size_t kRingCapacity = 16'384;
 /// A first choice and one more after a refusal that ran nothing.
 constexpr int kMaxAttempts = 2;
-constexpr std::uint32_t kMaxAnnounceHops = 2;
+constexpr std::uint32_t kLostRetryMs = 1'000;
+constexpr std::uint32_t kNoSlotRetryMs = 100;
 
 base::Verdict VerdictOf(const rpc::ForwardReply& reply) {
   return base::ParseVerdict(reply.verdict()).value_or(base::Verdict::kMayHaveRun);
 }
 
-}  // namespace
+/// An answer from another entry must be that of the request, and whole.
+bool IsIntact(const rpc::ForwardRequest& request, const rpc::ForwardReply& reply) {
+  if (reply.request_id() != request.request_id()) return false;
+  return VerdictOf(reply) != base::Verdict::kRan ||
+         reply.body_digest() == base::DigestHex(reply.body());
+}
 
-struct Dispatcher::Flow {
-  CallerRequest request;
-  http::ResponseSink sink;
-  int attempts = 0;
-  std::set<std::string> tried;
-};
+std::chrono::milliseconds TimeLeft(const rpc::ForwardRequest& request) {
+  return std::chrono::milliseconds(
+      std::max<std::int64_t>(1, request.deadline_unix_ms() - base::WallNowMillis()));
+}
+
+}  // namespace
 
 Dispatcher::Dispatcher(const EntryOptions& options, const ProcessContext& context, Session& session,
                        ControlLink& control, http::Client& client)
@@ -41,8 +45,13 @@
       session_(session),
       control_(control),
       loop_(kRingCapacity),
-      owner_(context, session, client, loop_),
-      peers_(options.vm) {}
+      peers_(options.vm),
+      claims_(options.control, loop_),
+      suspects_(peers_, claims_, loop_, context.events),
+      owner_(context, session, client, suspects_, loop_),
+      intake_(options_, session, owner_, peers_, control, loop_),
+      steering_(options.vm, options.data_centre, options.region, context.events),
+      limit_(static_cast<std::uint32_t>(options.max_running)) {}
 
 Dispatcher::~Dispatcher() { Stop(); }
 
@@ -61,7 +70,7 @@
 void Dispatcher::Begin(const http::Request& request, const http::ResponseSink& sink) {
   const ViewPtr view = session_.view();
   if (!session_.IsActive(base::MonotonicNow())) {
-    return sink(Unavailable("this entry has no lease from control; use another entry"));
+    return sink(NoLeaseAnswer(request, view.get(), options_.region));
   }
   auto checked = CheckCallerRequest(request, *view, base::WallNowMillis());
   if (!checked) {
@@ -69,221 +78,278 @@
     return sink(error.code == base::ErrorCode::kNotFound ? NotFound(error.message)
                                                          : BadRequest(error.message));
   }
-  auto flow = std::make_shared<Flow>();
+  auto flow = std::make_shared<RequestFlow>();
   flow->request = std::move(checked.value());
   flow->sink = sink;
-  Route(flow);
+  flow->started = base::MonotonicNow();
+  const auto* service = view->bundle.FindService(flow->request.forward.service());
+  ++running_;
+  if (limit_.TryEnter(static_cast<int>(service->priority)) != admission::EntryDecision::kAdmitted) {
+    --running_;
+    return sink(Overloaded(*flow));
+  }
+  retries_.OnRequest(flow->started);
+  if (flow->request.is_idempotent) return Route(flow);
+  Claim(flow);
+}
+
+void Dispatcher::Claim(const FlowPtr& flow) {
+  const auto& request = flow->request.forward;
+  auto& claim = flow->claim;
+  claim.key = claims::DigestKey(request.service(), flow->request.authorization,
+                                flow->request.idempotency_key);
+  claim.body = claims::DigestBody(request.method(), request.target(), request.body());
+  claim.attempt = NewAttempt();
+  claim.started_at = base::WallNowMillis();
+  claim.deadline = request.deadline_unix_ms();
+  claims_.Claim(claim, [this, flow](const claims::Decision& decision) { Claimed(flow, decision); });
+}
+
+void Dispatcher::Claimed(const FlowPtr& flow, const claims::Decision& decision) {
+  if (decision.result == claims::RoundResult::kRun) {
+    flow->claimed = true;
+    return Route(flow);
+  }
+  if (decision.result == claims::RoundResult::kReplay) return Replay(flow, decision.answer);
+  Refuse(flow, DescribeDecision(decision));
+}
+
+void Dispatcher::Replay(const FlowPtr& flow, const std::string& answer) {
+  rpc::StoredAnswer stored;
+  if (!stored.ParseFromString(answer)) {
+    claims::Decision damaged;
+    damaged.result = claims::RoundResult::kAnswerNotKept;
+    damaged.verdict = base::Verdict::kRan;
+    return Refuse(flow, DescribeDecision(damaged));
+  }
+  http::Response response;
+  response.status = static_cast<int>(stored.status());
+  for (const auto& header : stored.headers()) {
+    response.headers.push_back({header.name(), header.value()});
+  }
+  response.headers.push_back({"X-Wagtailpick-Replayed", "true"});
+  response.body = stored.body();
+  Respond(flow, std::move(response), base::Verdict::kRan);
 }
 
-void Dispatcher::Route(const std::shared_ptr<Flow>& flow) {
+void Dispatcher::Route(const FlowPtr& flow) {
   ++flow->attempts;
-  std::string data_centre;
-  const std::string owner = ChooseOwner(*flow, data_centre);
+  const auto now = base::MonotonicNow();
   auto& request = flow->request.forward;
-  request.set_data_centre(data_centre);
-  if (owner.empty()) {
+  steering_.SetLocal(owner_.Summaries(), now);
+  std::string reason;
+  const auto target =
+      steering_.Choose(request, flow->request.caller_address, flow->tried, now, reason);
+  if (!target) {
     rpc::ForwardReply refusal;
+    refusal.set_request_id(request.request_id());
     refusal.set_verdict(std::string(base::ToString(base::Verdict::kNotRun)));
-    refusal.set_reason("no_slot");
-    refusal.set_retry_after_ms(100);
-    return Answer(flow, refusal);
+    refusal.set_reason(reason);
+    refusal.set_retry_after_ms(kNoSlotRetryMs);
+    return Finish(flow, refusal);
   }
-  flow->tried.insert(owner + "\n" + data_centre);
-  auto done = [this, flow](base::Result<rpc::ForwardReply> reply) {
-    loop_.Post([this, flow, reply = std::move(reply)] { Forwarded(flow, reply); });
-  };
-  if (owner == options_.vm) {
-    owner_.Execute(request, [this, flow](auto reply) { Forwarded(flow, std::move(reply)); });
-    return;
+  flow->target = *target;
+  flow->sent = now;
+  request.set_data_centre(target->data_centre);
+  request.set_shifted(target->shifted);
+  auto done = [this, flow](const base::Result<rpc::ForwardReply>& reply) { Replied(flow, reply); };
+  if (target->vm == options_.vm) return owner_.Execute(request, done);
+  const auto peer = peers_.Find(target->vm);
+  if (peer == nullptr) {
+    return Replied(flow, base::Fail(base::ErrorCode::kUnavailable, "the entry is gone"));
   }
-  const auto peer = peers_.Find(owner);
-  const auto left = std::chrono::milliseconds(request.deadline_unix_ms() - base::WallNowMillis());
-  peer->Forward(request, std::max<base::Duration>(left, base::Duration(1)), std::move(done));
+  peer->Forward(request, TimeLeft(request), [this, done](base::Result<rpc::ForwardReply> reply) {
+    loop_.Post([done, reply = std::move(reply)] { done(reply); });
+  });
 }
 
-void Dispatcher::Forwarded(const std::shared_ptr<Flow>& flow,
-                           base::Result<rpc::ForwardReply> reply) {
-  if (!reply) {
-    rpc::ForwardReply lost;
-    lost.set_verdict(std::string(base::ToString(base::Verdict::kMayHaveRun)));
-    lost.set_reason("entry_lost");
-    return Answer(flow, lost);
+bool Dispatcher::MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply) {
+  return VerdictOf(reply) == base::Verdict::kNotRun && flow.attempts < kMaxAttempts &&
+         flow.request.forward.deadline_unix_ms() > base::WallNowMillis() &&
+         retries_.TryRetry(base::MonotonicNow());
+}
+
+void Dispatcher::Replied(const FlowPtr& flow, const base::Result<rpc::ForwardReply>& reply) {
+  const auto now = base::MonotonicNow();
+  if (!reply || !IsIntact(flow->request.forward, reply.value())) {
+    steering_.Lost(flow->target, now);
+    return ForwardLost(flow);
   }
   const auto& value = reply.value();
-  if (VerdictOf(value) == base::Verdict::kNotRun && flow->attempts < kMaxAttempts) {
-    return Route(flow);
+  if (VerdictOf(value) == base::Verdict::kNotRun) {
+    steering_.Refused(flow->target, now);
+    flow->tried.push_back(flow->target.key);
+    if (MayRetry(*flow, value)) return Route(flow);
+  } else {
+    steering_.Answered(flow->target, now - flow->sent, value.body().size(), now);
   }
-  Answer(flow, value);
+  Finish(flow, value);
 }
 
-void Dispatcher::Answer(const std::shared_ptr<Flow>& flow, const rpc::ForwardReply& reply) {
+// The owner may have died of the request's upstream's crash before it could tell anybody.
+void Dispatcher::ForwardLost(const FlowPtr& flow) {
+  rpc::ForwardReply lost;
+  lost.set_request_id(flow->request.forward.request_id());
+  lost.set_verdict(std::string(base::ToString(base::Verdict::kMayHaveRun)));
+  lost.set_reason("entry_lost");
+  lost.set_retry_after_ms(kLostRetryMs);
+  safety::LostConnection connection;
+  connection.event_id = base::RandomId();
+  connection.owner_session = std::to_string(flow->target.key.entry);
+  suspects_.Strike(FingerprintOf(flow->request.forward), connection,
+                   [this, flow, lost] { Finish(flow, lost); });
+}
+
+void Dispatcher::Finish(const FlowPtr& flow, const rpc::ForwardReply& reply) {
   const base::Verdict verdict = VerdictOf(reply);
-  const std::string name(base::ToString(verdict));
-  context_.metrics.CounterAt("wagtailpick_requests_total", "verdict=\"" + name + "\"").Add();
-  const auto& request = flow->request.forward;
   if (verdict != base::Verdict::kRan) {
-    ErrorInfo info;
-    info.status = verdict == base::Verdict::kNotRun ? 503 : 502;
-    info.reason = reply.reason();
-    info.message =
-        verdict == base::Verdict::kNotRun ? "the request was not run" : "the request may have run";
-    info.verdict = verdict;
-    info.attempt_verdict = verdict;
-    info.request_id = request.request_id();
-    info.retry_after_ms = std::max(reply.retry_after_ms(), 100U);
-    return flow->sink(ErrorAnswer(info));
+    if (flow->claimed && verdict == base::Verdict::kNotRun) {
+      claims_.Release(
+          {flow->claim.table, flow->claim.key, flow->claim.attempt, base::WallNowMillis()});
+    }
+    return Refuse(flow, DescribeReply(reply, verdict));
   }
   http::Response response;
   response.status = static_cast<int>(reply.status());
   for (const auto& header : reply.headers()) {
     response.headers.push_back({header.name(), header.value()});
   }
-  response.headers.push_back({"X-Wagtailpick-Verdict", name});
-  response.headers.push_back({"X-Wagtailpick-Request-Id", request.request_id()});
   response.body = reply.body();
-  flow->sink(std::move(response));
+  if (flow->claimed) {
+    claims_.Complete({flow->claim.table, flow->claim.key, flow->claim.body, flow->claim.attempt,
+                      flow->claim.deadline, EncodeStoredAnswer(reply)});
+  }
+  Respond(flow, std::move(response), verdict);
 }
 
-std::string Dispatcher::ChooseOwner(const Flow& flow, std::string& data_centre) const {
-  const ViewPtr view = session_.view();
-  const auto& service = flow.request.forward.service();
-  const auto now = base::MonotonicNow();
-  std::string best;
-  std::uint32_t best_score = 0;
-  const auto consider = [&](const std::string& vm, const rpc::PlaceSummary& place) {
-    const std::string& centre = place.data_centre();
-    if (place.service() != service || place.free_slots() == 0) return;
-    if (view->bundle.IsDrained(service, centre)) return;
-    if (flow.tried.contains(vm + "\n" + centre)) return;
-    // Shifts to other regions need a cap share, which isn't granted yet.
-    if (view->bundle.RegionOf(centre) != options_.region) return;
-    const std::uint32_t score = place.free_slots() + (vm == options_.vm ? 1'000 : 0);
-    if (score <= best_score) return;
-    best = vm;
-    best_score = score;
-    data_centre = centre;
-  };
-  for (const auto& place : owner_.Summaries()) consider(options_.vm, place);
-  for (const auto& [vm, peer] : summaries_) {
-    if (now - peer.received > kSummaryMaxAge || peers_.Find(vm) == nullptr) continue;
-    for (const auto& place : peer.summary.places()) consider(vm, place);
+void Dispatcher::Refuse(const FlowPtr& flow, ErrorInfo info) {
+  info.request_id = flow->request.forward.request_id();
+  context_.metrics.CounterAt("wagtailpick_refusals_total", "reason=\"" + info.reason + "\"").Add();
+  Respond(flow, ErrorAnswer(info), info.verdict);
+}
+
+void Dispatcher::Respond(const FlowPtr& flow, http::Response response, base::Verdict verdict) {
+  const std::string name(base::ToString(verdict));
+  context_.metrics.CounterAt("wagtailpick_requests_total", "verdict=\"" + name + "\"").Add();
+  if (http::FindHeader(response.headers, "X-Wagtailpick-Verdict") == nullptr) {
+    response.headers.push_back({"X-Wagtailpick-Verdict", name});
+    response.headers.push_back({"X-Wagtailpick-Request-Id", flow->request.forward.request_id()});
   }
-  return best;
+  limit_.Leave();
+  --running_;
+  flow->sink(std::move(response));
 }
 
 void Dispatcher::ServeAnnouncement(const http::Request& request, const http::ResponseSink& sink) {
   auto announcement = ParseAnnouncement(request.body);
   if (!announcement) return sink(BadRequest(announcement.error().message));
-  auto answer = [sink](base::Result<rpc::AnnounceReply> reply) {
-    if (!reply) return sink(Unavailable(reply.error().message));
+  auto answer = [sink](const base::Result<rpc::AnnounceReply>& reply) {
+    if (!reply) {
+      return sink(reply.error().code == base::ErrorCode::kInvalidArgument
+                      ? BadRequest(reply.error().message)
+                      : Unavailable(reply.error().message));
+    }
     const nlohmann::json body{{"owner", reply.value().owner_vm()}, {"next_ms", 500}};
     sink({200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body.dump()});
   };
-  const bool queued =
-      loop_.TryPost([this, value = announcement.value(), answer] { Announce(value, answer); });
+  const bool queued = loop_.TryPost(
+      [this, value = announcement.value(), answer] { intake_.Announce(value, answer); });
   if (!queued) sink(Unavailable("this entry is overloaded"));
 }
 
-void Dispatcher::Announce(const rpc::AnnounceRequest& announcement,
-                          rpc::Responder<rpc::AnnounceReply> done) {
-  if (!session_.IsActive(base::MonotonicNow())) {
-    return done(base::Fail(base::ErrorCode::kUnavailable, "this entry has no lease"));
-  }
-  if (owner_.Owns(announcement.service(), announcement.address())) {
-    owner_.TakeAnnouncement(announcement);
-    rpc::AnnounceReply reply;
-    reply.set_owner_vm(options_.vm);
-    return done(std::move(reply));
-  }
-  const std::string owner = PreferredOwner(announcement);
-  const auto peer = peers_.Find(owner);
-  if (peer == nullptr || announcement.hops() >= kMaxAnnounceHops) {
-    return RequestOwnership(announcement, done);
-  }
-  rpc::AnnounceRequest passed_on = announcement;
-  passed_on.set_hops(announcement.hops() + 1);
-  peer->Announce(passed_on, kPeerTimeout, std::move(done));
-}
-
-std::string Dispatcher::PreferredOwner(const rpc::AnnounceRequest& announcement) const {
-  const ViewPtr view = session_.view();
-  const std::string region = view->bundle.RegionOf(announcement.data_centre());
-  std::string best;
-  std::pair<int, std::string> best_rank;
-  for (const auto& member : view->members) {
-    if (member.draining) continue;
-    int distance = member.region == region ? 1 : 2;
-    if (member.data_centre == announcement.data_centre()) distance = 0;
-    // Rendezvous hashing: every entry picks the same owner without further messages.
-    const std::pair<int, std::string> rank{
-        distance, base::DigestHex(member.vm + "\n" + announcement.address())};
-    if (!best.empty() && best_rank <= rank) continue;
-    best = member.vm;
-    best_rank = rank;
-  }
-  return best;
-}
-
-void Dispatcher::RequestOwnership(const rpc::AnnounceRequest& announcement,
-                                  const rpc::Responder<rpc::AnnounceReply>& done) {
-  rpc::OwnRequest request;
-  request.set_vm(options_.vm);
-  request.set_session_epoch(session_.epoch());
-  request.set_service(announcement.service());
-  request.set_address(announcement.address());
-  request.set_incarnation(announcement.incarnation());
-  control_.Own(request, [this, announcement, done](base::Result<rpc::OwnReply> reply) {
-    if (!reply) return done(boost::outcome_v2::failure(reply.error()));
-    const rpc::OwnReply& value = reply.value();
-    rpc::AnnounceReply answer;
-    answer.set_owner_vm(value.owner_vm());
-    if (value.granted()) {
-      const auto quarantine = std::chrono::milliseconds(value.quarantine() ? 10'100 : 0);
-      loop_.Post([this, announcement, epoch = value.epoch(), quarantine] {
-        owner_.TakeOwnership(announcement, epoch, quarantine);
-      });
-    }
-    done(std::move(answer));
+void Dispatcher::Forward(const rpc::ForwardRequest& request,
+                         const rpc::Responder<rpc::ForwardReply>& done) {
+  ++running_;
+  owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
+    --running_;
+    done(std::move(reply));
   });
 }
 
 rpc::EntryHandlers Dispatcher::Handlers() {
+  const auto overloaded = [] {
+    return base::Fail(base::ErrorCode::kLimitExceeded, "this entry is overloaded");
+  };
   rpc::EntryHandlers handlers;
-  handlers.forward = [this](const rpc::ForwardRequest& request, auto done) {
-    const bool queued = loop_.TryPost([this, request, done] { owner_.Execute(request, done); });
-    if (!queued) done(base::Fail(base::ErrorCode::kLimitExceeded, "this entry is overloaded"));
+  handlers.forward = [this, overloaded](const rpc::ForwardRequest& request, const auto& done) {
+    if (!loop_.TryPost([this, request, done] { Forward(request, done); })) done(overloaded());
   };
-  handlers.announce = [this](const rpc::AnnounceRequest& request, auto done) {
-    const bool queued = loop_.TryPost([this, request, done] { Announce(request, done); });
-    if (!queued) done(base::Fail(base::ErrorCode::kLimitExceeded, "this entry is overloaded"));
+  handlers.announce = [this, overloaded](const rpc::AnnounceRequest& request, const auto& done) {
+    const bool queued = loop_.TryPost([this, request, done] { intake_.Announce(request, done); });
+    if (!queued) done(overloaded());
   };
-  handlers.summarize = [this](const rpc::Summary& summary, auto done) {
-    loop_.TryPost([this, summary] {
-      auto& known = summaries_[summary.vm()];
-      known.summary = summary;
-      known.received = base::MonotonicNow();
-    });
+  handlers.summarize = [this](const rpc::Summary& summary, const auto& done) {
+    loop_.TryPost([this, summary] { steering_.TakeSummary(summary, base::MonotonicNow()); });
     done(rpc::Empty());
   };
+  handlers.suspect = [this, overloaded](const rpc::SuspectRequest& request, const auto& done) {
+    const bool queued = loop_.TryPost([this, request, done] { done(suspects_.Merge(request)); });
+    if (!queued) done(overloaded());
+  };
   return handlers;
 }
 
-void Dispatcher::ViewChanged() {
-  loop_.TryPost([this] {
+void Dispatcher::PrepareRenewal(rpc::RenewRequest& request) {
+  std::promise<void> added;
+  const bool queued = loop_.TryPost([this, &request, &added] {
+    steering_.shares().AddDemands(request);
+    added.set_value();
+  });
+  if (queued) added.get_future().wait();
+}
+
+void Dispatcher::Renewed(const rpc::RenewReply& reply, base::MonotonicTime sent) {
+  loop_.TryPost([this, reply, sent] {
     const ViewPtr view = session_.view();
-    if (view != nullptr) peers_.Update(*view);
+    if (view == nullptr) return;
+    peers_.Update(*view);
+    owner_.SetView(*view);
+    steering_.SetView(view);
+    steering_.shares().TakeGrants(reply, sent);
+    if (reply.has_view()) intake_.TakeOwnerships(reply.view());
+    int highest = 0;
+    for (const auto& service : view->bundle.services) {
+      highest = std::max(highest, static_cast<int>(service.priority));
+    }
+    limit_.SetHighestPriority(highest);
+  });
+}
+
+void Dispatcher::StartDrain() {
+  loop_.TryPost([this] {
+    draining_ = true;
+    owner_.BeginHandover();
+    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kDrainStarted, options_.vm,
+                           "entry");
   });
 }
 
+void Dispatcher::HandOver() {
+  owner_.BeginHandover();
+  for (const auto& upstream : owner_.TakeIdle()) {
+    rpc::DisownRequest request;
+    request.set_vm(options_.vm);
+    request.set_session_epoch(session_.lease().epoch());
+    request.set_service(upstream.service);
+    request.set_address(upstream.address);
+    request.set_epoch(upstream.grant_id);
+    request.set_idle(true);
+    control_.Disown(request);
+  }
+}
+
 void Dispatcher::Tick() {
-  owner_.Tick(base::MonotonicNow());
+  owner_.Tick();
+  suspects_.Tick();
+  steering_.Tick(base::MonotonicNow());
+  if (draining_) HandOver();
   SendSummaries();
 }
 
 void Dispatcher::SendSummaries() {
   rpc::Summary summary;
   summary.set_vm(options_.vm);
-  summary.set_session_epoch(session_.epoch());
+  summary.set_session_epoch(session_.lease().epoch());
   summary.set_sequence(++summary_sequence_);
   for (auto& place : owner_.Summaries()) *summary.add_places() = std::move(place);
   for (const auto& [vm, peer] : peers_.all()) {
--- a/src/libs/entry/dispatcher.h
+++ b/src/libs/entry/dispatcher.h
@@ -1,17 +1,27 @@
 #pragma once
 
-#include <map>
+#include <wagtailpick.pb.h>
+
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 
+#include "admission/entry_limit.h"
+#include "admission/retry_budget.h"
 #include "base/event_loop.h"
-#include "entry/caller_request.h"
+#include "entry/claim_client.h"
 #include "entry/control_link.h"
 #include "entry/entry_options.h"
+#include "entry/error_answer.h"
 #include "entry/owner.h"
 #include "entry/peer_set.h"
 #include "entry/process_context.h"
+#include "entry/request_flow.h"
 #include "entry/session.h"
+#include "entry/steering.h"
+#include "entry/suspects.h"
+#include "entry/upstream_intake.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "rpc/handlers.h"
@@ -40,38 +50,53 @@
   /// Methods for the other entries.
   rpc::EntryHandlers Handlers();
 
-  /// Takes in members after a renewal.
-  void ViewChanged();
+  /// Adds the shares that this entry wants to a renewal. Waits for the loop.
+  void PrepareRenewal(rpc::RenewRequest& request);
+
+  /// Takes in a granted renewal that was sent at `sent`.
+  void Renewed(const rpc::RenewReply& reply, base::MonotonicTime sent);
+
+  /// Stops taking over upstreams and hands over those that become idle.
+  void StartDrain();
+
+  /// Requests of callers and of other entries that are running.
+  std::size_t running() const { return running_; }
 
  private:
-  struct Flow;
+  using FlowPtr = std::shared_ptr<RequestFlow>;
 
   void Begin(const http::Request& request, const http::ResponseSink& sink);
-  void Route(const std::shared_ptr<Flow>& flow);
-  void Forwarded(const std::shared_ptr<Flow>& flow, base::Result<rpc::ForwardReply> reply);
-  void Answer(const std::shared_ptr<Flow>& flow, const rpc::ForwardReply& reply);
-  std::string ChooseOwner(const Flow& flow, std::string& data_centre) const;
-  void Announce(const rpc::AnnounceRequest& announcement, rpc::Responder<rpc::AnnounceReply> done);
-  void RequestOwnership(const rpc::AnnounceRequest& announcement,
-                        const rpc::Responder<rpc::AnnounceReply>& done);
-  std::string PreferredOwner(const rpc::AnnounceRequest& announcement) const;
+  void Claim(const FlowPtr& flow);
+  void Claimed(const FlowPtr& flow, const claims::Decision& decision);
+  void Route(const FlowPtr& flow);
+  void Replied(const FlowPtr& flow, const base::Result<rpc::ForwardReply>& reply);
+  void ForwardLost(const FlowPtr& flow);
+  void Finish(const FlowPtr& flow, const rpc::ForwardReply& reply);
+  void Replay(const FlowPtr& flow, const std::string& answer);
+  void Refuse(const FlowPtr& flow, ErrorInfo info);
+  void Respond(const FlowPtr& flow, http::Response response, base::Verdict verdict);
+  bool MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply);
+  void Forward(const rpc::ForwardRequest& request, const rpc::Responder<rpc::ForwardReply>& done);
   void Tick();
   void SendSummaries();
-
-  struct PeerSummary {
-    rpc::Summary summary;
-    base::MonotonicTime received;
-  };
+  void HandOver();
 
   EntryOptions options_;
   ProcessContext context_;
   Session& session_;
   ControlLink& control_;
   base::EventLoop loop_;
-  Owner owner_;
   PeerSet peers_;
-  std::map<std::string, PeerSummary> summaries_;
+  ClaimClient claims_;
+  Suspects suspects_;
+  Owner owner_;
+  UpstreamIntake intake_;
+  Steering steering_;
+  admission::EntryLimit limit_;
+  admission::RetryBudget retries_;
   std::uint64_t summary_sequence_ = 0;
+  bool draining_ = false;
+  std::atomic<std::size_t> running_ = 0;
 };
 
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/entry.cpp
+++ b/src/libs/entry/entry.cpp
@@ -20,8 +20,11 @@
         context(process),
         client(std::move(http_client)),
         control(
-            options, context, session, [](rpc::RenewRequest&) {},
-            [this](const rpc::RenewReply&) { dispatcher.ViewChanged(); }),
+            options, context, session,
+            [this](rpc::RenewRequest& request) { dispatcher.PrepareRenewal(request); },
+            [this](const rpc::RenewReply& reply, base::MonotonicTime sent) {
+              dispatcher.Renewed(reply, sent);
+            }),
         dispatcher(options, context, session, control, *client),
         lookup(options.vm, session) {}
 
@@ -81,6 +84,17 @@
 
 rpc::EntryHandlers Entry::Handlers() { return state_->dispatcher.Handlers(); }
 
-void Entry::StartDrain() { state_->control.StartDrain(); }
+void Entry::StartDrain() {
+  state_->control.StartDrain();
+  state_->dispatcher.StartDrain();
+}
+
+base::Duration Entry::LongestLookup() const {
+  const ViewPtr view = state_->session.view();
+  if (view == nullptr) return base::Duration(0);
+  return std::chrono::milliseconds(view->bundle.answer_lifetime_ms);
+}
+
+std::size_t Entry::running() const { return state_->dispatcher.running(); }
 
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/entry.h
+++ b/src/libs/entry/entry.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "base/monotonic_time.h"
 #include "base/result.h"
 #include "entry/entry_options.h"
 #include "entry/process_context.h"
@@ -27,6 +28,12 @@
   /// Starts a graceful stop: leaves all lookup answers at once, but goes on serving.
   void StartDrain();
 
+  /// Longest time for which callers may still use an answer that names this entry.
+  base::Duration LongestLookup() const;
+
+  /// Requests that are running.
+  std::size_t running() const;
+
  private:
   struct State;
   explicit Entry(std::unique_ptr<State> state);
--- a/src/libs/entry/exchange_verdict.h
+++ b/src/libs/entry/exchange_verdict.h
@@ -2,14 +2,16 @@
 
 #include <string>
 
+#include "admission/slot_outcome.h"
 #include "base/verdict.h"
 #include "http/client.h"
 
 namespace wagtailpick::entry {
 
-/// What one exchange with an upstream means for its request.
+/// What one exchange with an upstream means for its request and its slot.
 struct ExchangeVerdict {
   base::Verdict verdict = base::Verdict::kNotRun;
+  admission::SlotOutcome outcome = admission::SlotOutcome::kNotSent;
   /// Empty when the upstream answered; otherwise the cause, such as "connection_lost".
   std::string reason;
   /// The upstream may have died of the request.
--- /dev/null
+++ b/src/libs/entry/local_time.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/monotonic_time.h"
+#include "membership/local_time.h"
+
+namespace wagtailpick::entry {
+
+/// Reads both clocks, the wall clock first as `membership::LocalTime` asks for.
+inline membership::LocalTime Now() {
+  const auto wall = base::WallNowMillis();
+  return {wall, base::MonotonicNow()};
+}
+
+}  // namespace wagtailpick::entry
--- a/src/libs/entry/lookup_api.cpp
+++ b/src/libs/entry/lookup_api.cpp
@@ -1,6 +1,6 @@
 #include "entry/lookup_api.h"
 
-#include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -8,27 +8,33 @@
 
 #include "entry/error_answer.h"
 #include "entry/query.h"
+#include "routing/client_address.h"
+#include "routing/lookup_ranker.h"
 
 namespace wagtailpick::entry {
 namespace {
 
 using nlohmann::json;
 
-/// More entries in one answer would only spread callers thinner over entries further away.
-constexpr std::size_t kMaxEntries = 3;
-
-/// Orders entries by distance: own data centre, own region, elsewhere. Draining ones are left out.
-std::vector<const Member*> Rank(const View& view, const Member& self) {
-  std::vector<const Member*> ranked;
+/// Returns the entries to use, in order, for callers of `home`.
+std::vector<const Member*> Rank(const View& view, const Member& self, const std::string& address) {
+  const auto& directory = *view.directory;
+  std::vector<routing::EntryStatus> entries;
+  std::map<routing::EntryId, const Member*> members;
   for (const auto& member : view.members) {
-    if (!member.draining) ranked.push_back(&member);
+    const auto place = directory.PlaceOf(member.data_centre);
+    if (!place) continue;
+    entries.push_back({member.id(), *place, !member.draining});
+    members[member.id()] = &member;
+  }
+  routing::LookupRanker ranker(directory.topology());
+  ranker.SetEntries(entries);
+  const auto block = directory.Home(address);
+  const auto home = block ? block->place : directory.PlaceOf(self.data_centre).value_or(0);
+  std::vector<const Member*> ranked;
+  for (const auto id : ranker.Rank(home, block ? block->block_key : 0)) {
+    ranked.push_back(members.at(id));
   }
-  const auto distance = [&](const Member* member) {
-    if (member->data_centre == self.data_centre) return 0;
-    return member->region == self.region ? 1 : 2;
-  };
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [&](const Member* a, const Member* b) { return distance(a) < distance(b); });
   return ranked;
 }
 
@@ -36,11 +42,13 @@
   return {{"vm", member.vm}, {"address", member.http_address}, {"place", member.data_centre}};
 }
 
-json Seeds(const std::vector<const Member*>& ranked) {
+/// One serving entry of each region.
+json Seeds(const View& view) {
   json seeds = json::array();
   std::set<std::string> regions;
-  for (const auto* member : ranked) {
-    if (regions.insert(member->region).second) seeds.push_back(member->http_address);
+  for (const auto& member : view.members) {
+    if (member.draining) continue;
+    if (regions.insert(member.region).second) seeds.push_back(member.http_address);
   }
   return seeds;
 }
@@ -58,19 +66,20 @@
   }
   const ViewPtr view = session_.view();
   const Member* self = view == nullptr ? nullptr : view->FindMember(vm_);
-  if (self == nullptr) return Unavailable("this entry has no session with control yet");
+  if (self == nullptr || view->directory == nullptr)
+    return Unavailable("this entry has no session with control yet");
   if (view->bundle.FindService(service->second) == nullptr) {
     return NotFound("no service is called '" + service->second + "'");
   }
-  const auto ranked = Rank(*view, *self);
+  const auto asked = query.find("address");
+  const std::string& address = asked == query.end() ? request.peer : asked->second;
+  if (!routing::ParseClientAddress(address)) return BadRequest("address: expected an IP address");
   json entries = json::array();
-  for (std::size_t i = 0; i < std::min(kMaxEntries, ranked.size()); ++i) {
-    entries.push_back(ToJson(*ranked[i]));
-  }
+  for (const auto* member : Rank(*view, *self, address)) entries.push_back(ToJson(*member));
   const auto lifetime = view->bundle.answer_lifetime_ms;
   const json body{{"service", service->second},
                   {"entries", entries},
-                  {"seeds", Seeds(ranked)},
+                  {"seeds", Seeds(*view)},
                   {"lifetime_ms", lifetime},
                   {"bundle_version", view->bundle.version}};
   return {200,
--- a/src/libs/entry/member.h
+++ b/src/libs/entry/member.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <string>
 
+#include "routing/ids.h"
+
 namespace wagtailpick::entry {
 
 /// An entry with a session, as control sees it.
@@ -14,6 +16,9 @@
   std::string http_address;
   std::string rpc_address;
   bool draining = false;
+
+  /// Number in the routing tables: equal on all entries, new with each session.
+  routing::EntryId id() const { return static_cast<routing::EntryId>(session_epoch); }
 };
 
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -6,187 +6,308 @@
 #include "base/random_id.h"
 #include "base/verdict.h"
 #include "entry/exchange_verdict.h"
+#include "entry/local_time.h"
+#include "entry/upstream_request.h"
 
 namespace wagtailpick::entry {
 namespace {
 
-/// Allowance for the difference between wall clocks; a slot in doubt is kept this much longer.
-constexpr base::Duration kClockAllowance = std::chrono::milliseconds(100);
-/// An upstream that was not heard of for this long gets no new work.
-constexpr base::Duration kSilence = std::chrono::seconds(2);
 constexpr std::uint32_t kNoSlotRetryMs = 100;
+constexpr std::uint32_t kSuspectRetryMs = 1'000;
+constexpr std::uint32_t kBlockedRetryMs = 600'000;
 
-std::string KeyOf(const std::string& service, const std::string& address) {
-  return service + "\n" + address;
-}
-
-rpc::ForwardReply Refusal(const rpc::ForwardRequest& request, const std::string& reason) {
+rpc::ForwardReply Refusal(const rpc::ForwardRequest& request, base::Verdict verdict,
+                          std::string_view reason, std::uint32_t retry_after_ms) {
   rpc::ForwardReply reply;
   reply.set_request_id(request.request_id());
-  reply.set_verdict(std::string(base::ToString(base::Verdict::kNotRun)));
-  reply.set_reason(reason);
-  reply.set_retry_after_ms(kNoSlotRetryMs);
+  reply.set_verdict(std::string(base::ToString(verdict)));
+  reply.set_reason(std::string(reason));
+  reply.set_retry_after_ms(retry_after_ms);
   return reply;
 }
 
-http::ClientRequest ToClientRequest(const rpc::ForwardRequest& request, const std::string& address,
-                                    base::Duration timeout) {
-  http::ClientRequest out;
-  out.method = request.method();
-  out.url = "http://" + address + request.target();
-  out.body = request.body();
-  out.timeout = timeout;
-  for (const auto& header : request.headers()) {
-    out.headers.push_back({header.name(), header.value()});
+timeline::EventKind KindOf(membership::ChangeKind kind) {
+  using membership::ChangeKind;
+  using timeline::EventKind;
+  switch (kind) {
+    case ChangeKind::kRestarted:
+      return EventKind::kUpstreamRestarted;
+    case ChangeKind::kDraining:
+    case ChangeKind::kLeaving:
+      return EventKind::kUpstreamDraining;
+    case ChangeKind::kSilent:
+      return EventKind::kUpstreamSilent;
+    case ChangeKind::kWithdrawn:
+    case ChangeKind::kForgotten:
+      return EventKind::kUpstreamLeft;
+    default:
+      return EventKind::kUpstreamSeen;
   }
-  out.headers.push_back({"X-Request-Id", request.request_id()});
-  out.headers.push_back({"X-Request-Deadline-Unix-Ms", std::to_string(request.deadline_unix_ms())});
-  return out;
 }
 
 }  // namespace
 
 Owner::Owner(const ProcessContext& context, const Session& session, http::Client& client,
-             base::EventLoop& loop)
-    : context_(context), session_(session), client_(client), loop_(loop) {}
-
-bool Owner::Owns(const std::string& service, const std::string& address) const {
-  return upstreams_.contains(KeyOf(service, address));
-}
-
-void Owner::TakeOwnership(const rpc::AnnounceRequest& announcement, std::uint64_t epoch,
-                          base::Duration quarantine) {
-  const auto now = base::MonotonicNow();
-  OwnedUpstream upstream;
-  upstream.announcement = announcement;
-  upstream.epoch = epoch;
-  upstream.last_seen = now;
-  upstream.usable_from = now + quarantine;
-  upstreams_[KeyOf(announcement.service(), announcement.address())] = std::move(upstream);
-  context_.events.Record(base::WallNowMillis(), timeline::EventKind::kOwnershipGranted,
-                         announcement.address(), announcement.service());
-}
-
-void Owner::TakeAnnouncement(const rpc::AnnounceRequest& announcement) {
-  const auto found = upstreams_.find(KeyOf(announcement.service(), announcement.address()));
-  if (found == upstreams_.end()) return;
-  auto& upstream = found->second;
-  const auto& known = upstream.announcement;
-  if (announcement.incarnation() < known.incarnation()) return;
-  if (announcement.incarnation() > known.incarnation()) {
-    upstream.busy = 0;
-    upstream.in_doubt.clear();
-    upstream.usable_from = base::MonotonicNow();
-    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kUpstreamRestarted,
-                           announcement.address(), announcement.service());
-  } else if (announcement.sequence() <= known.sequence()) {
+             Suspects& suspects, base::EventLoop& loop)
+    : context_(context), session_(session), client_(client), suspects_(suspects), loop_(loop) {}
+
+void Owner::SetView(const View& view) {
+  const auto now = Now();
+  for (const auto& service : view.bundle.services) {
+    admission::ServiceLimits limits;
+    limits.max_slots = static_cast<std::uint32_t>(service.max_slots);
+    limits.request_deadline_ms = service.request_deadline_ms;
+    const auto longest = view.longest_deadlines.find(service.name);
+    limits.longest_deadline_ms = longest == view.longest_deadlines.end()
+                                     ? service.request_deadline_ms
+                                     : std::max(longest->second, service.request_deadline_ms);
+    limits.shift_headroom_percent = static_cast<std::uint32_t>(view.bundle.shift_headroom_percent);
+    slots_.SetService(service.name, limits);
+    for (const auto& region : view.bundle.regions) {
+      for (const auto& centre : region.data_centres) {
+        slots_.SetDrained({service.name, centre}, view.bundle.IsDrained(service.name, centre), now);
+      }
+    }
+  }
+  for (const auto& [pool, addresses] : pools_) {
+    if (view.bundle.FindService(pool.service) == nullptr) slots_.RemoveService(pool.service);
+  }
+  const auto epoch = session_.lease().epoch();
+  if (epoch == epoch_) return;
+  epoch_ = epoch;
+  slots_.EndEpochsBefore(epoch);
+}
+
+bool Owner::Owns(const std::string& address) const { return slots_.Find(address) != nullptr; }
+
+void Owner::TakeOwnership(const membership::Announcement& announcement, std::uint64_t epoch,
+                          bool quarantine) {
+  const auto now = Now();
+  NoteChanges(registry_.Apply(announcement, now).changes);
+  admission::OwnershipGrant grant;
+  grant.address = announcement.address();
+  grant.service = announcement.service();
+  grant.place = announcement.place();
+  grant.grant_id = epoch;
+  grant.epoch = session_.lease().epoch();
+  grant.quarantine = quarantine;
+  if (slots_.Grant(std::move(grant), now) != admission::GrantEffect::kGranted) return;
+  const auto* seen = registry_.Find(announcement.address());
+  if (seen != nullptr) slots_.Observe(*seen, now);
+  auto& pool = pools_[{announcement.service(), announcement.place()}];
+  if (std::find(pool.begin(), pool.end(), announcement.address()) == pool.end()) {
+    pool.push_back(announcement.address());
+  }
+  context_.events.Record(now.wall_ms, timeline::EventKind::kOwnershipGranted,
+                         announcement.address(),
+                         announcement.service() + (quarantine ? ", quarantined" : ""));
+}
+
+void Owner::TakeAnnouncement(const membership::Announcement& announcement) {
+  const auto now = Now();
+  const auto applied = registry_.Apply(announcement, now);
+  if (applied.status != membership::ApplyStatus::kApplied) {
+    const std::string status(membership::ToString(applied.status));
+    context_.metrics
+        .CounterAt("wagtailpick_announcements_ignored_total", "status=\"" + status + "\"")
+        .Add();
     return;
   }
-  if (announcement.state() != known.state()) {
-    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kUpstreamDraining,
-                           announcement.address(), announcement.state());
-  }
-  upstream.announcement = announcement;
-  upstream.last_seen = base::MonotonicNow();
-}
-
-OwnedUpstream* Owner::Choose(const rpc::ForwardRequest& request, base::MonotonicTime now) {
-  OwnedUpstream* best = nullptr;
-  for (auto& [key, upstream] : upstreams_) {
-    const auto& known = upstream.announcement;
-    if (known.service() != request.service()) continue;
-    if (!request.data_centre().empty() && known.data_centre() != request.data_centre()) continue;
-    const bool takes_work = known.state() == "up" && now >= upstream.usable_from &&
-                            now - upstream.last_seen < kSilence && upstream.busy < known.slots();
-    if (!takes_work) continue;
-    if (best == nullptr || upstream.busy < best->busy) best = &upstream;
-  }
-  return best;
-}
-
-void Owner::Execute(const rpc::ForwardRequest& request,
-                    const rpc::Responder<rpc::ForwardReply>& done) {
-  const auto now = base::MonotonicNow();
-  const auto left = std::chrono::milliseconds(request.deadline_unix_ms() - base::WallNowMillis());
-  if (!session_.IsActive(now)) return done(Refusal(request, "no_lease"));
-  if (left <= std::chrono::milliseconds(0)) return done(Refusal(request, "deadline_passed"));
-  OwnedUpstream* upstream = Choose(request, now);
-  if (upstream == nullptr) return done(Refusal(request, "no_slot"));
-  const std::string address = upstream->announcement.address();
-  const std::string key = KeyOf(request.service(), address);
-  ++upstream->busy;
+  NoteChanges(applied.changes);
+  const auto* seen = registry_.Find(announcement.address());
+  if (seen != nullptr) slots_.Observe(*seen, now);
+  suspects_.ProveAlive({announcement.address(), announcement.incarnation()},
+                       announcement.sequence());
+}
+
+void Owner::Execute(const rpc::ForwardRequest& request, rpc::Responder<rpc::ForwardReply> done) {
+  const auto fingerprint = FingerprintOf(request);
+  suspects_.Clear(fingerprint, request.deadline_unix_ms(),
+                  [this, request, done = std::move(done)](Clearance clearance) {
+                    switch (clearance) {
+                      case Clearance::kSend:
+                        return Send(request, done);
+                      case Clearance::kBlocked:
+                        return done(Refusal(request, base::Verdict::kMayHaveRun, "blocked_request",
+                                            kBlockedRetryMs));
+                      case Clearance::kTrialRunning:
+                        return done(Refusal(request, base::Verdict::kNotRun, "suspect_request",
+                                            kSuspectRetryMs));
+                      case Clearance::kUnavailable:
+                        return done(Refusal(request, base::Verdict::kNotRun, "trial_unavailable",
+                                            kSuspectRetryMs));
+                    }
+                  });
+}
+
+std::string Owner::ChooseAddress(const admission::PoolKey& pool, bool prefer_idle) {
+  const auto now = Now();
+  std::vector<routing::UpstreamState> states;
+  std::map<routing::UpstreamId, std::string> addresses;
+  const auto members = pools_.find(pool);
+  if (members == pools_.end()) return {};
+  for (const auto& address : members->second) {
+    const auto* owned = slots_.Find(address);
+    if (owned == nullptr) continue;
+    routing::UpstreamState state;
+    state.id = IdOf(address);
+    state.slots_in_use = owned->slots().taken();
+    state.usable_slots = state.slots_in_use + owned->FreeSlots(now);
+    state.accepts_work = owned->WhyNoSlot(now) == admission::Refusal::kNone;
+    states.push_back(state);
+    addresses[state.id] = address;
+  }
+  const auto chosen = chooser_.Choose(states, now.monotonic, prefer_idle);
+  return chosen ? addresses[*chosen] : std::string();
+}
+
+admission::Acquisition Owner::Acquire(const rpc::ForwardRequest& request, std::string& address) {
+  const admission::PoolKey pool{request.service(), request.data_centre()};
+  const admission::SlotRequest wanted{request.deadline_unix_ms(), request.shifted()};
+  const auto lease = session_.lease();
+  address = ChooseAddress(pool, request.trial());
+  if (address.empty()) return {admission::Refusal::kNoFreeSlot, {}};
+  return slots_.Acquire(address, wanted, lease, Now());
+}
+
+void Owner::Send(const rpc::ForwardRequest& request,
+                 const rpc::Responder<rpc::ForwardReply>& done) {
+  std::string address;
+  const auto acquired = Acquire(request, address);
+  if (!acquired) {
+    return done(Refusal(request, base::Verdict::kNotRun, admission::ToString(acquired.refusal),
+                        kNoSlotRetryMs));
+  }
+  const auto& ticket = acquired.ticket;
+  const auto* seen = registry_.Find(address);
+  Run run{request, done, ticket, address, 0, 0, base::MonotonicNow()};
+  if (seen != nullptr) {
+    run.incarnation = seen->announcement.incarnation();
+    run.sequence = seen->announcement.sequence();
+  }
+  running_.emplace(ticket.serial, std::move(run));
   const bool started = client_.Send(
-      ToClientRequest(request, address, left), [this, request, key, done](http::Exchange exchange) {
-        loop_.Post([this, request, key, done, exchange = std::move(exchange)] {
-          Finish(request, key, exchange, done);
-        });
+      ToUpstreamRequest(request, address, ticket),
+      [this, serial = ticket.serial](http::Exchange exchange) {
+        loop_.Post([this, serial, exchange = std::move(exchange)] { Finish(serial, exchange); });
       });
   if (started) return;
-  --upstream->busy;
-  done(Refusal(request, "overloaded"));
-}
-
-void Owner::Finish(const rpc::ForwardRequest& request, const std::string& key,
-                   const http::Exchange& exchange, const rpc::Responder<rpc::ForwardReply>& done) {
-  const ExchangeVerdict outcome = JudgeExchange(exchange, request.request_id());
-  const auto found = upstreams_.find(key);
-  if (found != upstreams_.end() && found->second.busy > 0) {
-    auto& upstream = found->second;
-    const bool may_still_run = outcome.verdict == base::Verdict::kMayHaveRun;
-    const auto left = std::chrono::milliseconds(
-        std::max<std::int64_t>(0, request.deadline_unix_ms() - base::WallNowMillis()));
-    if (may_still_run) {
-      upstream.in_doubt.push_back(base::MonotonicNow() + left + kClockAllowance);
-    } else {
-      --upstream.busy;
-    }
+  running_.erase(ticket.serial);
+  slots_.Release(ticket, {admission::SlotOutcome::kNotSent, {}}, Now());
+  done(Refusal(request, base::Verdict::kNotRun, "overloaded", kNoSlotRetryMs));
+}
+
+void Owner::Finish(std::uint64_t serial, const http::Exchange& exchange) {
+  const auto found = running_.find(serial);
+  if (found == running_.end()) return;
+  const Run run = std::move(found->second);
+  running_.erase(found);
+  const ExchangeVerdict outcome = JudgeExchange(exchange, run.request.request_id());
+  const auto now = Now();
+  const auto latency = now.monotonic - run.started;
+  slots_.Release(run.ticket, {outcome.outcome, latency}, now);
+  if (outcome.outcome != admission::SlotOutcome::kNotSent &&
+      outcome.outcome != admission::SlotOutcome::kCancelled) {
+    const bool ok = outcome.verdict == base::Verdict::kRan
+                        ? outcome.outcome == admission::SlotOutcome::kAnswered
+                        : outcome.outcome == admission::SlotOutcome::kShed;
+    chooser_.Observe(IdOf(run.address), {latency, ok}, now.monotonic);
+  }
+  if (outcome.is_strike) {
+    return Strike(run, [this, run, exchange, outcome] { Answer(run, exchange, outcome); });
   }
+  if (outcome.verdict == base::Verdict::kRan) {
+    suspects_.Succeeded(FingerprintOf(run.request), run.address);
+  }
+  Answer(run, exchange, outcome);
+}
+
+void Owner::Strike(const Run& run, const std::function<void()>& told) {
+  auto& loss = losses_[run.address];
+  if (loss.event_id.empty() || loss.incarnation != run.incarnation) {
+    loss = {base::RandomId(), run.incarnation};
+  }
+  safety::LostConnection lost;
+  lost.event_id = loss.event_id;
+  lost.upstream = {run.address, run.incarnation};
+  lost.announcement = run.sequence;
+  suspects_.Strike(FingerprintOf(run.request), lost, told);
+}
+
+void Owner::Answer(const Run& run, const http::Exchange& exchange, const ExchangeVerdict& outcome) {
   rpc::ForwardReply reply;
-  reply.set_request_id(request.request_id());
+  reply.set_request_id(run.request.request_id());
   reply.set_verdict(std::string(base::ToString(outcome.verdict)));
   reply.set_reason(outcome.reason);
-  reply.set_upstream(key.substr(key.find('\n') + 1));
-  if (outcome.verdict == base::Verdict::kRan) {
-    reply.set_status(static_cast<std::uint32_t>(exchange.answer_status));
-    for (const auto& header : exchange.headers) {
-      if (http::IsHopByHop(header.name) || http::SameName(header.name, "content-length")) continue;
-      auto* out = reply.add_headers();
-      out->set_name(header.name);
-      out->set_value(header.value);
-    }
-    reply.set_body(exchange.body);
-    reply.set_body_digest(base::DigestHex(exchange.body));
-  }
-  done(std::move(reply));
-}
-
-std::vector<rpc::PlaceSummary> Owner::Summaries() const {
-  const auto now = base::MonotonicNow();
-  std::map<std::string, rpc::PlaceSummary> places;
-  for (const auto& [key, upstream] : upstreams_) {
-    const auto& known = upstream.announcement;
-    const bool takes_work =
-        known.state() == "up" && now >= upstream.usable_from && now - upstream.last_seen < kSilence;
-    if (!takes_work) continue;
-    auto& summary = places[KeyOf(known.service(), known.data_centre())];
-    summary.set_service(known.service());
-    summary.set_data_centre(known.data_centre());
-    summary.set_total_slots(summary.total_slots() + known.slots());
-    summary.set_free_slots(summary.free_slots() + known.slots() - upstream.busy);
-  }
+  reply.set_upstream(run.address);
+  reply.set_retry_after_ms(kSuspectRetryMs);
+  if (outcome.verdict == base::Verdict::kRan) FillAnswer(exchange, reply);
+  run.done(std::move(reply));
+}
+
+std::vector<rpc::PlaceSummary> Owner::Summaries() {
+  const auto now = Now();
+  const auto lease = session_.lease();
   std::vector<rpc::PlaceSummary> list;
-  list.reserve(places.size());
-  for (auto& [key, summary] : places) list.push_back(std::move(summary));
+  list.reserve(pools_.size());
+  for (const auto& [pool, addresses] : pools_) {
+    const auto counts = slots_.Counts(pool, lease, now);
+    rpc::PlaceSummary summary;
+    summary.set_service(pool.service);
+    summary.set_data_centre(pool.place);
+    summary.set_free_slots(counts.free);
+    summary.set_total_slots(counts.total);
+    summary.set_upstreams(counts.upstreams);
+    summary.set_p50_us(static_cast<std::uint32_t>(chooser_.MedianLatency()));
+    list.push_back(std::move(summary));
+  }
   return list;
 }
 
-void Owner::Tick(base::MonotonicTime now) {
-  for (auto& [key, upstream] : upstreams_) {
-    const auto ended = std::partition(upstream.in_doubt.begin(), upstream.in_doubt.end(),
-                                      [&](base::MonotonicTime end) { return end > now; });
-    upstream.busy -= static_cast<std::uint32_t>(upstream.in_doubt.end() - ended);
-    upstream.in_doubt.erase(ended, upstream.in_doubt.end());
+void Owner::Tick() {
+  const auto now = Now();
+  NoteChanges(registry_.Tick(now));
+  for (const auto& idle : slots_.Tick(now)) {
+    const auto drained =
+        std::chrono::duration_cast<std::chrono::milliseconds>(idle.idle - idle.drain_started);
+    context_.events.Record(now.wall_ms, timeline::EventKind::kUpstreamIdle, idle.address,
+                           "drained in " + std::to_string(drained.count()) + " ms");
   }
 }
 
+void Owner::NoteChanges(const std::vector<membership::Change>& changes) {
+  for (const auto& change : changes) {
+    context_.events.Record(base::WallNowMillis(), KindOf(change.kind), change.address,
+                           change.service + " " + std::string(membership::ToString(change.kind)));
+    if (change.kind == membership::ChangeKind::kForgotten) chooser_.Forget(IdOf(change.address));
+  }
+}
+
+void Owner::BeginHandover() {
+  for (const auto& [pool, addresses] : pools_) {
+    for (const auto& address : addresses) slots_.BeginHandover(address, Now());
+  }
+}
+
+std::vector<Owner::Released> Owner::TakeIdle() {
+  std::vector<Released> released;
+  for (const auto& [pool, addresses] : pools_) {
+    for (const auto& address : addresses) {
+      const auto* owned = slots_.Find(address);
+      if (owned == nullptr || !slots_.IsIdle(address, Now())) continue;
+      released.push_back({pool.service, address, owned->grant().grant_id});
+    }
+  }
+  for (const auto& upstream : released) {
+    slots_.EndOwnership(upstream.address, upstream.grant_id);
+    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kOwnershipEnded,
+                           upstream.address, "handed over idle");
+  }
+  return released;
+}
+
+routing::UpstreamId Owner::IdOf(const std::string& address) {
+  return ids_.try_emplace(address, static_cast<routing::UpstreamId>(ids_.size())).first->second;
+}
+
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/session.h
+++ b/src/libs/entry/session.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <mutex>
 
+#include "admission/lease_clock.h"
 #include "base/monotonic_time.h"
 #include "entry/view.h"
 
@@ -11,25 +12,22 @@
 /// The entry's session with control: its lease and the newest view. Thread-safe.
 class Session {
  public:
-  /// Takes in a granted renewal that was sent at `sent`; a reply that is older than the last one is
-  /// ignored. `view` is null when nothing changed.
-  void Renewed(std::uint64_t epoch, base::MonotonicTime sent, base::Duration lease, ViewPtr view);
+  /// Takes in a granted renewal of the session `epoch` that was sent at `sent`. `view` is null when
+  /// nothing changed.
+  void Renewed(std::uint64_t epoch, base::MonotonicTime sent, ViewPtr view);
 
   /// Tells whether requests may be served at `now`: the lease holds and a bundle is known.
   bool IsActive(base::MonotonicTime now) const;
 
-  std::uint64_t epoch() const;
-
-  /// End of the lease on the local clock.
-  base::MonotonicTime lease_end() const;
+  /// The lease as it stands.
+  admission::LeaseClock lease() const;
 
   /// Newest view; null before the first one.
   ViewPtr view() const;
 
  private:
   mutable std::mutex mutex_;
-  std::uint64_t epoch_ = 0;
-  base::MonotonicTime lease_end_{};
+  admission::LeaseClock lease_;
   ViewPtr view_;
 };
 
--- /dev/null
+++ b/src/libs/entry/steering.cpp
@@ -0,0 +1,198 @@
+#include "entry/steering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailpick::entry {
+namespace {
+
+/// Header fields of a request and its answer, roughly; they count on the link as well.
+constexpr std::uint32_t kHeaderBytes = 1'000;
+
+}  // namespace
+
+Steering::Steering(std::string vm, std::string data_centre, std::string region,
+                   timeline::EventRing& events)
+    : vm_(std::move(vm)),
+      data_centre_(std::move(data_centre)),
+      region_(region),
+      shares_(std::move(region), events) {}
+
+void Steering::SetView(ViewPtr view) {
+  if (view == nullptr || view->directory == nullptr) return;
+  const bool new_bundle = view_ == nullptr || view_->directory != view->directory;
+  const ViewPtr previous = std::exchange(view_, std::move(view));
+  std::map<routing::EntryId, std::string> vms;
+  for (const auto& member : view_->members) vms[member.id()] = member.vm;
+  if (new_bundle) {
+    shares_.SetBundle(view_->bundle);
+    BuildTable();
+    BuildChooser();
+  } else {
+    for (const auto& [id, vm] : vms_) {
+      if (!vms.contains(id)) table_->Remove(id);
+    }
+  }
+  vms_ = std::move(vms);
+}
+
+void Steering::BuildTable() {
+  table_.emplace(view_->directory->topology(), view_->directory->service_count());
+  warm_medians_.clear();
+}
+
+void Steering::BuildChooser() {
+  const auto directory = view_->directory;
+  routing::ChooserRules rules;
+  rules.policy = view_->bundle.policy == bundle::Policy::kLatency ? routing::Policy::kLatency
+                                                                  : routing::Policy::kHeadroom;
+  rules.shift_headroom_percent = static_cast<std::uint32_t>(view_->bundle.shift_headroom_percent);
+  routing::ShareHooks hooks;
+  hooks.take_shift = [this, directory](routing::ServiceId service, routing::RegionId from,
+                                       routing::RegionId to, base::MonotonicTime now) {
+    return shares_.TakeShift(directory->ServiceName(service), directory->RegionName(from),
+                             directory->RegionName(to), now);
+  };
+  hooks.return_shift = [this, directory](routing::ServiceId service, routing::RegionId from,
+                                         routing::RegionId to, base::MonotonicTime taken_at) {
+    shares_.ReturnShift(directory->ServiceName(service), directory->RegionName(from),
+                        directory->RegionName(to), taken_at);
+  };
+  hooks.take_link = [this, directory](routing::RegionId from, routing::RegionId to,
+                                      std::uint32_t bytes, base::MonotonicTime now) {
+    return shares_.TakeLink(directory->RegionName(from), directory->RegionName(to), bytes, now);
+  };
+  chooser_.emplace(directory->topology(), rules, directory->drains(), std::move(hooks));
+}
+
+void Steering::TakeSummary(const rpc::Summary& summary, base::MonotonicTime now) {
+  if (view_ == nullptr) return;
+  const auto id = static_cast<routing::EntryId>(summary.session_epoch());
+  const Member* member = MemberOf(id);
+  const auto here = view_->directory->PlaceOf(data_centre_);
+  if (member == nullptr || !here) return;
+  const auto there = view_->directory->PlaceOf(member->data_centre);
+  if (!there) return;
+  const auto round_trip = view_->directory->topology()->RoundTrip(*here, *there);
+  for (const auto& place : summary.places()) {
+    const auto place_id = view_->directory->PlaceOf(place.data_centre());
+    const auto service = view_->directory->ServiceOf(place.service());
+    if (!place_id || !service) continue;
+    routing::Summary row{{id, *place_id, *service},
+                         place.free_slots(),
+                         place.total_slots(),
+                         base::Duration(place.p50_us()),
+                         summary.sequence()};
+    table_->Apply(row, round_trip, now);
+  }
+}
+
+void Steering::SetLocal(const std::vector<rpc::PlaceSummary>& places, base::MonotonicTime now) {
+  const Member* self = view_ == nullptr ? nullptr : view_->FindMember(vm_);
+  if (self == nullptr) return;
+  ++local_sequence_;
+  for (const auto& place : places) {
+    const auto place_id = view_->directory->PlaceOf(place.data_centre());
+    const auto service = view_->directory->ServiceOf(place.service());
+    if (!place_id || !service) continue;
+    table_->SetLocal({{self->id(), *place_id, *service},
+                      place.free_slots(),
+                      place.total_slots(),
+                      base::Duration(place.p50_us()),
+                      local_sequence_},
+                     now);
+  }
+}
+
+std::optional<Target> Steering::Choose(const rpc::ForwardRequest& request,
+                                       const std::string& caller,
+                                       const std::vector<routing::SourceKey>& tried,
+                                       base::MonotonicTime now, std::string& reason) {
+  const auto& directory = *view_->directory;
+  const auto here = directory.PlaceOf(data_centre_);
+  const auto service = directory.ServiceOf(request.service());
+  if (!here || !service) {
+    reason = "unknown_place";
+    return std::nullopt;
+  }
+  const auto block = directory.Home(caller);
+  routing::ChoiceRequest wanted;
+  wanted.home = block ? block->place : *here;
+  wanted.here = *here;
+  wanted.service = *service;
+  const auto expected = view_->bundle.FindService(request.service())->expected_answer_bytes;
+  wanted.link_bytes = static_cast<std::uint32_t>(request.body().size()) +
+                      static_cast<std::uint32_t>(expected) + kHeaderBytes;
+  wanted.tried = tried;
+  const auto choice = chooser_->Choose(
+      wanted, *table_, [this] { return random_(); }, now);
+  if (choice.count == 0) {
+    reason = std::string(routing::ToString(choice.reason));
+    return std::nullopt;
+  }
+  const auto& candidate = choice.candidates.front();
+  const auto vm = vms_.find(candidate.key.entry);
+  if (vm == vms_.end()) {
+    reason = "unknown_entry";
+    return std::nullopt;
+  }
+  Target target{vm->second,        directory.PlaceName(candidate.key.place),
+                candidate.shifted, candidate.crosses_link,
+                candidate.key,     now};
+  if (IsRemote(target)) table_->CountForward(candidate.key, now);
+  return target;
+}
+
+void Steering::Answered(const Target& target, base::Duration latency, std::uint64_t answer_bytes,
+                        base::MonotonicTime now) {
+  if (!IsRemote(target)) return;
+  table_->CountAnswer(target.key, target.chosen_at, latency, now);
+  if (!target.crosses_link) return;
+  const auto& directory = *view_->directory;
+  const auto expected = static_cast<std::uint64_t>(
+      view_->bundle.services.at(target.key.service).expected_answer_bytes);
+  if (answer_bytes <= expected) return;
+  const auto region = directory.topology()->RegionOf(target.key.place);
+  shares_.ChargeLink(directory.RegionName(region), region_, answer_bytes - expected, now);
+}
+
+void Steering::Refused(const Target& target, base::MonotonicTime now) {
+  if (IsRemote(target)) table_->CountShed(target.key, target.chosen_at, now);
+}
+
+void Steering::Lost(const Target& target, base::MonotonicTime now) {
+  if (IsRemote(target)) table_->CountShed(target.key, target.chosen_at, now);
+}
+
+void Steering::Tick(base::MonotonicTime now) {
+  if (view_ == nullptr) return;
+  const auto& directory = *view_->directory;
+  for (const auto& [service, from, to] : shares_.shifts()) {
+    const auto service_id = directory.ServiceOf(service);
+    const auto& regions = view_->bundle.regions;
+    const auto found =
+        std::find_if(regions.begin(), regions.end(),
+                     [&](const bundle::Region& region) { return region.name == to; });
+    if (!service_id || found == regions.end()) continue;
+    const auto region = static_cast<routing::RegionId>(found - regions.begin());
+    const auto report = table_->ReportOf(*service_id, region);
+    std::optional<shift::ShiftMeasurement> measured;
+    if (report) {
+      auto& warm = warm_medians_[{*service_id, region}];
+      const bool is_lower =
+          report->latency.count() > 0 && (warm.count() == 0 || report->latency < warm);
+      if (is_lower) warm = report->latency;
+      measured =
+          shift::ShiftMeasurement{report->taken_at, report->latency, warm, report->free_share};
+    }
+    shares_.Pace(service, from, to, measured, now);
+  }
+}
+
+const Member* Steering::MemberOf(routing::EntryId id) const {
+  const auto found = std::find_if(view_->members.begin(), view_->members.end(),
+                                  [&](const Member& member) { return member.id() == id; });
+  return found == view_->members.end() ? nullptr : &*found;
+}
+
+}  // namespace wagtailpick::entry
--- /dev/null
+++ b/src/libs/entry/suspects.cpp
@@ -0,0 +1,123 @@
+#include "entry/suspects.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "entry/suspect_codec.h"
+
+namespace wagtailpick::entry {
+namespace {
+
+/// About one round trip between regions: the longest that an answer waits for the record.
+constexpr base::Duration kBroadcastTimeout = std::chrono::milliseconds(150);
+
+Clearance ToClearance(const claims::Decision& decision) {
+  switch (decision.result) {
+    case claims::RoundResult::kRun:
+      return Clearance::kSend;
+    case claims::RoundResult::kUnavailable:
+      return Clearance::kUnavailable;
+    case claims::RoundResult::kMayHaveRun:
+      return Clearance::kBlocked;
+    default:
+      return Clearance::kTrialRunning;
+  }
+}
+
+}  // namespace
+
+Suspects::Suspects(PeerSet& peers, ClaimClient& claims, base::EventLoop& loop,
+                   timeline::EventRing& events)
+    : peers_(peers), claims_(claims), loop_(loop), events_(events) {}
+
+void Suspects::Clear(const safety::Fingerprint& fingerprint, std::int64_t deadline_unix_ms,
+                     const std::function<void(Clearance)>& done) {
+  const auto ruling = table_.Check(fingerprint, base::WallNowMillis());
+  if (ruling.action == safety::Action::kServe) return done(Clearance::kSend);
+  if (ruling.action == safety::Action::kTrial) {
+    return StartTrial(fingerprint, ruling.trial_key, deadline_unix_ms, done);
+  }
+  events_.Record(base::WallNowMillis(), timeline::EventKind::kRequestBlocked,
+                 safety::ToHex(fingerprint), "refused");
+  done(Clearance::kBlocked);
+}
+
+void Suspects::StartTrial(const safety::Fingerprint& fingerprint, const std::string& trial_key,
+                          std::int64_t deadline_unix_ms,
+                          const std::function<void(Clearance)>& done) {
+  claims::ClaimRequest request;
+  request.table = claims::Table::kTrials;
+  request.key = claims::DigestTrial(trial_key);
+  request.attempt = NewAttempt();
+  request.started_at = base::WallNowMillis();
+  request.deadline = deadline_unix_ms;
+  claims_.Claim(request, [this, fingerprint, trial_key, done](const claims::Decision& decision) {
+    if (decision.result == claims::RoundResult::kMayHaveRun) {
+      const auto report = table_.AddUnresolvedTrial(fingerprint, trial_key, base::WallNowMillis());
+      Broadcast({report}, [] {});
+    }
+    done(ToClearance(decision));
+  });
+}
+
+void Suspects::Strike(const safety::Fingerprint& fingerprint, const safety::LostConnection& lost,
+                      const std::function<void()>& told) {
+  events_.Record(base::WallNowMillis(), timeline::EventKind::kRequestSuspect,
+                 safety::ToHex(fingerprint), lost.upstream.address);
+  Broadcast({table_.AddStrike(fingerprint, lost, base::WallNowMillis())}, told);
+}
+
+void Suspects::Succeeded(const safety::Fingerprint& fingerprint, const std::string& upstream) {
+  const auto report = table_.AddSuccess(fingerprint, upstream, base::WallNowMillis());
+  if (report) Broadcast({*report}, [] {});
+}
+
+void Suspects::ProveAlive(const safety::UpstreamRun& upstream, std::uint64_t announcement) {
+  const auto reports = table_.ProveAlive(upstream, announcement, base::WallNowMillis());
+  if (!reports.empty()) Broadcast(reports, [] {});
+}
+
+rpc::SuspectReply Suspects::Merge(const rpc::SuspectRequest& request) {
+  rpc::SuspectReply reply;
+  for (const auto& wire : request.reports()) {
+    const auto report = FromWire(wire);
+    if (!report) continue;
+    const auto lacking = table_.Merge(report.value(), base::WallNowMillis());
+    if (lacking) *reply.add_reports() = ToWire(*lacking);
+  }
+  return reply;
+}
+
+void Suspects::Tick() {
+  const auto changes = table_.TakeChanges(base::WallNowMillis());
+  if (!changes.empty()) Broadcast(changes, [] {});
+}
+
+void Suspects::Broadcast(const std::vector<safety::SuspectReport>& reports,
+                         const std::function<void()>& told) {
+  rpc::SuspectRequest request;
+  for (const auto& report : reports) *request.add_reports() = ToWire(report);
+  const auto waiting = std::make_shared<std::size_t>(peers_.all().size());
+  if (*waiting == 0) return told();
+  for (const auto& [vm, peer] : peers_.all()) {
+    peer->Suspect(request, kBroadcastTimeout,
+                  [this, waiting, told](base::Result<rpc::SuspectReply> reply) {
+                    loop_.Post([this, waiting, told, reply = std::move(reply)] {
+                      TakeReply(reply);
+                      if (--*waiting == 0) told();
+                    });
+                  });
+  }
+}
+
+void Suspects::TakeReply(const base::Result<rpc::SuspectReply>& reply) {
+  if (!reply) return;
+  for (const auto& wire : reply.value().reports()) {
+    const auto report = FromWire(wire);
+    if (report) table_.Merge(report.value(), base::WallNowMillis());
+  }
+}
+
+}  // namespace wagtailpick::entry
--- a/src/libs/entry/view.h
+++ b/src/libs/entry/view.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "bundle/bundle.h"
 #include "entry/member.h"
+#include "entry/place_directory.h"
 
 namespace wagtailpick::entry {
 
@@ -14,8 +16,12 @@
 struct View {
   bundle::Bundle bundle;
   std::string bundle_digest;
+  /// Null until the first bundle.
+  PlaceDirectoryPtr directory;
   std::vector<Member> members;
-  std::uint64_t members_version = 0;
+  /// Longest deadline of each service over the last bundle versions, in milliseconds.
+  std::map<std::string, std::int64_t> longest_deadlines;
+  std::uint64_t version = 0;
 
   /// Returns the member called `vm`, or null.
   const Member* FindMember(const std::string& vm) const;
--- a/src/libs/controller/claim_codec.cpp
+++ b/src/libs/rpc/claim_codec.cpp
@@ -1,11 +1,11 @@
-#include "controller/claim_codec.h"
+#include "rpc/claim_codec.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdint>
 #include <utility>
 
-namespace wagtailpick::controller {
+namespace wagtailpick::rpc {
 namespace {
 
 using base::Result;
@@ -49,8 +49,8 @@
 
 }  // namespace
 
-rpc::ClaimRecord ToWire(const claims::Record& record) {
-  rpc::ClaimRecord wire;
+ClaimRecord ToWire(const claims::Record& record) {
+  ClaimRecord wire;
   wire.set_kind(static_cast<std::uint32_t>(record.kind));
   wire.set_table(static_cast<std::uint32_t>(record.table));
   wire.set_key(Bytes(record.key));
@@ -66,7 +66,7 @@
   return wire;
 }
 
-Result<claims::Record> FromWire(const rpc::ClaimRecord& wire) {
+Result<claims::Record> FromWire(const ClaimRecord& wire) {
   claims::Record record;
   if (wire.kind() > static_cast<std::uint32_t>(claims::RecordKind::kReady)) {
     return base::Fail(base::ErrorCode::kInvalidArgument, "kind: unknown");
@@ -87,7 +87,18 @@
   return record;
 }
 
-Result<claims::ClaimRequest> FromWire(const rpc::ClaimRequest& wire) {
+ClaimRequest ToWire(const claims::ClaimRequest& request) {
+  ClaimRequest wire;
+  wire.set_table(static_cast<std::uint32_t>(request.table));
+  wire.set_key(Bytes(request.key));
+  wire.set_body(Bytes(request.body));
+  wire.set_attempt(Bytes(request.attempt));
+  wire.set_started_at(request.started_at);
+  wire.set_deadline(request.deadline);
+  return wire;
+}
+
+Result<claims::ClaimRequest> FromWire(const ClaimRequest& wire) {
   claims::ClaimRequest request;
   BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
   request.table = table;
@@ -99,8 +110,8 @@
   return request;
 }
 
-rpc::ClaimReply ToWire(const claims::ClaimReply& reply) {
-  rpc::ClaimReply wire;
+ClaimReply ToWire(const claims::ClaimReply& reply) {
+  ClaimReply wire;
   wire.set_replica(reply.replica);
   wire.set_incarnation(reply.incarnation);
   WriteKnown(reply.known, wire);
@@ -113,7 +124,35 @@
   return wire;
 }
 
-Result<claims::CompleteRequest> FromWire(const rpc::CompleteRequest& wire) {
+Result<claims::ClaimReply> FromWire(const ClaimReply& wire) {
+  claims::ClaimReply reply;
+  reply.replica = static_cast<claims::ReplicaIndex>(wire.replica());
+  reply.incarnation = wire.incarnation();
+  reply.known = ReadKnown(wire);
+  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", reply.attempt));
+  if (wire.status() > static_cast<std::uint32_t>(claims::ClaimStatus::kReleased)) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "status: unknown");
+  }
+  reply.status = static_cast<claims::ClaimStatus>(wire.status());
+  BOOST_OUTCOME_TRY(Read(wire.holder(), "holder", reply.holder));
+  BOOST_OUTCOME_TRY(Read(wire.holder_body(), "holder_body", reply.holder_body));
+  reply.holder_deadline = wire.holder_deadline();
+  reply.answer = wire.answer();
+  return reply;
+}
+
+CompleteRequest ToWire(const claims::CompleteRequest& request) {
+  CompleteRequest wire;
+  wire.set_table(static_cast<std::uint32_t>(request.table));
+  wire.set_key(Bytes(request.key));
+  wire.set_body(Bytes(request.body));
+  wire.set_attempt(Bytes(request.attempt));
+  wire.set_deadline(request.deadline);
+  wire.set_answer(request.answer);
+  return wire;
+}
+
+Result<claims::CompleteRequest> FromWire(const CompleteRequest& wire) {
   claims::CompleteRequest request;
   BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
   request.table = table;
@@ -125,7 +164,16 @@
   return request;
 }
 
-Result<claims::ReleaseRequest> FromWire(const rpc::ReleaseRequest& wire) {
+ReleaseRequest ToWire(const claims::ReleaseRequest& request) {
+  ReleaseRequest wire;
+  wire.set_table(static_cast<std::uint32_t>(request.table));
+  wire.set_key(Bytes(request.key));
+  wire.set_attempt(Bytes(request.attempt));
+  wire.set_refused_at(request.refused_at);
+  return wire;
+}
+
+Result<claims::ReleaseRequest> FromWire(const ReleaseRequest& wire) {
   claims::ReleaseRequest request;
   BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
   request.table = table;
@@ -135,8 +183,8 @@
   return request;
 }
 
-rpc::CopyRequest ToWire(const claims::CopyRequest& request) {
-  rpc::CopyRequest wire;
+CopyRequest ToWire(const claims::CopyRequest& request) {
+  CopyRequest wire;
   wire.set_replica(request.replica);
   wire.set_incarnation(request.incarnation);
   wire.set_copy_id(request.copy_id);
@@ -144,13 +192,13 @@
   return wire;
 }
 
-claims::CopyRequest FromWire(const rpc::CopyRequest& wire) {
+claims::CopyRequest FromWire(const CopyRequest& wire) {
   return {static_cast<claims::ReplicaIndex>(wire.replica()), wire.incarnation(), wire.copy_id(),
           wire.page()};
 }
 
-rpc::CopyReply ToWire(const claims::CopyPage& page) {
-  rpc::CopyReply wire;
+CopyReply ToWire(const claims::CopyPage& page) {
+  CopyReply wire;
   wire.set_source(page.source);
   wire.set_source_incarnation(page.source_incarnation);
   WriteKnown(page.known, wire);
@@ -163,7 +211,7 @@
   return wire;
 }
 
-Result<claims::CopyPage> FromWire(const rpc::CopyReply& wire) {
+Result<claims::CopyPage> FromWire(const CopyReply& wire) {
   claims::CopyPage page;
   page.source = static_cast<claims::ReplicaIndex>(wire.source());
   page.source_incarnation = wire.source_incarnation();
@@ -180,4 +228,4 @@
   return page;
 }
 
-}  // namespace wagtailpick::controller
+}  // namespace wagtailpick::rpc
