--- a/src/libs/routing/place_chooser.cpp
+++ b/src/libs/routing/place_chooser.cpp
@@ -53,14 +53,17 @@
 }
 
 void PlaceChooser::FillScan(const ChoiceRequest& request, RegionId region,
-                            std::span<const Source> rows, base::MonotonicTime now,
-                            Scan& scan) const {
+                            std::span<const Source> rows, const RandomSource& random,
+                            base::MonotonicTime now, Scan& scan) const {
   scan.rows = rows;
   scan.count = 0;
   const bool shifted = region != topology_->RegionOf(request.home);
   const float reserve = shifted ? static_cast<float>(rules_.shift_headroom_percent) / 100.0F : 0;
   const std::size_t scanned = std::min(rows.size(), kMaxScanned);
-  for (std::size_t i = 0; i < scanned; ++i) {
+  // A region with more rows is scanned from a random one on, so that each row has its turn.
+  const std::size_t offset = rows.size() > kMaxScanned ? random() % rows.size() : 0;
+  for (std::size_t step = 0; step < scanned; ++step) {
+    const std::size_t i = (offset + step) % rows.size();
     const Source& row = rows[i];
     if (!Eligible(request, row)) continue;
     const float free = row.Free(now);
@@ -178,7 +181,7 @@
     const std::size_t offset = random() % (end - begin);
     for (std::size_t i = 0; i < end - begin; ++i) {
       const RegionId region = near[begin + (offset + i) % (end - begin)];
-      FillScan(request, region, table.Rows(request.service, region), now, scan);
+      FillScan(request, region, table.Rows(request.service, region), random, now, scan);
       if (scan.count == 0 || !TakeShares(request, region, now, choice)) continue;
       const Source& row = scan.at(Pick(scan, random));
       const auto network = topology_->RoundTrip(request.here, row.place);
@@ -243,7 +246,7 @@
   Scan scan;
   const RegionId home = topology_->RegionOf(request.home);
   const auto rows = table.Rows(request.service, home);
-  FillScan(request, home, rows, now, scan);
+  FillScan(request, home, rows, random, now, scan);
   if (scan.count > 0) ChooseHome(request, scan, random, now, choice);
   if (choice.count > 0) return choice;
   // A second try goes where a free slot is known, as there is no third one.
--- a/src/libs/routing/place_chooser.h
+++ b/src/libs/routing/place_chooser.h
@@ -50,7 +50,7 @@
 
   bool Eligible(const ChoiceRequest& request, const Source& row) const;
   void FillScan(const ChoiceRequest& request, RegionId region, std::span<const Source> rows,
-                base::MonotonicTime now, Scan& scan) const;
+                const RandomSource& random, base::MonotonicTime now, Scan& scan) const;
   std::size_t Pick(const Scan& scan, const RandomSource& random) const;
   std::size_t PickNext(const Scan& scan, std::size_t first) const;
   void ChooseHome(const ChoiceRequest& request, const Scan& scan, const RandomSource& random,
--- a/tests/auto/routing/choice_property_test.cpp
+++ b/tests/auto/routing/choice_property_test.cpp
@@ -15,9 +15,7 @@
     cr_assert(counts.region_overloaded == 0, "seed %d", static_cast<int>(seed));
     cr_assert(counts.drained_work == 0, "seed %d", static_cast<int>(seed));
     cr_assert(counts.not_eligible == 0, "seed %d", static_cast<int>(seed));
-    sum.choices += counts.choices;
-    sum.shifted += counts.shifted;
-    sum.refused += counts.refused;
+    sum += counts;
   }
   // The schedules have to reach the cases that the invariants are about.
   cr_assert(sum.shifted * 50 > sum.choices);
--- a/tests/auto/routing/choice_schedule.cpp
+++ b/tests/auto/routing/choice_schedule.cpp
@@ -250,6 +250,18 @@
 
 }  // namespace
 
+ScheduleCounts& ScheduleCounts::operator+=(const ScheduleCounts& other) {
+  choices += other.choices;
+  shifted += other.shifted;
+  refused += other.refused;
+  cap_exceeded += other.cap_exceeded;
+  link_exceeded += other.link_exceeded;
+  region_overloaded += other.region_overloaded;
+  drained_work += other.drained_work;
+  not_eligible += other.not_eligible;
+  return *this;
+}
+
 ScheduleCounts RunChoiceSchedule(std::uint64_t seed) { return World(seed).Run(); }
 
 }  // namespace wagtailpick::routing
--- a/tests/auto/routing/choice_schedule.h
+++ b/tests/auto/routing/choice_schedule.h
@@ -16,9 +16,7 @@
   /// Choices that differ from the set of candidates found by looking at every row.
   std::uint64_t not_eligible = 0;
 
-  std::uint64_t violations() const {
-    return cap_exceeded + link_exceeded + region_overloaded + drained_work + not_eligible;
-  }
+  ScheduleCounts& operator+=(const ScheduleCounts& other);
 };
 
 /// Runs six entries that choose among the places of three regions, with summaries that are late,
--- a/tests/benchmarks/routing/main.cpp
+++ b/tests/benchmarks/routing/main.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "report.h"
+#include "timings.h"
 
 namespace {
 
@@ -36,5 +37,11 @@
   const auto seed = static_cast<std::uint64_t>(args.at("--seed").asLong());
   const std::string part = args.at("--part") ? args.at("--part").asString() : "";
   if (part.empty() || part == "load") RunLoad(seed, args.at("--csv").asBool());
+  if (part.empty() || part == "tables") {
+    fmt::print("{}", wagtailpick::benchmarks::RenderTimings());
+  }
+  if (part.empty() || part == "schedules") {
+    fmt::print("{}", wagtailpick::benchmarks::RenderSchedules());
+  }
   return EXIT_SUCCESS;
 }
