--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -1,6 +1,8 @@
 #include "wagtailpickd/daemon.h"
 
+#include <chrono>
 #include <optional>
+#include <thread>
 #include <utility>
 
 #include "controller/controller.h"
@@ -12,6 +14,13 @@
 #include "wagtailpickd/admin_api.h"
 
 namespace wagtailpick::wagtailpickd {
+namespace {
+
+/// Time for the other entries to learn of a drain: their next renewal, with room for a lost one.
+constexpr base::Duration kLookupAllowance = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kDrainPoll{50};
+
+}  // namespace
 
 struct Daemon::State {
   explicit State(const NodeSettings& settings)
@@ -68,8 +77,16 @@
   return std::unique_ptr<Daemon>(new Daemon(std::move(state)));
 }
 
-void Daemon::StartDrain() {
-  if (state_->entry != nullptr) state_->entry->StartDrain();
+void Daemon::Drain(base::Duration longest) {
+  if (state_->entry == nullptr) return;
+  const auto started = base::MonotonicNow();
+  state_->entry->StartDrain();
+  const auto serve_until = started + state_->entry->LongestLookup() + kLookupAllowance;
+  while (base::MonotonicNow() < started + longest) {
+    const bool is_done = base::MonotonicNow() >= serve_until && state_->entry->running() == 0;
+    if (is_done) break;
+    std::this_thread::sleep_for(kDrainPoll);
+  }
 }
 
 }  // namespace wagtailpick::wagtailpickd
--- a/src/app/wagtailpickd/daemon.h
+++ b/src/app/wagtailpickd/daemon.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "base/monotonic_time.h"
 #include "base/result.h"
 #include "wagtailpickd/node_settings.h"
 
@@ -18,8 +19,9 @@
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  /// Starts a graceful stop.
-  void StartDrain();
+  /// Stops gracefully: leaves lookup answers at once, serves until no caller can still hold an
+  /// answer that names this VM, and returns when nothing runs any more or `longest` has passed.
+  void Drain(base::Duration longest);
 
  private:
   struct State;
--- a/src/app/wagtailpickd/main.cpp
+++ b/src/app/wagtailpickd/main.cpp
@@ -1,6 +1,8 @@
 #include <docopt/docopt.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <string>
@@ -31,6 +33,8 @@
 Exit codes: 0 stopped or checked, 1 can't start, 2 wrong settings or arguments.
 )";
 
+/// Above the longest lookup lifetime plus the longest request deadline (10 s each).
+constexpr std::chrono::seconds kLongestDrain{25};
 constexpr int kExitCannotStart = 1;
 constexpr int kExitWrongInput = 2;
 
@@ -53,6 +57,11 @@
   int signal = 0;
   sigwait(&stop_signals, &signal);
   Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
+  daemon.value()->Drain(kLongestDrain);
+  daemon.value().reset();
+  // Threads of the RPC library may still be inside callbacks; running static destructors under them
+  // aborts the process.
+  std::_Exit(0);
   return 0;
 }
 
--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -49,7 +49,7 @@
   for (std::size_t i = 0; i < recovered.records.size(); ++i) {
     rpc::ClaimRecord wire;
     if (!wire.ParseFromString(recovered.records[i])) continue;
-    auto record = FromWire(wire);
+    auto record = rpc::FromWire(wire);
     if (!record) continue;
     if (!record.value().answer.empty()) record.value().answer_position = recovered.offsets[i];
     record.value().answer.clear();
@@ -61,7 +61,7 @@
 void ClaimService::Store(const claims::Record& record) {
   ++stored_;
   if (failure_) return;
-  const auto offset = log_.Append(ToWire(record).SerializeAsString());
+  const auto offset = log_.Append(rpc::ToWire(record).SerializeAsString());
   if (!offset) {
     failure_ = offset.error();
     return;
@@ -109,11 +109,11 @@
 
 void ClaimService::Claim(const rpc::ClaimRequest& request,
                          const rpc::Responder<rpc::ClaimReply>& done) {
-  const auto claim = FromWire(request);
+  const auto claim = rpc::FromWire(request);
   if (!claim) return done(boost::outcome_v2::failure(claim.error()));
   auto outcome = store_.Claim(claim.value(), base::WallNowMillis());
   FillAnswer(outcome.reply.answer_position, outcome.reply.answer);
-  ReplyAfterSync(outcome.mutation, [done, reply = ToWire(outcome.reply)](const Result<void>& ok) {
+  ReplyAfterSync(outcome.mutation, [done, reply = rpc::ToWire(outcome.reply)](const Result<void>& ok) {
     if (!ok) return done(boost::outcome_v2::failure(ok.error()));
     done(reply);
   });
@@ -121,7 +121,7 @@
 
 void ClaimService::Complete(const rpc::CompleteRequest& request,
                             const rpc::Responder<rpc::Empty>& done) {
-  const auto complete = FromWire(request);
+  const auto complete = rpc::FromWire(request);
   if (!complete) return done(boost::outcome_v2::failure(complete.error()));
   ReplyAfterSync(store_.Complete(complete.value(), base::WallNowMillis()),
                  [done](const Result<void>& ok) {
@@ -132,7 +132,7 @@
 
 void ClaimService::Release(const rpc::ReleaseRequest& request,
                            const rpc::Responder<rpc::Empty>& done) {
-  const auto release = FromWire(request);
+  const auto release = rpc::FromWire(request);
   if (!release) return done(boost::outcome_v2::failure(release.error()));
   ReplyAfterSync(store_.Release(release.value(), base::WallNowMillis()),
                  [done](const Result<void>& ok) {
@@ -143,9 +143,9 @@
 
 void ClaimService::Copy(const rpc::CopyRequest& request,
                         const rpc::Responder<rpc::CopyReply>& done) {
-  auto outcome = source_.Handle(FromWire(request), store_, base::WallNowMillis());
+  auto outcome = source_.Handle(rpc::FromWire(request), store_, base::WallNowMillis());
   for (auto& record : outcome.page.records) FillAnswer(record.answer_position, record.answer);
-  ReplyAfterSync(outcome.mutation, [done, page = ToWire(outcome.page)](const Result<void>& ok) {
+  ReplyAfterSync(outcome.mutation, [done, page = rpc::ToWire(outcome.page)](const Result<void>& ok) {
     if (!ok) return done(boost::outcome_v2::failure(ok.error()));
     done(page);
   });
@@ -163,7 +163,7 @@
     if (index == store_.identity().index) continue;
     const auto request = copy_->NextRequest(index);
     if (!request) continue;
-    peers_[i]->Copy(ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
+    peers_[i]->Copy(rpc::ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
       loop_.TryPost([this, reply = std::move(reply)] { TakePage(reply); });
     });
   }
@@ -171,7 +171,7 @@
 
 void ClaimService::TakePage(const Result<rpc::CopyReply>& reply) {
   if (!reply || !copy_) return;
-  const auto page = FromWire(reply.value());
+  const auto page = rpc::FromWire(reply.value());
   if (!page) return;
   const auto records = copy_->TakePage(page.value(), store_, base::WallNowMillis());
   for (const auto& record : records) Store(record);
--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -145,7 +145,6 @@
 
 void ControlService::SessionEnded(control::SessionId session) {
   sessions_.Remove(session);
-  shares_.EndSession(session);
   reports_.erase(session);
   events_.Record(base::WallNowMillis(), EventKind::kLeaseEnded, std::to_string(session), "");
 }
--- a/src/libs/entry/announcement_json.cpp
+++ b/src/libs/entry/announcement_json.cpp
@@ -3,20 +3,9 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
-#include "base/endpoint.h"
 #include "bundle/field_reader.h"
 
 namespace wagtailpick::entry {
-namespace {
-
-constexpr std::int64_t kMaxConnections = 1'000'000;
-constexpr std::int64_t kMaxSlots = 1'000;
-
-bool IsState(const std::string& state) {
-  return state == "up" || state == "draining" || state == "leaving";
-}
-
-}  // namespace
 
 base::Result<rpc::AnnounceRequest> ParseAnnouncement(const std::string& body) {
   const auto root = nlohmann::json::parse(body, nullptr, false);
@@ -24,24 +13,19 @@
   bundle::FieldReader reader(root, "", problem);
   rpc::AnnounceRequest announcement;
   constexpr auto kMax = std::numeric_limits<std::int64_t>::max();
+  constexpr auto kMaxCount = std::numeric_limits<std::int32_t>::max();
   announcement.set_service(reader.Text("service"));
   announcement.set_address(reader.Text("address"));
   announcement.set_incarnation(static_cast<std::uint64_t>(reader.Number("incarnation", 1, kMax)));
   announcement.set_sequence(static_cast<std::uint64_t>(reader.Number("sequence", 0, kMax)));
   announcement.set_data_centre(reader.Text("place"));
-  announcement.set_slots(static_cast<std::uint32_t>(reader.Number("slots", 1, kMaxSlots)));
+  announcement.set_slots(static_cast<std::uint32_t>(reader.Number("slots", 0, kMaxCount)));
   announcement.set_connections(
-      static_cast<std::uint32_t>(reader.Number("connections", 0, kMaxConnections, 0)));
+      static_cast<std::uint32_t>(reader.Number("connections", 0, kMaxCount)));
   announcement.set_state(reader.Text("state"));
-  announcement.set_load(static_cast<std::uint32_t>(reader.Number("load", 0, kMaxSlots, 0)));
+  announcement.set_load(static_cast<std::uint32_t>(reader.Number("load", 0, kMaxCount)));
   announcement.set_sent_unix_ms(reader.Number("sent_unix_ms", 1, kMax));
   reader.Finish();
-  if (problem.empty() && !IsState(announcement.state())) {
-    problem = "state: expected up, draining or leaving";
-  }
-  if (problem.empty() && !base::ParseEndpoint(announcement.address())) {
-    problem = "address: expected an IP address with a port";
-  }
   if (!problem.empty()) return base::Fail(base::ErrorCode::kInvalidArgument, problem);
   return announcement;
 }
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "base/random_id.h"
 #include "entry/announcement_json.h"
 #include "entry/decision_answer.h"
+#include "entry/upstream_request.h"
 
 namespace wagtailpick::entry {
 namespace {
--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -5,7 +5,6 @@
 
 #include "base/random_id.h"
 #include "base/verdict.h"
-#include "entry/exchange_verdict.h"
 #include "entry/local_time.h"
 #include "entry/upstream_request.h"
 
--- a/src/libs/entry/owner.h
+++ b/src/libs/entry/owner.h
@@ -11,6 +11,7 @@
 
 #include "admission/slot_table.h"
 #include "base/event_loop.h"
+#include "entry/exchange_verdict.h"
 #include "entry/process_context.h"
 #include "entry/session.h"
 #include "entry/suspects.h"
--- a/src/tools/wagtailpick/control_commands.cpp
+++ b/src/tools/wagtailpick/control_commands.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
-#include <future>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "rpc/client.h"
+#include "rpc/operator_client.h"
 #include "wagtailpick/exit_codes.h"
 #include "wagtailpick/text_file.h"
 
@@ -21,16 +20,13 @@
 /// Asks one replica after the other until `is_final` accepts a reply.
 template <typename Reply>
 base::Result<Reply> AskReplicas(const std::vector<std::string>& control,
-                                const std::function<void(rpc::Client&, rpc::Responder<Reply>)>& ask,
+                                const std::function<base::Result<Reply>(rpc::OperatorClient&)>& ask,
                                 const std::function<bool(const Reply&)>& is_final) {
   base::Result<Reply> last =
       base::Fail(base::ErrorCode::kUnavailable, "no control replica is given");
   for (const auto& address : control) {
-    const auto client = rpc::Client::Create(address);
-    std::promise<base::Result<Reply>> promise;
-    auto future = promise.get_future();
-    ask(*client, [&](base::Result<Reply> reply) { promise.set_value(std::move(reply)); });
-    last = future.get();
+    rpc::OperatorClient client(address);
+    last = ask(client);
     if (last && is_final(last.value())) return last;
   }
   return last;
@@ -38,10 +34,7 @@
 
 base::Result<rpc::StatusReply> AskStatus(const std::vector<std::string>& control) {
   return AskReplicas<rpc::StatusReply>(
-      control,
-      [](rpc::Client& client, rpc::Responder<rpc::StatusReply> done) {
-        client.Status({}, kCallTimeout, std::move(done));
-      },
+      control, [](rpc::OperatorClient& client) { return client.Status({}, kCallTimeout); },
       [](const rpc::StatusReply& reply) { return reply.current(); });
 }
 
@@ -94,10 +87,7 @@
   rpc::SubmitRequest request;
   request.set_signed_bundle(bytes.value());
   const auto reply = AskReplicas<rpc::SubmitReply>(
-      control,
-      [&](rpc::Client& client, rpc::Responder<rpc::SubmitReply> done) {
-        client.Submit(request, kCallTimeout, std::move(done));
-      },
+      control, [&](rpc::OperatorClient& client) { return client.Submit(request, kCallTimeout); },
       [](const rpc::SubmitReply& value) {
         return value.outcome() != rpc::SUBMIT_OUTCOME_UNAVAILABLE;
       });
--- a/tests/standins/upstream_main.cpp
+++ b/tests/standins/upstream_main.cpp
@@ -71,7 +71,10 @@
     return true;
   }
   const auto deadline = DeadlineOf(request);
-  if (deadline <= wagtailpick::base::WallNowMillis()) {
+  const std::string start_by = request.Header("x-request-start-by-unix-ms");
+  const auto now = wagtailpick::base::WallNowMillis();
+  const bool is_late = !start_by.empty() && std::stoll(start_by) < now;
+  if (deadline <= now || is_late) {
     state.RefusedExpired();
     connection.Send(503, echo + "X-Upstream-Shed: not-run\r\n", "expired");
     return true;
--- a/tests/standins/upstream_state.cpp
+++ b/tests/standins/upstream_state.cpp
@@ -7,6 +7,12 @@
 #include "base/monotonic_time.h"
 
 namespace wagtailpick::standins {
+namespace {
+
+/// Connections that one server of the deployments accepts.
+constexpr int kConnections = 330;
+
+}  // namespace
 
 UpstreamState::UpstreamState(std::string service, std::string address, std::string place,
                              unsigned slots)
@@ -20,9 +26,9 @@
   const std::lock_guard lock(mutex_);
   return nlohmann::json{{"service", service_},     {"address", address_},
                         {"place", place_},         {"incarnation", incarnation_},
-                        {"sequence", ++sequence_}, {"slots", slots_},
-                        {"connections", 0},        {"state", state_},
-                        {"load", running_}}
+                        {"sequence", ++sequence_}, {"sent_unix_ms", base::WallNowMillis()},
+                        {"slots", slots_},         {"connections", kConnections},
+                        {"state", state_},         {"load", running_}}
       .dump();
 }
 
