Carry hybrid stamps in messages and simulate the distance between regions

Cause: the timeline ordered events of several processes by wall clock alone, and latencies between regions could not be measured on one machine. Change: renewals, consensus batches, forwards and suspect reports carry a hybrid stamp; [peers] simulated_delays adds a delay per address; a daemon exits without running destructors under library threads.

--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -9,6 +9,7 @@
 #include "entry/entry.h"
 #include "http/server.h"
 #include "metrics/registry.h"
+#include "rpc/client.h"
 #include "rpc/server.h"
 #include "timeline/event_ring.h"
 #include "wagtailpickd/admin_api.h"
@@ -47,6 +48,9 @@
 Daemon::~Daemon() = default;
 
 base::Result<std::unique_ptr<Daemon>> Daemon::Start(const NodeSettings& settings) {
+  for (const auto& delay : settings.simulated_delays) {
+    rpc::Client::SimulateDelay(delay.address, delay.one_way);
+  }
   auto state = std::make_unique<State>(settings);
   std::optional<rpc::ControlHandlers> control_handlers;
   std::optional<rpc::EntryHandlers> entry_handlers;
--- a/src/app/wagtailpickd/main.cpp
+++ b/src/app/wagtailpickd/main.cpp
@@ -58,9 +58,9 @@
   sigwait(&stop_signals, &signal);
   Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
   daemon.value()->Drain(kLongestDrain);
-  daemon.value().reset();
-  // Threads of the RPC library may still be inside callbacks; running static destructors under them
-  // aborts the process.
+  // Nothing is left to save: what has to last was synced when it was acknowledged. Threads of the
+  // RPC library may still be inside callbacks, and running destructors under them aborts the
+  // process.
   std::_Exit(0);
   return 0;
 }
--- a/src/app/wagtailpickd/node_settings.cpp
+++ b/src/app/wagtailpickd/node_settings.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <filesystem>
 #include <fstream>
 #include <utility>
@@ -20,6 +21,9 @@
 /// Largest body that the messages between entries can carry with room to spare.
 constexpr std::int64_t kMaxBodyBytes = std::int64_t{8} * 1024 * 1024;
 
+/// Longest delay between regions that can be simulated.
+constexpr int kMaxDelayMs = 1'000;
+
 KeyRule Text(const char* section, const char* key, bool required) {
   return {section, key, KeyKind::kText, required};
 }
@@ -51,6 +55,7 @@
       Text("control", "data_folder", false),
       Text("control", "operator_keys", false),
       {"peers", "control", KeyKind::kEndpointList, true},
+      Text("peers", "simulated_delays", false),
   };
 }
 
@@ -76,6 +81,26 @@
                            "public key on each line"));
 }
 
+/// Reads "address=milliseconds" pairs.
+base::Result<std::vector<SimulatedDelay>> ReadDelays(const Settings& settings) {
+  std::vector<SimulatedDelay> delays;
+  for (const auto& part : settings.List("peers", "simulated_delays")) {
+    const auto equals = part.find('=');
+    const std::string address = part.substr(0, equals);
+    const std::string digits = equals == std::string::npos ? "" : part.substr(equals + 1);
+    int millis = -1;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), millis);
+    const bool is_number = parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size();
+    if (!is_number || millis < 0 || millis > kMaxDelayMs || !base::ParseEndpoint(address)) {
+      return boost::outcome_v2::failure(settings.ErrorAt(
+          "peers", "simulated_delays",
+          "'" + part + "' is not accepted; expected ADDRESS:PORT=MS with 0 to 1000 ms"));
+    }
+    delays.push_back({address, std::chrono::milliseconds(millis)});
+  }
+  return delays;
+}
+
 base::Result<controller::ControllerOptions> LoadControl(const Settings& settings) {
   BOOST_OUTCOME_TRY(NeedsKey(settings, "control", "data_folder"));
   BOOST_OUTCOME_TRY(NeedsKey(settings, "control", "operator_keys"));
@@ -134,6 +159,8 @@
   node.admin_endpoint = admin_endpoint;
   node.log_file = settings.Text("node", "log_file");
   node.timeline_events = settings.Number("node", "timeline_events");
+  BOOST_OUTCOME_TRY(delays, ReadDelays(settings));
+  node.simulated_delays = std::move(delays);
   const auto roles = settings.List("node", "roles");
   const auto has_role = [&](const char* role) {
     return std::find(roles.begin(), roles.end(), role) != roles.end();
--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "base/monotonic_time.h"
-#include "rpc/claim_codec.h"
 #include "logging/log.h"
+#include "rpc/claim_codec.h"
 
 namespace wagtailpick::controller {
 namespace {
@@ -113,10 +113,11 @@
   if (!claim) return done(boost::outcome_v2::failure(claim.error()));
   auto outcome = store_.Claim(claim.value(), base::WallNowMillis());
   FillAnswer(outcome.reply.answer_position, outcome.reply.answer);
-  ReplyAfterSync(outcome.mutation, [done, reply = rpc::ToWire(outcome.reply)](const Result<void>& ok) {
-    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
-    done(reply);
-  });
+  ReplyAfterSync(outcome.mutation,
+                 [done, reply = rpc::ToWire(outcome.reply)](const Result<void>& ok) {
+                   if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+                   done(reply);
+                 });
 }
 
 void ClaimService::Complete(const rpc::CompleteRequest& request,
@@ -145,10 +146,11 @@
                         const rpc::Responder<rpc::CopyReply>& done) {
   auto outcome = source_.Handle(rpc::FromWire(request), store_, base::WallNowMillis());
   for (auto& record : outcome.page.records) FillAnswer(record.answer_position, record.answer);
-  ReplyAfterSync(outcome.mutation, [done, page = rpc::ToWire(outcome.page)](const Result<void>& ok) {
-    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
-    done(page);
-  });
+  ReplyAfterSync(outcome.mutation,
+                 [done, page = rpc::ToWire(outcome.page)](const Result<void>& ok) {
+                   if (!ok) return done(boost::outcome_v2::failure(ok.error()));
+                   done(page);
+                 });
 }
 
 void ClaimService::Tick() {
--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -10,6 +10,7 @@
 #include "controller/share_limits.h"
 #include "controller/wire_session.h"
 #include "logging/log.h"
+#include "rpc/stamp.h"
 
 namespace wagtailpick::controller {
 namespace {
@@ -87,6 +88,7 @@
   hooks.apply = [raw](std::uint64_t index, const std::string& data) { raw->Apply(index, data); };
   hooks.restore = [raw](const std::string& snapshot) { raw->Restore(snapshot); };
   hooks.snapshot = [raw] { return raw->state_.EncodeSnapshot(); };
+  hooks.stamp = [raw](rpc::ConsensusBatch& batch) { rpc::AddStamp(raw->events_, batch); };
   BOOST_OUTCOME_TRY(log, LogDriver::Create(service->self_, options.replicas, std::move(disk), loop,
                                            std::move(hooks)));
   service->log_ = std::move(log);
@@ -159,6 +161,11 @@
   });
 }
 
+void ControlService::Deliver(const rpc::ConsensusBatch& batch) {
+  rpc::TakeStamp(events_, batch);
+  log_->Step(batch);
+}
+
 void ControlService::Tick() {
   log_->Tick();
   CheckLeadership();
@@ -309,6 +316,7 @@
 
 void ControlService::Renew(const rpc::RenewRequest& request,
                            const rpc::Responder<rpc::RenewReply>& done) {
+  rpc::TakeStamp(events_, request);
   if (led_term_ == 0 || !log_->HasLease()) return done(NotLeader());
   const auto now = base::MonotonicNow();
   const control::SessionId id = FindSession(request.vm());
@@ -364,6 +372,7 @@
   for (const auto& share : shares_.Renew(session, demands, now)) {
     AddGrant(share, *reply.add_shares());
   }
+  rpc::AddStamp(events_, reply);
   return reply;
 }
 
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -35,7 +35,7 @@
   void Renew(const rpc::RenewRequest& request, const rpc::Responder<rpc::RenewReply>& done);
   void Own(const rpc::OwnRequest& request, const rpc::Responder<rpc::OwnReply>& done);
   void Disown(const rpc::DisownRequest& request, const rpc::Responder<rpc::Empty>& done);
-  void Deliver(const rpc::ConsensusBatch& batch) { log_->Step(batch); }
+  void Deliver(const rpc::ConsensusBatch& batch);
   void Tick();
 
  private:
--- a/src/libs/controller/log_driver.cpp
+++ b/src/libs/controller/log_driver.cpp
@@ -105,9 +105,10 @@
   for (const auto& message : messages) {
     *batches[message.to.name].add_messages() = ToWire(message);
   }
-  for (const auto& [name, batch] : batches) {
+  for (auto& [name, batch] : batches) {
     const auto peer = peers_.find(name);
     if (peer == peers_.end()) continue;
+    hooks_.stamp(batch);
     // A lost message is made good by the next heartbeat.
     peer->second->Deliver(batch, kDeliverTimeout, [](const base::Result<rpc::Empty>&) {});
   }
--- a/src/libs/controller/log_driver.h
+++ b/src/libs/controller/log_driver.h
@@ -26,6 +26,8 @@
     std::function<void(const std::string& snapshot)> restore;
     /// Encodes the applied state.
     std::function<std::string()> snapshot;
+    /// Stamps an outgoing batch of messages.
+    std::function<void(rpc::ConsensusBatch&)> stamp;
   };
 
   /// Called once: with nothing when the proposal was applied, or with the error that its outcome is
--- a/src/libs/entry/control_link.cpp
+++ b/src/libs/entry/control_link.cpp
@@ -10,6 +10,7 @@
 #include "bundle/parse_bundle.h"
 #include "bundle/signed_bundle.h"
 #include "logging/log.h"
+#include "rpc/stamp.h"
 
 namespace wagtailpick::entry {
 namespace {
@@ -44,6 +45,7 @@
     request.set_bundle_version(view == nullptr ? 0 : view->bundle.version);
     request.set_view_version(view == nullptr ? 0 : view->version);
     prepare(request);
+    rpc::AddStamp(context.events, request);
     const base::MonotonicTime sent = base::MonotonicNow();
     leader().Renew(request, kCallTimeout,
                    [self = shared_from_this(), sent](base::Result<rpc::RenewReply> reply) {
@@ -58,6 +60,7 @@
       return;
     }
     const auto& value = reply.value();
+    rpc::TakeStamp(context.events, value);
     if (!value.granted()) {
       FollowLeader(value.leader_address());
       return;
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include "entry/announcement_json.h"
 #include "entry/decision_answer.h"
 #include "entry/upstream_request.h"
+#include "rpc/stamp.h"
 
 namespace wagtailpick::entry {
 namespace {
@@ -155,6 +156,7 @@
   request.set_shifted(target->shifted);
   auto done = [this, flow](const base::Result<rpc::ForwardReply>& reply) { Replied(flow, reply); };
   if (target->vm == options_.vm) return owner_.Execute(request, done);
+  rpc::AddStamp(context_.events, request);
   const auto peer = peers_.Find(target->vm);
   if (peer == nullptr) {
     return Replied(flow, base::Fail(base::ErrorCode::kUnavailable, "the entry is gone"));
@@ -260,6 +262,7 @@
 
 void Dispatcher::Forward(const rpc::ForwardRequest& request,
                          const rpc::Responder<rpc::ForwardReply>& done) {
+  rpc::TakeStamp(context_.events, request);
   ++running_;
   owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
     --running_;
--- a/src/libs/entry/suspects.cpp
+++ b/src/libs/entry/suspects.cpp
@@ -6,6 +6,7 @@
 
 #include "base/monotonic_time.h"
 #include "entry/suspect_codec.h"
+#include "rpc/stamp.h"
 
 namespace wagtailpick::entry {
 namespace {
@@ -80,6 +81,7 @@
 }
 
 rpc::SuspectReply Suspects::Merge(const rpc::SuspectRequest& request) {
+  rpc::TakeStamp(events_, request);
   rpc::SuspectReply reply;
   for (const auto& wire : request.reports()) {
     const auto report = FromWire(wire);
@@ -99,6 +101,7 @@
                          const std::function<void()>& told) {
   rpc::SuspectRequest request;
   for (const auto& report : reports) *request.add_reports() = ToWire(report);
+  rpc::AddStamp(events_, request);
   const auto waiting = std::make_shared<std::size_t>(peers_.all().size());
   if (*waiting == 0) return told();
   for (const auto& [vm, peer] : peers_.all()) {
--- a/src/libs/rpc/client.cpp
+++ b/src/libs/rpc/client.cpp
@@ -6,6 +6,8 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <utility>
 
 #include "rpc/server.h"
@@ -17,6 +19,27 @@
 /// Reconnection attempts to a peer that is down; short, as the peer may be restarting.
 constexpr int kReconnectMillis = 200;
 
+/// Delays that stand in for distance, by address. Thread-safe.
+class DelayTable {
+ public:
+  void Set(const std::string& address, base::Duration one_way) {
+    const std::lock_guard lock(mutex_);
+    delays_[address] = one_way;
+  }
+
+  base::Duration Find(const std::string& address) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = delays_.find(address);
+    return found == delays_.end() ? base::Duration(0) : found->second;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, base::Duration> delays_;
+};
+
+DelayTable simulated_delays;
+
 /// Runs `task` on a library thread after `delay`.
 void RunLater(base::Duration delay, std::function<void()> task) {
   if (delay <= base::Duration(0)) {
@@ -68,7 +91,7 @@
   base::Duration delay{0};
 };
 
-std::unique_ptr<Client> Client::Create(const std::string& address, base::Duration one_way_delay) {
+std::unique_ptr<Client> Client::Create(const std::string& address) {
   grpc::ChannelArguments arguments;
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMillis);
@@ -83,10 +106,14 @@
   state->consensus = Consensus::NewStub(state->channel);
   state->claims = Claims::NewStub(state->channel);
   state->entry = Entry::NewStub(state->channel);
-  state->delay = one_way_delay;
+  state->delay = simulated_delays.Find(address);
   return std::unique_ptr<Client>(new Client(address, std::move(state)));
 }
 
+void Client::SimulateDelay(const std::string& address, base::Duration one_way) {
+  simulated_delays.Set(address, one_way);
+}
+
 Client::Client(std::string address, std::shared_ptr<State> state)
     : address_(std::move(address)), state_(std::move(state)) {}
 
--- a/src/libs/rpc/client.h
+++ b/src/libs/rpc/client.h
@@ -14,10 +14,12 @@
 /// peer answered with an error of its own.
 class Client {
  public:
-  /// `address` is an IP address with a port. `one_way_delay` is added to each request and to each
-  /// reply; it stands in for the distance between regions when all processes run on one machine.
-  static std::unique_ptr<Client> Create(const std::string& address,
-                                        base::Duration one_way_delay = base::Duration(0));
+  /// `address` is an IP address with a port.
+  static std::unique_ptr<Client> Create(const std::string& address);
+
+  /// Adds a delay to each request to an address and to each reply from it, for clients created
+  /// later. It stands in for the distance between regions when all processes run on one machine.
+  static void SimulateDelay(const std::string& address, base::Duration one_way);
 
   ~Client();
   Client(const Client&) = delete;
--- a/src/libs/timeline/event_ring.h
+++ b/src/libs/timeline/event_ring.h
@@ -28,8 +28,11 @@
   /// Number of events that were dropped for lack of room.
   std::uint64_t dropped() const;
 
-  /// Clock to be merged with the stamps of incoming messages.
-  base::HybridClock& clock() { return clock_; }
+  /// Returns a stamp for an outgoing message, later than all events recorded so far.
+  base::HybridStamp StampMessage(std::int64_t wall_millis) { return clock_.Next(wall_millis); }
+
+  /// Takes in the stamp of an incoming message, so that later events follow its sender's.
+  void ObserveMessage(base::HybridStamp stamp) { clock_.Observe(stamp); }
 
  private:
   const std::string vm_;
