--- a/tests/auto/shift/shift_controller_test.cpp
+++ b/tests/auto/shift/shift_controller_test.cpp
@@ -108,7 +108,8 @@
     for (int i = 0; i < 1'000; ++i) {
       now += base::Duration(random() % 40'000);
       if (controller.TryAdmit(now)) admitted.push_back(now);
-      if (random() % 20 == 0) controller.ForceLevel(static_cast<std::uint32_t>(random() % 1'500), now);
+      if (random() % 20 == 0)
+        controller.ForceLevel(static_cast<std::uint32_t>(random() % 1'500), now);
       if (random() % 5 == 0) {
         controller.Tick(ShiftMeasurement{now, (random() % 20) * kMs, 10 * kMs, 0.5}, now);
       }
