--- a/src/app/wagtailpickd/admin_api.cpp
+++ b/src/app/wagtailpickd/admin_api.cpp
@@ -5,6 +5,7 @@
 
 #include "entry/error_answer.h"
 #include "entry/query.h"
+#include "rpc/client.h"
 
 namespace wagtailpick::wagtailpickd {
 namespace {
@@ -21,13 +22,15 @@
 
 }  // namespace
 
-AdminApi::AdminApi(const metrics::Registry& metrics, const timeline::EventRing& events)
+AdminApi::AdminApi(metrics::Registry& metrics, const timeline::EventRing& events)
     : metrics_(metrics), events_(events) {}
 
 http::Response AdminApi::Answer(const http::Request& request) const {
   const std::string path = entry::PathOf(request.target);
   if (request.method != "GET") return entry::BadRequest("only GET is served here");
   if (path == "/metrics") {
+    metrics_.GaugeAt("wagtailpick_rpc_sent_bytes")
+        .Set(static_cast<std::int64_t>(rpc::Client::SentBytes()));
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.RenderText()};
   }
   if (path == "/v1/events") return Events(request);
--- a/src/app/wagtailpickd/admin_api.h
+++ b/src/app/wagtailpickd/admin_api.h
@@ -9,14 +9,14 @@
 /// Answers `GET /metrics` and `GET /v1/events?after=N` on the admin address.
 class AdminApi {
  public:
-  AdminApi(const metrics::Registry& metrics, const timeline::EventRing& events);
+  AdminApi(metrics::Registry& metrics, const timeline::EventRing& events);
 
   http::Response Answer(const http::Request& request) const;
 
  private:
   http::Response Events(const http::Request& request) const;
 
-  const metrics::Registry& metrics_;
+  metrics::Registry& metrics_;
   const timeline::EventRing& events_;
 };
 
--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -1,5 +1,8 @@
 #include "controller/claim_service.h"
 
+#include <algorithm>
+#include <map>
+#include <set>
 #include <utility>
 
 #include "base/monotonic_time.h"
@@ -14,6 +17,18 @@
 constexpr std::size_t kKeysPerPage = 2'000;
 constexpr base::Duration kCopyTimeout = std::chrono::seconds(2);
 
+/// Tells records of the same claim, fence or state apart from others.
+std::string IdentityOf(const claims::Record& record) {
+  claims::Record identity;
+  identity.kind = record.kind;
+  identity.table = record.table;
+  identity.key = record.key;
+  identity.attempt = record.attempt;
+  identity.replica = record.replica;
+  identity.incarnation = record.incarnation;
+  return rpc::ToWire(identity).SerializeAsString();
+}
+
 claims::ReplicaIdentity IdentityOf(const ControllerOptions& options, std::uint64_t incarnation) {
   return {static_cast<claims::ReplicaIndex>(options.replica_id - 1),
           static_cast<claims::Incarnation>(incarnation)};
@@ -157,6 +172,37 @@
   store_.Expire(base::WallNowMillis());
   if (copy_) ContinueCopy();
   Flush();
+  CompactWhenDue();
+}
+
+// Rewrites the log with the records that a restart needs, once it is twice as large as after the
+// last rewrite: expired claims and claims that were completed or released would fill the disk.
+void ClaimService::CompactWhenDue() {
+  if (failure_ || log_.file_bytes() < compact_at_) return;
+  std::set<std::string> live;
+  store_.ForEachLive(base::WallNowMillis(),
+                     [&](const claims::Record& record) { live.insert(IdentityOf(record)); });
+  std::map<std::uint64_t, claims::Record> answers;
+  const auto is_live = [&](std::uint64_t offset, std::string_view bytes) {
+    rpc::ClaimRecord wire;
+    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
+    const auto record = rpc::FromWire(wire);
+    if (!record || !live.contains(IdentityOf(record.value()))) return false;
+    if (!record.value().answer.empty()) answers[offset] = record.value();
+    return true;
+  };
+  const auto moved = [&](std::uint64_t from, std::uint64_t to) {
+    const auto answer = answers.find(from);
+    if (answer == answers.end()) return;
+    const auto& record = answer->second;
+    store_.SetAnswerPosition(record.table, record.key, record.attempt, to);
+  };
+  const auto done = log_.Compact(is_live, moved);
+  if (!done) {
+    failure_ = done.error();
+    logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
+  }
+  compact_at_ = std::max(kFirstCompactionBytes, 2 * log_.file_bytes());
 }
 
 void ClaimService::ContinueCopy() {
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -42,6 +42,9 @@
   void Tick();
 
  private:
+  /// Below this size a rewrite saves too little to pay for its syncs.
+  static constexpr std::uint64_t kFirstCompactionBytes = std::uint64_t{64} << 20;
+
   struct Waiting {
     std::uint64_t sync_before = 0;
     std::function<void(base::Result<void>)> reply;
@@ -53,6 +56,7 @@
                       std::function<void(base::Result<void>)> reply);
   void Flush();
   void FillAnswer(std::uint64_t position, std::string& answer);
+  void CompactWhenDue();
   void ContinueCopy();
   void TakePage(const base::Result<rpc::CopyReply>& reply);
 
@@ -69,6 +73,8 @@
   std::uint64_t synced_ = 0;
   bool flush_scheduled_ = false;
   std::optional<base::Error> failure_;
+  /// Size of the claim log from which on it is rewritten.
+  std::uint64_t compact_at_ = kFirstCompactionBytes;
 };
 
 }  // namespace wagtailpick::controller
--- a/src/libs/rpc/client.cpp
+++ b/src/libs/rpc/client.cpp
@@ -4,6 +4,7 @@
 #include <grpcpp/grpcpp.h>
 #include <wagtailpick.grpc.pb.h>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -40,6 +41,8 @@
 
 DelayTable simulated_delays;
 
+std::atomic<std::uint64_t> sent_bytes = 0;
+
 /// Runs `task` on a library thread after `delay`.
 void RunLater(base::Duration delay, std::function<void()> task) {
   if (delay <= base::Duration(0)) {
@@ -65,6 +68,7 @@
                Responder<Reply> done, Start start) {
   auto call = std::make_shared<Call<Request, Reply>>();
   call->request = request;
+  sent_bytes.fetch_add(request.ByteSizeLong(), std::memory_order_relaxed);
   call->done = std::move(done);
   call->context.set_deadline(std::chrono::system_clock::now() + timeout);
   RunLater(delay, [call, delay, start] {
@@ -110,6 +114,8 @@
   return std::unique_ptr<Client>(new Client(address, std::move(state)));
 }
 
+std::uint64_t Client::SentBytes() { return sent_bytes.load(std::memory_order_relaxed); }
+
 void Client::SimulateDelay(const std::string& address, base::Duration one_way) {
   simulated_delays.Set(address, one_way);
 }
--- a/src/libs/rpc/client.h
+++ b/src/libs/rpc/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,10 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
+  /// Bytes of all requests that this process has sent to other processes, without transport
+  /// overhead.
+  static std::uint64_t SentBytes();
+
   const std::string& address() const { return address_; }
 
   void Submit(const SubmitRequest& request, base::Duration timeout, Responder<SubmitReply> done);
