--- a/tests/auto/consensus/append_test.cpp
+++ b/tests/auto/consensus/append_test.cpp
@@ -55,6 +55,15 @@
   }
 }
 
+// Guards against committing a tail that the leader doesn't have.
+Test(append, commits_no_further_than_the_message_verifies) {
+  SingleReplica single = FollowerWithLog();
+  Message heartbeat = single.AppendFrom("a", 3, 1, 0);
+  heartbeat.commit = 5;
+  single.Step(heartbeat);
+  cr_assert_eq(single.replica().commit_index(), 3);
+}
+
 // Guards against messages that a faulty peer or an older process could send.
 Test(append, ignores_what_is_malformed_or_foreign) {
   const struct {
@@ -74,6 +83,7 @@
   for (const auto& row : cases) {
     SingleReplica single = FollowerWithLog();
     Message message = single.AppendFrom("a", 5, 2, 1);
+    message.term = 4;
     row.change(message);
     single.Step(message);
     cr_expect(single.Settle().empty(), "%s", row.what);
