--- a/src/libs/bundle/parse_bundle.h
+++ b/src/libs/bundle/parse_bundle.h
@@ -9,7 +9,7 @@
 namespace wagtailpick::bundle {
 
 /// Largest bundle that is accepted, in bytes.
-inline constexpr std::size_t kMaxBundleBytes = 32UL * 1024 * 1024;
+inline constexpr std::size_t kMaxBundleBytes = 14UL * 1024 * 1024;
 
 /// Parses the JSON text of a bundle and validates it. Fails with `kInvalidArgument` and a message
 /// that starts with the path of the first wrong field, or with `kLimitExceeded` when it is too
