--- a/tests/auto/claims/fake_entry.cpp
+++ b/tests/auto/claims/fake_entry.cpp
@@ -28,7 +28,9 @@
   });
 }
 
-void FakeEntry::Pause(std::int64_t pause_ms) { paused_until_ = s_.queue.now() + pause_ms; }
+void FakeEntry::Pause(std::int64_t pause_ms) {
+  paused_until_ = std::max(paused_until_, s_.queue.now() + pause_ms);
+}
 
 void FakeEntry::Kill(std::int64_t down_ms) {
   ++life_;
@@ -118,8 +120,9 @@
   DoAfter(s_.dice.Between(0, 3), [this, attempt] {
     s_.queue.After(s_.dice.Between(1, 30), [this, attempt] { RunAtUpstream(attempt); });
     DoAfter(kDeadlineMs + 100, [this, attempt] {
-      if (s_.options.disabled == Disabled::kHoldWhileUnknown && !attempt->closed)
+      if (s_.options.disabled == Disabled::kHoldWhileUnknown && !attempt->closed) {
         Release(attempt, 0);
+      }
       Tell(attempt, Told::kMayHaveRun);
     });
   });
--- a/tests/auto/claims/fake_replica.cpp
+++ b/tests/auto/claims/fake_replica.cpp
@@ -31,8 +31,9 @@
   if (store_ == nullptr) return;
   ClaimOutcome outcome = store_->Claim(request, wall());
   ClaimReply& answer = outcome.reply;
-  if (answer.status == ClaimStatus::kCompleted)
+  if (answer.status == ClaimStatus::kCompleted) {
     answer.answer = disk_[answer.answer_position].answer;
+  }
   if (s_.options.disabled == Disabled::kFence) answer.known = {};
   if (answer.status == ClaimStatus::kAccepted) s_.on_accepted(identity_.index);
   Keep(outcome.mutation, [this, answer, reply] { s_.network.Send([=] { reply(answer); }); });
--- a/tests/auto/claims/replica_copy_test.cpp
+++ b/tests/auto/claims/replica_copy_test.cpp
@@ -125,8 +125,9 @@
   group.LoseDisk(0);
   group.CopyAll(0, 1);
   group.LoseDisk(1);
-  for (const ReplicaIndex source : std::initializer_list<ReplicaIndex>{2, 3, 4})
+  for (const ReplicaIndex source : std::initializer_list<ReplicaIndex>{2, 3, 4}) {
     group.CopyAll(1, source);
+  }
   cr_assert(group.copies[1]->done());
   group.CopyAll(0, 2);
   group.CopyAll(0, 3);
--- a/tests/auto/safety/suspect_entry.cpp
+++ b/tests/auto/safety/suspect_entry.cpp
@@ -40,12 +40,12 @@
     } else {
       Request trial = request;
       trial.trial_key = ruling.trial_key;
-      ClaimTrial(std::move(trial), reply);
+      ClaimTrial(trial, reply);
     }
   });
 }
 
-void SuspectEntry::ClaimTrial(Request request, const Reply& reply) {
+void SuspectEntry::ClaimTrial(const Request& request, const Reply& reply) {
   s_.queue.After(s_.dice.Between(2, 80), [this, request, reply, life = life_] {
     if (life != life_) return;
     const auto result = s_.options.disabled == Disabled::kTrialRegister
--- a/tests/auto/safety/suspect_entry.h
+++ b/tests/auto/safety/suspect_entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -67,7 +68,10 @@
   void OnConnectionsLost(const UpstreamRun& run, std::uint64_t announcement,
                          const std::vector<Upstream::Running>& lost);
   void OnAnnouncement(const UpstreamRun& run, std::uint64_t announcement);
-  void Pause(std::int64_t pause_ms) { paused_until_ = s_.queue.now() + pause_ms; }
+  /// A second pause never ends the first: messages that wait would be overtaken by later ones.
+  void Pause(std::int64_t pause_ms) {
+    paused_until_ = std::max(paused_until_, s_.queue.now() + pause_ms);
+  }
   void Kill(std::int64_t down_ms);
   void ExchangeChanges();
   bool up() const { return up_; }
@@ -78,7 +82,7 @@
   /// Delivers a message to this process, in order of arrival when it is paused.
   void Do(const EventQueue::Task& task);
   void Start();
-  void ClaimTrial(Request request, const Reply& reply);
+  void ClaimTrial(const Request& request, const Reply& reply);
   void Forward(const Request& request, const Reply& reply);
   void OnForward(std::size_t from, std::size_t upstream, const Request& request,
                  const Reply& reply);
--- a/tests/benchmarks/claims/store_size.cpp
+++ b/tests/benchmarks/claims/store_size.cpp
@@ -61,8 +61,9 @@
 void PrintStoreTable() {
   std::printf("   keys   new claims/s   repeated/s  bytes per key\n");
   for (const std::size_t count :
-       std::initializer_list<std::size_t>{1'000, 10'000, 100'000, 500'000})
+       std::initializer_list<std::size_t>{1'000, 10'000, 100'000, 500'000}) {
     PrintSize(count);
+  }
 }
 
 }  // namespace wagtailpick::claims
