--- a/src/libs/safety/suspect_table.h
+++ b/src/libs/safety/suspect_table.h
@@ -51,7 +51,8 @@
   UpstreamRun upstream;
   /// The last announcement of the upstream that was heard of.
   std::uint64_t announcement = 0;
-  /// The lost owner's session, when it wasn't the owner that saw the loss.
+  /// The lost owner's session, when it wasn't the owner that saw the loss. Empty for a trial: it
+  /// ran after the other strikes, so it must count by itself.
   std::string owner_session;
 };
 
--- a/tests/auto/safety/suspect_entry.cpp
+++ b/tests/auto/safety/suspect_entry.cpp
@@ -82,7 +82,7 @@
   const UpstreamRun run = request.run = upstream.run;
   SuspectEntry& owner = *s_.entries[upstream.owner];
   const LostConnection lost{std::to_string(s_.dice.Next()), run, upstream.announcement,
-                            owner.session()};
+                            request.trial_key.empty() ? owner.session() : ""};
   const auto done = std::make_shared<bool>(false);
   const auto finish = [this, request, run, reply, done, life = life_](Told told) {
     s_.queue.After(s_.dice.Between(1, 30), [=, this] {
