--- a/tests/auto/claims/fake_replica.cpp
+++ b/tests/auto/claims/fake_replica.cpp
@@ -31,8 +31,9 @@
   if (store_ == nullptr) return;
   ClaimOutcome outcome = store_->Claim(request, wall());
   ClaimReply& answer = outcome.reply;
-  if (answer.status == ClaimStatus::kCompleted)
+  if (answer.status == ClaimStatus::kCompleted) {
     answer.answer = disk_[answer.answer_position].answer;
+  }
   if (s_.options.disabled == Disabled::kFence) answer.known = {};
   if (answer.status == ClaimStatus::kAccepted) s_.on_accepted(identity_.index);
   Keep(outcome.mutation, [this, answer, reply] { s_.network.Send([=] { reply(answer); }); });
@@ -136,7 +137,8 @@
 
 void FakeReplica::AskForPages(std::uint64_t life) {
   if (life != life_ || !copy_ || copy_->done()) return;
-  for (ReplicaIndex index = 0; index < s_.options.replicas; ++index) {
+  const auto count = static_cast<ReplicaIndex>(s_.options.replicas);
+  for (ReplicaIndex index = 0; index < count; ++index) {
     const std::optional<CopyRequest> request = copy_->NextRequest(index);
     if (!request) continue;
     s_.copy_network.Send([this, index, request] { s_.replica(index).OnCopyRequest(*request); });
--- a/tests/auto/safety/suspect_entry.cpp
+++ b/tests/auto/safety/suspect_entry.cpp
@@ -30,8 +30,8 @@
   });
 }
 
-void SuspectEntry::OnRequest(Request request, const Reply& reply) {
-  Do([this, request = std::move(request), reply] {
+void SuspectEntry::OnRequest(const Request& request, const Reply& reply) {
+  Do([this, request, reply] {
     const Ruling ruling = table_->Check(request.fingerprint, wall());
     if (ruling.action == Action::kBlocked) {
       reply(Told::kBlocked);
@@ -40,12 +40,12 @@
     } else {
       Request trial = request;
       trial.trial_key = ruling.trial_key;
-      ClaimTrial(std::move(trial), reply);
+      ClaimTrial(trial, reply);
     }
   });
 }
 
-void SuspectEntry::ClaimTrial(Request request, const Reply& reply) {
+void SuspectEntry::ClaimTrial(const Request& request, const Reply& reply) {
   s_.queue.After(s_.dice.Between(2, 80), [this, request, reply, life = life_] {
     if (life != life_) return;
     const auto result = s_.options.disabled == Disabled::kTrialRegister
@@ -82,7 +82,7 @@
   const UpstreamRun run = request.run = upstream.run;
   SuspectEntry& owner = *s_.entries[upstream.owner];
   const LostConnection lost{std::to_string(s_.dice.Next()), run, upstream.announcement,
-                            owner.session()};
+                            request.trial_key.empty() ? owner.session() : ""};
   const auto done = std::make_shared<bool>(false);
   const auto finish = [this, request, run, reply, done, life = life_](Told told) {
     s_.queue.After(s_.dice.Between(1, 30), [=, this] {
