Learn suspects from entries that are met, and let the owner's timeout come first

Cause: an entry that has just started knew no suspect requests; a forward timed out at the same instant as the owner's exchange, so a slow upstream could be taken for a lost owner and count as a strike.

--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -165,9 +165,11 @@
   if (peer == nullptr) {
     return Replied(flow, base::Fail(base::ErrorCode::kUnavailable, "the entry is gone"));
   }
-  peer->Forward(request, TimeLeft(request), [this, done](base::Result<rpc::ForwardReply> reply) {
-    loop_.Post([done, reply = std::move(reply)] { done(reply); });
-  });
+  // The owner's own timeout comes first, so that a slow upstream isn't taken for a lost owner.
+  peer->Forward(request, TimeLeft(request) + kPeerTimeout,
+                [this, done](base::Result<rpc::ForwardReply> reply) {
+                  loop_.Post([done, reply = std::move(reply)] { done(reply); });
+                });
 }
 
 bool Dispatcher::MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply) {
@@ -310,7 +312,7 @@
   loop_.TryPost([this, reply, sent] {
     const ViewPtr view = session_.view();
     if (view == nullptr) return;
-    peers_.Update(*view);
+    for (const auto& peer : peers_.Update(*view)) suspects_.Learn(*peer);
     owner_.SetView(*view);
     steering_.SetView(view);
     steering_.shares().TakeGrants(reply, sent);
--- a/src/libs/entry/peer_set.h
+++ b/src/libs/entry/peer_set.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "entry/view.h"
 #include "rpc/client.h"
@@ -14,8 +15,8 @@
  public:
   explicit PeerSet(std::string own_vm);
 
-  /// Adds new members and drops those that are gone.
-  void Update(const View& view);
+  /// Adds new members and drops those that are gone. Returns the new ones.
+  std::vector<std::shared_ptr<rpc::Client>> Update(const View& view);
 
   /// Returns the connection to `vm`, or null when it isn't a member.
   std::shared_ptr<rpc::Client> Find(const std::string& vm) const;
--- a/src/libs/entry/suspects.cpp
+++ b/src/libs/entry/suspects.cpp
@@ -89,9 +89,22 @@
     const auto lacking = table_.Merge(report.value(), base::WallNowMillis());
     if (lacking) *reply.add_reports() = ToWire(*lacking);
   }
+  if (!request.wants_all()) return reply;
+  for (const auto& report : table_.reports(base::WallNowMillis())) {
+    *reply.add_reports() = ToWire(report);
+  }
   return reply;
 }
 
+void Suspects::Learn(rpc::Client& peer) {
+  rpc::SuspectRequest request;
+  request.set_wants_all(true);
+  rpc::AddStamp(events_, request);
+  peer.Suspect(request, kBroadcastTimeout, [this](base::Result<rpc::SuspectReply> reply) {
+    loop_.Post([this, reply = std::move(reply)] { TakeReply(reply); });
+  });
+}
+
 void Suspects::Tick() {
   const auto changes = table_.TakeChanges(base::WallNowMillis());
   if (!changes.empty()) Broadcast(changes, [] {});
--- a/src/libs/entry/suspects.h
+++ b/src/libs/entry/suspects.h
@@ -48,6 +48,9 @@
   /// Takes in reports of another entry and returns what that entry lacks.
   rpc::SuspectReply Merge(const rpc::SuspectRequest& request);
 
+  /// Asks an entry that was met just now for all that it knows.
+  void Learn(rpc::Client& peer);
+
   /// Sends what changed to all entries.
   void Tick();
 
