--- a/src/libs/routing/ids.h
+++ b/src/libs/routing/ids.h
@@ -13,7 +13,8 @@
 using ServiceId = std::uint16_t;
 /// Number that the driver gives to an entry; equal on all entries, so that they rank alike.
 using EntryId = std::uint32_t;
-/// Number that the driver gives to an upstream; a restarted one gets a new number.
+/// Number that the driver gives to an upstream. It stays the same when the upstream restarts at its
+/// address, so that a crash loop is remembered.
 using UpstreamId = std::uint32_t;
 
 /// Returns 64 random bits per call.
--- a/src/libs/routing/link_budget.cpp
+++ b/src/libs/routing/link_budget.cpp
@@ -38,7 +38,7 @@
 }
 
 bool LinkBudget::TryReserve(std::uint64_t bytes, base::MonotonicTime now) {
-  if (now >= valid_until_ || bytes > Available(now)) return false;
+  if (bytes > Available(now)) return false;
   Add(bytes, now);
   return true;
 }
--- a/src/libs/routing/place_chooser.cpp
+++ b/src/libs/routing/place_chooser.cpp
@@ -282,8 +282,9 @@
   choice.reason =
       scan.full || scan.count > 0 ? ChoiceReason::kNoFreeSlot : ChoiceReason::kHomeUnavailable;
   ChooseOther(request, table, random, now, choice);
-  if (choice.count == 0 && doubtful && !first_try)
+  if (choice.count == 0 && doubtful && !first_try) {
     ChooseDoubtful(request, rows, random, now, choice);
+  }
   return choice;
 }
 
--- a/tests/auto/shift/forced_shift_test.cpp
+++ b/tests/auto/shift/forced_shift_test.cpp
@@ -93,6 +93,7 @@
   constexpr base::Duration kSlotTime{100'000};
   cr_expect(BearableRate(10, 10, 20, kSlotTime) == 80);
   cr_expect(BearableRate(2, 10, 20, kSlotTime) == 0);
+  cr_expect(BearableRate(1, 10, 20, kSlotTime) == 0);
   cr_expect(BearableRate(3, 11, 20, kSlotTime) == 0);
   cr_expect(BearableRate(10, 10, 20, base::Duration::zero()) == 0);
   cr_expect(!MayAdmitShifted(2, 10, 20) && MayAdmitShifted(3, 10, 20));
--- a/tests/auto/shift/shift_controller_test.cpp
+++ b/tests/auto/shift/shift_controller_test.cpp
@@ -108,7 +108,9 @@
     for (int i = 0; i < 1'000; ++i) {
       now += base::Duration(random() % 40'000);
       if (controller.TryAdmit(now)) admitted.push_back(now);
-      if (random() % 20 == 0) controller.ForceLevel(static_cast<std::uint32_t>(random() % 1'500), now);
+      if (random() % 20 == 0) {
+        controller.ForceLevel(static_cast<std::uint32_t>(random() % 1'500), now);
+      }
       if (random() % 5 == 0) {
         controller.Tick(ShiftMeasurement{now, (random() % 20) * kMs, 10 * kMs, 0.5}, now);
       }
@@ -139,13 +141,16 @@
     BusyShift shift;
     int falls = 0;
     std::uint32_t before = 0;
+    StepReason reason = StepReason::kTooEarly;
     for (std::int64_t at = 0; at < 600'000; at += 250) {
       const std::uint32_t level = shift.controller.level_permille();
       const auto p50 = level > bears ? 20 * kMs : 10 * kMs;
       const ShiftStep step = shift.Tick(ShiftMeasurement{At(at), p50, 10 * kMs, 0.9}, at);
       if (step.level_permille < before) ++falls;
       before = step.level_permille;
+      reason = step.reason;
     }
+    cr_expect(reason == StepReason::kHeldAfterHalving);
     // Ten minutes hold about five tries: after 30, 60, 120 and 240 s.
     cr_expect(falls <= 6, "bears %u: %d falls", bears, falls);
     cr_expect(shift.controller.level_permille() <= bears + 100);
--- a/tests/benchmarks/routing/baselines.cpp
+++ b/tests/benchmarks/routing/baselines.cpp
@@ -110,8 +110,9 @@
     }
     if (free.empty()) return std::nullopt;
     if (way_ == Way::kRandom) return free[random_() % free.size()];
-    if (way_ == Way::kRoundRobin)
+    if (way_ == Way::kRoundRobin) {
       return free[turns_[{group.key.entry, KeyOf(group.key)}]++ % free.size()];
+    }
     return *std::max_element(free.begin(), free.end(), [&](std::size_t left, std::size_t right) {
       return cluster_.upstreams()[left].Free(now) < cluster_.upstreams()[right].Free(now);
     });
--- a/tests/benchmarks/routing/cluster.cpp
+++ b/tests/benchmarks/routing/cluster.cpp
@@ -20,7 +20,7 @@
   for (std::size_t i = 0; i < kEntryVms; ++i) {
     entries_.push_back({static_cast<routing::PlaceId>(i % kPlaces), true});
   }
-  for (std::uint16_t service = 0; service < deployment.services.size(); ++service) {
+  for (std::uint16_t service = 0; service < deployment.service_count(); ++service) {
     for (std::uint32_t server = 0; server < deployment.services[service].servers; ++server) {
       Upstream upstream;
       upstream.id = static_cast<routing::UpstreamId>(upstreams_.size());
@@ -70,7 +70,7 @@
 double Cluster::Headroom(routing::PlaceId place, base::MonotonicTime now) const {
   double sum = 0;
   double services = 0;
-  for (std::uint16_t service = 0; service < deployment_.services.size(); ++service) {
+  for (std::uint16_t service = 0; service < deployment_.service_count(); ++service) {
     double free = 0;
     double total = 0;
     for (const auto& upstream : upstreams_) {
--- a/tests/benchmarks/routing/deployment.h
+++ b/tests/benchmarks/routing/deployment.h
@@ -35,6 +35,8 @@
   std::vector<ServiceSpec> services;
   std::shared_ptr<const routing::Topology> topology;
 
+  std::uint16_t service_count() const { return static_cast<std::uint16_t>(services.size()); }
+
   /// Requests per second that the slots of `service` in one region serve when all are busy.
   double RegionCapacity(std::size_t service) const;
 };
--- a/tests/benchmarks/routing/load_model.cpp
+++ b/tests/benchmarks/routing/load_model.cpp
@@ -56,7 +56,7 @@
 // Poisson arrivals of each service at each place, drawn up front so that they don't depend on the
 // decisions.
 void LoadModel::ScheduleArrivals() {
-  for (std::uint16_t service = 0; service < deployment_.services.size(); ++service) {
+  for (std::uint16_t service = 0; service < deployment_.service_count(); ++service) {
     for (routing::PlaceId place = 0; place < kPlaces; ++place) {
       const auto region = cluster_.RegionOf(place);
       const double capacity = deployment_.RegionCapacity(service) * kRegions / kPlaces;
--- a/tests/benchmarks/routing/share_book.cpp
+++ b/tests/benchmarks/routing/share_book.cpp
@@ -58,7 +58,7 @@
     for (routing::RegionId to = 0; to < kRegions; ++to) {
       if (from == to) continue;
       GrantLink(from, to);
-      for (std::uint16_t service = 0; service < cluster_.deployment().services.size(); ++service) {
+      for (std::uint16_t service = 0; service < cluster_.deployment().service_count(); ++service) {
         GrantCap({0, service, from, to});
       }
     }
@@ -120,7 +120,7 @@
   std::vector<shift::ForcedTarget> targets;
   std::vector<shift::ForcedLink> links;
   const Deployment& deployment = cluster_.deployment();
-  for (std::uint16_t service = 0; service < deployment.services.size(); ++service) {
+  for (std::uint16_t service = 0; service < deployment.service_count(); ++service) {
     const ServiceSpec& spec = deployment.services[service];
     const auto load = cluster_.scenario().load_before[lost] * deployment.RegionCapacity(service);
     demands.push_back({service, spec.priority, static_cast<std::uint32_t>(load), spec.bytes});
--- a/tests/benchmarks/routing/timings.cpp
+++ b/tests/benchmarks/routing/timings.cpp
@@ -28,7 +28,7 @@
 
 constexpr std::size_t kBlocks = 280'000;
 constexpr std::size_t kSites = 1'200;
-constexpr std::size_t kTargetRegions = 9;
+constexpr routing::RegionId kTargetRegions = 9;
 constexpr std::size_t kEntries = 6'400;
 constexpr base::MonotonicTime kNow{base::Duration(10'000'000)};
 
@@ -195,7 +195,7 @@
 // Sorts all sites by expected latency, as a chooser without regions would.
 PlaceId NaiveChoice(const routing::SummaryTable& table, const routing::Topology& topology) {
   std::vector<std::pair<double, PlaceId>> order;
-  for (routing::RegionId region = 0; region < topology.region_count(); ++region) {
+  for (routing::RegionId region = 0; region < kTargetRegions; ++region) {
     for (const auto& row : table.Rows(0, region)) {
       if (row.Free(kNow) < 1) continue;
       const auto network = topology.RoundTrip(0, row.place).count();
