--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -185,6 +185,7 @@
     return ForwardLost(flow);
   }
   const auto& value = reply.value();
+  if (value.has_summary()) steering_.TakeSummary(value.summary(), now);
   if (VerdictOf(value) == base::Verdict::kNotRun) {
     steering_.Refused(flow->target, now);
     flow->tried.push_back(flow->target.key);
@@ -272,6 +273,7 @@
   ++running_;
   owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
     --running_;
+    if (reply) *reply.value().mutable_summary() = MakeSummary();
     done(std::move(reply));
   });
 }
@@ -356,14 +358,19 @@
   SendSummaries();
 }
 
-void Dispatcher::SendSummaries() {
+rpc::Summary Dispatcher::MakeSummary() {
   rpc::Summary summary;
   summary.set_vm(options_.vm);
   summary.set_session_epoch(session_.lease().epoch());
   summary.set_sequence(++summary_sequence_);
   for (auto& place : owner_.Summaries()) *summary.add_places() = std::move(place);
+  return summary;
+}
+
+void Dispatcher::SendSummaries() {
+  const rpc::Summary summary = MakeSummary();
   const ViewPtr view = session_.view();
-  const bool all_regions = summary_sequence_ % kTicksPerFarSummary == 0;
+  const bool all_regions = ++summary_ticks_ % kTicksPerFarSummary == 0;
   for (const auto& [vm, peer] : peers_.all()) {
     const Member* member = view->FindMember(vm);
     const bool is_near = member != nullptr && member->region == options_.region;
--- a/src/libs/entry/dispatcher.h
+++ b/src/libs/entry/dispatcher.h
@@ -78,6 +78,7 @@
   bool MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply);
   void Forward(const rpc::ForwardRequest& request, const rpc::Responder<rpc::ForwardReply>& done);
   void Tick();
+  rpc::Summary MakeSummary();
   void SendSummaries();
   void HandOver();
 
@@ -95,6 +96,7 @@
   admission::EntryLimit limit_;
   admission::RetryBudget retries_;
   std::uint64_t summary_sequence_ = 0;
+  std::uint64_t summary_ticks_ = 0;
   bool draining_ = false;
   std::atomic<std::size_t> running_ = 0;
 };
