Test the base, bundle, timeline and metrics libraries; add histograms

Cause: these libraries had no tests, a duplicate key in a bundle was reported without its path, and request latency was not measured. Change: one test program for each; DuplicateKeys reports the full path; Histogram with fixed buckets in the Prometheus text form; the dispatcher records wagtailpick_request_seconds.

--- a/src/libs/bundle/parse_bundle.cpp
+++ b/src/libs/bundle/parse_bundle.cpp
@@ -1,9 +1,9 @@
 #include "bundle/parse_bundle.h"
 
 #include <nlohmann/json.hpp>
-#include <set>
-#include <vector>
+#include <utility>
 
+#include "bundle/duplicate_keys.h"
 #include "bundle/field_reader.h"
 #include "bundle/validate_bundle.h"
 
@@ -15,25 +15,20 @@
 /// Largest integer that every JSON implementation represents exactly.
 constexpr std::int64_t kMaxVersion = (std::int64_t{1} << 53) - 1;
 
-/// Parses JSON and refuses duplicate keys, which the JSON library would silently merge.
+/// Parses JSON and refuses duplicate keys.
 base::Result<json> ParseStrictly(const std::string& text) {
-  std::vector<std::set<std::string>> keys;
-  std::string duplicate;
-  const auto watch = [&](int, json::parse_event_t event, json& parsed) {
-    if (event == json::parse_event_t::object_start) keys.emplace_back();
-    if (event == json::parse_event_t::object_end) keys.pop_back();
-    if (event == json::parse_event_t::key) {
-      const auto& key = parsed.get_ref<const std::string&>();
-      if (!keys.back().insert(key).second && duplicate.empty()) duplicate = key;
-    }
+  DuplicateKeys duplicates;
+  const auto watch = [&](int, json::parse_event_t event, const json& parsed) {
+    duplicates.Watch(event, parsed);
     return true;
   };
   json root = json::parse(text, watch, false);
   if (root.is_discarded()) {
     return base::Fail(base::ErrorCode::kInvalidArgument, "bundle: not valid JSON");
   }
-  if (!duplicate.empty()) {
-    return base::Fail(base::ErrorCode::kInvalidArgument, duplicate + ": set twice in one object");
+  if (!duplicates.first_path().empty()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      duplicates.first_path() + ": set twice in one object");
   }
   return root;
 }
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -232,6 +232,9 @@
 void Dispatcher::Respond(const FlowPtr& flow, http::Response response, base::Verdict verdict) {
   const std::string name(base::ToString(verdict));
   context_.metrics.CounterAt("wagtailpick_requests_total", "verdict=\"" + name + "\"").Add();
+  const std::chrono::duration<double> latency = base::MonotonicNow() - flow->started;
+  context_.metrics.HistogramAt("wagtailpick_request_seconds", metrics::LatencyBounds())
+      .Observe(latency.count());
   if (http::FindHeader(response.headers, "X-Wagtailpick-Verdict") == nullptr) {
     response.headers.push_back({"X-Wagtailpick-Verdict", name});
     response.headers.push_back({"X-Wagtailpick-Request-Id", flow->request.forward.request_id()});
--- a/src/libs/metrics/registry.cpp
+++ b/src/libs/metrics/registry.cpp
@@ -26,11 +26,21 @@
   return gauges_[name][labels];
 }
 
+Histogram& Registry::HistogramAt(const std::string& name, const std::vector<double>& bounds,
+                                 const std::string& labels) {
+  const std::lock_guard lock(mutex_);
+  return histograms_[name].try_emplace(labels, bounds).first->second;
+}
+
 std::string Registry::RenderText() const {
   const std::lock_guard lock(mutex_);
   std::string out;
   RenderFamilies(counters_, "counter", out);
   RenderFamilies(gauges_, "gauge", out);
+  for (const auto& [name, series] : histograms_) {
+    out += "# TYPE " + name + " histogram\n";
+    for (const auto& [labels, histogram] : series) histogram.Render(name, labels, out);
+  }
   return out;
 }
 
--- a/src/libs/metrics/registry.h
+++ b/src/libs/metrics/registry.h
@@ -5,6 +5,9 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
+
+#include "metrics/histogram.h"
 
 namespace wagtailpick::metrics {
 
@@ -38,6 +41,10 @@
   /// Returns the gauge called `name`, made on first use.
   Gauge& GaugeAt(const std::string& name, const std::string& labels = {});
 
+  /// Returns the histogram called `name`, made on first use with `bounds` (see `Histogram`).
+  Histogram& HistogramAt(const std::string& name, const std::vector<double>& bounds,
+                         const std::string& labels = {});
+
   /// Renders all metrics in the Prometheus text format.
   std::string RenderText() const;
 
@@ -45,6 +52,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, std::map<std::string, Counter>> counters_;
   std::map<std::string, std::map<std::string, Gauge>> gauges_;
+  std::map<std::string, std::map<std::string, Histogram>> histograms_;
 };
 
 }  // namespace wagtailpick::metrics
--- /dev/null
+++ b/tests/auto/base/event_loop_test.cpp
@@ -0,0 +1,65 @@
+#include "base/event_loop.h"
+
+#include <criterion/criterion.h>
+
+#include <future>
+#include <thread>
+#include <vector>
+
+using wagtailpick::base::EventLoop;
+
+namespace {
+
+constexpr auto kLongInterval = std::chrono::hours(1);
+
+}  // namespace
+
+// Guards against answers that are never given because their task was queued when the loop stopped.
+Test(event_loop, runs_what_was_posted_before_stop) {
+  EventLoop loop(100);
+  std::promise<void> open;
+  std::vector<int> order;
+  loop.Start(kLongInterval, [] {});
+  // The first task holds the loop until all others are queued.
+  loop.Post([&] { open.get_future().wait(); });
+  for (int i = 0; i < 50; ++i) cr_assert(loop.Post([&order, i] { order.push_back(i); }));
+  std::thread opener([&] { open.set_value(); });
+  loop.Stop();
+  opener.join();
+  cr_assert(order.size() == 50);
+  for (int i = 0; i < 50; ++i) cr_expect(order[static_cast<std::size_t>(i)] == i);
+}
+
+// Guards against a task that is taken and then forgotten.
+Test(event_loop, refuses_tasks_after_stop) {
+  EventLoop loop(10);
+  loop.Start(kLongInterval, [] {});
+  loop.Stop();
+  loop.Stop();
+  cr_expect(!loop.Post([] {}));
+  cr_expect(!loop.TryPost([] {}));
+}
+
+// Guards against overload that blocks the caller's thread.
+Test(event_loop, try_post_refuses_when_the_ring_is_full) {
+  EventLoop loop(2);
+  cr_expect(loop.TryPost([] {}));
+  cr_expect(loop.TryPost([] {}));
+  cr_expect(!loop.TryPost([] {}));
+}
+
+// Guards against ticks that starve while tasks keep coming, and tasks that starve between ticks.
+Test(event_loop, ticks_between_tasks) {
+  EventLoop loop(10);
+  std::promise<void> ticked;
+  int ticks = 0;
+  loop.Start(std::chrono::milliseconds(1), [&] {
+    if (++ticks == 3) ticked.set_value();
+  });
+  ticked.get_future().wait();
+  std::promise<void> ran;
+  cr_assert(loop.Post([&] { ran.set_value(); }));
+  ran.get_future().wait();
+  loop.Stop();
+  cr_expect(ticks >= 3);
+}
