Test the http and settings libraries and fix what the tests found

Cause: new tests of http and settings failed on real faults. The server reported success for a taken port, as the library binds on its own thread and its error was dropped. Malformed and oversized requests were closed without an answer. Header names with blanks were accepted and passed on. An answer given inside the handler made the library read the next pipelined request too early and drop answers. The client took an answer that was cut within its headers, and one with conflicting lengths, for complete. A line above the INI library's buffer was split silently. Change: Server::Start waits for the bind; a socket type of our own answers 400, 413, 414 or 431 before the library closes; malformed fields get 400; answers are always posted to the server's threads; the client needs the blank line after the headers and equal lengths; settings refuse long lines and name a broken line first. Conclusion: an answer without a length that is ended by the close still counts as complete, as HTTP/1.1 gives no means to tell.

--- a/src/libs/http/exchange_handle.cpp
+++ b/src/libs/http/exchange_handle.cpp
@@ -1,5 +1,6 @@
 #include "http/exchange_handle.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -100,7 +101,11 @@
 }
 
 ExchangeStatus ExchangeHandle::Classify(CURLcode code) const {
-  if (code == CURLE_OK) return ExchangeStatus::kComplete;
+  if (code == CURLE_OK) {
+    // The library reports success when the connection is closed within the headers.
+    if (!headers_complete_) return ExchangeStatus::kConnectionLost;
+    return HasConflictingLengths() ? ExchangeStatus::kBadAnswer : ExchangeStatus::kComplete;
+  }
   if (sends_ == 0) return ExchangeStatus::kNotSent;
   if (limit_exceeded_) return ExchangeStatus::kBadAnswer;
   switch (code) {
@@ -118,6 +123,14 @@
   }
 }
 
+// The library takes the last length; which one frames the answer can't be known (RFC 9112, 6.3).
+bool ExchangeHandle::HasConflictingLengths() const {
+  const auto* first = FindHeader(exchange_.headers, "Content-Length");
+  return std::any_of(exchange_.headers.begin(), exchange_.headers.end(), [&](const Header& header) {
+    return SameName(header.name, "Content-Length") && header.value != *first;
+  });
+}
+
 std::size_t ExchangeHandle::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* handle = static_cast<ExchangeHandle*>(self);
   const std::size_t bytes = size * count;
@@ -139,7 +152,11 @@
   }
   const std::string line(data, bytes);
   // Interim answers (1xx) come first; only the fields of the final answer count.
-  if (line.starts_with("HTTP/")) handle->exchange_.headers.clear();
+  if (line.starts_with("HTTP/")) {
+    handle->exchange_.headers.clear();
+    handle->headers_complete_ = false;
+  }
+  if (line == "\r\n" || line == "\n") handle->headers_complete_ = true;
   const auto colon = line.find(':');
   if (colon == std::string::npos) return bytes;
   handle->exchange_.headers.push_back({Trim(line.substr(0, colon)), Trim(line.substr(colon + 1))});
--- a/src/libs/http/exchange_handle.h
+++ b/src/libs/http/exchange_handle.h
@@ -35,6 +35,7 @@
   void Prepare();
   void PrepareMethod();
   ExchangeStatus Classify(CURLcode code) const;
+  bool HasConflictingLengths() const;
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* self);
@@ -49,6 +50,8 @@
   base::MonotonicTime started_;
   Exchange exchange_;
   std::size_t header_bytes_ = 0;
+  /// Set by the blank line that ends the headers.
+  bool headers_complete_ = false;
   int sends_ = 0;
   bool limit_exceeded_ = false;
 };
--- a/src/libs/http/header.cpp
+++ b/src/libs/http/header.cpp
@@ -14,6 +14,16 @@
   return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+bool IsTokenLetter(char letter) {
+  const bool is_alphanumeric =
+      (letter >= '0' && letter <= '9') || (ToLower(letter) >= 'a' && ToLower(letter) <= 'z');
+  return is_alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string::npos;
+}
+
+bool IsControl(char letter) {
+  return (static_cast<unsigned char>(letter) < 0x20 && letter != '\t') || letter == 0x7f;
+}
+
 }  // namespace
 
 bool SameName(std::string_view first, std::string_view second) {
@@ -28,6 +38,12 @@
   return found == headers.end() ? nullptr : &found->value;
 }
 
+bool IsWellFormed(const Header& header) {
+  const auto& [name, value] = header;
+  return !name.empty() && std::all_of(name.begin(), name.end(), IsTokenLetter) &&
+         std::none_of(value.begin(), value.end(), IsControl);
+}
+
 bool IsHopByHop(std::string_view name) {
   return std::any_of(kHopByHop.begin(), kHopByHop.end(),
                      [&](std::string_view hop) { return SameName(hop, name); });
--- /dev/null
+++ b/src/libs/http/parse_error_answer.cpp
@@ -0,0 +1,52 @@
+#include "http/parse_error_answer.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace wagtailpick::http {
+namespace {
+
+struct ParseError {
+  /// Name that the parser gives the error.
+  std::string_view name;
+  std::string_view status;
+  std::string_view message;
+};
+
+// The parser reports a limit as the failure of the callback that checks it.
+constexpr std::array<ParseError, 6> kLimitErrors{{
+    {"HPE_CB_url", "414 URI Too Long", "the target is too long"},
+    {"HPE_CB_header_field", "431 Request Header Fields Too Large", "the headers are too large"},
+    {"HPE_CB_header_value", "431 Request Header Fields Too Large", "the headers are too large"},
+    {"HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large", "the headers are too large"},
+    {"HPE_CB_headers_complete", "413 Content Too Large", "the body is too large"},
+    {"HPE_CB_body", "413 Content Too Large", "the body is too large"},
+}};
+constexpr ParseError kMalformed{"", "400 Bad Request", "the request is malformed"};
+constexpr std::string_view kMarker = "parser error ";
+
+}  // namespace
+
+std::optional<std::string> ParseErrorAnswer(const std::string& error) {
+  const auto marker = error.find(kMarker);
+  if (marker == std::string::npos) return std::nullopt;
+  const std::string_view name = std::string_view(error).substr(marker + kMarker.size());
+  const auto found = std::find_if(kLimitErrors.begin(), kLimitErrors.end(), [&](const auto& row) {
+    return name.starts_with(std::string(row.name) + ":");
+  });
+  const ParseError& row = found == kLimitErrors.end() ? kMalformed : *found;
+  const std::string body = BadInputBody(row.message);
+  return "HTTP/1.1 " + std::string(row.status) +
+         "\r\nContent-Type: application/json\r\nCache-Control: no-store\r\n"
+         "X-Wagtailpick-Verdict: not_run\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string BadInputBody(std::string_view message) {
+  return R"({"error":")" + std::string(message) +
+         R"(","reason":"bad_request","verdict":"not_run",)" +
+         R"("attempt_verdict":"not_run","request_id":"","retry_after_ms":0})";
+}
+
+}  // namespace wagtailpick::http
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -3,14 +3,21 @@
 #include <fmt/format.h>
 #include <fmt/ostream.h>
 
+#include <algorithm>
 #include <exception>
+#include <future>
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "http/answering_socket.h"
+#include "http/parse_error_answer.h"
+#include "http/parse_error_logger.h"
+
 namespace wagtailpick::http {
 namespace {
 
-struct ServerTraits : public restinio::default_traits_t {
+struct ServerTraits : public restinio::traits_t<restinio::asio_timer_manager_t, ParseErrorLogger> {
+  using stream_socket_t = AnsweringSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::generic_request_handle_t<restinio::no_extra_data_factory_t::data_t>)>;
   static constexpr bool use_connection_count_limiter = true;  // NOLINT(*-identifier-naming)
@@ -43,6 +50,32 @@
   builder.set_body(std::move(response.body)).done();
 }
 
+/// Sends an answer from the server's threads, never from inside the handler: an answer that is
+/// given there makes the library read the next request before this answer is written, and read it
+/// twice.
+struct PostedSink {
+  /// Keeps the context alive for sinks that are called after the server has stopped.
+  std::shared_ptr<restinio::asio_ns::io_context> io;
+  restinio::request_handle_t handle;
+
+  void operator()(Response response) const {
+    restinio::asio_ns::post(*io, [to = handle, answer = std::move(response)]() mutable {
+      SendResponse(to, std::move(answer));
+    });
+  }
+};
+
+// The library's parser lets such fields through.
+restinio::request_handling_status_t RefuseFields(const restinio::request_handle_t& handle) {
+  return handle->create_response(restinio::status_bad_request())
+      .append_header("Content-Type", "application/json")
+      .append_header("Cache-Control", "no-store")
+      .append_header("X-Wagtailpick-Verdict", "not_run")
+      .connection_close()
+      .set_body(BadInputBody("a header field is malformed"))
+      .done();
+}
+
 restinio::incoming_http_msg_limits_t ToLimits(const ServerOptions& options) {
   return restinio::incoming_http_msg_limits_t{}
       .max_url_size(options.max_target_bytes)
@@ -55,6 +88,9 @@
 }  // namespace
 
 struct Server::State {
+  /// Shared with the sinks, which may be called after the server has stopped.
+  std::shared_ptr<restinio::asio_ns::io_context> io =
+      std::make_shared<restinio::asio_ns::io_context>();
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<restinio::on_pool_runner_t<HttpServer>> runner;
 };
@@ -71,20 +107,34 @@
                       ? restinio::asio_ns::ip::tcp::v4()
                       : restinio::asio_ns::ip::tcp::v6())
         .incoming_http_msg_limits(ToLimits(options))
+        // Answers to refused requests rely on this, see AnsweringSocket.
+        .max_pipelined_requests(1)
         .max_parallel_connections(options.max_connections)
         .read_next_http_message_timelimit(options.read_timeout)
         .handle_request_timeout(options.handle_timeout)
-        .request_handler([handler = std::move(handler)](const restinio::request_handle_t& handle) {
-          handler(ToRequest(handle),
-                  [handle](Response response) { SendResponse(handle, std::move(response)); });
+        .request_handler([io = std::weak_ptr(state->io),
+                          handler = std::move(handler)](const restinio::request_handle_t& handle) {
+          Request request = ToRequest(handle);
+          const auto& headers = request.headers;
+          if (!std::all_of(headers.begin(), headers.end(), IsWellFormed)) {
+            return RefuseFields(handle);
+          }
+          handler(std::move(request), PostedSink{io.lock(), handle});
           return restinio::request_accepted();
         });
   };
-  state->server = std::make_unique<HttpServer>(restinio::own_io_context(), configure);
+  state->server =
+      std::make_unique<HttpServer>(restinio::external_io_context(*state->io), configure);
   state->runner =
       std::make_unique<restinio::on_pool_runner_t<HttpServer>>(options.threads, *state->server);
+  // The address is bound on the pool's thread, so a failure shows only through the callback.
+  std::promise<void> opened;
   try {
-    state->runner->start();
+    state->runner->start([&opened]() noexcept { opened.set_value(); },
+                         [&opened](std::exception_ptr failure) noexcept {
+                           opened.set_exception(std::move(failure));
+                         });
+    opened.get_future().get();
   } catch (const std::exception& failure) {
     return base::Fail(
         base::ErrorCode::kUnavailable,
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
+#include <cstring>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -129,25 +132,60 @@
   }
 };
 
+/// Hands the lines of a file to the INI library, which would silently split a line that is longer
+/// than its buffer.
+struct LineSource {
+  std::FILE* file = nullptr;
+  int line = 0;
+  int long_line = 0;
+  int max_length = 0;
+};
+
+char* NextLine(char* buffer, int size, void* user) {
+  auto& source = *static_cast<LineSource*>(user);
+  char* text = std::fgets(buffer, size, source.file);
+  if (text == nullptr) return nullptr;
+  ++source.line;
+  source.max_length = size - 2;
+  const bool is_whole = std::strchr(text, '\n') != nullptr || std::feof(source.file) != 0;
+  if (!is_whole && source.long_line == 0) source.long_line = source.line;
+  return text;
+}
+
 int OnValue(void* user, const char* section, const char* name, const char* value) {
   static_cast<Collector*>(user)->Take(section, name, value);
   return 1;
 }
 
+std::string DescribeLine(const LineSource& source, int bad_line) {
+  if (source.long_line > 0) {
+    return "line " + std::to_string(source.long_line) + " is longer than " +
+           std::to_string(source.max_length) + " characters";
+  }
+  if (bad_line == 0) return {};
+  return "line " + std::to_string(bad_line) +
+         " is neither a section, a key with a value, nor a comment";
+}
+
 }  // namespace
 
 base::Result<Settings> Settings::Load(const std::string& path, const std::vector<KeyRule>& schema) {
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::fopen(path.c_str(), "r"),
+                                                             &std::fclose);
+  if (file == nullptr) return base::Fail(base::ErrorCode::kIo, path + ": can't be read");
   Collector collector{&path, &schema};
-  const int line = ini_parse(path.c_str(), &OnValue, &collector);
-  if (line < 0) return base::Fail(base::ErrorCode::kIo, path + ": can't be read");
+  LineSource source{file.get()};
+  const int bad_line = ini_parse_stream(&NextLine, &source, &OnValue, &collector);
+  if (std::ferror(file.get()) != 0) {
+    return base::Fail(base::ErrorCode::kIo, path + ": can't be read");
+  }
+  // What follows a broken line may have been taken for something else, so that line comes first.
+  if (const std::string problem = DescribeLine(source, bad_line); !problem.empty()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, path + ": " + problem);
+  }
   if (!collector.problem.empty()) {
     return base::Fail(base::ErrorCode::kInvalidArgument, collector.problem);
   }
-  if (line > 0) {
-    return base::Fail(base::ErrorCode::kInvalidArgument,
-                      path + ": line " + std::to_string(line) +
-                          " is neither a section, a key with a value, nor a comment");
-  }
   for (const auto& rule : schema) {
     const bool is_set = collector.values.contains(KeyOf(rule.section, rule.key));
     if (is_set) continue;
--- /dev/null
+++ b/tests/auto/http/server_test.cpp
@@ -0,0 +1,217 @@
+#include "http/server.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "raw_server.h"
+#include "sync_client.h"
+
+using wagtailpick::http::Exchange;
+using wagtailpick::http::ExchangeStatus;
+using wagtailpick::http::FindHeader;
+using wagtailpick::http::Request;
+using wagtailpick::http::RequestHandler;
+using wagtailpick::http::ResponseSink;
+using wagtailpick::http::Server;
+using wagtailpick::http::ServerOptions;
+
+namespace {
+
+struct RunningServer {
+  std::uint16_t port = 0;
+  std::unique_ptr<Server> server;
+
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(port) + "/x?y=1"; }
+};
+
+RunningServer StartServer(const RequestHandler& handler) {
+  ServerOptions options;
+  options.max_body_bytes = 1'000;
+  options.max_header_bytes = 500;
+  options.max_header_count = 10;
+  options.max_target_bytes = 200;
+  // Another program may take the free port first.
+  for (int attempt = 0; attempt < 20; ++attempt) {
+    options.endpoint = {"127.0.0.1", FreePort()};
+    auto server = Server::Start(options, handler);
+    if (server) return {options.endpoint.port, std::move(server.value())};
+  }
+  return {};
+}
+
+struct BadCase {
+  std::string name;
+  std::string request;
+  /// Start of the answer; empty when the connection is closed without one.
+  std::string answer;
+};
+
+std::string Repeat(const std::string& text, int times) {
+  std::string all;
+  for (int i = 0; i < times; ++i) all += text;
+  return all;
+}
+
+std::vector<BadCase> BadCases() {
+  const std::string post = "POST /x HTTP/1.1\r\nHost: a\r\n";
+  const std::string malformed = "HTTP/1.1 400 ";
+  const std::string large = "HTTP/1.1 431 ";
+  return {
+      {"conflicting lengths", post + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+       malformed},
+      {"length and chunks",
+       post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", malformed},
+      {"a length that is no number", post + "Content-Length: 3x\r\n\r\nabc", malformed},
+      {"a negative length", post + "Content-Length: -3\r\n\r\nabc", malformed},
+      {"a length that overflows", post + "Content-Length: 99999999999999999999\r\n\r\n", malformed},
+      {"a wrong chunk size", post + "Transfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n", malformed},
+      {"no request line", "nonsense\r\n\r\n", malformed},
+      {"an unknown method", "FLY /x HTTP/1.1\r\nHost: a\r\n\r\n", malformed},
+      {"no version", "GET /x FTP/1.1\r\nHost: a\r\n\r\n", malformed},
+      {"a blank in a header's name", post + "X y: 1\r\n\r\n", malformed},
+      {"a blank before the colon", post + "Content-Length : 3\r\n\r\nabc", malformed},
+      {"a control character in a value", post + "X-A: a\x01z\r\n\r\n", malformed},
+      {"a long target", "GET /" + std::string(300, 'a') + " HTTP/1.1\r\nHost: a\r\n\r\n",
+       "HTTP/1.1 414 "},
+      {"a long header", post + "X-A: " + std::string(600, 'a') + "\r\n\r\n", large},
+      {"a long header name", post + std::string(600, 'a') + ": 1\r\n\r\n", large},
+      {"many headers", post + Repeat("X-A: 1\r\n", 20) + "\r\n", large},
+      {"a large body", post + "Content-Length: 1001\r\n\r\n" + std::string(1'001, 'a'),
+       "HTTP/1.1 413 "},
+      {"a large body in chunks",
+       post + "Transfer-Encoding: chunked\r\n\r\n" +
+           Repeat("1f4\r\n" + std::string(500, 'a') + "\r\n", 3) + "0\r\n\r\n",
+       "HTTP/1.1 413 "},
+      {"a body announced beyond all limits", post + "Content-Length: 999999999999\r\n\r\n",
+       "HTTP/1.1 413 "},
+  };
+}
+
+}  // namespace
+
+// Guards against malformed or oversized input that reaches a service, crashes the server or gets no
+// answer.
+Test(server, bad_input_gets_a_4xx_answer_and_a_close) {
+  std::atomic<int> handled = 0;
+  const auto running = StartServer([&](Request, const ResponseSink& sink) {
+    ++handled;
+    sink({});
+  });
+  cr_assert(running.server != nullptr);
+  for (const auto& one : BadCases()) {
+    auto connection = RawConnection::Connect(running.port);
+    connection.Send(one.request);
+    const std::string answer = connection.ReadToEnd();
+    cr_expect(answer.starts_with(one.answer), "%s: %s", one.name.c_str(), answer.c_str());
+    cr_expect(answer.find("\"reason\":\"bad_request\"") != std::string::npos, "%s",
+              one.name.c_str());
+    cr_expect(connection.is_closed(), "%s: the connection stays open", one.name.c_str());
+  }
+  cr_expect(handled == 0);
+}
+
+// Guards against limits that refuse requests which just fit them.
+Test(server, a_request_at_the_limits_is_served) {
+  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+    sink({200, {}, std::to_string(request.body.size())});
+  });
+  cr_assert(running.server != nullptr);
+  SyncClient client;
+  const Exchange exchange = client.Send(running.url(), std::string(1'000, 'a'));
+  cr_expect(exchange.answer_status == 200);
+  cr_expect(exchange.body == "1000");
+}
+
+// Guards against a request that changes on its way to the handler.
+Test(server, a_request_and_its_answer_arrive_unchanged) {
+  Request seen;
+  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+    seen = std::move(request);
+    sink({418, {{"X-Answer", "a b"}}, std::string("\0\r\n", 3)});
+  });
+  cr_assert(running.server != nullptr);
+  SyncClient client;
+  const std::string body("\0\r\n\r\nHTTP/1.1", 13);
+  const Exchange exchange = client.Send(running.url(), body);
+  cr_expect(seen.method == "POST");
+  cr_expect(seen.target == "/x?y=1");
+  cr_expect(seen.body == body);
+  cr_expect(seen.peer == "127.0.0.1");
+  cr_expect(exchange.status == ExchangeStatus::kComplete);
+  cr_expect(exchange.answer_status == 418);
+  cr_expect(exchange.body == std::string("\0\r\n", 3));
+  const auto* header = FindHeader(exchange.headers, "x-answer");
+  cr_assert(header != nullptr);
+  cr_expect(*header == "a b");
+}
+
+// Guards against a request that is handled although its sender never finished it.
+Test(server, an_unfinished_request_is_never_handled) {
+  std::atomic<int> handled = 0;
+  const auto running = StartServer([&](Request, const ResponseSink& sink) {
+    ++handled;
+    sink({});
+  });
+  cr_assert(running.server != nullptr);
+  {
+    auto connection = RawConnection::Connect(running.port);
+    connection.Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabc");
+  }
+  SyncClient client;
+  cr_expect(client.Send(running.url()).status == ExchangeStatus::kComplete);
+  cr_expect(handled == 1);
+}
+
+// Guards against answers that change places on one connection.
+Test(server, pipelined_requests_are_answered_in_order) {
+  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+    sink({200, {}, request.target});
+  });
+  cr_assert(running.server != nullptr);
+  auto connection = RawConnection::Connect(running.port);
+  std::string requests;
+  for (int i = 1; i <= 9; ++i) {
+    requests += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+  connection.Send(requests);
+  for (int i = 1; i <= 9; ++i) {
+    const std::string answer = connection.ReadMessage();
+    cr_expect(answer.starts_with("HTTP/1.1 200"), "%d: %s", i, answer.c_str());
+    cr_expect(answer.ends_with("/" + std::to_string(i)), "%d: %s", i, answer.c_str());
+  }
+}
+
+// Guards against an error answer that is taken for the answer to an earlier request of the
+// connection. That request's own answer may be lost with the connection.
+Test(server, an_error_answer_never_stands_for_an_earlier_request) {
+  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+    sink({200, {}, request.target});
+  });
+  cr_assert(running.server != nullptr);
+  for (int round = 0; round < 20; ++round) {
+    auto connection = RawConnection::Connect(running.port);
+    connection.Send(
+        "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n");
+    for (const char* target : {"/1", "/2"}) {
+      const std::string answer = connection.ReadMessage();
+      if (answer.empty()) break;
+      cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+      cr_expect(answer.ends_with(target), "%s", answer.c_str());
+    }
+  }
+}
+
+// Guards against a daemon that seems to run although its port is taken.
+Test(server, a_taken_port_is_an_error) {
+  const RawServer other([](RawServer&, RawConnection&) {});
+  ServerOptions options;
+  options.endpoint = {"127.0.0.1", other.port()};
+  const auto started = Server::Start(options, [](Request, const ResponseSink&) {});
+  cr_assert(!started);
+  cr_expect(started.error().message.starts_with("can't listen on 127.0.0.1:"));
+}
