Make wait count lease holders and print refused submissions on stderr

Cause: wait returned at once with '0 of 0 entries' before any entry had a session, so the example's lookup was refused; refused submissions were printed on stdout. Change: wait needs at least one entry that holds a lease, and counts only those; outcomes other than accepted go to stderr in text form.

--- a/src/tools/wagtailpick/control_commands.cpp
+++ b/src/tools/wagtailpick/control_commands.cpp
@@ -68,11 +68,11 @@
           {"entries", sessions}};
 }
 
-/// Entries that hold a lease under an older version.
-std::int64_t CountBehind(const rpc::StatusReply& reply, std::uint64_t version) {
+/// Entries that hold a lease under a version from `version` on.
+std::int64_t CountHolding(const rpc::StatusReply& reply, std::uint64_t version) {
   return std::count_if(reply.sessions().begin(), reply.sessions().end(),
                        [&](const rpc::SessionStatus& session) {
-                         return session.lease_held() && session.bundle_version() < version;
+                         return session.lease_held() && session.bundle_version() >= version;
                        });
 }
 
@@ -94,6 +94,8 @@
   if (!reply) return Unreachable(reply.error().message + "; submit it again to learn the outcome");
   const auto& value = reply.value();
   const std::string outcome = OutcomeName(value.outcome());
+  const bool is_accepted = value.outcome() == rpc::SUBMIT_OUTCOME_ACCEPTED ||
+                           value.outcome() == rpc::SUBMIT_OUTCOME_ALREADY_ACCEPTED;
   if (as_json) {
     std::cout << nlohmann::json{{"outcome", outcome},
                                 {"version", value.version()},
@@ -102,12 +104,11 @@
                                 {"message", value.message()}}
               << "\n";
   } else {
-    std::cout << outcome << ": version " << value.version() << " has digest " << value.digest()
-              << ", current version " << value.current_version()
-              << (value.message().empty() ? "" : ": " + value.message()) << "\n";
+    (is_accepted ? std::cout : std::cerr)
+        << outcome << ": version " << value.version() << " has digest " << value.digest()
+        << ", current version " << value.current_version()
+        << (value.message().empty() ? "" : ": " + value.message()) << "\n";
   }
-  const bool is_accepted = value.outcome() == rpc::SUBMIT_OUTCOME_ACCEPTED ||
-                           value.outcome() == rpc::SUBMIT_OUTCOME_ALREADY_ACCEPTED;
   return is_accepted ? kExitDone : kExitRefused;
 }
 
@@ -139,10 +140,11 @@
   while (std::chrono::steady_clock::now() < end) {
     const auto reply = AskStatus(control);
     if (reply && reply.value().bundle_version() >= version) {
-      const auto behind = CountBehind(reply.value(), version);
-      std::cerr << "version " << version << ": " << reply.value().sessions_size() - behind << " of "
-                << reply.value().sessions_size() << " entries\n";
-      if (behind == 0) return kExitDone;
+      const auto holding = CountHolding(reply.value(), 0);
+      const auto in_force = CountHolding(reply.value(), version);
+      std::cerr << "version " << version << ": " << in_force << " of " << holding << " entries\n";
+      // A group without entries has nothing in force.
+      if (holding > 0 && in_force == holding) return kExitDone;
     }
     std::this_thread::sleep_for(kPollInterval);
   }
