--- a/src/libs/entry/announcement_json.cpp
+++ b/src/libs/entry/announcement_json.cpp
@@ -9,6 +9,9 @@
 
 base::Result<rpc::AnnounceRequest> ParseAnnouncement(const std::string& body) {
   const auto root = nlohmann::json::parse(body, nullptr, false);
+  if (!root.is_object()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "announcement: expected a JSON object");
+  }
   std::string problem;
   bundle::FieldReader reader(root, "", problem);
   rpc::AnnounceRequest announcement;
