Start the whole system as separate processes in a test program

Cause: nothing proved the promises through separate processes. Change: a harness that writes settings into a fresh folder, starts daemons and upstreams on free loopback ports and kills and reaps them all; tests of whole answers and of charges sent to two entries at once. run-tests.sh runs this program one test at a time.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,8 +9,10 @@
   [ -x "$program" ] || continue
   name=$(basename "$program")
   log="build/$name.log"
-  # Tests of one program run one at a time: those that start daemons share the machine's ports.
-  "$program" --tap --jobs 4 > "$log" 2> "$log.err"
+  jobs=4
+  # Each test of this program starts a whole cluster; several at once would overload the machine.
+  [ "$name" = test_processes ] && jobs=1
+  "$program" --tap --jobs "$jobs" > "$log" 2> "$log.err"
   status=$?
   ok=0
   bad=0
--- /dev/null
+++ b/tests/auto/processes/harness/cluster.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "harness/child.h"
+#include "harness/http_caller.h"
+#include "harness/operator_tool.h"
+#include "harness/work_folder.h"
+
+namespace wagtailpick::processes {
+
+/// One daemon of the cluster.
+struct Node {
+  std::string vm;
+  std::string config;
+  std::string rpc_address;
+  std::string admin_address;
+  /// Of an entry.
+  std::string http_address;
+  /// Of a control replica, within the work folder.
+  std::string data_folder;
+  std::unique_ptr<Child> process;
+};
+
+/// One upstream stand-in.
+struct Upstream {
+  std::string address;
+  std::string service;
+  std::string place;
+  /// Milliseconds that each request takes.
+  unsigned work_ms = 5;
+  std::unique_ptr<Child> process;
+};
+
+/// Three control replicas and three entries, one of each in the regions mvd, pde and col (index 0,
+/// 1, 2), and the upstreams that a test adds, as separate processes on loopback.
+class Cluster {
+ public:
+  /// Starts the daemons and waits until bundle 1 is in force at every entry.
+  Cluster();
+
+  Node& control(std::size_t index) { return control_.at(index); }
+  Node& entry(std::size_t index) { return entries_.at(index); }
+  std::vector<Upstream>& upstreams() { return upstreams_; }
+  OperatorTool& tool() { return tool_; }
+  const HttpCaller& http() const { return http_; }
+  const WorkFolder& folder() const { return folder_; }
+
+  /// RPC addresses of all control replicas, separated by commas.
+  std::string control_list() const;
+
+  /// Starts a daemon, also one that was killed.
+  void Start(Node& node);
+
+  /// Adds and starts an upstream with three slots.
+  Upstream& AddUpstream(const std::string& service, const std::string& place, unsigned work_ms = 5);
+  void Start(Upstream& upstream);
+
+  /// Waits until every entry answers a GET of the service.
+  void WaitUntilServed(const std::string& service);
+
+  /// Index of the replica that leads; waits for one.
+  std::size_t WaitForLeader();
+
+  /// Submits a bundle until its outcome is known and returns it.
+  std::string SubmitUntilKnown(const std::string& signed_file, const std::string& control);
+
+  /// Waits until every entry has put `version` in force.
+  void WaitInForce(std::uint64_t version);
+
+  /// Events of a daemon since its start.
+  nlohmann::json Events(const Node& node) const;
+
+  /// Number of events of one kind, of those whose detail contains `detail`.
+  std::size_t CountEvents(const Node& node, const std::string& kind,
+                          const std::string& detail = {}) const;
+
+  /// Text of a daemon's metrics.
+  std::string Metrics(const Node& node) const;
+
+  /// Counts of an upstream.
+  nlohmann::json Stats(const Upstream& upstream) const;
+
+  /// Runs of a key, summed over all upstreams.
+  unsigned RunsOf(const std::string& key) const;
+
+ private:
+  Node MakeNode(const std::string& role, std::size_t index);
+
+  WorkFolder folder_;
+  HttpCaller http_;
+  OperatorTool tool_;
+  std::vector<Node> control_;
+  std::vector<Node> entries_;
+  std::vector<Upstream> upstreams_;
+};
+
+}  // namespace wagtailpick::processes
--- /dev/null
+++ b/tests/auto/processes/harness/expect.cpp
@@ -0,0 +1,37 @@
+#include "harness/expect.h"
+
+#include <criterion/criterion.h>
+
+#include <stdexcept>
+#include <thread>
+
+namespace wagtailpick::processes {
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{20};
+
+}  // namespace
+
+void Expect(bool condition, const std::string& message) {
+  if (!condition) throw std::runtime_error(message);
+}
+
+void WaitUntil(const std::string& what, const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + kWaitLimit;
+  while (!condition()) {
+    Expect(std::chrono::steady_clock::now() < end, "waited in vain until " + what);
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+void RunTest(const std::function<void()>& body) {
+  std::string failure;
+  try {
+    body();
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  cr_assert(failure.empty(), "%s", failure.c_str());
+}
+
+}  // namespace wagtailpick::processes
