Call no moved hook when the HTTP client stops

Cause: a client that stopped right after taking up requests cancelled the moved-from entries of its last round and ended the process with std::bad_function_call. A daemon under load could die of it on SIGTERM. Change: the round's entries are dropped before the final one is taken.

--- a/src/libs/http/client.cpp
+++ b/src/libs/http/client.cpp
@@ -52,6 +52,8 @@
       TakeFinished();
       curl_multi_poll(multi, nullptr, 0, kPollMillis, nullptr);
     }
+    // The last round's requests were moved on; their hooks must not be called again.
+    batch.clear();
     ring.PopAll(batch, base::Duration(0));
     CancelAll(batch);
   }
