--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -87,6 +87,7 @@
   LogDriver::Hooks hooks;
   hooks.apply = [raw](std::uint64_t index, const std::string& data) { raw->Apply(index, data); };
   hooks.restore = [raw](const std::string& snapshot) { raw->Restore(snapshot); };
+  hooks.members = [raw](const consensus::Membership& members) { raw->TakeMembers(members); };
   hooks.snapshot = [raw] { return raw->state_.EncodeSnapshot(); };
   hooks.stamp = [raw](rpc::ConsensusBatch& batch) { rpc::AddStamp(raw->events_, batch); };
   BOOST_OUTCOME_TRY(log, LogDriver::Create(service->self_, options.replicas, std::move(disk), loop,
@@ -120,6 +121,18 @@
   if (parsed) bundle_ = std::move(parsed.value());
 }
 
+void ControlService::TakeMembers(const consensus::Membership& members) {
+  for (const auto& member : members.members()) {
+    const auto* before = members_.Find(member.key);
+    if (before != nullptr && before->role == member.role) continue;
+    const bool is_voter = member.role == consensus::MemberRole::kVoter;
+    events_.Record(base::WallNowMillis(),
+                   is_voter ? EventKind::kReplicaCaughtUp : EventKind::kReplicaJoined,
+                   member.key.name, "log, incarnation " + std::to_string(member.key.incarnation));
+  }
+  members_ = members;
+}
+
 void ControlService::TakeOutcome(const control::Command& command, const control::Outcome& outcome) {
   const auto now = base::MonotonicNow();
   if (const auto* bundle = std::get_if<control::BundleOutcome>(&outcome)) {
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -53,6 +53,7 @@
   void SessionEnded(control::SessionId session);
   template <typename Outcome>
   void Propose(const control::Command& command, std::function<void(base::Result<Outcome>)> done);
+  void TakeMembers(const consensus::Membership& members);
   void CheckLeadership();
   void CloseExpired();
   void ForgetOrphans();
@@ -78,6 +79,8 @@
   std::uint64_t view_version_ = 0;
   /// Term for which the leader's memory was set up; 0 when this replica doesn't lead.
   std::uint64_t led_term_ = 0;
+  /// The newest committed membership that an entry of the log has set; empty before.
+  consensus::Membership members_;
   /// Set by `Apply` for the proposal that is settled right after it.
   base::Result<control::Outcome> last_outcome_;
   std::map<control::SessionId, SessionReport> reports_;
--- a/src/libs/controller/log_driver.cpp
+++ b/src/libs/controller/log_driver.cpp
@@ -122,11 +122,17 @@
   for (const auto& entry : output.committed) {
     const bool has_data = entry.kind == consensus::EntryKind::kData;
     if (has_data) hooks_.apply(entry.index, entry.data);
+    if (entry.kind == consensus::EntryKind::kMembership) TakeMembers(entry.data);
     applied_ = entry.index;
     SettlePending(entry);
   }
 }
 
+void LogDriver::TakeMembers(const std::string& data) {
+  const auto members = consensus::Membership::Parse(data);
+  if (members) hooks_.members(members.value());
+}
+
 void LogDriver::SettlePending(const consensus::Entry& entry) {
   const auto found = pending_.find(entry.index);
   if (found == pending_.end()) return;
--- a/src/libs/controller/log_driver.h
+++ b/src/libs/controller/log_driver.h
@@ -28,6 +28,8 @@
     std::function<std::string()> snapshot;
     /// Stamps an outgoing batch of messages.
     std::function<void(rpc::ConsensusBatch&)> stamp;
+    /// Takes a membership that is committed.
+    std::function<void(const consensus::Membership& members)> members;
   };
 
   /// Called once: with nothing when the proposal was applied, or with the error that its outcome is
@@ -61,6 +63,7 @@
   void Flush();
   void Send(const std::vector<consensus::Message>& messages);
   void Apply(const consensus::Output& output);
+  void TakeMembers(const std::string& data);
   void SettlePending(const consensus::Entry& entry);
   void FailPending();
   void TakeSnapshotWhenDue();
--- /dev/null
+++ b/tests/auto/processes/harness/charge_load.cpp
@@ -0,0 +1,121 @@
+#include "harness/charge_load.h"
+
+#include <criterion/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "harness/expect.h"
+
+namespace wagtailpick::processes {
+namespace {
+
+/// More than the slots of a test's upstreams, so that their limit is reached.
+constexpr std::size_t kCallers = 12;
+constexpr std::size_t kMaxAttempts = 8;
+constexpr std::size_t kSlots = 3;
+/// A caller that hears nothing for longer than a request's deadline asks another entry.
+constexpr std::chrono::seconds kPatience{3};
+constexpr std::chrono::milliseconds kPause{50};
+
+bool IsRun(const Answer& answer) { return answer.status == 200 && answer.verdict == "ran"; }
+
+}  // namespace
+
+ChargeLoad::ChargeLoad(Cluster& cluster, const std::string& name) : cluster_(cluster), name_(name) {
+  for (std::size_t i = 0; i < 3; ++i) entries_.push_back(cluster.entry(i).http_address);
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers_.emplace_back([this, i] { RunCaller(i); });
+  }
+}
+
+ChargeLoad::~ChargeLoad() { Stop(); }
+
+void ChargeLoad::RunCaller(std::size_t caller) {
+  for (std::size_t charge = 0; !stopping_; ++charge) {
+    SendUntilKnown(caller, name_ + "-" + std::to_string(caller) + "-" + std::to_string(charge));
+  }
+}
+
+void ChargeLoad::SendUntilKnown(std::size_t caller, const std::string& key) {
+  std::vector<Answer> ended;
+  for (std::size_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto& entry = entries_.at((caller + attempt) % entries_.size());
+    auto future = cluster_.http().StartCharge(entry, key, BodyOf(key));
+    if (future.wait_for(kPatience) != std::future_status::ready) {
+      // An entry that was paused may still answer it.
+      const std::lock_guard lock(mutex_);
+      late_.emplace_back(key, std::move(future));
+      continue;
+    }
+    ended.push_back(future.get());
+    if (IsRun(ended.back())) break;
+    std::this_thread::sleep_for(kPause);
+  }
+  if (std::any_of(ended.begin(), ended.end(), IsRun)) ++answered_;
+  const std::lock_guard lock(mutex_);
+  answers_[key] = std::move(ended);
+}
+
+void ChargeLoad::WaitForMore(std::size_t count) const {
+  const std::size_t goal = answered_ + count;
+  WaitUntil(std::to_string(count) + " more charges are answered",
+            [&] { return answered_ >= goal; });
+}
+
+void ChargeLoad::Stop() {
+  stopping_ = true;
+  for (auto& caller : callers_) {
+    if (caller.joinable()) caller.join();
+  }
+  for (auto& [key, future] : late_) answers_[key].push_back(future.get());
+  late_.clear();
+}
+
+void ChargeLoad::Check() const {
+  std::map<std::string, unsigned> runs;
+  for (const auto& upstream : cluster_.upstreams()) {
+    nlohmann::json stats;
+    WaitUntil("no charge runs any more", [&] {
+      stats = cluster_.Stats(upstream);
+      return stats.at("running") == 0;
+    });
+    Expect(stats.at("max_running") <= kSlots, "slots exceeded: " + stats.at("max_running").dump());
+    for (const auto& [key, count] : stats.at("runs_per_key").items()) {
+      runs[key] += count.get<unsigned>();
+    }
+  }
+  for (const auto& [key, answers] : answers_) CheckKey(key, answers, runs[key]);
+  cr_log_info("%s: %zu charges, %zu answered", name_.c_str(), answers_.size(),
+              AnsweredKeys().size());
+}
+
+void ChargeLoad::CheckKey(const std::string& key, const std::vector<Answer>& answers,
+                          unsigned runs) const {
+  std::string history = key + " ran " + std::to_string(runs) + " times:";
+  for (const auto& answer : answers) history += " [" + answer.Text() + "]";
+  Expect(runs <= 1, history);
+  const bool is_answered = std::any_of(answers.begin(), answers.end(), IsRun);
+  if (is_answered) Expect(runs == 1, history);
+  for (const auto& answer : answers) {
+    if (IsRun(answer)) Expect(answer.body == "POST /pay " + BodyOf(key), history);
+    const bool needs_retry_after = answer.whole && !IsRun(answer);
+    Expect(!needs_retry_after || answer.has_retry_after, "no Retry-After: " + history);
+  }
+  const auto last =
+      std::max_element(answers.begin(), answers.end(),
+                       [](const Answer& a, const Answer& b) { return a.order < b.order; });
+  if (!is_answered && last->verdict == "not_run") Expect(runs == 0, history);
+}
+
+std::vector<std::string> ChargeLoad::AnsweredKeys() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> keys;
+  for (const auto& [key, answers] : answers_) {
+    if (std::any_of(answers.begin(), answers.end(), IsRun)) keys.push_back(key);
+  }
+  return keys;
+}
+
+}  // namespace wagtailpick::processes
--- /dev/null
+++ b/tests/auto/processes/harness/charge_load.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "harness/cluster.h"
+
+namespace wagtailpick::processes {
+
+/// Callers that send charges without a pause, each under a key of its own, and resend a charge
+/// under its key through the next entry until they know its outcome or lose patience.
+class ChargeLoad {
+ public:
+  /// Starts the callers; `name` begins each key.
+  ChargeLoad(Cluster& cluster, const std::string& name);
+  ~ChargeLoad();
+  ChargeLoad(const ChargeLoad&) = delete;
+  ChargeLoad& operator=(const ChargeLoad&) = delete;
+
+  /// Waits until `count` more charges have been answered as run.
+  void WaitForMore(std::size_t count) const;
+
+  /// Ends the callers once every request that they sent has ended.
+  void Stop();
+
+  /// Throws unless, over all upstreams, each key ran at most once, each charge that was answered
+  /// ran once and got its own answer, no charge ran whose last answer is `not_run`, and no upstream
+  /// ran more requests at once than it has slots. Call after `Stop`.
+  void Check() const;
+
+  /// Keys whose charge was answered as run.
+  std::vector<std::string> AnsweredKeys() const;
+
+  /// Body of the charge under `key`.
+  static std::string BodyOf(const std::string& key) { return "charge " + key; }
+
+ private:
+  void RunCaller(std::size_t caller);
+  void SendUntilKnown(std::size_t caller, const std::string& key);
+  void CheckKey(const std::string& key, const std::vector<Answer>& answers, unsigned runs) const;
+
+  Cluster& cluster_;
+  const std::string name_;
+  std::vector<std::string> entries_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> answered_ = 0;
+  mutable std::mutex mutex_;
+  std::map<std::string, std::vector<Answer>> answers_;
+  /// Requests that their callers left waiting.
+  std::vector<std::pair<std::string, std::future<Answer>>> late_;
+  std::vector<std::thread> callers_;
+};
+
+}  // namespace wagtailpick::processes
--- a/tests/auto/processes/harness/cluster.cpp
+++ b/tests/auto/processes/harness/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 
 #include "harness/expect.h"
 #include "harness/free_ports.h"
@@ -65,6 +66,31 @@
   return list;
 }
 
+std::string Cluster::ControlWithout(std::size_t index) const {
+  std::string list;
+  for (std::size_t i = 0; i < control_.size(); ++i) {
+    if (i != index) list += (list.empty() ? "" : ",") + control_[i].rpc_address;
+  }
+  return list;
+}
+
+void Cluster::CheckNoRevert() const {
+  std::map<std::uint64_t, std::string> digests;
+  for (const auto& node : entries_) {
+    std::uint64_t last = 0;
+    for (const auto& event : Events(node)) {
+      if (event.at("event") != "bundle_in_force") continue;
+      const std::uint64_t version = std::stoull(event.at("subject").get<std::string>());
+      const std::string digest = event.at("detail");
+      Expect(version > last, node.vm + " went from version " + std::to_string(last) + " to " +
+                                 std::to_string(version));
+      last = version;
+      const auto& known = digests.try_emplace(version, digest).first->second;
+      Expect(known == digest, "two bundles of version " + std::to_string(version));
+    }
+  }
+}
+
 void Cluster::Start(Node& node) {
   node.process = std::make_unique<Child>(
       std::vector<std::string>{WAGTAILPICK_DAEMON, "--config=" + node.config},
@@ -110,10 +136,10 @@
   }
 }
 
-std::size_t Cluster::WaitForLeader() {
+std::size_t Cluster::WaitForLeader(const std::string& control) {
   std::size_t found = 0;
   WaitUntil("a replica leads", [&] {
-    const auto status = nlohmann::json::parse(tool_.StatusJson(control_list()), nullptr, false);
+    const auto status = nlohmann::json::parse(tool_.StatusJson(control), nullptr, false);
     if (!status.is_object()) return false;
     const auto leader = std::find_if(control_.begin(), control_.end(), [&](const Node& node) {
       return node.rpc_address == status.value("leader", "");
--- a/tests/auto/processes/harness/cluster.h
+++ b/tests/auto/processes/harness/cluster.h
@@ -64,8 +64,16 @@
   /// Waits until every entry answers a GET of the service.
   void WaitUntilServed(const std::string& service);
 
-  /// Index of the replica that leads; waits for one.
-  std::size_t WaitForLeader();
+  /// Index of the replica that leads, as `control` tells; waits for one.
+  std::size_t WaitForLeader(const std::string& control);
+  std::size_t WaitForLeader() { return WaitForLeader(control_list()); }
+
+  /// RPC addresses of all control replicas but one, separated by commas.
+  std::string ControlWithout(std::size_t index) const;
+
+  /// Throws unless each entry has put bundles in force in the order of their versions, with one
+  /// digest for each version over all entries.
+  void CheckNoRevert() const;
 
   /// Submits a bundle until its outcome is known and returns it.
   std::string SubmitUntilKnown(const std::string& signed_file, const std::string& control);
--- a/tests/auto/processes/harness/http_caller.cpp
+++ b/tests/auto/processes/harness/http_caller.cpp
@@ -1,5 +1,6 @@
 #include "harness/http_caller.h"
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,7 +15,9 @@
 }
 
 Answer ToAnswer(http::Exchange exchange) {
+  static std::atomic<std::uint64_t> ended = 0;
   Answer answer;
+  answer.order = ++ended;
   answer.whole = exchange.status == http::ExchangeStatus::kComplete;
   if (!answer.whole) return answer;
   answer.status = exchange.answer_status;
--- a/tests/auto/processes/harness/http_caller.h
+++ b/tests/auto/processes/harness/http_caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <future>
 #include <memory>
 #include <string>
@@ -21,6 +22,8 @@
   bool replayed = false;
   bool has_retry_after = false;
   std::string body;
+  /// Rises in the order in which requests of this process ended.
+  std::uint64_t order = 0;
 
   /// One line for messages.
   std::string Text() const;
