--- a/tests/auto/processes/harness/charge_load.cpp
+++ b/tests/auto/processes/harness/charge_load.cpp
@@ -23,8 +23,10 @@
 
 }  // namespace
 
-ChargeLoad::ChargeLoad(Cluster& cluster, const std::string& name) : cluster_(cluster), name_(name) {
-  for (std::size_t i = 0; i < 3; ++i) entries_.push_back(cluster.entry(i).http_address);
+ChargeLoad::ChargeLoad(Cluster& cluster, const std::string& name,
+                       const std::vector<std::size_t>& entries)
+    : cluster_(cluster), name_(name) {
+  for (const auto index : entries) entries_.push_back(cluster.entry(index).http_address);
   for (std::size_t i = 0; i < kCallers; ++i) {
     callers_.emplace_back([this, i] { RunCaller(i); });
   }
@@ -87,8 +89,21 @@
     }
   }
   for (const auto& [key, answers] : answers_) CheckKey(key, answers, runs[key]);
-  cr_log_info("%s: %zu charges, %zu answered", name_.c_str(), answers_.size(),
-              AnsweredKeys().size());
+  LogReasons();
+}
+
+void ChargeLoad::LogReasons() const {
+  std::map<std::string, std::size_t> reasons;
+  for (const auto& [key, answers] : answers_) {
+    for (const auto& answer : answers) {
+      const std::string reason = answer.reason.empty() ? answer.verdict : answer.reason;
+      ++reasons[answer.whole ? reason : "no_answer"];
+    }
+  }
+  std::string text;
+  for (const auto& [reason, count] : reasons) text += " " + reason + " " + std::to_string(count);
+  cr_log_info("%s: %zu charges, %zu answered; answers:%s", name_.c_str(), answers_.size(),
+              AnsweredKeys().size(), text.c_str());
 }
 
 void ChargeLoad::CheckKey(const std::string& key, const std::vector<Answer>& answers,
@@ -109,6 +124,14 @@
   if (!is_answered && last->verdict == "not_run") Expect(runs == 0, history);
 }
 
+void ChargeLoad::CheckNoneCutOff() const {
+  for (const auto& [key, answers] : answers_) {
+    for (const auto& answer : answers) {
+      Expect(answer.whole && answer.attempt_verdict != "may_have_run", key + ": " + answer.Text());
+    }
+  }
+}
+
 std::vector<std::string> ChargeLoad::AnsweredKeys() const {
   const std::lock_guard lock(mutex_);
   std::vector<std::string> keys;
--- a/tests/auto/processes/harness/charge_load.h
+++ b/tests/auto/processes/harness/charge_load.h
@@ -17,8 +17,9 @@
 /// under its key through the next entry until they know its outcome or lose patience.
 class ChargeLoad {
  public:
-  /// Starts the callers; `name` begins each key.
-  ChargeLoad(Cluster& cluster, const std::string& name);
+  /// Starts the callers; `name` begins each key. They use the entries with the given indexes.
+  ChargeLoad(Cluster& cluster, const std::string& name,
+             const std::vector<std::size_t>& entries = {0, 1, 2});
   ~ChargeLoad();
   ChargeLoad(const ChargeLoad&) = delete;
   ChargeLoad& operator=(const ChargeLoad&) = delete;
@@ -34,6 +35,10 @@
   /// ran more requests at once than it has slots. Call after `Stop`.
   void Check() const;
 
+  /// Throws if any request was cut off: ended without an answer or with one that leaves open
+  /// whether this attempt ran.
+  void CheckNoneCutOff() const;
+
   /// Keys whose charge was answered as run.
   std::vector<std::string> AnsweredKeys() const;
 
@@ -43,6 +48,7 @@
  private:
   void RunCaller(std::size_t caller);
   void SendUntilKnown(std::size_t caller, const std::string& key);
+  void LogReasons() const;
   void CheckKey(const std::string& key, const std::vector<Answer>& answers, unsigned runs) const;
 
   Cluster& cluster_;
--- a/tests/auto/processes/harness/cluster.h
+++ b/tests/auto/processes/harness/cluster.h
@@ -46,6 +46,10 @@
 
   Node& control(std::size_t index) { return control_.at(index); }
   Node& entry(std::size_t index) { return entries_.at(index); }
+  /// Address of an entry for callers.
+  const std::string& entry_address(std::size_t index) const {
+    return entries_.at(index).http_address;
+  }
   std::vector<Upstream>& upstreams() { return upstreams_; }
   OperatorTool& tool() { return tool_; }
   const HttpCaller& http() const { return http_; }
--- a/tests/auto/processes/harness/http_caller.cpp
+++ b/tests/auto/processes/harness/http_caller.cpp
@@ -26,7 +26,9 @@
   answer.has_retry_after = !HeaderOf(exchange, "Retry-After").empty();
   answer.body = std::move(exchange.body);
   const auto json = nlohmann::json::parse(answer.body, nullptr, false);
-  if (json.is_object()) answer.reason = json.value("reason", "");
+  if (!json.is_object()) return answer;
+  answer.reason = json.value("reason", "");
+  answer.attempt_verdict = json.value("attempt_verdict", "");
   return answer;
 }
 
--- a/tests/auto/processes/harness/http_caller.h
+++ b/tests/auto/processes/harness/http_caller.h
@@ -19,6 +19,8 @@
   std::string verdict;
   /// `reason` of an error body.
   std::string reason;
+  /// `attempt_verdict` of an error body: what happened to this attempt alone.
+  std::string attempt_verdict;
   bool replayed = false;
   bool has_retry_after = false;
   std::string body;
--- a/tests/auto/processes/harness/operator_tool.cpp
+++ b/tests/auto/processes/harness/operator_tool.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include "harness/expect.h"
-#include "harness/test_bundle.h"
 
 namespace wagtailpick::processes {
 
@@ -17,9 +16,10 @@
   Expect(made.exit_code == 0, "keygen: " + made.errors);
 }
 
-std::string OperatorTool::Sign(std::uint64_t version, unsigned variant) {
-  const std::string name = "bundle-" + std::to_string(version) + "-" + std::to_string(variant);
-  const std::string file = folder_.Write(name + ".json", TestBundle(version, variant));
+std::string OperatorTool::Sign(const BundleOptions& options) {
+  const std::string name =
+      "bundle-" + std::to_string(options.version) + "-" + std::to_string(options.variant);
+  const std::string file = folder_.Write(name + ".json", TestBundle(options));
   const std::string signed_file = folder_.Path(name + ".signed");
   const auto done =
       Finish(Run({"sign", file, "--key=" + folder_.Path("operator.key"), "--out=" + signed_file}));
--- a/tests/auto/processes/harness/operator_tool.h
+++ b/tests/auto/processes/harness/operator_tool.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "harness/child.h"
+#include "harness/test_bundle.h"
 #include "harness/work_folder.h"
 
 namespace wagtailpick::processes {
@@ -28,7 +29,8 @@
   std::string public_key_file() const { return folder_.Path("operator.pub"); }
 
   /// Signs a bundle and returns the file with the signed one.
-  std::string Sign(std::uint64_t version, unsigned variant = 0);
+  std::string Sign(const BundleOptions& options);
+  std::string Sign(std::uint64_t version, unsigned variant = 0) { return Sign({version, variant}); }
 
   /// A command that runs, and what its output files are called.
   struct Running {
--- a/tests/auto/processes/harness/test_bundle.cpp
+++ b/tests/auto/processes/harness/test_bundle.cpp
@@ -9,23 +9,25 @@
 constexpr std::array<const char*, 3> kRegions{"mvd", "pde", "col"};
 constexpr int kCapPerSecond = 50;
 
-nlohmann::json Service(const std::string& name, int priority) {
+nlohmann::json Service(const std::string& name, int priority, unsigned deadline_ms) {
   return {
-      {"name", name},   {"priority", priority},           {"request_deadline_ms", 2'000},
+      {"name", name},   {"priority", priority},           {"request_deadline_ms", deadline_ms},
       {"max_slots", 3}, {"expected_answer_bytes", 2'000}, {"idempotent_methods", {"GET", "HEAD"}}};
 }
 
 }  // namespace
 
-std::string TestBundle(std::uint64_t version, unsigned variant) {
-  nlohmann::json bundle{{"deployment", "manta-alta"},
-                        {"version", version},
-                        {"policy", "latency"},
-                        {"answer_lifetime_ms", 500 + variant},
-                        {"shift_headroom_percent", 20},
-                        {"client_blocks", {{{"block", "127.0.0.0/8"}, {"place", "mvd-1"}}}},
-                        {"services", {Service("listings", 3), Service("payment", 7)}},
-                        {"drains", nlohmann::json::array()}};
+std::string TestBundle(const BundleOptions& options) {
+  nlohmann::json bundle{
+      {"deployment", "manta-alta"},
+      {"version", options.version},
+      {"policy", "latency"},
+      {"answer_lifetime_ms", 500 + options.variant},
+      {"shift_headroom_percent", 20},
+      {"client_blocks", {{{"block", "127.0.0.0/8"}, {"place", "mvd-1"}}}},
+      {"services",
+       {Service("listings", 3, options.deadline_ms), Service("payment", 7, options.deadline_ms)}},
+      {"drains", nlohmann::json::array()}};
   for (const std::string region : kRegions) {
     bundle["regions"].push_back(
         {{"name", region}, {"data_centres", {region + "-1", region + "-2"}}});
--- /dev/null
+++ b/tests/auto/processes/wrong_answer_test.cpp
@@ -0,0 +1,143 @@
+#include <criterion/criterion.h>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/cluster.h"
+#include "harness/expect.h"
+
+using wagtailpick::processes::Answer;
+using wagtailpick::processes::CallerRequest;
+using wagtailpick::processes::Cluster;
+using wagtailpick::processes::Expect;
+using wagtailpick::processes::RunTest;
+using wagtailpick::processes::WaitUntil;
+
+namespace {
+
+constexpr std::size_t kEntries = 3;
+
+// How the system has to answer when the upstream answers wrongly.
+struct Case {
+  const char* fault;
+  int status;
+  const char* verdict;
+  // Reason of the error; null when the fault isn't the caller's to see.
+  const char* reason;
+};
+
+constexpr std::array<Case, 6> kCases{{
+    {"truncate", 502, "may_have_run", "connection_lost"},
+    {"close", 502, "may_have_run", "connection_lost"},
+    {"foreign", 502, "may_have_run", "foreign_answer"},
+    {"twice", 200, "ran", ""},
+    {"shed", 503, "not_run", "shed"},
+    {"hang", 502, "may_have_run", nullptr},
+}};
+
+// Refused before any upstream got it, so it can be sent again without changing the test.
+bool WasKeptBack(const Answer& answer) {
+  return answer.verdict == "not_run" && answer.reason != "shed";
+}
+
+void CheckCase(const Cluster& cluster, const Case& expected, const std::string& entry,
+               const std::string& path) {
+  CallerRequest request;
+  request.address = entry;
+  request.target = "/s/listings" + path;
+  request.headers = {{"X-Standin", expected.fault}};
+  Answer answer;
+  WaitUntil(std::string(expected.fault) + " reaches an upstream", [&] {
+    answer = cluster.http().Send(request);
+    return !WasKeptBack(answer);
+  });
+  const std::string text = std::string(expected.fault) + ": " + answer.Text();
+  Expect(answer.status == expected.status && answer.verdict == expected.verdict, text);
+  Expect(expected.reason == nullptr || answer.reason == expected.reason, text);
+  if (expected.status == 200) {
+    Expect(answer.body == "GET " + path + " ", text);
+  } else {
+    Expect(answer.has_retry_after, "no Retry-After: " + text);
+    // Neither a part of its own answer nor anything of another's.
+    Expect(answer.body.find("GET /") == std::string::npos, text);
+    Expect(answer.body.find("another caller") == std::string::npos, text);
+  }
+}
+
+// A caller whose requests are right and who must never see anything but his own answers.
+class Bystander {
+ public:
+  Bystander(const Cluster& cluster, std::string name)
+      : cluster_(cluster), name_(std::move(name)), thread_([this] { Run(); }) {}
+  ~Bystander() { Stop(); }
+  Bystander(const Bystander&) = delete;
+  Bystander& operator=(const Bystander&) = delete;
+
+  void Stop() {
+    stopping_ = true;
+    if (thread_.joinable()) thread_.join();
+  }
+  const std::string& problem() const { return problem_; }
+  std::size_t answered() const { return answered_; }
+
+ private:
+  void Run() {
+    for (std::size_t i = 0; !stopping_ && problem_.empty(); ++i) {
+      const std::string path = "/" + name_ + "-" + std::to_string(i);
+      const auto& entry = entries_.at(i % kEntries);
+      const Answer answer = cluster_.http().Get(entry, "/s/listings" + path);
+      const bool is_own = answer.status == 200 && answer.body == "GET " + path + " ";
+      const bool is_error = answer.whole && answer.status >= 400 &&
+                            answer.body.find("GET /") == std::string::npos &&
+                            answer.body.find("another caller") == std::string::npos;
+      if (is_own) ++answered_;
+      if (!is_own && !is_error) problem_ = path + ": " + answer.Text();
+    }
+  }
+
+  const Cluster& cluster_;
+  std::string name_;
+  std::vector<std::string> entries_{cluster_.entry_address(0), cluster_.entry_address(1),
+                                    cluster_.entry_address(2)};
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> answered_ = 0;
+  std::string problem_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Guards against a partial answer, another caller's answer, or a wrong verdict when an upstream
+// cuts its answer, closes, answers another request, answers twice, sheds or hangs.
+Test(wrong_answer, never_reaches_a_caller) {
+  RunTest([] {
+    Cluster cluster;
+    for (const char* place : {"mvd-1", "mvd-1", "mvd-1", "pde-1"}) {
+      cluster.AddUpstream("listings", place);
+    }
+    cluster.WaitUntilServed("listings");
+    Bystander first(cluster, "first");
+    Bystander second(cluster, "second");
+    for (const auto& expected : kCases) {
+      for (std::size_t i = 0; i < kEntries; ++i) {
+        const auto& entry = cluster.entry_address(i);
+        const std::string suffix = std::string(expected.fault) + "-" + std::to_string(i);
+        CheckCase(cluster, expected, entry, "/fault-" + suffix);
+        WaitUntil("a right answer follows " + suffix, [&] {
+          const std::string path = "/after-" + suffix;
+          const Answer answer = cluster.http().Get(entry, "/s/listings" + path);
+          Expect(answer.status != 200 || answer.body == "GET " + path + " ", answer.Text());
+          return answer.status == 200;
+        });
+      }
+    }
+    first.Stop();
+    second.Stop();
+    Expect(first.problem().empty(), first.problem());
+    Expect(second.problem().empty(), second.problem());
+    Expect(first.answered() > 0 && second.answered() > 0, "the bystanders got no answer");
+  });
+}
--- a/tests/standins/upstream_main.cpp
+++ b/tests/standins/upstream_main.cpp
@@ -79,7 +79,7 @@
     connection.Send(503, echo + "X-Upstream-Shed: not-run\r\n", "expired");
     return true;
   }
-  state.Started(request.Header("idempotency-key"));
+  state.Started(request.Header("idempotency-key"), now);
   if (fault == "crash") std::_Exit(kCrashExitCode);
   Work(fault == "hang" ? std::chrono::milliseconds(kHang) : options.work, deadline);
   state.Finished();
--- a/tests/standins/upstream_state.cpp
+++ b/tests/standins/upstream_state.cpp
@@ -20,7 +20,8 @@
       address_(std::move(address)),
       place_(std::move(place)),
       slots_(slots),
-      incarnation_(base::WallNowMillis()) {}
+      incarnation_(base::WallNowMillis()),
+      state_since_(incarnation_) {}
 
 std::string UpstreamState::NextAnnouncement() {
   const std::lock_guard lock(mutex_);
@@ -32,8 +33,9 @@
       .dump();
 }
 
-void UpstreamState::Started(const std::string& key) {
+void UpstreamState::Started(const std::string& key, std::int64_t wall_millis) {
   const std::lock_guard lock(mutex_);
+  latest_start_ms_ = std::max(latest_start_ms_, wall_millis - state_since_);
   ++runs_;
   ++running_;
   max_running_ = std::max(max_running_, running_);
@@ -48,6 +50,8 @@
 void UpstreamState::SetState(const std::string& state) {
   const std::lock_guard lock(mutex_);
   state_ = state;
+  state_since_ = base::WallNowMillis();
+  latest_start_ms_ = -1;
 }
 
 std::string UpstreamState::StatsJson() const {
@@ -56,6 +60,9 @@
                         {"running", running_},
                         {"max_running", max_running_},
                         {"slots", slots_},
+                        {"state", state_},
+                        {"state_age_ms", base::WallNowMillis() - state_since_},
+                        {"latest_start_ms", latest_start_ms_},
                         {"refused_expired", refused_expired_.load()},
                         {"runs_per_key", runs_per_key_}}
       .dump();
--- a/tests/standins/upstream_state.h
+++ b/tests/standins/upstream_state.h
@@ -16,15 +16,16 @@
   /// JSON body of the next announcement.
   std::string NextAnnouncement();
 
-  /// Notes that a request starts; `key` is its idempotency key or empty.
-  void Started(const std::string& key);
+  /// Notes that a request starts at `wall_millis`; `key` is its idempotency key or empty.
+  void Started(const std::string& key, std::int64_t wall_millis);
   void Finished();
   void RefusedExpired() { ++refused_expired_; }
 
   /// State that announcements carry: "up", "draining" or "leaving".
   void SetState(const std::string& state);
 
-  /// Counts for checkers: runs, running, highest number of concurrent runs, runs per key.
+  /// Counts for checkers: runs, running, highest number of concurrent runs, runs per key, age of
+  /// the announced state, and its age when the latest request started (-1 for none).
   std::string StatsJson() const;
 
  private:
@@ -37,6 +38,8 @@
   std::atomic<std::uint64_t> refused_expired_ = 0;
   mutable std::mutex mutex_;
   std::string state_ = "up";
+  std::int64_t state_since_;
+  std::int64_t latest_start_ms_ = -1;
   unsigned running_ = 0;
   unsigned max_running_ = 0;
   std::uint64_t runs_ = 0;
