--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdio>
 #include <cstring>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -152,6 +153,21 @@
   return text;
 }
 
+/// Returns the first section that the schema doesn't know, also one without keys, which the parser
+/// doesn't report. Only a line that starts with a bracket begins a section; an indented one
+/// continues a value.
+std::string UnknownSection(const Collector& collector) {
+  std::ifstream file(*collector.path);
+  std::string line;
+  while (std::getline(file, line)) {
+    const auto end = line.find(']');
+    if (!line.starts_with('[') || end == std::string::npos) continue;
+    const std::string section = line.substr(1, end - 1);
+    if (!collector.KnowsSection(section)) return section;
+  }
+  return {};
+}
+
 int OnValue(void* user, const char* section, const char* name, const char* value) {
   static_cast<Collector*>(user)->Take(section, name, value);
   return 1;
@@ -186,6 +202,11 @@
   if (!collector.problem.empty()) {
     return base::Fail(base::ErrorCode::kInvalidArgument, collector.problem);
   }
+  const std::string unknown = UnknownSection(collector);
+  if (!unknown.empty()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      path + ": [" + unknown + "]: unknown section");
+  }
   for (const auto& rule : schema) {
     const bool is_set = collector.values.contains(KeyOf(rule.section, rule.key));
     if (is_set) continue;
--- a/tests/auto/timeline/event_ring_test.cpp
+++ b/tests/auto/timeline/event_ring_test.cpp
@@ -50,7 +50,7 @@
 Test(event_ring, an_event_follows_the_stamp_of_an_incoming_message) {
   EventRing ring("entry-1", 10);
   const HybridStamp remote{9'000, 7};
-  ring.clock().Observe(remote);
+  ring.ObserveMessage(remote);
   ring.Record(8'000, EventKind::kBundleInForce, "2", "");
   cr_expect(remote < ring.EventsAfter(0).front().stamp);
 }
