--- a/src/libs/http/parse_error_answer.cpp
+++ b/src/libs/http/parse_error_answer.cpp
@@ -31,7 +31,8 @@
 std::optional<std::string> ParseErrorAnswer(const std::string& error) {
   const auto marker = error.find(kMarker);
   if (marker == std::string::npos) return std::nullopt;
-  const std::string_view name = std::string_view(error).substr(marker + kMarker.size());
+  std::string_view name = error;
+  name.remove_prefix(marker + kMarker.size());
   const auto found = std::find_if(kLimitErrors.begin(), kLimitErrors.end(), [&](const auto& row) {
     return name.starts_with(std::string(row.name) + ":");
   });
