Follow clang-tidy in the new tests

Cause: tidy rejected names, copies and widenings in the new test files. Change: functions instead of constants with destructors, const references, wider counters.

--- a/tests/auto/http/client_test.cpp
+++ b/tests/auto/http/client_test.cpp
@@ -26,40 +26,42 @@
   std::string body = {};
 };
 
-const std::string kOk = "HTTP/1.1 200 OK\r\n";
-const std::string kWhole = kOk + "Content-Length: 2\r\n\r\nok";
+std::string Ok() { return "HTTP/1.1 200 OK\r\n"; }
+std::string Whole() { return Ok() + "Content-Length: 2\r\n\r\nok"; }
 
 std::vector<AnswerCase> AnswerCases() {
   using enum ExchangeStatus;
   return {
-      {"whole", kWhole, kComplete, "ok"},
-      {"whole and chunked", kOk + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+      {"whole", Whole(), kComplete, "ok"},
+      {"whole and chunked", Ok() + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
        kComplete, "ok"},
-      {"whole with equal lengths", kOk + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+      {"whole with equal lengths", Ok() + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
        kComplete, "ok"},
-      {"ended by the close", kOk + "\r\nok", kComplete, "ok"},
-      {"after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n" + kWhole, kComplete, "ok"},
+      {"ended by the close", Ok() + "\r\nok", kComplete, "ok"},
+      {"after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n" + Whole(), kComplete, "ok"},
       {"closed before the answer", "", kConnectionLost},
       {"closed within the status line", "HTTP/1.1 20", kConnectionLost},
-      {"closed after the status line", kOk, kConnectionLost},
-      {"closed within a header", kOk + "Content-Len", kConnectionLost},
-      {"closed before the end of the headers", kOk + "Content-Length: 2\r\n", kConnectionLost},
+      {"closed after the status line", Ok(), kConnectionLost},
+      {"closed within a header", Ok() + "Content-Len", kConnectionLost},
+      {"closed before the end of the headers", Ok() + "Content-Length: 2\r\n", kConnectionLost},
       {"closed after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n", kConnectionLost},
-      {"closed before the body", kOk + "Content-Length: 2\r\n\r\n", kConnectionLost},
-      {"closed within the body", kOk + "Content-Length: 2\r\n\r\no", kConnectionLost},
-      {"closed within a chunk", kOk + "Transfer-Encoding: chunked\r\n\r\n5\r\nok", kConnectionLost},
-      {"closed before the last chunk", kOk + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+      {"closed before the body", Ok() + "Content-Length: 2\r\n\r\n", kConnectionLost},
+      {"closed within the body", Ok() + "Content-Length: 2\r\n\r\no", kConnectionLost},
+      {"closed within a chunk", Ok() + "Transfer-Encoding: chunked\r\n\r\n5\r\nok",
+       kConnectionLost},
+      {"closed before the last chunk", Ok() + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
        kConnectionLost},
       {"not HTTP", "SSH-2.0-x\r\n\r\n", kBadAnswer},
-      {"a wrong length", kOk + "Content-Length: x\r\n\r\nok", kBadAnswer},
-      {"conflicting lengths", kOk + "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok", kBadAnswer},
+      {"a wrong length", Ok() + "Content-Length: x\r\n\r\nok", kBadAnswer},
+      {"conflicting lengths", Ok() + "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok",
+       kBadAnswer},
       // The library has no error of its own for a broken chunk; the verdict is the same.
-      {"a wrong chunk size", kOk + "Transfer-Encoding: chunked\r\n\r\nx\r\nok\r\n",
+      {"a wrong chunk size", Ok() + "Transfer-Encoding: chunked\r\n\r\nx\r\nok\r\n",
        kConnectionLost},
-      {"an oversized body", kOk + "Content-Length: 2000\r\n\r\n" + std::string(2'000, 'a'),
+      {"an oversized body", Ok() + "Content-Length: 2000\r\n\r\n" + std::string(2'000, 'a'),
        kBadAnswer},
-      {"an oversized header", kOk + "X-A: " + std::string(2'000, 'a') + "\r\n\r\n", kBadAnswer},
-      {"answered twice", kWhole + kOk + "Content-Length: 3\r\n\r\nbad", kComplete, "ok"},
+      {"an oversized header", Ok() + "X-A: " + std::string(2'000, 'a') + "\r\n\r\n", kBadAnswer},
+      {"answered twice", Whole() + Ok() + "Content-Length: 3\r\n\r\nbad", kComplete, "ok"},
   };
 }
 
@@ -136,7 +138,7 @@
     // Only the first request of the first connection is answered.
     while (!self.ReadRequest(connection).empty()) {
       if (self.requests() != 1) return;
-      connection.Send(kWhole);
+      connection.Send(Whole());
     }
   });
   SyncClient client;
@@ -151,7 +153,7 @@
 // while it was idle. The client may see the close before it sends or not.
 Test(client, a_request_after_an_idle_close_arrives_once_at_most) {
   RawServer server([&](RawServer& self, RawConnection& connection) {
-    if (!self.ReadRequest(connection).empty()) connection.Send(kWhole);
+    if (!self.ReadRequest(connection).empty()) connection.Send(Whole());
   });
   SyncClient client;
   for (int i = 1; i <= 20; ++i) {
@@ -172,7 +174,7 @@
   RawServer server([&](RawServer& self, RawConnection& connection) {
     while (!self.ReadRequest(connection).empty()) {
       const std::string body = std::to_string(self.requests());
-      connection.Send(kOk + "Content-Length: 1\r\n\r\n" + body + kOk +
+      connection.Send(Ok() + "Content-Length: 1\r\n\r\n" + body + Ok() +
                       "Content-Length: 3\r\n\r\nbad");
     }
   });
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -98,7 +98,7 @@
 // answer.
 Test(server, bad_input_gets_a_4xx_answer_and_a_close) {
   std::atomic<int> handled = 0;
-  const auto running = StartServer([&](Request, const ResponseSink& sink) {
+  const auto running = StartServer([&](const Request&, const ResponseSink& sink) {
     ++handled;
     sink({});
   });
@@ -117,7 +117,7 @@
 
 // Guards against limits that refuse requests which just fit them.
 Test(server, a_request_at_the_limits_is_served) {
-  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+  const auto running = StartServer([&](const Request& request, const ResponseSink& sink) {
     sink({200, {}, std::to_string(request.body.size())});
   });
   cr_assert(running.server != nullptr);
@@ -130,8 +130,8 @@
 // Guards against a request that changes on its way to the handler.
 Test(server, a_request_and_its_answer_arrive_unchanged) {
   Request seen;
-  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
-    seen = std::move(request);
+  const auto running = StartServer([&](const Request& request, const ResponseSink& sink) {
+    seen = request;
     sink({418, {{"X-Answer", "a b"}}, std::string("\0\r\n", 3)});
   });
   cr_assert(running.server != nullptr);
@@ -153,7 +153,7 @@
 // Guards against a request that is handled although its sender never finished it.
 Test(server, an_unfinished_request_is_never_handled) {
   std::atomic<int> handled = 0;
-  const auto running = StartServer([&](Request, const ResponseSink& sink) {
+  const auto running = StartServer([&](const Request&, const ResponseSink& sink) {
     ++handled;
     sink({});
   });
@@ -169,7 +169,7 @@
 
 // Guards against answers that change places on one connection.
 Test(server, pipelined_requests_are_answered_in_order) {
-  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+  const auto running = StartServer([&](const Request& request, const ResponseSink& sink) {
     sink({200, {}, request.target});
   });
   cr_assert(running.server != nullptr);
@@ -189,7 +189,7 @@
 // Guards against an error answer that is taken for the answer to an earlier request of the
 // connection. That request's own answer may be lost with the connection.
 Test(server, an_error_answer_never_stands_for_an_earlier_request) {
-  const auto running = StartServer([&](Request request, const ResponseSink& sink) {
+  const auto running = StartServer([&](const Request& request, const ResponseSink& sink) {
     sink({200, {}, request.target});
   });
   cr_assert(running.server != nullptr);
@@ -211,7 +211,7 @@
   const RawServer other([](RawServer&, RawConnection&) {});
   ServerOptions options;
   options.endpoint = {"127.0.0.1", other.port()};
-  const auto started = Server::Start(options, [](Request, const ResponseSink&) {});
+  const auto started = Server::Start(options, [](const Request&, const ResponseSink&) {});
   cr_assert(!started);
   cr_expect(started.error().message.starts_with("can't listen on 127.0.0.1:"));
 }
--- a/tests/auto/metrics/registry_test.cpp
+++ b/tests/auto/metrics/registry_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <vector>
@@ -58,13 +59,14 @@
 
 // Guards against counts lost between threads, and a second series made for the same name.
 Test(registry, threads_share_one_series) {
-  constexpr int kThreads = 4;
-  constexpr int kRounds = 1'000;
+  constexpr std::uint64_t kThreads = 4;
+  constexpr std::uint64_t kRounds = 1'000;
   Registry registry;
   std::vector<std::thread> threads;
-  for (int i = 0; i < kThreads; ++i) {
+  threads.reserve(kThreads);
+  for (std::uint64_t i = 0; i < kThreads; ++i) {
     threads.emplace_back([&registry] {
-      for (int round = 0; round < kRounds; ++round) {
+      for (std::uint64_t round = 0; round < kRounds; ++round) {
         registry.CounterAt("events_total").Add();
         registry.HistogramAt("seconds", LatencyBounds()).Observe(1);
       }
--- a/tests/auto/settings/settings_test.cpp
+++ b/tests/auto/settings/settings_test.cpp
@@ -39,7 +39,7 @@
   std::string error;
 };
 
-const std::string kGood = "[node]\nname = a\naddress = 127.0.0.1:1\n";
+std::string Good() { return "[node]\nname = a\naddress = 127.0.0.1:1\n"; }
 
 std::vector<KeyRule> Schema() {
   return {
@@ -63,37 +63,38 @@
   return {
       {"", "[node] name: missing; expected a text that is not empty"},
       {"[node]\nname = a\n", "[node] address: missing; expected " + port},
-      {kGood + "[nodes]\nname = a\n", "[nodes]: unknown section"},
-      {"name = a\n" + kGood, "[]: unknown section"},
-      {kGood + "[entry]\nthread = 2\n", "[entry] thread: unknown key"},
-      {kGood + "Name = b\n", "[node] Name: unknown key"},
-      {kGood + "name = b\n", "[node] name: set twice; expected once"},
-      {kGood + "[node]\nname = a\n", "[node] name: set twice; expected once"},
-      {kGood + "[entry]\nthreads = 0\n", refused("[entry] threads", "0", threads)},
-      {kGood + "[entry]\nthreads = 65\n", refused("[entry] threads", "65", threads)},
-      {kGood + "[entry]\nthreads = 2x\n", refused("[entry] threads", "2x", threads)},
-      {kGood + "[entry]\nthreads = 1.5\n", refused("[entry] threads", "1.5", threads)},
-      {kGood + "[entry]\nthreads = 99999999999999999999\n",
+      {Good() + "[nodes]\nname = a\n", "[nodes]: unknown section"},
+      {"name = a\n" + Good(), "[]: unknown section"},
+      {Good() + "[entry]\nthread = 2\n", "[entry] thread: unknown key"},
+      {Good() + "Name = b\n", "[node] Name: unknown key"},
+      {Good() + "name = b\n", "[node] name: set twice; expected once"},
+      {Good() + "[node]\nname = a\n", "[node] name: set twice; expected once"},
+      {Good() + "[entry]\nthreads = 0\n", refused("[entry] threads", "0", threads)},
+      {Good() + "[entry]\nthreads = 65\n", refused("[entry] threads", "65", threads)},
+      {Good() + "[entry]\nthreads = 2x\n", refused("[entry] threads", "2x", threads)},
+      {Good() + "[entry]\nthreads = 1.5\n", refused("[entry] threads", "1.5", threads)},
+      {Good() + "[entry]\nthreads = 99999999999999999999\n",
        refused("[entry] threads", "99999999999999999999", threads)},
-      {kGood + "[entry]\nthreads =\n", refused("[entry] threads", "", threads)},
+      {Good() + "[entry]\nthreads =\n", refused("[entry] threads", "", threads)},
       {"[node]\nname =\n", refused("[node] name", "", "a text that is not empty")},
       {"[node]\naddress = host:80\n", refused("[node] address", "host:80", port)},
-      {kGood + "level = debug\n", refused("[node] level", "debug", "one of info error")},
-      {kGood + "roles = entry, lead\n",
+      {Good() + "level = debug\n", refused("[node] level", "debug", "one of info error")},
+      {Good() + "roles = entry, lead\n",
        refused("[node] roles", "entry, lead", "a comma-separated list of entry control")},
-      {kGood + "roles = ,\n",
+      {Good() + "roles = ,\n",
        refused("[node] roles", ",", "a comma-separated list of entry control")},
-      {kGood + "[peers]\ncontrol = 127.0.0.1:1, 127.0.0.1\n",
+      {Good() + "[peers]\ncontrol = 127.0.0.1:1, 127.0.0.1\n",
        refused("[peers] control", "127.0.0.1:1, 127.0.0.1", list)},
-      {kGood + "nonsense\n", "line 4 is neither a section, a key with a value, nor a comment"},
-      {kGood + "[entry\nthreads = 2\n",
+      {Good() + "nonsense\n", "line 4 is neither a section, a key with a value, nor a comment"},
+      {Good() + "[entry\nthreads = 2\n",
        "line 4 is neither a section, a key with a value, nor a comment"},
       // A cut value could still be a good one.
-      {kGood + "[peers]\ncontrol = 127.0.0.1:17101" + std::string(170, ' ') + ", 127.0.0.1:17102\n",
+      {Good() + "[peers]\ncontrol = 127.0.0.1:17101" + std::string(170, ' ') +
+           ", 127.0.0.1:17102\n",
        "line 5 is longer than 198 characters"},
       // The continuation of a value would silently replace or extend it.
       {"[node]\nname = a\n  b\naddress = 127.0.0.1:1\n", "[node] name: set twice; expected once"},
-      {kGood + "[entry]\nthreads = 2" + std::string(300, ' ') + "\n",
+      {Good() + "[entry]\nthreads = 2" + std::string(300, ' ') + "\n",
        "line 5 is longer than 198 characters"},
   };
 }
@@ -115,7 +116,7 @@
 
 // Guards against defaults that are lost and lists that keep their blanks.
 Test(settings, a_good_file_gives_values_and_defaults) {
-  const TemporaryFile file("; comment\n# comment\n" + kGood +
+  const TemporaryFile file("; comment\n# comment\n" + Good() +
                            "[peers]\ncontrol = 127.0.0.1:1 ,, [::1]:2\n");
   const auto loaded = Settings::Load(file.path(), Schema());
   cr_assert(loaded.has_value(), "%s", loaded ? "" : loaded.error().message.c_str());
