--- a/src/libs/entry/lookup_api.cpp
+++ b/src/libs/entry/lookup_api.cpp
@@ -66,8 +66,9 @@
   }
   const ViewPtr view = session_.view();
   const Member* self = view == nullptr ? nullptr : view->FindMember(vm_);
-  if (self == nullptr || view->directory == nullptr)
+  if (self == nullptr || view->directory == nullptr) {
     return Unavailable("this entry has no session with control yet");
+  }
   if (view->bundle.FindService(service->second) == nullptr) {
     return NotFound("no service is called '" + service->second + "'");
   }
--- a/src/libs/entry/place_directory.cpp
+++ b/src/libs/entry/place_directory.cpp
@@ -31,11 +31,10 @@
 }
 
 Result<void> PlaceDirectory::BuildTables(const bundle::Bundle& bundle) {
-  std::map<std::string, routing::RegionId> regions;
   routing::TopologySpec spec;
   for (const auto& region : bundle.regions) {
-    const auto region_id = static_cast<routing::RegionId>(regions.size());
-    regions[region.name] = region_id;
+    const auto region_id = static_cast<routing::RegionId>(regions_.size());
+    regions_[region.name] = region_id;
     region_names_.push_back(region.name);
     for (const auto& centre : region.data_centres) {
       places_[centre] = static_cast<routing::PlaceId>(place_names_.size());
@@ -45,7 +44,7 @@
   }
   for (const auto& link : bundle.links) {
     spec.links.push_back(
-        {regions.at(link.from), regions.at(link.to), std::chrono::milliseconds(link.one_way_ms)});
+        {regions_.at(link.from), regions_.at(link.to), std::chrono::milliseconds(link.one_way_ms)});
   }
   BOOST_OUTCOME_TRY(topology, routing::Topology::Build(spec));
   topology_ = std::make_shared<const routing::Topology>(std::move(topology));
@@ -84,6 +83,12 @@
   return found->second;
 }
 
+std::optional<routing::RegionId> PlaceDirectory::RegionOf(const std::string& region) const {
+  const auto found = regions_.find(region);
+  if (found == regions_.end()) return std::nullopt;
+  return found->second;
+}
+
 std::optional<routing::BlockMatch> PlaceDirectory::Home(const std::string& address) const {
   const auto parsed = routing::ParseClientAddress(address);
   if (!parsed) return std::nullopt;
--- a/src/libs/entry/place_directory.h
+++ b/src/libs/entry/place_directory.h
@@ -30,6 +30,7 @@
 
   std::optional<routing::PlaceId> PlaceOf(const std::string& data_centre) const;
   std::optional<routing::ServiceId> ServiceOf(const std::string& service) const;
+  std::optional<routing::RegionId> RegionOf(const std::string& region) const;
   const std::string& PlaceName(routing::PlaceId place) const { return place_names_.at(place); }
   const std::string& ServiceName(routing::ServiceId service) const {
     return service_names_.at(service);
@@ -45,6 +46,7 @@
   base::Result<void> BuildTables(const bundle::Bundle& bundle);
 
   std::shared_ptr<const routing::Topology> topology_;
+  std::map<std::string, routing::RegionId> regions_;
   std::map<std::string, routing::PlaceId> places_;
   std::map<std::string, routing::ServiceId> services_;
   std::vector<std::string> place_names_;
--- a/src/libs/entry/steering.cpp
+++ b/src/libs/entry/steering.cpp
@@ -166,29 +166,25 @@
 
 void Steering::Tick(base::MonotonicTime now) {
   if (view_ == nullptr) return;
-  const auto& directory = *view_->directory;
   for (const auto& [service, from, to] : shares_.shifts()) {
-    const auto service_id = directory.ServiceOf(service);
-    const auto& regions = view_->bundle.regions;
-    const auto found =
-        std::find_if(regions.begin(), regions.end(),
-                     [&](const bundle::Region& region) { return region.name == to; });
-    if (!service_id || found == regions.end()) continue;
-    const auto region = static_cast<routing::RegionId>(found - regions.begin());
-    const auto report = table_->ReportOf(*service_id, region);
-    std::optional<shift::ShiftMeasurement> measured;
-    if (report) {
-      auto& warm = warm_medians_[{*service_id, region}];
-      const bool is_lower =
-          report->latency.count() > 0 && (warm.count() == 0 || report->latency < warm);
-      if (is_lower) warm = report->latency;
-      measured =
-          shift::ShiftMeasurement{report->taken_at, report->latency, warm, report->free_share};
-    }
-    shares_.Pace(service, from, to, measured, now);
+    shares_.Pace(service, from, to, Measure(service, to), now);
   }
 }
 
+std::optional<shift::ShiftMeasurement> Steering::Measure(const std::string& service,
+                                                         const std::string& region) {
+  const auto service_id = view_->directory->ServiceOf(service);
+  const auto region_id = view_->directory->RegionOf(region);
+  if (!service_id || !region_id) return std::nullopt;
+  const auto report = table_->ReportOf(*service_id, *region_id);
+  if (!report) return std::nullopt;
+  auto& warm = warm_medians_[{*service_id, *region_id}];
+  const bool is_lower =
+      report->latency.count() > 0 && (warm.count() == 0 || report->latency < warm);
+  if (is_lower) warm = report->latency;
+  return shift::ShiftMeasurement{report->taken_at, report->latency, warm, report->free_share};
+}
+
 const Member* Steering::MemberOf(routing::EntryId id) const {
   const auto found = std::find_if(view_->members.begin(), view_->members.end(),
                                   [&](const Member& member) { return member.id() == id; });
--- a/src/libs/entry/steering.h
+++ b/src/libs/entry/steering.h
@@ -62,6 +62,9 @@
 
  private:
   void BuildChooser();
+  /// What the summaries say about a service in a region; nothing when no owner is known.
+  std::optional<shift::ShiftMeasurement> Measure(const std::string& service,
+                                                 const std::string& region);
   void BuildTable();
   const Member* MemberOf(routing::EntryId id) const;
   bool IsRemote(const Target& target) const { return target.vm != vm_; }
