Test requests that outlive their owner, and claims that only lost disks held

Cause: with one replica paused, its queued messages brought the claims to it later, so a wiped replica that skipped its copy went unnoticed; no test had requests that outlast their owner's lease. Change: the third replica is killed, not paused, while charges are claimed; a test in which a new owner takes over an upstream whose slots are all taken; a killed entry and a killed owner are separate tests.

--- a/tests/auto/processes/control_failure_test.cpp
+++ b/tests/auto/processes/control_failure_test.cpp
@@ -168,13 +168,17 @@
     cluster.AddUpstream("payment", "mvd-1", kWorkMs);
     cluster.AddUpstream("payment", "pde-1", kWorkMs);
     cluster.WaitUntilServed("payment");
+    const auto leader = cluster.WaitForLeader();
+    // It misses the claims, so that the lost replica and the wiped one alone have held them.
+    Node& absent = cluster.control((leader + 2) % kReplicas);
+    absent.process->Kill();
     ChargeLoad before(cluster, "before");
     before.WaitForMore(kSomeCharges);
     before.Stop();
+    cluster.Start(absent);
     const std::string second = tool.Sign(2);
     Expect(IsAccepted(cluster.SubmitUntilKnown(second, cluster.control_list())), "version 2");
 
-    const auto leader = cluster.WaitForLeader();
     Node& wiped = cluster.control((leader + 1) % kReplicas);
     wiped.process->Kill();
     cluster.folder().MakeEmpty(wiped.data_folder);
@@ -191,8 +195,7 @@
     ChargeLoad during(cluster, "during");
     during.WaitForMore(kSomeCharges);
     const std::string third = tool.Sign(3);
-    const auto lost_index = cluster.WaitForLeader();
-    const auto lost = lost_index == (leader + 1) % kReplicas ? leader : lost_index;
+    const auto lost = leader;
     const auto submission = tool.StartSubmit(third, cluster.control(lost).rpc_address);
     cluster.control(lost).process->Kill();
     const auto told = tool.Finish(submission).Outcome();
--- a/tests/auto/processes/entry_failure_test.cpp
+++ b/tests/auto/processes/entry_failure_test.cpp
@@ -1,11 +1,15 @@
 #include <criterion/criterion.h>
 
 #include <csignal>
+#include <future>
+#include <vector>
 
 #include "harness/charge_load.h"
 #include "harness/cluster.h"
 #include "harness/expect.h"
 
+using wagtailpick::processes::Answer;
+using wagtailpick::processes::CallerRequest;
 using wagtailpick::processes::ChargeLoad;
 using wagtailpick::processes::Cluster;
 using wagtailpick::processes::Expect;
@@ -14,7 +18,8 @@
 
 namespace {
 
-constexpr unsigned kWorkMs = 50;
+// So long that requests are under way at any moment.
+constexpr unsigned kWorkMs = 200;
 constexpr std::size_t kSomeCharges = 60;
 
 // The first entry is the one in the place of the first two upstreams, so it owns them.
@@ -32,24 +37,74 @@
          cluster.CountEvents(cluster.entry(2), "ownership_granted");
 }
 
+// Kills the owner of two upstreams while charges run that callers sent through `entries`.
+void CheckKill(const std::vector<std::size_t>& entries) {
+  Cluster cluster;
+  AddPaymentUpstreams(cluster);
+  ChargeLoad load(cluster, "charge", entries);
+  load.WaitForMore(kSomeCharges);
+  const auto owned = OwnershipsElsewhere(cluster);
+  WaitUntil("the owner has requests under way", [&] {
+    return cluster.Stats(cluster.upstreams()[0]).at("running") >= 2 &&
+           cluster.Stats(cluster.upstreams()[1]).at("running") >= 2;
+  });
+  cluster.entry(0).process->Kill();
+  WaitUntil("its upstreams have new owners",
+            [&] { return OwnershipsElsewhere(cluster) >= owned + 2; });
+  load.WaitForMore(kSomeCharges);
+  load.Stop();
+  load.Check();
+}
+
 }  // namespace
 
-// Guards against a second run of a charge that its caller resends after its entry or the owner of
-// its upstream died, against a "not run" that is wrong, and against a new owner that fills slots in
-// which requests of the dead one still run.
+// Guards against a second run of a charge that its caller resends after its entry died, against a
+// "not run" that is wrong, and against slots that are exceeded by the new owner of the upstreams.
 Test(entry_failure, killed_entry_runs_no_charge_twice) {
+  RunTest([] { CheckKill({0, 1, 2}); });
+}
+
+// Guards against the same when the entry that died owned the upstreams and other entries had
+// forwarded the charges to it.
+Test(entry_failure, killed_owner_runs_no_charge_twice) {
+  RunTest([] { CheckKill({1, 2}); });
+}
+
+// Guards against a new owner that uses slots in which requests of the old one still run.
+Test(entry_failure, requests_of_a_paused_owner_keep_their_slots) {
   RunTest([] {
+    constexpr unsigned kDeadlineMs = 10'000;
+    constexpr std::size_t kSlots = 3;
+    constexpr int kWarmUp = 100;
     Cluster cluster;
-    AddPaymentUpstreams(cluster);
-    ChargeLoad load(cluster, "charge");
-    load.WaitForMore(kSomeCharges);
+    const auto bundle = cluster.tool().Sign({2, 0, kDeadlineMs});
+    cluster.SubmitUntilKnown(bundle, cluster.control_list());
+    cluster.WaitInForce(2);
+    const auto& upstream = cluster.AddUpstream("listings", "mvd-1");
+    cluster.WaitUntilServed("listings");
+    // A new upstream gets its slots one by one.
+    for (int i = 0; i < kWarmUp; ++i) cluster.http().Get(cluster.entry_address(0), "/s/listings/a");
+    CallerRequest slow;
+    slow.address = cluster.entry_address(0);
+    slow.target = "/s/listings/slow";
+    slow.headers = {{"X-Standin-Work-Ms", "8000"}};
+    std::vector<std::future<Answer>> pending;
+    WaitUntil("its slots are taken", [&] {
+      const std::size_t running = cluster.Stats(upstream).at("running");
+      if (running < kSlots) pending.push_back(cluster.http().Start(slow));
+      return running == kSlots;
+    });
     const auto owned = OwnershipsElsewhere(cluster);
-    cluster.entry(0).process->Kill();
-    WaitUntil("its upstreams have new owners",
-              [&] { return OwnershipsElsewhere(cluster) >= owned + 2; });
-    load.WaitForMore(kSomeCharges);
-    load.Stop();
-    load.Check();
+    cluster.entry(0).process->Signal(SIGSTOP);
+    WaitUntil("the upstream has a new owner", [&] { return OwnershipsElsewhere(cluster) > owned; });
+    WaitUntil("the new owner sends it a request", [&] {
+      return cluster.http().Get(cluster.entry_address(1), "/s/listings/b").status == 200;
+    });
+    cluster.entry(0).process->Signal(SIGCONT);
+    cluster.WaitUntilServed("listings");
+    for (auto& answer : pending) answer.get();
+    const auto stats = cluster.Stats(upstream);
+    Expect(stats.at("max_running") == kSlots, "slots exceeded: " + stats.dump());
   });
 }
 
--- a/tests/auto/processes/harness/charge_load.cpp
+++ b/tests/auto/processes/harness/charge_load.cpp
@@ -17,7 +17,10 @@
 constexpr std::size_t kSlots = 3;
 /// A caller that hears nothing for longer than a request's deadline asks another entry.
 constexpr std::chrono::seconds kPatience{3};
-constexpr std::chrono::milliseconds kPause{50};
+/// Every other caller resends within the 100 ms after a refusal in which control replicas don't
+/// accept the key again, as clocks may differ by that much.
+constexpr std::chrono::milliseconds kShortPause{50};
+constexpr std::chrono::milliseconds kLongPause{150};
 
 bool IsRun(const Answer& answer) { return answer.status == 200 && answer.verdict == "ran"; }
 
@@ -53,7 +56,7 @@
     }
     ended.push_back(future.get());
     if (IsRun(ended.back())) break;
-    std::this_thread::sleep_for(kPause);
+    std::this_thread::sleep_for(caller % 2 == 0 ? kShortPause : kLongPause);
   }
   if (std::any_of(ended.begin(), ended.end(), IsRun)) ++answered_;
   const std::lock_guard lock(mutex_);
--- a/tests/standins/upstream_main.cpp
+++ b/tests/standins/upstream_main.cpp
@@ -34,6 +34,7 @@
 
 Paths: /stats, /state/up, /state/draining, /state/leaving are for tests. A request with the header
 X-Standin is answered wrongly on purpose: crash, close, truncate, foreign, shed, hang, twice.
+The header X-Standin-Work-Ms replaces --work-ms for one request.
 )";
 
 using wagtailpick::standins::Connection;
@@ -81,7 +82,9 @@
   }
   state.Started(request.Header("idempotency-key"), now);
   if (fault == "crash") std::_Exit(kCrashExitCode);
-  Work(fault == "hang" ? std::chrono::milliseconds(kHang) : options.work, deadline);
+  const std::string work_ms = request.Header("x-standin-work-ms");
+  const auto work = work_ms.empty() ? options.work : std::chrono::milliseconds(std::stol(work_ms));
+  Work(fault == "hang" ? std::chrono::milliseconds(kHang) : work, deadline);
   state.Finished();
   if (fault == "close" || fault == "hang") return false;
   const std::string body = request.method + " " + request.target + " " + request.body;
