Check each not_run answer against the request ids that upstreams ran

Cause: with a lost owner wrongly answered as not_run the test stayed green, as the caller's last resend mostly got another answer. Change: the upstream stand-in lists the request ids of keyed runs, and the load checks each answer's own id against them.

--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -139,7 +139,7 @@
   while (std::getline(file, line)) {
     const auto end = line.find(']');
     if (!line.starts_with('[') || end == std::string::npos) continue;
-    const std::string section = line.substr(1, end - 1);
+    std::string section = line.substr(1, end - 1);
     if (!collector.KnowsSection(section)) return section;
   }
   return {};
--- a/tests/auto/processes/harness/charge_load.cpp
+++ b/tests/auto/processes/harness/charge_load.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "harness/expect.h"
@@ -80,6 +81,7 @@
 
 void ChargeLoad::Check() const {
   std::map<std::string, unsigned> runs;
+  std::set<std::string> run_ids;
   for (const auto& upstream : cluster_.upstreams()) {
     nlohmann::json stats;
     WaitUntil("no charge runs any more", [&] {
@@ -87,11 +89,18 @@
       return stats.at("running") == 0;
     });
     Expect(stats.at("max_running") <= kSlots, "slots exceeded: " + stats.at("max_running").dump());
+    for (const auto& id : stats.at("run_ids")) run_ids.insert(id.get<std::string>());
     for (const auto& [key, count] : stats.at("runs_per_key").items()) {
       runs[key] += count.get<unsigned>();
     }
   }
-  for (const auto& [key, answers] : answers_) CheckKey(key, answers, runs[key]);
+  for (const auto& [key, answers] : answers_) {
+    CheckKey(key, answers, runs[key]);
+    for (const auto& answer : answers) {
+      const bool is_not_run = answer.verdict == "not_run" || answer.attempt_verdict == "not_run";
+      Expect(!is_not_run || !run_ids.contains(answer.request_id), key + " ran: " + answer.Text());
+    }
+  }
   LogReasons();
 }
 
--- a/tests/auto/processes/harness/charge_load.h
+++ b/tests/auto/processes/harness/charge_load.h
@@ -31,8 +31,9 @@
   void Stop();
 
   /// Throws unless, over all upstreams, each key ran at most once, each charge that was answered
-  /// ran once and got its own answer, no charge ran whose last answer is `not_run`, and no upstream
-  /// ran more requests at once than it has slots. Call after `Stop`.
+  /// ran once and got its own answer, no attempt ran that was answered as `not_run`, no charge ran
+  /// whose last answer is `not_run`, and no upstream ran more requests at once than it has slots.
+  /// Call after `Stop`.
   void Check() const;
 
   /// Throws if any request was cut off: ended without an answer or with one that leaves open
--- a/tests/auto/processes/harness/http_caller.cpp
+++ b/tests/auto/processes/harness/http_caller.cpp
@@ -22,6 +22,7 @@
   if (!answer.whole) return answer;
   answer.status = exchange.answer_status;
   answer.verdict = HeaderOf(exchange, "X-Wagtailpick-Verdict");
+  answer.request_id = HeaderOf(exchange, "X-Wagtailpick-Request-Id");
   answer.replayed = HeaderOf(exchange, "X-Wagtailpick-Replayed") == "true";
   answer.has_retry_after = !HeaderOf(exchange, "Retry-After").empty();
   answer.body = std::move(exchange.body);
--- a/tests/auto/processes/harness/http_caller.h
+++ b/tests/auto/processes/harness/http_caller.h
@@ -21,6 +21,7 @@
   std::string reason;
   /// `attempt_verdict` of an error body: what happened to this attempt alone.
   std::string attempt_verdict;
+  std::string request_id;
   bool replayed = false;
   bool has_retry_after = false;
   std::string body;
--- a/tests/auto/processes/harness/operator_tool.cpp
+++ b/tests/auto/processes/harness/operator_tool.cpp
@@ -20,7 +20,7 @@
   const std::string name =
       "bundle-" + std::to_string(options.version) + "-" + std::to_string(options.variant);
   const std::string file = folder_.Write(name + ".json", TestBundle(options));
-  const std::string signed_file = folder_.Path(name + ".signed");
+  std::string signed_file = folder_.Path(name + ".signed");
   const auto done =
       Finish(Run({"sign", file, "--key=" + folder_.Path("operator.key"), "--out=" + signed_file}));
   Expect(done.exit_code == 0, "sign: " + done.errors);
--- a/tests/standins/upstream_main.cpp
+++ b/tests/standins/upstream_main.cpp
@@ -80,7 +80,7 @@
     connection.Send(503, echo + "X-Upstream-Shed: not-run\r\n", "expired");
     return true;
   }
-  state.Started(request.Header("idempotency-key"), now);
+  state.Started(request.Header("idempotency-key"), request.Header("x-request-id"), now);
   if (fault == "crash") std::_Exit(kCrashExitCode);
   const std::string work_ms = request.Header("x-standin-work-ms");
   const auto work = work_ms.empty() ? options.work : std::chrono::milliseconds(std::stol(work_ms));
--- a/tests/standins/upstream_state.cpp
+++ b/tests/standins/upstream_state.cpp
@@ -33,13 +33,16 @@
       .dump();
 }
 
-void UpstreamState::Started(const std::string& key, std::int64_t wall_millis) {
+void UpstreamState::Started(const std::string& key, const std::string& id,
+                            std::int64_t wall_millis) {
   const std::lock_guard lock(mutex_);
   latest_start_ms_ = std::max(latest_start_ms_, wall_millis - state_since_);
   ++runs_;
   ++running_;
   max_running_ = std::max(max_running_, running_);
-  if (!key.empty()) ++runs_per_key_[key];
+  if (key.empty()) return;
+  ++runs_per_key_[key];
+  run_ids_.insert(id);
 }
 
 void UpstreamState::Finished() {
@@ -64,7 +67,8 @@
                         {"state_age_ms", base::WallNowMillis() - state_since_},
                         {"latest_start_ms", latest_start_ms_},
                         {"refused_expired", refused_expired_.load()},
-                        {"runs_per_key", runs_per_key_}}
+                        {"runs_per_key", runs_per_key_},
+                        {"run_ids", run_ids_}}
       .dump();
 }
 
--- a/tests/standins/upstream_state.h
+++ b/tests/standins/upstream_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace wagtailpick::standins {
@@ -16,8 +17,9 @@
   /// JSON body of the next announcement.
   std::string NextAnnouncement();
 
-  /// Notes that a request starts at `wall_millis`; `key` is its idempotency key or empty.
-  void Started(const std::string& key, std::int64_t wall_millis);
+  /// Notes that a request starts at `wall_millis`; `key` is its idempotency key or empty, `id` its
+  /// request id.
+  void Started(const std::string& key, const std::string& id, std::int64_t wall_millis);
   void Finished();
   void RefusedExpired() { ++refused_expired_; }
 
@@ -44,6 +46,8 @@
   unsigned max_running_ = 0;
   std::uint64_t runs_ = 0;
   std::map<std::string, unsigned> runs_per_key_;
+  /// Request ids of the keyed requests that ran.
+  std::set<std::string> run_ids_;
 };
 
 }  // namespace wagtailpick::standins
