Ask keyed refusals to come back after the clock difference, and write answers before a stop

Cause: the process tests saw 893 resends refused as claims_unavailable that came exactly the 100 ms later that the refusal asked for: within that time the claim of a released key is forbidden. Reading showed that a drain could end before the last answer was written. Change: such refusals ask for 250 ms at least; the count of running requests falls after the answer is handed over, and the drain waits 200 ms more. Conclusion: the message no longer says that replicas did not answer.

--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -20,6 +20,8 @@
 /// Time for the other entries to learn of a drain: their next renewal, with room for a lost one.
 constexpr base::Duration kLookupAllowance = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kDrainPoll{50};
+/// The last answers are handed to the threads of the servers, which have to write them.
+constexpr std::chrono::milliseconds kLastAnswers{200};
 
 }  // namespace
 
@@ -90,6 +92,7 @@
     if (is_done) break;
     std::this_thread::sleep_for(kDrainPoll);
   }
+  std::this_thread::sleep_for(kLastAnswers);
 }
 
 }  // namespace wagtailpick::wagtailpickd
--- a/src/libs/entry/decision_answer.cpp
+++ b/src/libs/entry/decision_answer.cpp
@@ -43,7 +43,7 @@
       break;
   }
   return MakeInfo(503, "claims_unavailable",
-                  "too few control replicas answer to tell whether this request ran before",
+                  "too few control replicas could take the claim for this idempotency key",
                   decision.verdict);
 }
 
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -25,6 +25,9 @@
 constexpr int kMaxAttempts = 2;
 constexpr std::uint32_t kLostRetryMs = 1'000;
 constexpr std::uint32_t kNoSlotRetryMs = 100;
+/// A key that was refused as "not run" takes no attempt that started within the difference of the
+/// wall clocks (100 ms) after the refusal.
+constexpr std::uint32_t kReleasedRetryMs = 250;
 
 base::Verdict VerdictOf(const rpc::ForwardReply& reply) {
   return base::ParseVerdict(reply.verdict()).value_or(base::Verdict::kMayHaveRun);
@@ -217,7 +220,9 @@
       claims_.Release(
           {flow->claim.table, flow->claim.key, flow->claim.attempt, base::WallNowMillis()});
     }
-    return Refuse(flow, DescribeReply(reply, verdict));
+    auto info = DescribeReply(reply, verdict);
+    if (flow->claimed) info.retry_after_ms = std::max(info.retry_after_ms, kReleasedRetryMs);
+    return Refuse(flow, std::move(info));
   }
   http::Response response;
   response.status = static_cast<int>(reply.status());
@@ -249,8 +254,8 @@
     response.headers.push_back({"X-Wagtailpick-Request-Id", flow->request.forward.request_id()});
   }
   limit_.Leave();
-  --running_;
   flow->sink(std::move(response));
+  --running_;
 }
 
 void Dispatcher::ServeAnnouncement(const http::Request& request, const http::ResponseSink& sink) {
@@ -275,9 +280,9 @@
   rpc::TakeStamp(context_.events, request);
   ++running_;
   owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
-    --running_;
     if (reply) *reply.value().mutable_summary() = MakeSummary();
     done(std::move(reply));
+    --running_;
   });
 }
 
