--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -83,6 +83,7 @@
 }
 
 void Daemon::Drain(base::Duration longest) {
+  state_->events.Record(base::WallNowMillis(), timeline::EventKind::kProcessStopping, "", "drain");
   if (state_->entry == nullptr) return;
   const auto started = base::MonotonicNow();
   state_->entry->StartDrain();
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -59,6 +59,7 @@
                           base::MonotonicTime now);
   rpc::RenewReply NotLeader() const;
   void FillView(rpc::ClusterView& view) const;
+  void NoteRefusal(const rpc::SubmitReply& reply);
   void FillSubmitReply(const control::BundleOutcome& outcome, rpc::SubmitReply& reply) const;
   rpc::Client* leader_client();
   control::SessionId FindSession(const std::string& vm) const;
--- /dev/null
+++ b/src/libs/controller/control_service_propose.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <utility>
+#include <variant>
+
+#include "control/command_codec.h"
+#include "controller/control_service.h"
+
+namespace wagtailpick::controller {
+
+// Private to the service's source files: a template that both of them use.
+template <typename Outcome>
+void ControlService::Propose(const control::Command& command,
+                             std::function<void(base::Result<Outcome>)> done) {
+  log_->Propose(control::EncodeCommand(command), [this, done](const base::Result<void>& proposed) {
+    if (!proposed) return done(boost::outcome_v2::failure(proposed.error()));
+    if (!last_outcome_) return done(boost::outcome_v2::failure(last_outcome_.error()));
+    done(std::get<Outcome>(last_outcome_.value()));
+  });
+}
+
+}  // namespace wagtailpick::controller
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <future>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/random_id.h"
-#include "entry/announcement_json.h"
 #include "entry/decision_answer.h"
 #include "entry/upstream_request.h"
 #include "rpc/stamp.h"
@@ -16,6 +14,7 @@
 
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(300);
+constexpr base::Duration kRefusalEventInterval = std::chrono::seconds(1);
 constexpr std::size_t kRingCapacity = 16'384;
 /// Other regions get every fourth summary: they use it only for shifts, and each message costs
 /// about 0.25 ms of processor time on either side, which at ten a second to all would be most of
@@ -240,9 +239,22 @@
 void Dispatcher::Refuse(const FlowPtr& flow, ErrorInfo info) {
   info.request_id = flow->request.forward.request_id();
   context_.metrics.CounterAt("wagtailpick_refusals_total", "reason=\"" + info.reason + "\"").Add();
+  ++refused_[info.reason];
   Respond(flow, ErrorAnswer(info), info.verdict);
 }
 
+// One event a second for each reason: under overload, one for each request would push everything
+// else out of the ring.
+void Dispatcher::RecordRefusals(base::MonotonicTime now) {
+  if (now < refusals_recorded_ + kRefusalEventInterval) return;
+  refusals_recorded_ = now;
+  for (const auto& [reason, count] : refused_) {
+    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kRequestRefused, reason,
+                           std::to_string(count) + " requests");
+  }
+  refused_.clear();
+}
+
 void Dispatcher::Respond(const FlowPtr& flow, http::Response response, base::Verdict verdict) {
   const std::string name(base::ToString(verdict));
   context_.metrics.CounterAt("wagtailpick_requests_total", "verdict=\"" + name + "\"").Add();
@@ -258,57 +270,6 @@
   --running_;
 }
 
-void Dispatcher::ServeAnnouncement(const http::Request& request, const http::ResponseSink& sink) {
-  auto announcement = ParseAnnouncement(request.body);
-  if (!announcement) return sink(BadRequest(announcement.error().message));
-  auto answer = [sink](const base::Result<rpc::AnnounceReply>& reply) {
-    if (!reply) {
-      return sink(reply.error().code == base::ErrorCode::kInvalidArgument
-                      ? BadRequest(reply.error().message)
-                      : Unavailable(reply.error().message));
-    }
-    const nlohmann::json body{{"owner", reply.value().owner_vm()}, {"next_ms", 500}};
-    sink({200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body.dump()});
-  };
-  const bool queued = loop_.TryPost(
-      [this, value = announcement.value(), answer] { intake_.Announce(value, answer); });
-  if (!queued) sink(Unavailable("this entry is overloaded"));
-}
-
-void Dispatcher::Forward(const rpc::ForwardRequest& request,
-                         const rpc::Responder<rpc::ForwardReply>& done) {
-  rpc::TakeStamp(context_.events, request);
-  ++running_;
-  owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
-    if (reply) *reply.value().mutable_summary() = MakeSummary();
-    done(std::move(reply));
-    --running_;
-  });
-}
-
-rpc::EntryHandlers Dispatcher::Handlers() {
-  const auto overloaded = [] {
-    return base::Fail(base::ErrorCode::kLimitExceeded, "this entry is overloaded");
-  };
-  rpc::EntryHandlers handlers;
-  handlers.forward = [this, overloaded](const rpc::ForwardRequest& request, const auto& done) {
-    if (!loop_.TryPost([this, request, done] { Forward(request, done); })) done(overloaded());
-  };
-  handlers.announce = [this, overloaded](const rpc::AnnounceRequest& request, const auto& done) {
-    const bool queued = loop_.TryPost([this, request, done] { intake_.Announce(request, done); });
-    if (!queued) done(overloaded());
-  };
-  handlers.summarize = [this](const rpc::Summary& summary, const auto& done) {
-    loop_.TryPost([this, summary] { steering_.TakeSummary(summary, base::MonotonicNow()); });
-    done(rpc::Empty());
-  };
-  handlers.suspect = [this, overloaded](const rpc::SuspectRequest& request, const auto& done) {
-    const bool queued = loop_.TryPost([this, request, done] { done(suspects_.Merge(request)); });
-    if (!queued) done(overloaded());
-  };
-  return handlers;
-}
-
 void Dispatcher::PrepareRenewal(rpc::RenewRequest& request) {
   std::promise<void> added;
   const bool queued = loop_.TryPost([this, &request, &added] {
@@ -362,6 +323,7 @@
   owner_.Tick();
   suspects_.Tick();
   steering_.Tick(base::MonotonicNow());
+  RecordRefusals(base::MonotonicNow());
   if (draining_) HandOver();
   SendSummaries();
 }
--- a/src/libs/entry/dispatcher.h
+++ b/src/libs/entry/dispatcher.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -77,6 +78,7 @@
   void Respond(const FlowPtr& flow, http::Response response, base::Verdict verdict);
   bool MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply);
   void Forward(const rpc::ForwardRequest& request, const rpc::Responder<rpc::ForwardReply>& done);
+  void RecordRefusals(base::MonotonicTime now);
   void Tick();
   rpc::Summary MakeSummary();
   void SendSummaries();
@@ -97,6 +99,9 @@
   admission::RetryBudget retries_;
   std::uint64_t summary_sequence_ = 0;
   std::uint64_t summary_ticks_ = 0;
+  /// Refusals by reason since the last events about them.
+  std::map<std::string, std::uint64_t> refused_;
+  base::MonotonicTime refusals_recorded_{};
   bool draining_ = false;
   std::atomic<std::size_t> running_ = 0;
 };
