Test the rewrite of the claim log and the verdicts of exchanges

Cause: the rewrite of the claim log had no test, and a mistake in it would let a charge run twice; entry and controller had no test program.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -44,7 +44,8 @@
       store_({}, IdentityOf(options, recovered.incarnation)),
       source_(kKeysPerPage),
       loop_(loop),
-      events_(events) {
+      events_(events),
+      compact_at_(options.claim_log_rewrite_bytes) {
   Recover(recovered);
   if (store_.ready()) return;
   if (recovered.incarnation == 1) {
@@ -202,7 +203,7 @@
     failure_ = done.error();
     logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
   }
-  compact_at_ = std::max(kFirstCompactionBytes, 2 * log_.file_bytes());
+  compact_at_ = std::max(options_.claim_log_rewrite_bytes, 2 * log_.file_bytes());
 }
 
 void ClaimService::ContinueCopy() {
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -42,9 +42,6 @@
   void Tick();
 
  private:
-  /// Below this size a rewrite saves too little to pay for its syncs.
-  static constexpr std::uint64_t kFirstCompactionBytes = std::uint64_t{64} << 20;
-
   struct Waiting {
     std::uint64_t sync_before = 0;
     std::function<void(base::Result<void>)> reply;
@@ -74,7 +71,7 @@
   bool flush_scheduled_ = false;
   std::optional<base::Error> failure_;
   /// Size of the claim log from which on it is rewritten.
-  std::uint64_t compact_at_ = kFirstCompactionBytes;
+  std::uint64_t compact_at_;
 };
 
 }  // namespace wagtailpick::controller
--- a/src/libs/controller/controller_options.h
+++ b/src/libs/controller/controller_options.h
@@ -14,6 +14,9 @@
   /// Addresses of all control replicas, this one included.
   std::vector<std::string> replicas;
   std::string data_folder;
+  /// Size of the claim log below which it isn't rewritten: a rewrite would save too little to pay
+  /// for its syncs.
+  std::uint64_t claim_log_rewrite_bytes = std::uint64_t{64} << 20;
   /// Hexadecimal public keys whose bundles are accepted.
   std::vector<std::string> operator_keys;
 };
--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -121,22 +121,22 @@
 
 void Owner::Execute(const rpc::ForwardRequest& request, rpc::Responder<rpc::ForwardReply> done) {
   const auto fingerprint = FingerprintOf(request);
-  suspects_.Clear(fingerprint, request.deadline_unix_ms(),
-                  [this, request, done = std::move(done)](Clearance clearance) {
-                    switch (clearance) {
-                      case Clearance::kSend:
-                        return Send(request, done);
-                      case Clearance::kBlocked:
-                        return done(Refusal(request, base::Verdict::kMayHaveRun, "blocked_request",
-                                            kBlockedRetryMs));
-                      case Clearance::kTrialRunning:
-                        return done(Refusal(request, base::Verdict::kNotRun, "suspect_request",
-                                            kSuspectRetryMs));
-                      case Clearance::kUnavailable:
-                        return done(Refusal(request, base::Verdict::kNotRun, "trial_unavailable",
-                                            kSuspectRetryMs));
-                    }
-                  });
+  suspects_.RequestClearance(fingerprint, request.deadline_unix_ms(),
+                             [this, request, done = std::move(done)](Clearance clearance) {
+                               switch (clearance) {
+                                 case Clearance::kSend:
+                                   return Send(request, done);
+                                 case Clearance::kBlocked:
+                                   return done(Refusal(request, base::Verdict::kMayHaveRun,
+                                                       "blocked_request", kBlockedRetryMs));
+                                 case Clearance::kTrialRunning:
+                                   return done(Refusal(request, base::Verdict::kNotRun,
+                                                       "suspect_request", kSuspectRetryMs));
+                                 case Clearance::kUnavailable:
+                                   return done(Refusal(request, base::Verdict::kNotRun,
+                                                       "trial_unavailable", kSuspectRetryMs));
+                               }
+                             });
 }
 
 std::string Owner::ChooseAddress(const admission::PoolKey& pool, bool prefer_idle) {
--- a/src/libs/entry/suspects.cpp
+++ b/src/libs/entry/suspects.cpp
@@ -33,8 +33,9 @@
                    timeline::EventRing& events)
     : peers_(peers), claims_(claims), loop_(loop), events_(events) {}
 
-void Suspects::Clear(const safety::Fingerprint& fingerprint, std::int64_t deadline_unix_ms,
-                     const std::function<void(Clearance)>& done) {
+void Suspects::RequestClearance(const safety::Fingerprint& fingerprint,
+                                std::int64_t deadline_unix_ms,
+                                const std::function<void(Clearance)>& done) {
   const auto ruling = table_.Check(fingerprint, base::WallNowMillis());
   if (ruling.action == safety::Action::kServe) return done(Clearance::kSend);
   if (ruling.action == safety::Action::kTrial) {
--- a/src/libs/entry/suspects.h
+++ b/src/libs/entry/suspects.h
@@ -31,8 +31,8 @@
 
   /// Decides whether a request may be sent now; `done` is called on the loop. A suspect one has to
   /// win the register of its single trial first.
-  void Clear(const safety::Fingerprint& fingerprint, std::int64_t deadline_unix_ms,
-             const std::function<void(Clearance)>& done);
+  void RequestClearance(const safety::Fingerprint& fingerprint, std::int64_t deadline_unix_ms,
+                        const std::function<void(Clearance)>& done);
 
   /// Records a lost connection and tells the entries that can be reached; `told` is called on the
   /// loop once all of them know or the time for it is over.
--- /dev/null
+++ b/tests/auto/controller/claim_service_test.cpp
@@ -0,0 +1,182 @@
+#include "controller/claim_service.h"
+
+#include <criterion/criterion.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "base/monotonic_time.h"
+#include "claims/claim_messages.h"
+#include "storage/file_ops.h"
+#include "timeline/event_ring.h"
+
+namespace {
+
+using wagtailpick::base::EventLoop;
+using wagtailpick::base::Result;
+using wagtailpick::claims::ClaimStatus;
+using wagtailpick::controller::ClaimService;
+using wagtailpick::controller::ControllerOptions;
+using wagtailpick::controller::RecoveredClaims;
+using wagtailpick::storage::ClaimLog;
+namespace rpc = wagtailpick::rpc;
+
+constexpr int kKeys = 40;
+
+/// One replica's claim service over a real file; each start recovers what is on disk.
+class Service {
+ public:
+  explicit Service(const std::string& path, bool is_new) : loop_(1'024), events_("vm", 16) {
+    const auto ops = wagtailpick::storage::PosixFileOps();
+    if (is_new) ClaimLog::Create(ops, path).value();
+    RecoveredClaims recovered;
+    auto log = ClaimLog::Open(ops, path, [&](std::uint64_t offset, std::string_view record) {
+      recovered.records.emplace_back(record);
+      recovered.offsets.push_back(offset);
+      return Result<void>(wagtailpick::base::Ok());
+    });
+    records_found = recovered.records.size();
+    ControllerOptions options;
+    options.replicas = {"127.0.0.1:1"};
+    options.claim_log_rewrite_bytes = 1;
+    service_ =
+        std::make_unique<ClaimService>(options, std::move(log.value()), recovered, loop_, events_);
+    loop_.Start(std::chrono::hours(1), [] {});
+  }
+
+  ~Service() { loop_.Stop(); }
+
+  rpc::ClaimReply Claim(int key, char attempt) {
+    rpc::ClaimRequest request;
+    request.set_key(Key(key));
+    request.set_body(std::string(16, 'b'));
+    request.set_attempt(Attempt(key, attempt));
+    request.set_started_at(wagtailpick::base::WallNowMillis());
+    request.set_deadline(wagtailpick::base::WallNowMillis() + 60'000);
+    return Call<rpc::ClaimReply>(
+        [this, request](const auto& done) { service_->Claim(request, done); });
+  }
+
+  void Complete(int key, char attempt, const std::string& answer) {
+    rpc::CompleteRequest request;
+    request.set_key(Key(key));
+    request.set_body(std::string(16, 'b'));
+    request.set_attempt(Attempt(key, attempt));
+    request.set_deadline(wagtailpick::base::WallNowMillis() + 60'000);
+    request.set_answer(answer);
+    Call<rpc::Empty>([this, request](const auto& done) { service_->Complete(request, done); });
+  }
+
+  void Release(int key, char attempt) {
+    rpc::ReleaseRequest request;
+    request.set_key(Key(key));
+    request.set_attempt(Attempt(key, attempt));
+    Call<rpc::Empty>([this, request](const auto& done) { service_->Release(request, done); });
+  }
+
+  /// Runs the tick that rewrites a log that has grown.
+  void Rewrite() {
+    std::promise<void> done;
+    loop_.Post([&] {
+      service_->Tick();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  std::size_t records_found = 0;
+
+ private:
+  /// An attempt number is never used for two keys.
+  static std::string Attempt(int key, char attempt) {
+    return std::string(15, attempt) + static_cast<char>(key + 1);
+  }
+
+  static std::string Key(int key) { return std::string(32, static_cast<char>(key + 1)); }
+
+  template <typename Reply, typename Start>
+  Reply Call(Start start) {
+    std::promise<Reply> reply;
+    loop_.Post(
+        [&] { start([&](const Result<Reply>& result) { reply.set_value(result.value()); }); });
+    return reply.get_future().get();
+  }
+
+  EventLoop loop_;
+  wagtailpick::timeline::EventRing events_;
+  std::unique_ptr<ClaimService> service_;
+};
+
+int StatusOf(ClaimStatus status) { return static_cast<int>(status); }
+
+/// A third of the keys is held, a third completed, a third released.
+void FillKeys(Service& service) {
+  for (int key = 0; key < kKeys; ++key) {
+    service.Claim(key, 'a');
+    if (key % 3 == 1) service.Complete(key, 'a', "answer " + std::to_string(key));
+    if (key % 3 == 2) service.Release(key, 'a');
+  }
+}
+
+void CheckKeys(Service& service, char attempt) {
+  for (int key = 0; key < kKeys; ++key) {
+    const auto reply = service.Claim(key, attempt);
+    const int status = static_cast<int>(reply.status());
+    if (key % 3 == 0) cr_expect_eq(status, StatusOf(ClaimStatus::kHeld), "key %d", key);
+    if (key % 3 == 1) {
+      cr_expect_eq(status, StatusOf(ClaimStatus::kCompleted), "key %d", key);
+      cr_expect(reply.answer() == "answer " + std::to_string(key), "key %d", key);
+    }
+    if (key % 3 == 2) cr_expect_eq(status, StatusOf(ClaimStatus::kAccepted), "key %d", key);
+    if (key % 3 == 2) service.Release(key, attempt);
+  }
+}
+
+/// A file in a new folder, removed at the end.
+class LogFile {
+ public:
+  LogFile() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "claims_XXXXXX").string();
+    cr_assert(mkdtemp(pattern.data()) != nullptr);
+    folder_ = pattern;
+  }
+  ~LogFile() { std::filesystem::remove_all(folder_); }
+  LogFile(const LogFile&) = delete;
+  LogFile& operator=(const LogFile&) = delete;
+
+  std::string path() const { return folder_ + "/claims"; }
+
+ private:
+  std::string folder_;
+};
+
+}  // namespace
+
+// Guards against a rewrite that loses a claim, an answer or a release, before and after a restart.
+Test(claim_service, a_rewritten_log_holds_the_same_claims) {
+  const LogFile file;
+  {
+    Service service(file.path(), true);
+    FillKeys(service);
+    service.Rewrite();
+    CheckKeys(service, 'b');
+  }
+  Service restarted(file.path(), false);
+  CheckKeys(restarted, 'c');
+}
+
+// Guards against a log that keeps what nobody needs any more.
+Test(claim_service, a_rewrite_drops_what_was_replaced) {
+  const LogFile file;
+  {
+    Service service(file.path(), true);
+    FillKeys(service);
+    service.Rewrite();
+  }
+  const Service restarted(file.path(), false);
+  // A record for each key (held, completed or released) and one that the replica is ready.
+  cr_expect_eq(restarted.records_found, kKeys + 1);
+}
--- /dev/null
+++ b/tests/auto/controller/message_codec_test.cpp
@@ -0,0 +1,27 @@
+#include "controller/message_codec.h"
+
+#include <criterion/criterion.h>
+
+using wagtailpick::consensus::EntryKind;
+using wagtailpick::consensus::Message;
+using wagtailpick::consensus::MessageKind;
+using wagtailpick::controller::FromWire;
+using wagtailpick::controller::ToWire;
+
+// Guards against a field that gets lost between two replicas.
+Test(message_codec, every_field_survives_the_wire) {
+  Message message;
+  message.kind = MessageKind::kSnapshot;
+  message.from = {"127.0.0.1:1", 2};
+  message.to = {"127.0.0.1:3", 4};
+  message.term = 5;
+  message.log_index = 6;
+  message.log_term = 7;
+  message.commit = 8;
+  message.sent_at = 9;
+  message.accepted = true;
+  message.match = 10;
+  message.entries = {{11, 12, EntryKind::kData, std::string("a\0b", 3)}};
+  message.chunk = {13, 14, "members", 15, "data", true};
+  cr_assert(FromWire(ToWire(message)) == message);
+}
--- /dev/null
+++ b/tests/auto/entry/exchange_verdict_test.cpp
@@ -0,0 +1,130 @@
+#include "entry/exchange_verdict.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using wagtailpick::admission::SlotOutcome;
+using wagtailpick::base::Verdict;
+using wagtailpick::entry::JudgeExchange;
+using wagtailpick::http::Exchange;
+using wagtailpick::http::ExchangeStatus;
+using wagtailpick::http::Headers;
+
+struct Row {
+  const char* name;
+  ExchangeStatus status;
+  int answer_status;
+  Headers headers;
+  Verdict verdict;
+  SlotOutcome outcome;
+  bool is_strike;
+};
+
+const std::vector<Row> kRows = {
+    {"whole", ExchangeStatus::kComplete, 200, {}, Verdict::kRan, SlotOutcome::kAnswered, false},
+    {"whole, echo",
+     ExchangeStatus::kComplete,
+     200,
+     {{"x-request-id", "id"}},
+     Verdict::kRan,
+     SlotOutcome::kAnswered,
+     false},
+    {"error", ExchangeStatus::kComplete, 500, {}, Verdict::kRan, SlotOutcome::kErrorAnswer, false},
+    {"503 without shed",
+     ExchangeStatus::kComplete,
+     503,
+     {},
+     Verdict::kRan,
+     SlotOutcome::kErrorAnswer,
+     false},
+    {"shed",
+     ExchangeStatus::kComplete,
+     503,
+     {{"X-Upstream-Shed", "not-run"}},
+     Verdict::kNotRun,
+     SlotOutcome::kShed,
+     false},
+    {"shed field on a success",
+     ExchangeStatus::kComplete,
+     200,
+     {{"X-Upstream-Shed", "not-run"}},
+     Verdict::kRan,
+     SlotOutcome::kAnswered,
+     false},
+    {"another request's shed",
+     ExchangeStatus::kComplete,
+     503,
+     {{"X-Request-Id", "other"}, {"X-Upstream-Shed", "not-run"}},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kLost,
+     false},
+    {"foreign",
+     ExchangeStatus::kComplete,
+     200,
+     {{"X-Request-Id", "other"}},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kLost,
+     false},
+    {"not sent",
+     ExchangeStatus::kNotSent,
+     0,
+     {},
+     Verdict::kNotRun,
+     SlotOutcome::kConnectRefused,
+     false},
+    {"lost",
+     ExchangeStatus::kConnectionLost,
+     0,
+     {},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kLost,
+     true},
+    {"lost within an answer",
+     ExchangeStatus::kConnectionLost,
+     503,
+     {{"X-Upstream-Shed", "not-run"}},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kLost,
+     true},
+    {"timed out",
+     ExchangeStatus::kTimedOut,
+     0,
+     {},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kTimedOut,
+     false},
+    {"bad answer",
+     ExchangeStatus::kBadAnswer,
+     200,
+     {},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kLost,
+     false},
+    {"cancelled",
+     ExchangeStatus::kCancelled,
+     0,
+     {},
+     Verdict::kMayHaveRun,
+     SlotOutcome::kCancelled,
+     false},
+};
+
+}  // namespace
+
+// Guards against "not run" for a request whose bytes an upstream may have acted on.
+Test(exchange_verdict, decides_as_the_table_says) {
+  for (const auto& row : kRows) {
+    Exchange exchange;
+    exchange.status = row.status;
+    exchange.answer_status = row.answer_status;
+    exchange.headers = row.headers;
+    const auto judged = JudgeExchange(exchange, "id");
+    cr_expect(judged.verdict == row.verdict, "%s: verdict", row.name);
+    cr_expect(judged.outcome == row.outcome, "%s: outcome", row.name);
+    cr_expect_eq(judged.is_strike, row.is_strike, "%s: strike", row.name);
+  }
+}
