--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -339,6 +339,12 @@
 
 void Dispatcher::SendSummaries() {
   const rpc::Summary summary = MakeSummary();
+  for (const auto& place : summary.places()) {
+    const std::string labels =
+        "service=\"" + place.service() + "\",place=\"" + place.data_centre() + "\"";
+    context_.metrics.GaugeAt("wagtailpick_owned_slots_free", labels).Set(place.free_slots());
+    context_.metrics.GaugeAt("wagtailpick_owned_slots", labels).Set(place.total_slots());
+  }
   const ViewPtr view = session_.view();
   const bool all_regions = ++summary_ticks_ % kTicksPerFarSummary == 0;
   for (const auto& [vm, peer] : peers_.all()) {
