Fix what the linter found in the new tests

Cause: the tests of entry and the last change of the owner had not been linted. Change: names, an unused declaration and line breaks; no check changed.

--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -90,8 +90,8 @@
   grant.grant_id = epoch;
   grant.epoch = session_.lease().epoch();
   grant.quarantine = quarantine;
-  // A quarantine means that this start of the upstream had an owner before: its caches are as warm as
-  // that owner left them, and a slow start would take most of its slots for up to 30 s a slot.
+  // A quarantine means that this start of the upstream had an owner before: its caches are as warm
+  // as that owner left them, and a slow start would take most of its slots for up to 30 s a slot.
   grant.warm = quarantine;
   if (slots_.Grant(std::move(grant), now) != admission::GrantEffect::kGranted) return;
   const auto* seen = registry_.Find(announcement.address());
--- a/tests/auto/entry/caller_request_test.cpp
+++ b/tests/auto/entry/caller_request_test.cpp
@@ -11,7 +11,6 @@
 using wagtailpick::entry::CheckCallerRequest;
 using wagtailpick::entry::View;
 using wagtailpick::http::Headers;
-using wagtailpick::http::Request;
 
 constexpr std::int64_t kNow = 1'000'000;
 
@@ -36,7 +35,7 @@
   std::int64_t deadline;
 };
 
-const std::vector<Row> kRows = {
+const std::vector<Row> rows = {
     {"GET", "/s/payment/a?b=c", {}, {}, "/a?b=c", kNow + 2'000},
     {"GET", "/s/payment", {}, {}, "/", kNow + 2'000},
     {"GET", "/s/payment?x", {}, {}, "/?x", kNow + 2'000},
@@ -64,8 +63,8 @@
 // Guards against a charge without a key, and against a deadline beyond the service's own.
 Test(caller_request, is_checked_as_the_table_says) {
   const View view = SampleView();
-  for (std::size_t i = 0; i < kRows.size(); ++i) {
-    const auto& row = kRows[i];
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const auto& row = rows[i];
     const auto checked =
         CheckCallerRequest({row.method, row.target, row.headers, "", "127.0.0.1"}, view, kNow);
     cr_assert_eq(checked.has_value(), row.error.empty(), "row %zu", i);
--- a/tests/auto/entry/exchange_verdict_test.cpp
+++ b/tests/auto/entry/exchange_verdict_test.cpp
@@ -24,7 +24,7 @@
   bool is_strike;
 };
 
-const std::vector<Row> kRows = {
+const std::vector<Row> rows = {
     {"whole", ExchangeStatus::kComplete, 200, {}, Verdict::kRan, SlotOutcome::kAnswered, false},
     {"whole, echo",
      ExchangeStatus::kComplete,
@@ -117,7 +117,7 @@
 
 // Guards against "not run" for a request whose bytes an upstream may have acted on.
 Test(exchange_verdict, decides_as_the_table_says) {
-  for (const auto& row : kRows) {
+  for (const auto& row : rows) {
     Exchange exchange;
     exchange.status = row.status;
     exchange.answer_status = row.answer_status;
