--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -15,6 +15,8 @@
 using base::Result;
 
 constexpr std::size_t kKeysPerPage = 2'000;
+/// Expiring looks at every key, and a key that is touched is checked by itself.
+constexpr base::Duration kExpireInterval = std::chrono::minutes(1);
 constexpr base::Duration kCopyTimeout = std::chrono::seconds(2);
 
 /// Tells records of the same claim, fence or state apart from others.
@@ -170,7 +172,11 @@
 }
 
 void ClaimService::Tick() {
-  store_.Expire(base::WallNowMillis());
+  const auto now = base::MonotonicNow();
+  if (now >= expire_at_) {
+    store_.Expire(base::WallNowMillis());
+    expire_at_ = now + kExpireInterval;
+  }
   if (copy_) ContinueCopy();
   Flush();
   CompactWhenDue();
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -72,6 +72,7 @@
   std::optional<base::Error> failure_;
   /// Size of the claim log from which on it is rewritten.
   std::uint64_t compact_at_;
+  base::MonotonicTime expire_at_{};
 };
 
 }  // namespace wagtailpick::controller
