Write the fields that name a claim in one place, and drop a copied function

Cause: the last read of the change found the table, key and attempt of a claim written and read again in each message, and Steering::Lost with the same body as Refused. Change: WriteIdentity and ReadIdentity serve all claim messages and records; lost targets are reported as refused. A message with several bad fields may name another of them first; all are refused as before.

--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -183,7 +183,7 @@
 void Dispatcher::Replied(const FlowPtr& flow, const base::Result<rpc::ForwardReply>& reply) {
   const auto now = base::MonotonicNow();
   if (!reply || !IsIntact(flow->request.forward, reply.value())) {
-    steering_.Lost(flow->target, now);
+    steering_.Refused(flow->target, now);
     return ForwardLost(flow);
   }
   const auto& value = reply.value();
--- a/src/libs/entry/steering.cpp
+++ b/src/libs/entry/steering.cpp
@@ -160,10 +160,6 @@
   if (IsRemote(target)) table_->CountShed(target.key, target.chosen_at, now);
 }
 
-void Steering::Lost(const Target& target, base::MonotonicTime now) {
-  if (IsRemote(target)) table_->CountShed(target.key, target.chosen_at, now);
-}
-
 void Steering::Tick(base::MonotonicTime now) {
   if (view_ == nullptr) return;
   for (const auto& [service, from, to] : shares_.shifts()) {
--- a/src/libs/entry/steering.h
+++ b/src/libs/entry/steering.h
@@ -49,11 +49,10 @@
                                const std::vector<routing::SourceKey>& tried,
                                base::MonotonicTime now, std::string& reason);
 
-  /// Reports how a request to `target` ended: it took `latency` there, or it was refused.
+  /// Reports how a request to `target` ended: it took `latency` there, or it was refused or lost.
   void Answered(const Target& target, base::Duration latency, std::uint64_t answer_bytes,
                 base::MonotonicTime now);
   void Refused(const Target& target, base::MonotonicTime now);
-  void Lost(const Target& target, base::MonotonicTime now);
 
   /// Paces shifts; call it several times a second.
   void Tick(base::MonotonicTime now);
--- a/src/libs/rpc/claim_codec.cpp
+++ b/src/libs/rpc/claim_codec.cpp
@@ -33,6 +33,22 @@
   return static_cast<claims::Table>(table);
 }
 
+/// Fields that name a claim in every message and record.
+template <typename Claim, typename Wire>
+void WriteIdentity(const Claim& claim, Wire& wire) {
+  wire.set_table(static_cast<std::uint32_t>(claim.table));
+  wire.set_key(Bytes(claim.key));
+  wire.set_attempt(Bytes(claim.attempt));
+}
+
+template <typename Wire, typename Claim>
+Result<void> ReadIdentity(const Wire& wire, Claim& claim) {
+  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
+  claim.table = table;
+  BOOST_OUTCOME_TRY(Read(wire.key(), "key", claim.key));
+  return Read(wire.attempt(), "attempt", claim.attempt);
+}
+
 template <typename Wire>
 void WriteKnown(const claims::Incarnations& known, Wire& wire) {
   for (claims::ReplicaIndex i = 0; i < claims::kMaxReplicas; ++i) wire.add_known(known.of(i));
@@ -52,10 +68,8 @@
 ClaimRecord ToWire(const claims::Record& record) {
   ClaimRecord wire;
   wire.set_kind(static_cast<std::uint32_t>(record.kind));
-  wire.set_table(static_cast<std::uint32_t>(record.table));
-  wire.set_key(Bytes(record.key));
+  WriteIdentity(record, wire);
   wire.set_body(Bytes(record.body));
-  wire.set_attempt(Bytes(record.attempt));
   wire.set_claimed_at(record.claimed_at);
   wire.set_deadline(record.deadline);
   wire.set_refused_at(record.refused_at);
@@ -72,11 +86,8 @@
     return base::Fail(base::ErrorCode::kInvalidArgument, "kind: unknown");
   }
   record.kind = static_cast<claims::RecordKind>(wire.kind());
-  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
-  record.table = table;
-  BOOST_OUTCOME_TRY(Read(wire.key(), "key", record.key));
+  BOOST_OUTCOME_TRY(ReadIdentity(wire, record));
   BOOST_OUTCOME_TRY(Read(wire.body(), "body", record.body));
-  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", record.attempt));
   record.claimed_at = wire.claimed_at();
   record.deadline = wire.deadline();
   record.refused_at = wire.refused_at();
@@ -89,10 +100,8 @@
 
 ClaimRequest ToWire(const claims::ClaimRequest& request) {
   ClaimRequest wire;
-  wire.set_table(static_cast<std::uint32_t>(request.table));
-  wire.set_key(Bytes(request.key));
+  WriteIdentity(request, wire);
   wire.set_body(Bytes(request.body));
-  wire.set_attempt(Bytes(request.attempt));
   wire.set_started_at(request.started_at);
   wire.set_deadline(request.deadline);
   return wire;
@@ -100,11 +109,8 @@
 
 Result<claims::ClaimRequest> FromWire(const ClaimRequest& wire) {
   claims::ClaimRequest request;
-  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
-  request.table = table;
-  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
+  BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
   BOOST_OUTCOME_TRY(Read(wire.body(), "body", request.body));
-  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
   request.started_at = wire.started_at();
   request.deadline = wire.deadline();
   return request;
@@ -143,10 +149,8 @@
 
 CompleteRequest ToWire(const claims::CompleteRequest& request) {
   CompleteRequest wire;
-  wire.set_table(static_cast<std::uint32_t>(request.table));
-  wire.set_key(Bytes(request.key));
+  WriteIdentity(request, wire);
   wire.set_body(Bytes(request.body));
-  wire.set_attempt(Bytes(request.attempt));
   wire.set_deadline(request.deadline);
   wire.set_answer(request.answer);
   return wire;
@@ -154,11 +158,8 @@
 
 Result<claims::CompleteRequest> FromWire(const CompleteRequest& wire) {
   claims::CompleteRequest request;
-  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
-  request.table = table;
-  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
+  BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
   BOOST_OUTCOME_TRY(Read(wire.body(), "body", request.body));
-  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
   request.deadline = wire.deadline();
   request.answer = wire.answer();
   return request;
@@ -166,19 +167,14 @@
 
 ReleaseRequest ToWire(const claims::ReleaseRequest& request) {
   ReleaseRequest wire;
-  wire.set_table(static_cast<std::uint32_t>(request.table));
-  wire.set_key(Bytes(request.key));
-  wire.set_attempt(Bytes(request.attempt));
+  WriteIdentity(request, wire);
   wire.set_refused_at(request.refused_at);
   return wire;
 }
 
 Result<claims::ReleaseRequest> FromWire(const ReleaseRequest& wire) {
   claims::ReleaseRequest request;
-  BOOST_OUTCOME_TRY(table, ReadTable(wire.table()));
-  request.table = table;
-  BOOST_OUTCOME_TRY(Read(wire.key(), "key", request.key));
-  BOOST_OUTCOME_TRY(Read(wire.attempt(), "attempt", request.attempt));
+  BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
   request.refused_at = wire.refused_at();
   return request;
 }
