--- /dev/null
+++ b/src/libs/catalog/validate_catalog.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/result.h"
+#include "catalog/catalog.h"
+
+namespace wagtailpick::catalog {
+
+/// Checks what an operator sent; fails with `kInvalidArgument` and names the route. Route names and
+/// prefixes have to be unique, targets have to be known services with some weight.
+base::Result<void> Validate(const Catalog& catalog);
+
+}  // namespace wagtailpick::catalog
--- /dev/null
+++ b/src/libs/cluster/acceptor.cpp
@@ -0,0 +1,114 @@
+#include "cluster/acceptor.h"
+
+#include <utility>
+#include <vector>
+
+#include "cluster/message_codec.h"
+#include "logging/log.h"
+#include "net/socket_options.h"
+
+namespace wagtailpick::cluster {
+namespace {
+
+/// Three missed pings and some time on the way.
+constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(1'800);
+
+}  // namespace
+
+base::Result<std::unique_ptr<Acceptor>> Acceptor::Start(asio::io_context& loop,
+                                                        const base::Endpoint& endpoint,
+                                                        Hooks hooks) {
+  BOOST_OUTCOME_TRY(socket, net::Listen(loop, endpoint));
+  std::unique_ptr<Acceptor> acceptor(new Acceptor(std::move(socket), std::move(hooks)));
+  acceptor->Accept();
+  return acceptor;
+}
+
+Acceptor::Acceptor(asio::ip::tcp::acceptor acceptor, Hooks hooks)
+    : acceptor_(std::move(acceptor)), hooks_(std::move(hooks)) {}
+
+Acceptor::~Acceptor() {
+  for (auto& [id, peer] : peers_) peer.link->Close();
+}
+
+void Acceptor::Accept() {
+  acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) Add(std::move(socket));
+    Accept();
+  });
+}
+
+void Acceptor::Add(asio::ip::tcp::socket socket) {
+  const std::uint64_t id = next_id_++;
+  auto& peer = peers_[id];
+  peer.link = std::make_shared<net::FrameLink>(std::move(socket));
+  peer.session.id = id;
+  net::FrameLink::Hooks hooks;
+  hooks.frame = [this, id](const std::string& frame) { TakeFrame(id, frame); };
+  hooks.closed = [this, id](const std::string& reason) { Remove(id, reason); };
+  peer.link->Start(std::move(hooks));
+}
+
+void Acceptor::TakeFrame(std::uint64_t id, const std::string& frame) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) return;
+  const auto message = Decode(frame);
+  if (!message) return Remove(id, "unreadable message: " + message.error().message);
+  TakeMessage(found->second, message.value());
+}
+
+void Acceptor::TakeMessage(Peer& peer, const Message& message) {
+  if (const auto* hello = std::get_if<Hello>(&message)) {
+    peer.session.hello = *hello;
+    if (!std::exchange(peer.greeted, true)) hooks_.opened(peer.session);
+    return;
+  }
+  if (!peer.greeted) return Remove(peer.session.id, "no hello");
+  if (const auto* ping = std::get_if<Ping>(&message)) {
+    const bool changed = std::exchange(peer.session.ready, ping->ready) != ping->ready;
+    if (changed) hooks_.ready_changed(peer.session);
+    // Last, as a link that fails takes the peer with it.
+    return peer.link->Send(Encode(Ping{}));
+  }
+  hooks_.message(peer.session, message);
+}
+
+void Acceptor::Remove(std::uint64_t id, const std::string& reason) {
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) return;
+  const Peer peer = std::move(found->second);
+  peers_.erase(found);
+  peer.link->Close();
+  if (peer.greeted) hooks_.closed(peer.session, reason);
+}
+
+void Acceptor::Tick(base::MonotonicTime now) {
+  std::vector<std::uint64_t> silent;
+  for (const auto& [id, peer] : peers_) {
+    if (now - peer.link->last_received() > kSilenceLimit) silent.push_back(id);
+  }
+  for (const auto id : silent) Remove(id, "silent");
+}
+
+void Acceptor::Send(std::uint64_t session, const Message& message) {
+  const auto found = peers_.find(session);
+  if (found != peers_.end()) found->second.link->Send(Encode(message));
+}
+
+void Acceptor::Broadcast(NodeRole role, const Message& message) {
+  const std::string frame = Encode(message);
+  std::vector<std::shared_ptr<net::FrameLink>> links;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.greeted && peer.session.hello.role == role) links.push_back(peer.link);
+  }
+  for (const auto& link : links) link->Send(frame);
+}
+
+void Acceptor::ForEach(const std::function<void(const Session& session)>& visit) const {
+  for (const auto& [id, peer] : peers_) {
+    if (peer.greeted) visit(peer.session);
+  }
+}
+
+}  // namespace wagtailpick::cluster
--- /dev/null
+++ b/src/libs/cluster/consensus_codec.cpp
@@ -0,0 +1,74 @@
+#include "cluster/consensus_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wagtailpick::cluster {
+namespace {
+
+using nlohmann::json;
+
+json Binary(const std::string& bytes) { return json::binary({bytes.begin(), bytes.end()}); }
+
+std::string BytesFrom(const json& field) {
+  const auto& bytes = field.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+consensus::ReplicaKey KeyFrom(const json& fields) {
+  return {fields.at(0).get<std::string>(), fields.at(1).get<std::uint64_t>()};
+}
+
+json EntriesOf(const consensus::Message& message) {
+  json entries = json::array();
+  for (const auto& entry : message.entries) {
+    entries.push_back(
+        {entry.index, entry.term, static_cast<std::uint8_t>(entry.kind), Binary(entry.data)});
+  }
+  return entries;
+}
+
+}  // namespace
+
+json ToFields(const consensus::Message& message) {
+  const auto& chunk = message.chunk;
+  const json chunk_fields = {chunk.index,  chunk.term,         chunk.membership,
+                             chunk.offset, Binary(chunk.data), chunk.last};
+  return {static_cast<std::uint8_t>(message.kind),
+          json::array({message.from.name, message.from.incarnation}),
+          json::array({message.to.name, message.to.incarnation}),
+          message.term,
+          message.log_index,
+          message.log_term,
+          message.commit,
+          message.sent_at,
+          message.accepted,
+          message.match,
+          EntriesOf(message),
+          chunk_fields};
+}
+
+consensus::Message ConsensusFrom(const json& fields) {
+  consensus::Message message;
+  message.kind = static_cast<consensus::MessageKind>(fields.at(0).get<std::uint8_t>());
+  message.from = KeyFrom(fields.at(1));
+  message.to = KeyFrom(fields.at(2));
+  message.term = fields.at(3).get<std::uint64_t>();
+  message.log_index = fields.at(4).get<std::uint64_t>();
+  message.log_term = fields.at(5).get<std::uint64_t>();
+  message.commit = fields.at(6).get<std::uint64_t>();
+  message.sent_at = fields.at(7).get<std::int64_t>();
+  message.accepted = fields.at(8).get<bool>();
+  message.match = fields.at(9).get<std::uint64_t>();
+  for (const auto& entry : fields.at(10)) {
+    message.entries.push_back({entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>(),
+                               static_cast<consensus::EntryKind>(entry.at(2).get<std::uint8_t>()),
+                               BytesFrom(entry.at(3))});
+  }
+  const auto& chunk = fields.at(11);
+  message.chunk = {chunk.at(0).get<std::uint64_t>(), chunk.at(1).get<std::uint64_t>(),
+                   chunk.at(2).get<std::string>(),   chunk.at(3).get<std::uint64_t>(),
+                   BytesFrom(chunk.at(4)),           chunk.at(5).get<bool>()};
+  return message;
+}
+
+}  // namespace wagtailpick::cluster
--- a/src/libs/consensus/core.h
+++ b/src/libs/consensus/core.h
@@ -31,6 +31,7 @@
   void Stop(base::ErrorCode code, std::string reason);
 
   bool HasLease(base::MonotonicTime now) const;
+  bool LedSince(base::MonotonicTime since, base::MonotonicTime now) const;
   std::optional<ReplicaKey> LeaderHint() const;
   Role role() const { return role_; }
   std::uint64_t term() const { return hard_state_.term; }
--- a/src/libs/consensus/core_leader.cpp
+++ b/src/libs/consensus/core_leader.cpp
@@ -66,6 +66,11 @@
   return now < QuorumAnsweredAt(now) + options_.leader_lease;
 }
 
+bool Core::LedSince(base::MonotonicTime since, base::MonotonicTime now) const {
+  if (role_ != Role::kLeader || given_ < term_start_index_) return false;
+  return QuorumAnsweredAt(now) > since;
+}
+
 void Core::TickLeader() {
   const base::MonotonicTime answered = std::max(elected_at_, QuorumAnsweredAt(now_));
   if (now_ - answered > options_.election_timeout_min) {
--- a/src/libs/consensus/replica.cpp
+++ b/src/libs/consensus/replica.cpp
@@ -113,6 +113,10 @@
 
 void Replica::SyncFailed() { core_->Stop(base::ErrorCode::kIo, "a write or sync failed"); }
 
+bool Replica::LedSince(base::MonotonicTime since, base::MonotonicTime now) const {
+  return core_->LedSince(since, now);
+}
+
 bool Replica::HasLease(base::MonotonicTime now) const { return core_->HasLease(now); }
 
 std::optional<ReplicaKey> Replica::LeaderHint() const { return core_->LeaderHint(); }
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -91,6 +91,11 @@
   /// Whether this replica is the only one that can answer for the committed state: it leads, a
   /// quorum has heard it within the lease, and an entry of its own term was given out to apply.
   bool HasLease(base::MonotonicTime now) const;
+  /// Whether a quorum has answered a heartbeat that this replica, as the leader that has given out
+  /// an entry of its own term, sent later than `since`. A read that arrived at `since` sees then
+  /// every entry that was committed before it, whatever other replicas' clocks do.
+  bool LedSince(base::MonotonicTime since, base::MonotonicTime now) const;
+
   /// The leader as far as this replica knows, itself included.
   std::optional<ReplicaKey> LeaderHint() const;
   Role role() const;
--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -8,6 +8,7 @@
 #include "bundle/signed_bundle.h"
 #include "control/command_codec.h"
 #include "controller/control_service_propose.h"
+#include "controller/message_codec.h"
 #include "controller/share_limits.h"
 #include "logging/log.h"
 #include "rpc/stamp.h"
@@ -18,6 +19,7 @@
 using base::Result;
 using timeline::EventKind;
 
+constexpr base::Duration kDeliverTimeout = std::chrono::milliseconds(500);
 constexpr base::Duration kForwardTimeout = std::chrono::seconds(2);
 /// Longer than any request deadline (10 s), so that nothing can run at a forgotten upstream.
 constexpr base::Duration kForgetOrphanAfter = std::chrono::seconds(30);
@@ -29,7 +31,7 @@
   return reply;
 }
 
-rpc::SubmitOutcome ToWire(control::BundleVerdict verdict) {
+rpc::SubmitOutcome OutcomeToWire(control::BundleVerdict verdict) {
   switch (verdict) {
     case control::BundleVerdict::kAccepted:
       return rpc::SUBMIT_OUTCOME_ACCEPTED;
@@ -76,23 +78,44 @@
       last_outcome_(control::Outcome()) {}
 
 Result<std::unique_ptr<ControlService>> ControlService::Create(const ControllerOptions& options,
-                                                               ReplicaDisk disk,
+                                                               replica::ReplicaDisk disk,
                                                                base::EventLoop& loop,
                                                                timeline::EventRing& events) {
   std::unique_ptr<ControlService> service(new ControlService(options, events));
-  auto* raw = service.get();
-  LogDriver::Hooks hooks;
-  hooks.apply = [raw](std::uint64_t index, const std::string& data) { raw->Apply(index, data); };
-  hooks.restore = [raw](const std::string& snapshot) { raw->Restore(snapshot); };
-  hooks.members = [raw](const consensus::Membership& members) { raw->TakeMembers(members); };
-  hooks.snapshot = [raw] { return raw->state_.EncodeSnapshot(); };
-  hooks.stamp = [raw](rpc::ConsensusBatch& batch) { rpc::AddStamp(raw->events_, batch); };
-  BOOST_OUTCOME_TRY(log, LogDriver::Create(service->self_, options.replicas, std::move(disk), loop,
-                                           std::move(hooks)));
+  auto log_options = replica::LogDriver::DefaultOptions();
+  log_options.peers = options.replicas;
+  for (const auto& peer : options.replicas) {
+    if (peer != service->self_) service->replicas_[peer] = rpc::Client::Create(peer);
+  }
+  BOOST_OUTCOME_TRY(log, replica::LogDriver::Create(service->self_, std::move(log_options),
+                                                    std::move(disk), service->LogHooks(loop)));
   service->log_ = std::move(log);
   return service;
 }
 
+replica::LogDriver::Hooks ControlService::LogHooks(base::EventLoop& loop) {
+  replica::LogDriver::Hooks hooks;
+  hooks.apply = [this](std::uint64_t index, const std::string& data) { Apply(index, data); };
+  hooks.restore = [this](const std::string& snapshot) { Restore(snapshot); };
+  hooks.members = [this](const consensus::Membership& members) { TakeMembers(members); };
+  hooks.snapshot = [this] { return state_.EncodeSnapshot(); };
+  hooks.send = [this](const std::string& to, const std::vector<consensus::Message>& messages) {
+    SendToReplica(to, messages);
+  };
+  hooks.defer = [&loop](std::function<void()> task) { return loop.TryPost(std::move(task)); };
+  return hooks;
+}
+
+void ControlService::SendToReplica(const std::string& name,
+                                   const std::vector<consensus::Message>& messages) {
+  const auto peer = replicas_.find(name);
+  if (peer == replicas_.end()) return;
+  rpc::ConsensusBatch batch;
+  for (const auto& message : messages) *batch.add_messages() = ToWire(message);
+  rpc::AddStamp(events_, batch);
+  peer->second->Deliver(batch, kDeliverTimeout, [](const base::Result<rpc::Empty>&) {});
+}
+
 void ControlService::Apply(std::uint64_t index, const std::string& data) {
   const auto command = control::DecodeCommand(data);
   if (!command) {
@@ -167,7 +190,10 @@
 
 void ControlService::Deliver(const rpc::ConsensusBatch& batch) {
   rpc::TakeStamp(events_, batch);
-  log_->Step(batch);
+  std::vector<consensus::Message> messages;
+  messages.reserve(static_cast<std::size_t>(batch.messages_size()));
+  for (const auto& message : batch.messages()) messages.push_back(FromWire(message));
+  log_->Step(messages);
 }
 
 void ControlService::Tick() {
@@ -268,7 +294,7 @@
 
 void ControlService::FillSubmitReply(const control::BundleOutcome& outcome,
                                      rpc::SubmitReply& reply) const {
-  reply.set_outcome(ToWire(outcome.verdict));
+  reply.set_outcome(OutcomeToWire(outcome.verdict));
   reply.set_digest(outcome.answer.digest);
   reply.set_current_version(state_.bundle().version);
   if (outcome.verdict == control::BundleVerdict::kSuperseded) {
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -12,7 +12,8 @@
 #include "control/session_table.h"
 #include "control/share_ledger.h"
 #include "controller/controller_options.h"
-#include "controller/log_driver.h"
+#include "replica/log_driver.h"
+#include "rpc/client.h"
 #include "rpc/handlers.h"
 #include "timeline/event_ring.h"
 
@@ -24,7 +25,7 @@
  public:
   /// Recovers from `disk`. Fails as `LogDriver::Create` does.
   static base::Result<std::unique_ptr<ControlService>> Create(const ControllerOptions& options,
-                                                              ReplicaDisk disk,
+                                                              replica::ReplicaDisk disk,
                                                               base::EventLoop& loop,
                                                               timeline::EventRing& events);
 
@@ -43,6 +44,8 @@
 
   ControlService(const ControllerOptions& options, timeline::EventRing& events);
 
+  replica::LogDriver::Hooks LogHooks(base::EventLoop& loop);
+  void SendToReplica(const std::string& name, const std::vector<consensus::Message>& messages);
   void Apply(std::uint64_t index, const std::string& data);
   void Restore(const std::string& snapshot);
   void TakeOutcome(const control::Command& command, const control::Outcome& outcome);
@@ -67,7 +70,7 @@
   ControllerOptions options_;
   timeline::EventRing& events_;
   std::string self_;
-  std::unique_ptr<LogDriver> log_;
+  std::unique_ptr<replica::LogDriver> log_;
   control::ControlState state_;
   control::SessionTable sessions_;
   control::ShareLedger shares_;
@@ -83,6 +86,8 @@
   std::map<control::SessionId, SessionReport> reports_;
   std::map<control::UpstreamKey, base::MonotonicTime> orphans_;
   std::map<std::string, std::unique_ptr<rpc::Client>> clients_;
+  /// Connections of the replicated log to the other replicas, by address.
+  std::map<std::string, std::unique_ptr<rpc::Client>> replicas_;
 };
 
 }  // namespace wagtailpick::controller
--- a/src/libs/controller/controller.cpp
+++ b/src/libs/controller/controller.cpp
@@ -5,7 +5,7 @@
 #include "base/event_loop.h"
 #include "controller/claim_service.h"
 #include "controller/control_service.h"
-#include "controller/replica_disk.h"
+#include "replica/replica_disk.h"
 
 namespace wagtailpick::controller {
 namespace {
@@ -45,8 +45,8 @@
 Controller::~Controller() = default;
 
 base::Result<void> Controller::InitGroup(const ControllerOptions& options) {
-  return ReplicaDisk::InitGroup(options.data_folder, options.replicas.at(options.replica_id - 1),
-                                options.replicas);
+  return replica::ReplicaDisk::InitGroup(
+      options.data_folder, options.replicas.at(options.replica_id - 1), options.replicas);
 }
 
 base::Result<std::unique_ptr<Controller>> Controller::Start(const ControllerOptions& options,
@@ -55,8 +55,8 @@
   // Seconds are enough: a disk can't be lost and set up again within one.
   const auto new_incarnation = static_cast<std::uint64_t>(base::WallNowMillis() / 1'000);
   BOOST_OUTCOME_TRY(
-      disk, ReplicaDisk::Open(options.data_folder, options.replicas.at(options.replica_id - 1),
-                              new_incarnation));
+      disk, replica::ReplicaDisk::Open(
+                options.data_folder, options.replicas.at(options.replica_id - 1), new_incarnation));
   const RecoveredClaims recovered{disk.TakeClaimRecords(), disk.TakeClaimOffsets(),
                                   disk.incarnation()};
   state->claims = std::make_unique<ClaimService>(options, disk.TakeClaimLog(), recovered,
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,28 +8,10 @@
 #include "base/endpoint.h"
 #include "base/monotonic_time.h"
 #include "base/result.h"
-#include "http/header.h"
+#include "http/message.h"
 
 namespace wagtailpick::http {
 
-/// A whole request as it came in.
-struct Request {
-  std::string method;
-  /// Path with query.
-  std::string target;
-  Headers headers;
-  std::string body;
-  /// IP address of the client.
-  std::string peer;
-};
-
-/// A whole answer.
-struct Response {
-  int status = 200;
-  Headers headers;
-  std::string body;
-};
-
 /// Sends the answer to one request; called exactly once, on any thread.
 using ResponseSink = std::function<void(Response)>;
 
--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -9,6 +9,9 @@
 #include <atomic>
 #include <fstream>
 #include <memory>
+#include <utility>
+
+#include "logging/background_writer.h"
 
 namespace wagtailpick::logging {
 namespace {
@@ -16,6 +19,11 @@
 std::atomic<bool> started = false;
 Options process_options;
 
+std::unique_ptr<BackgroundWriter>& Background() {
+  static auto* const writer = new std::unique_ptr<BackgroundWriter>();
+  return *writer;
+}
+
 log4cxx::LoggerPtr ProcessLogger() { return log4cxx::Logger::getLogger("wagtailpick"); }
 
 log4cxx::LevelPtr ToLog4cxx(Level level) {
@@ -37,13 +45,34 @@
   if (file == "-") {
     return std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
   }
+  if (file == "stdout") {
+    return std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
+  }
   return std::make_shared<log4cxx::FileAppender>(layout, file, true);
 }
 
 }  // namespace
 
+namespace {
+
+void WriteNow(const Line& line) {
+  const auto logger = ProcessLogger();
+  const log4cxx::MDC event_field("event", line.event);
+  const log4cxx::MDC vm_field("vm", process_options.vm);
+  const log4cxx::MDC place_field("place", process_options.place);
+  std::vector<std::unique_ptr<log4cxx::MDC>> extra;
+  extra.reserve(line.fields.size());
+  for (const auto& field : line.fields) {
+    extra.push_back(std::make_unique<log4cxx::MDC>(field.name, field.value));
+  }
+  logger->forcedLog(ToLog4cxx(line.level), line.message);
+}
+
+}  // namespace
+
 base::Result<void> Start(const Options& options) {
-  if (options.file != "-" && !std::ofstream(options.file, std::ios::app)) {
+  const bool is_file = options.file != "-" && options.file != "stdout";
+  if (is_file && !std::ofstream(options.file, std::ios::app)) {
     return base::Fail(base::ErrorCode::kIo, "log file " + options.file + " can't be opened");
   }
   process_options = options;
@@ -52,25 +81,24 @@
   logger->setAdditivity(false);
   logger->setLevel(log4cxx::Level::getInfo());
   logger->addAppender(MakeAppender(options.file));
+  if (options.in_background) {
+    Background() = std::make_unique<BackgroundWriter>(WriteNow);
+  }
   started = true;
   return base::Ok();
 }
 
 void Write(Level level, const std::string& event, const std::string& message,
            const std::vector<Field>& fields) {
-  if (!started) return;
-  const auto logger = ProcessLogger();
-  const auto log4cxx_level = ToLog4cxx(level);
-  if (!logger->isEnabledFor(log4cxx_level)) return;
-  const log4cxx::MDC event_field("event", event);
-  const log4cxx::MDC vm_field("vm", process_options.vm);
-  const log4cxx::MDC place_field("place", process_options.place);
-  std::vector<std::unique_ptr<log4cxx::MDC>> extra;
-  extra.reserve(fields.size());
-  for (const auto& field : fields) {
-    extra.push_back(std::make_unique<log4cxx::MDC>(field.name, field.value));
-  }
-  logger->forcedLog(log4cxx_level, message);
+  if (!started || !ProcessLogger()->isEnabledFor(ToLog4cxx(level))) return;
+  Line line{level, event, message, fields};
+  if (Background() != nullptr) return Background()->Add(std::move(line));
+  WriteNow(line);
+}
+
+void Stop() {
+  const auto writer = std::exchange(Background(), nullptr);
+  if (writer != nullptr) writer->Stop();
 }
 
 }  // namespace wagtailpick::logging
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -20,8 +20,11 @@
 struct Options {
   std::string vm;
   std::string place;
-  /// Path of the file; "-" is standard error.
+  /// Path of the file; "-" is standard error, "stdout" is standard output.
   std::string file = "-";
+  /// Lines are written by a thread of their own, and dropped and counted while it lags: a reader
+  /// that stops reading the output never blocks the caller.
+  bool in_background = false;
 };
 
 /// Sets up logging for the process; call once before the first line. Fails with `kIo` when the file
@@ -33,4 +36,8 @@
 void Write(Level level, const std::string& event, const std::string& message,
            const std::vector<Field>& fields = {});
 
+/// Writes what is queued and ends the background thread, if there is one. Waits for a short time
+/// only, as the output may be blocked.
+void Stop();
+
 }  // namespace wagtailpick::logging
--- /dev/null
+++ b/src/libs/net/http_listener.cpp
@@ -0,0 +1,86 @@
+#include "net/http_listener.h"
+
+#include <utility>
+#include <vector>
+
+#include "logging/log.h"
+#include "net/socket_options.h"
+
+namespace wagtailpick::net {
+namespace {
+
+/// How often connections are checked for silent clients.
+constexpr std::chrono::milliseconds kSweepInterval{500};
+/// Accepting pauses this long when the process has no descriptors left.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+}  // namespace
+
+base::Result<std::unique_ptr<HttpListener>> HttpListener::Start(
+    asio::io_context& loop, const base::Endpoint& endpoint, InboundHandler handle,
+    std::function<ServerPolicy()> policy) {
+  BOOST_OUTCOME_TRY(acceptor, Listen(loop, endpoint));
+  std::unique_ptr<HttpListener> listener(
+      new HttpListener(std::move(acceptor), std::move(handle), std::move(policy)));
+  listener->Accept();
+  listener->Sweep();
+  return listener;
+}
+
+HttpListener::HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
+                           std::function<ServerPolicy()> policy)
+    : acceptor_(std::move(acceptor)),
+      sweep_timer_(acceptor_.get_executor()),
+      handle_(std::move(handle)),
+      policy_(std::move(policy)) {}
+
+HttpListener::~HttpListener() {
+  stopped_ = true;
+  const auto connections = std::exchange(connections_, {});
+  for (const auto& connection : connections) connection->Close();
+}
+
+void HttpListener::Accept() {
+  acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (error) {
+      logging::Write(logging::Level::kWarning, "accept_failed", error.message());
+      sweep_timer_.expires_after(kAcceptPause);
+      return sweep_timer_.async_wait([this](asio::error_code aborted) {
+        if (aborted) return;
+        Accept();
+        Sweep();
+      });
+    }
+    ServerConnection::Hooks hooks;
+    hooks.handle = handle_;
+    hooks.policy = policy_;
+    hooks.closed = [this](const std::shared_ptr<ServerConnection>& closed) {
+      if (!stopped_) connections_.erase(closed);
+    };
+    const auto connection = std::make_shared<ServerConnection>(std::move(socket), std::move(hooks));
+    connections_.insert(connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void HttpListener::Sweep() {
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](asio::error_code error) {
+    if (error) return;
+    const auto now = base::MonotonicNow();
+    const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
+                                                              connections_.end());
+    for (const auto& connection : open) connection->CheckTimeouts(now);
+    Sweep();
+  });
+}
+
+void HttpListener::CloseIdle() {
+  const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
+                                                            connections_.end());
+  for (const auto& connection : open) connection->CloseIfIdle();
+}
+
+}  // namespace wagtailpick::net
--- /dev/null
+++ b/src/libs/net/http_listener.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+#include "base/endpoint.h"
+#include "base/result.h"
+#include "net/server_connection.h"
+
+namespace wagtailpick::net {
+
+/// An HTTP/1.1 server on one address, on the loop of its owner.
+class HttpListener {
+ public:
+  /// Starts to listen. Fails with `kUnavailable` when the address can't be used.
+  static base::Result<std::unique_ptr<HttpListener>> Start(asio::io_context& loop,
+                                                           const base::Endpoint& endpoint,
+                                                           InboundHandler handle,
+                                                           std::function<ServerPolicy()> policy);
+
+  /// Closes all connections.
+  ~HttpListener();
+  HttpListener(const HttpListener&) = delete;
+  HttpListener& operator=(const HttpListener&) = delete;
+
+  /// Ends the connections that wait for a request; the others end with their answer.
+  void CloseIdle();
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
+               std::function<ServerPolicy()> policy);
+  void Accept();
+  void Sweep();
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer sweep_timer_;
+  InboundHandler handle_;
+  std::function<ServerPolicy()> policy_;
+  std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
+  bool stopped_ = false;
+};
+
+}  // namespace wagtailpick::net
--- /dev/null
+++ b/src/libs/net/http_parser_state.cpp
@@ -0,0 +1,146 @@
+#include "net/http_parser_state.h"
+
+#include <algorithm>
+
+namespace wagtailpick::net {
+namespace {
+
+constexpr int kSkipBody = 1;
+constexpr int kStop = -1;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+bool HasNoBody(int status) {
+  return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+HttpParserState::HttpParserState(Kind kind, const MessageLimits& limits)
+    : kind_(kind), limits_(limits) {
+  Reset();
+}
+
+void HttpParserState::Reset(bool head) {
+  http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  request_ = {};
+  response_ = {};
+  header_bytes_ = 0;
+  reading_value_ = false;
+  head_ = head;
+  started_ = false;
+  headers_complete_ = false;
+  complete_ = false;
+  keep_alive_ = false;
+  ends_with_stream_ = false;
+  error_ = ParseError::kNone;
+}
+
+HttpParserState& HttpParserState::From(http_parser* parser) {
+  return *static_cast<HttpParserState*>(parser->data);
+}
+
+http::Headers& HttpParserState::headers() {
+  return kind_ == Kind::kRequest ? request_.headers : response_.headers;
+}
+
+int HttpParserState::CountHeaderBytes(std::size_t bytes) {
+  header_bytes_ += bytes;
+  if (header_bytes_ <= limits_.max_header_bytes) return 0;
+  error_ = ParseError::kHeadersTooLarge;
+  return kStop;
+}
+
+int HttpParserState::AddBody(std::string_view bytes) {
+  std::string& body = kind_ == Kind::kRequest ? request_.body : response_.body;
+  if (body.size() + bytes.size() > limits_.max_body_bytes) {
+    error_ = ParseError::kBodyTooLarge;
+    return kStop;
+  }
+  body.append(bytes);
+  return 0;
+}
+
+int HttpParserState::HeadersComplete() {
+  headers_complete_ = true;
+  keep_alive_ = http_should_keep_alive(&parser_) != 0;
+  if (kind_ == Kind::kResponse) {
+    response_.status = static_cast<int>(parser_.status_code);
+    const bool framed = (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != UINT64_MAX;
+    ends_with_stream_ = !head_ && !framed && !HasNoBody(response_.status);
+    return head_ ? kSkipBody : 0;
+  }
+  request_.method = http_method_str(static_cast<http_method>(parser_.method));
+  const bool well_formed = std::all_of(request_.headers.begin(), request_.headers.end(),
+                                       [](const auto& header) { return IsWellFormed(header); });
+  if (!well_formed) return kStop;
+  const bool known_length = parser_.content_length != UINT64_MAX;
+  if (known_length && parser_.content_length > limits_.max_body_bytes) {
+    error_ = ParseError::kBodyTooLarge;
+    return kStop;
+  }
+  return 0;
+}
+
+const http_parser_settings& HttpParserState::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings callbacks;
+    http_parser_settings_init(&callbacks);
+    callbacks.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+      From(parser).request_.target.append(at, length);
+      return From(parser).CountHeaderBytes(length);
+    };
+    callbacks.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+      auto& self = From(parser);
+      // Fields after a chunked body are dropped: nothing here passes trailers on.
+      if (self.headers_complete_) return 0;
+      if (self.reading_value_ || self.headers().empty()) self.headers().emplace_back();
+      self.reading_value_ = false;
+      self.headers().back().name.append(at, length);
+      return self.CountHeaderBytes(length);
+    };
+    callbacks.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+      auto& self = From(parser);
+      if (self.headers_complete_) return 0;
+      self.reading_value_ = true;
+      self.headers().back().value.append(at, length);
+      return self.CountHeaderBytes(length);
+    };
+    callbacks.on_headers_complete = [](http_parser* parser) {
+      return From(parser).HeadersComplete();
+    };
+    callbacks.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+      return From(parser).AddBody({at, length});
+    };
+    callbacks.on_message_complete = [](http_parser* parser) {
+      From(parser).complete_ = true;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return callbacks;
+  }();
+  return settings;
+}
+
+std::size_t HttpParserState::Feed(std::string_view bytes) {
+  if (bytes.empty() || complete_ || error_ != ParseError::kNone) return 0;
+  started_ = true;
+  const std::size_t used = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
+  if (complete_) {
+    http_parser_pause(&parser_, 0);
+    return used;
+  }
+  const auto code = HTTP_PARSER_ERRNO(&parser_);
+  if (code != HPE_OK && error_ == ParseError::kNone) error_ = ParseError::kMalformed;
+  return used;
+}
+
+void HttpParserState::FeedEnd() {
+  if (complete_ || error_ != ParseError::kNone) return;
+  http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+  if (!complete_) error_ = ParseError::kMalformed;
+}
+
+}  // namespace wagtailpick::net
--- /dev/null
+++ b/src/libs/net/server_connection.cpp
@@ -0,0 +1,183 @@
+#include "net/server_connection.h"
+
+#include <asio/write.hpp>
+#include <utility>
+
+#include "net/http_text.h"
+#include "net/socket_options.h"
+
+namespace wagtailpick::net {
+namespace {
+
+/// A client whose VM is gone is noticed after this time.
+constexpr base::Duration kDeadClientTimeout = std::chrono::seconds(6);
+/// How long the client may take to read the last answer before the connection is dropped.
+constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
+/// More bytes of later requests than this are left in the socket.
+constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
+
+int StatusOf(ParseError error) {
+  switch (error) {
+    case ParseError::kHeadersTooLarge:
+      return 431;
+    case ParseError::kBodyTooLarge:
+      return 413;
+    default:
+      return 400;
+  }
+}
+
+}  // namespace
+
+class ServerConnection::Inbound : public InboundRequest {
+ public:
+  explicit Inbound(std::shared_ptr<ServerConnection> connection)
+      : connection_(std::move(connection)) {}
+
+  void Answer(http::Response response) override {
+    const auto connection = std::exchange(connection_, nullptr);
+    on_client_left = nullptr;
+    if (connection == nullptr || connection->phase_ != Phase::kServing) return;
+    const bool close = !connection->client_keeps_open_ || connection->hooks_.policy().closing;
+    connection->Write(std::move(response), close);
+  }
+
+  void Abort() override {
+    const auto connection = std::exchange(connection_, nullptr);
+    on_client_left = nullptr;
+    if (connection != nullptr) connection->Close();
+  }
+
+  void ClientLeft() {
+    connection_ = nullptr;
+    const auto notify = std::exchange(on_client_left, nullptr);
+    if (notify) notify();
+  }
+
+ private:
+  std::shared_ptr<ServerConnection> connection_;
+};
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, Hooks hooks)
+    : socket_(std::move(socket)),
+      hooks_(std::move(hooks)),
+      parser_(HttpParserState::Kind::kRequest, hooks_.policy().message),
+      last_activity_(base::MonotonicNow()),
+      request_started_(last_activity_) {}
+
+void ServerConnection::Start() {
+  DetectDeadPeer(socket_, kDeadClientTimeout);
+  Read();
+}
+
+void ServerConnection::Read() {
+  if (reading_ || phase_ == Phase::kClosed || pending_.size() > kMaxPendingBytes) return;
+  reading_ = true;
+  socket_.async_read_some(asio::buffer(buffer_),
+                          [self = shared_from_this()](asio::error_code error, std::size_t length) {
+                            self->reading_ = false;
+                            if (self->phase_ == Phase::kClosed) return;
+                            if (error) return self->PeerGone();
+                            self->TakeBytes({self->buffer_.data(), length});
+                            self->Read();
+                          });
+}
+
+void ServerConnection::TakeBytes(std::string_view bytes) {
+  if (phase_ == Phase::kLingering) return;
+  last_activity_ = base::MonotonicNow();
+  pending_.append(bytes);
+  if (phase_ == Phase::kReading) ParseBuffered();
+}
+
+void ServerConnection::ParseBuffered() {
+  if (!parser_.started()) request_started_ = last_activity_;
+  parser_.set_limits(hooks_.policy().message);
+  const std::size_t used = parser_.Feed(pending_);
+  pending_.erase(0, used);
+  if (parser_.error() != ParseError::kNone) return Refuse(StatusOf(parser_.error()));
+  if (parser_.complete()) Serve();
+}
+
+void ServerConnection::Serve() {
+  phase_ = Phase::kServing;
+  client_keeps_open_ = parser_.keep_alive();
+  head_ = parser_.request().method == "HEAD";
+  auto inbound = std::make_shared<Inbound>(shared_from_this());
+  inbound->request = std::move(parser_.request());
+  inbound->received_at = base::MonotonicNow();
+  inbound_ = inbound;
+  hooks_.handle(std::move(inbound));
+}
+
+void ServerConnection::Refuse(int status) {
+  phase_ = Phase::kServing;
+  http::Response response;
+  response.status = status;
+  Write(std::move(response), true);
+}
+
+void ServerConnection::Write(http::Response response, bool close) {
+  phase_ = Phase::kWriting;
+  output_ = RenderResponse(response, close, head_);
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this(), close](asio::error_code error, std::size_t /*length*/) {
+        if (self->phase_ == Phase::kClosed) return;
+        if (error) return self->Close();
+        self->Written(close);
+      });
+}
+
+void ServerConnection::Written(bool close) {
+  last_activity_ = base::MonotonicNow();
+  output_ = {};
+  if (close) return Linger();
+  phase_ = Phase::kReading;
+  parser_.Reset();
+  if (!pending_.empty()) ParseBuffered();
+  Read();
+}
+
+// Closing at once could reset the connection while the answer is on its way.
+void ServerConnection::Linger() {
+  phase_ = Phase::kLingering;
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
+}
+
+void ServerConnection::PeerGone() {
+  const auto inbound = inbound_.lock();
+  const bool serving = phase_ == Phase::kServing;
+  Close();
+  if (serving && inbound != nullptr) inbound->ClientLeft();
+}
+
+void ServerConnection::CheckTimeouts(base::MonotonicTime now) {
+  const auto policy = hooks_.policy();
+  const auto idle = now - last_activity_;
+  if (phase_ == Phase::kLingering && idle > kLingerTimeout) return Close();
+  if (phase_ == Phase::kWriting && idle > policy.idle_timeout) return Close();
+  if (phase_ != Phase::kReading) return;
+  const bool slow_headers = parser_.started() && !parser_.headers_complete() &&
+                            now - request_started_ > policy.header_timeout;
+  if (slow_headers) return Refuse(408);
+  if (idle <= policy.idle_timeout) return;
+  if (parser_.started()) return Refuse(408);
+  Close();
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (phase_ == Phase::kReading && !parser_.started()) Linger();
+}
+
+void ServerConnection::Close() {
+  if (phase_ == Phase::kClosed) return;
+  phase_ = Phase::kClosed;
+  asio::error_code ignored;
+  socket_.close(ignored);
+  hooks_.closed(shared_from_this());
+}
+
+}  // namespace wagtailpick::net
--- /dev/null
+++ b/src/libs/net/upstream_connection.cpp
@@ -0,0 +1,170 @@
+#include "net/upstream_connection.h"
+
+#include <asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "base/enum_names.h"
+#include "net/socket_options.h"
+
+namespace wagtailpick::net {
+namespace {
+
+constexpr std::array<base::EnumName<ExchangeEnd>, 3> kEndNames{{
+    {ExchangeEnd::kAnswered, "answered"},
+    {ExchangeEnd::kNotConnected, "not_connected"},
+    {ExchangeEnd::kBroken, "broken"},
+}};
+
+/// A connection takes one round trip; one that takes longer than this has lost its first packet or
+/// its upstream, and another upstream answers sooner.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+constexpr base::Duration kDeadUpstreamTimeout = std::chrono::seconds(3);
+/// Kept idle for this long when the upstream names no time.
+constexpr base::Duration kDefaultKeepAlive = std::chrono::seconds(5);
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+std::string_view ToString(ExchangeEnd end) { return base::NameOf(kEndNames, end); }
+
+UpstreamConnection::UpstreamConnection(asio::io_context& loop, const base::Endpoint& endpoint,
+                                       const MessageLimits& limits)
+    : socket_(loop),
+      connect_timer_(loop),
+      endpoint_(endpoint),
+      parser_(HttpParserState::Kind::kResponse, limits),
+      idle_since_(base::MonotonicNow()),
+      keep_alive_(kDefaultKeepAlive) {}
+
+void UpstreamConnection::Exchange(std::string bytes, bool head, Done done) {
+  output_ = std::move(bytes);
+  head_ = head;
+  done_ = std::move(done);
+  reused_ = connected_;
+  parser_.Reset(head);
+  if (connected_) return Send();
+  Connect();
+}
+
+void UpstreamConnection::Connect() {
+  connect_started_ = base::MonotonicNow();
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+    if (error || self->connected_ || self->closed_) return;
+    self->Fail(ExchangeEnd::kNotConnected, "connect timeout");
+  });
+  socket_.async_connect(ToAsio(endpoint_), [self = shared_from_this()](asio::error_code error) {
+    self->connect_timer_.cancel();
+    if (self->closed_) return;
+    if (error) return self->Fail(ExchangeEnd::kNotConnected, error.message());
+    self->connected_ = true;
+    self->connect_time_ = base::MonotonicNow() - self->connect_started_;
+    DetectDeadPeer(self->socket_, kDeadUpstreamTimeout);
+    self->Send();
+  });
+}
+
+void UpstreamConnection::Send() {
+  writing_ = true;
+  asio::async_write(socket_, asio::buffer(output_),
+                    [self = shared_from_this()](asio::error_code error, std::size_t /*length*/) {
+                      self->writing_ = false;
+                      // The answer may have come before the body was out; the reader decides.
+                      if (error && !self->reading_)
+                        self->Fail(ExchangeEnd::kBroken, error.message());
+                    });
+  Read();
+}
+
+void UpstreamConnection::Read() {
+  if (reading_ || closed_) return;
+  reading_ = true;
+  socket_.async_read_some(asio::buffer(buffer_),
+                          [self = shared_from_this()](asio::error_code error, std::size_t length) {
+                            self->reading_ = false;
+                            if (self->closed_) return;
+                            if (error) return self->TakeEnd(error);
+                            self->TakeBytes({self->buffer_.data(), length});
+                            self->Read();
+                          });
+}
+
+void UpstreamConnection::TakeBytes(std::string_view bytes) {
+  // Bytes on an idle connection belong to no request.
+  if (!done_) return Close();
+  while (!bytes.empty()) {
+    bytes.remove_prefix(parser_.Feed(bytes));
+    if (parser_.error() != ParseError::kNone) {
+      return Fail(ExchangeEnd::kBroken, "bytes that are no answer");
+    }
+    if (!parser_.complete()) return;
+    if (parser_.response().status >= kFirstFinalStatus) break;
+    parser_.Reset(head_);
+  }
+  if (!parser_.complete()) return;
+  Complete(bytes.empty() && parser_.keep_alive() && !writing_);
+}
+
+void UpstreamConnection::TakeEnd(asio::error_code error) {
+  if (!done_) return Close();
+  // Only an orderly end completes an answer without a length.
+  if (error == asio::error::eof && parser_.headers_complete() && parser_.ends_with_stream()) {
+    parser_.FeedEnd();
+    if (parser_.complete()) return Complete(false);
+  }
+  Fail(ExchangeEnd::kBroken, error.message());
+}
+
+void UpstreamConnection::NoteKeepAlive() {
+  const auto* value = http::FindHeader(parser_.response().headers, "keep-alive");
+  if (value == nullptr) return;
+  const auto at = value->find("timeout=");
+  if (at == std::string::npos) return;
+  int seconds = 0;
+  const char* first = value->data() + at + std::string_view("timeout=").size();
+  const auto parsed = std::from_chars(first, value->data() + value->size(), seconds);
+  if (parsed.ec == std::errc()) keep_alive_ = std::chrono::seconds(seconds);
+}
+
+void UpstreamConnection::Complete(bool reusable) {
+  NoteKeepAlive();
+  ExchangeResult result;
+  result.end = ExchangeEnd::kAnswered;
+  result.answer_started = true;
+  result.reused = reused_;
+  result.connect_time = reused_ ? base::Duration::zero() : connect_time_;
+  result.response = std::move(parser_.response());
+  const auto done = std::exchange(done_, nullptr);
+  output_ = {};
+  idle_since_ = base::MonotonicNow();
+  if (!reusable) {
+    Close();
+  } else if (on_idle) {
+    on_idle(shared_from_this());
+  }
+  done(std::move(result));
+}
+
+void UpstreamConnection::Fail(ExchangeEnd end, std::string detail) {
+  ExchangeResult result;
+  result.end = end;
+  result.answer_started = parser_.started();
+  result.reused = reused_;
+  result.connect_time = reused_ ? base::Duration::zero() : connect_time_;
+  result.detail = std::move(detail);
+  const auto done = std::exchange(done_, nullptr);
+  Close();
+  if (done) done(std::move(result));
+}
+
+void UpstreamConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  done_ = nullptr;
+  connect_timer_.cancel();
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace wagtailpick::net
--- /dev/null
+++ b/src/libs/node/control_node.cpp
@@ -0,0 +1,389 @@
+#include "node/control_node.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "logging/log.h"
+#include "node/metrics_page.h"
+
+namespace wagtailpick::node {
+namespace {
+
+using logging::Level;
+
+constexpr std::chrono::milliseconds kTick{150};
+/// Less than the second after which an upstream tries another replica.
+constexpr base::Duration kDrainTimeout = std::chrono::milliseconds(800);
+/// Upstreams that were silent for this long are forgotten; late announcements are older than that.
+constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
+constexpr base::Duration kSummaryInterval = std::chrono::seconds(1);
+/// Entries find a replica that has just started within this time.
+constexpr base::Duration kSettleTime = std::chrono::milliseconds(1'500);
+
+}  // namespace
+
+base::Result<std::unique_ptr<ControlNode>> ControlNode::Start(asio::io_context& loop,
+                                                              const ControlOptions& options,
+                                                              Hooks hooks) {
+  std::unique_ptr<ControlNode> node(new ControlNode(loop, options, std::move(hooks)));
+  BOOST_OUTCOME_TRY(node->Open());
+  return node;
+}
+
+ControlNode::ControlNode(asio::io_context& loop, const ControlOptions& options, Hooks hooks)
+    : loop_(loop),
+      options_(options),
+      hooks_(std::move(hooks)),
+      self_(base::ToString({options.node.ip, options.node.cluster_port})),
+      started_at_(base::MonotonicNow()),
+      timer_(loop),
+      alive_(std::make_shared<bool>(true)) {}
+
+ControlNode::~ControlNode() { *alive_ = false; }
+
+base::Result<void> ControlNode::Open() {
+  BOOST_OUTCOME_TRY(OpenLog());
+  mesh_ = std::make_unique<Mesh>(loop_, options_.node, self_, MeshHooks());
+  BOOST_OUTCOME_TRY(Listen());
+  Tick();
+  return base::Ok();
+}
+
+base::Result<void> ControlNode::OpenLog() {
+  OrderLog::Options log_options;
+  log_options.folder = options_.data_folder;
+  log_options.self = self_;
+  const auto& seeds = options_.node.seeds;
+  log_options.found_group =
+      options_.first_start && !seeds.empty() && seeds.front() == options_.orders;
+  // The log's thread hands everything to the loop; what arrives after the end is dropped.
+  const auto on_loop = [this, alive = alive_](auto task) {
+    asio::post(loop_, [alive, task = std::move(task)] {
+      if (*alive) task();
+    });
+  };
+  OrderLog::Hooks hooks;
+  hooks.changed = [this, on_loop](const orders::OrderState& state) {
+    on_loop([this, state] { TakeState(state); });
+  };
+  hooks.members = [this, on_loop](const consensus::Membership& members) {
+    on_loop([this, members] { TakeMembers(members); });
+  };
+  hooks.send = [this, on_loop](const std::string& to,
+                               const std::vector<consensus::Message>& messages) {
+    on_loop([this, to, messages] { mesh_->Send(to, cluster::Consensus{messages}); });
+  };
+  BOOST_OUTCOME_TRY(log, OrderLog::Start(log_options, std::move(hooks)));
+  log_ = std::move(log);
+  return base::Ok();
+}
+
+base::Result<void> ControlNode::Listen() {
+  const base::Endpoint links{options_.node.ip, options_.node.cluster_port};
+  BOOST_OUTCOME_TRY(acceptor, cluster::Acceptor::Start(loop_, links, SessionHooks()));
+  acceptor_ = std::move(acceptor);
+  const auto policy = [] { return net::ServerPolicy(); };
+  BOOST_OUTCOME_TRY(orders_listener,
+                    net::HttpListener::Start(loop_, options_.orders, hooks_.serve_orders, policy));
+  orders_listener_ = std::move(orders_listener);
+  if (options_.directory != options_.orders) {
+    BOOST_OUTCOME_TRY(directory, net::HttpListener::Start(loop_, options_.directory,
+                                                          hooks_.serve_directory, policy));
+    directory_listener_ = std::move(directory);
+  }
+  BOOST_OUTCOME_TRY(metrics, ServeMetrics(loop_, options_.node.metrics, metrics_));
+  metrics_listener_ = std::move(metrics);
+  return base::Ok();
+}
+
+cluster::Acceptor::Hooks ControlNode::SessionHooks() {
+  cluster::Acceptor::Hooks hooks;
+  hooks.opened = [this](const cluster::Session& session) { Welcome(session); };
+  hooks.closed = [this](const cluster::Session& session, const std::string& reason) {
+    logging::Write(Level::kWarning, "session_lost", session.hello.vm, {{"reason", reason}});
+    entries_changed_ = true;
+  };
+  hooks.message = [this](const cluster::Session& session, const cluster::Message& message) {
+    TakeFromSession(session, message);
+  };
+  hooks.ready_changed = [this](const cluster::Session& session) {
+    logging::Write(Level::kInfo, "entry_ready_changed", session.hello.vm,
+                   {{"ready", session.ready ? "true" : "false"}});
+  };
+  return hooks;
+}
+
+Mesh::Hooks ControlNode::MeshHooks() {
+  Mesh::Hooks hooks;
+  hooks.hello = [this] {
+    return cluster::Hello{cluster::NodeRole::kReplica,     options_.node.vm,
+                          options_.node.data_centre,       self_,
+                          base::ToString(options_.orders), log_->incarnation()};
+  };
+  hooks.ping = [] { return cluster::Ping{}; };
+  // What this replica knows goes to each replica that it reaches, which may have just started.
+  hooks.up = [this](const std::string& replica) { mesh_->Send(replica, AllReports()); };
+  hooks.down = [](const std::string&) {};
+  hooks.message = [this](const std::string& replica, const cluster::Message& message) {
+    TakeFromReplica(replica, message);
+  };
+  return hooks;
+}
+
+void ControlNode::Tick() {
+  const auto now = base::MonotonicNow();
+  mesh_->Tick(now);
+  acceptor_->Tick(now);
+  ExpireDrains(now);
+  SendBeats();
+  if (std::exchange(entries_changed_, false)) SendEntries();
+  // Repeated, as an entry asks for a catalog only when it is told of it.
+  if (now >= summary_due_) {
+    summary_due_ = now + kSummaryInterval;
+    acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
+  }
+  ReportPeers(now);
+  for (const auto& id : upstreams_.Expire(kForgetUpstream, now)) {
+    logging::Write(Level::kInfo, "upstream_forgotten", id);
+  }
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void ControlNode::ReportPeers(base::MonotonicTime now) {
+  std::vector<PeerReplica> peers;
+  for (const auto& replica : mesh_->replicas()) {
+    const auto incarnation = incarnations_.find(replica.cluster_address);
+    peers.push_back({replica.cluster_address,
+                     incarnation == incarnations_.end() ? 0 : incarnation->second,
+                     mesh_->DownFor(replica.cluster_address, now)});
+  }
+  log_->SetPeers(std::move(peers));
+}
+
+void ControlNode::Welcome(const cluster::Session& session) {
+  const auto& hello = session.hello;
+  logging::Write(Level::kInfo, "session_opened", hello.vm,
+                 {{"role", hello.role == cluster::NodeRole::kEntry ? "entry" : "replica"},
+                  {"address", hello.service_address}});
+  if (hello.role == cluster::NodeRole::kReplica) {
+    incarnations_[hello.cluster_address] = hello.incarnation;
+    mesh_->Learn({{hello.cluster_address, hello.service_address}});
+    acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Replicas{KnownReplicas()});
+    acceptor_->Broadcast(cluster::NodeRole::kReplica, cluster::Replicas{KnownReplicas()});
+    return;
+  }
+  entries_changed_ = true;
+  acceptor_->Send(session.id, cluster::Replicas{KnownReplicas()});
+  acceptor_->Send(session.id, AllReports());
+  acceptor_->Send(session.id, Summary());
+}
+
+void ControlNode::TakeFromSession(const cluster::Session& session,
+                                  const cluster::Message& message) {
+  if (const auto* consensus = std::get_if<cluster::Consensus>(&message)) {
+    return log_->Step(consensus->messages);
+  }
+  if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
+    return TakeReports(session, *reports);
+  }
+  if (const auto* beats = std::get_if<cluster::Beats>(&message)) {
+    const auto now = base::MonotonicNow();
+    for (const auto& beat : beats->beats) {
+      upstreams_.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
+    }
+    return;
+  }
+  if (const auto* request = std::get_if<cluster::CatalogRequest>(&message)) {
+    if (state_.catalog_bytes() == nullptr || state_.catalog_version() < request->version) return;
+    acceptor_->Send(session.id,
+                    cluster::CatalogContent{state_.catalog_version(), *state_.catalog_bytes()});
+  }
+}
+
+// Another replica has taken an announcement: it is passed on to this replica's entries, as some of
+// them may not reach the other.
+void ControlNode::TakeReports(const cluster::Session& session, const cluster::Reports& reports) {
+  const auto now = base::MonotonicNow();
+  cluster::Reports changed;
+  for (const auto& aged : reports.reports) {
+    const auto change = upstreams_.Apply(aged.report, aged.age, now);
+    if (change == upstreams::Change::kChanged) changed.reports.push_back(aged);
+  }
+  if (!changed.reports.empty()) acceptor_->Broadcast(cluster::NodeRole::kEntry, changed);
+  if (reports.ticket != 0) {
+    acceptor_->Send(session.id, cluster::ReportsTaken{reports.ticket});
+  }
+}
+
+void ControlNode::TakeFromReplica(const std::string& replica, const cluster::Message& message) {
+  const auto* taken = std::get_if<cluster::ReportsTaken>(&message);
+  if (taken == nullptr) return;
+  const auto found = drains_.find(taken->ticket);
+  if (found == drains_.end() || !members_.FindName(replica)) return;
+  if (++found->second.taken < Majority()) return;
+  const auto done = std::move(found->second.done);
+  drains_.erase(found);
+  done(true);
+}
+
+void ControlNode::TakeState(const orders::OrderState& state) {
+  state_ = state;
+  acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
+}
+
+void ControlNode::TakeMembers(const consensus::Membership& members) {
+  members_ = members;
+  std::vector<cluster::ReplicaAddress> named;
+  for (const auto& member : members.members()) named.push_back({member.key.name, {}});
+  mesh_->Learn(named);
+}
+
+void ControlNode::Announce(const upstreams::UpstreamReport& report,
+                           std::function<void(bool)> done) {
+  const auto now = base::MonotonicNow();
+  const auto change = upstreams_.Apply(report, base::Duration::zero(), now);
+  if (change == upstreams::Change::kChanged) {
+    logging::Write(Level::kInfo, "upstream_changed", report.id,
+                   {{"state", std::string(upstreams::ToString(report.state))},
+                    {"service", report.service},
+                    {"address", report.address},
+                    {"sequence", std::to_string(report.sequence)},
+                    {"cold_left_ms", std::to_string(report.cold_left.count() / 1'000)}});
+  }
+  if (report.state != upstreams::State::kReady) return Spread(report, std::move(done));
+  if (change == upstreams::Change::kChanged) {
+    const cluster::Reports message{0, {{report, base::Duration::zero()}}};
+    acceptor_->Broadcast(cluster::NodeRole::kEntry, message);
+    mesh_->Broadcast(message);
+  } else if (change == upstreams::Change::kHeard) {
+    beats_.push_back({report.id, report.started_unix_ms, report.sequence});
+  }
+  done(true);
+}
+
+void ControlNode::AnnounceLeave(const std::string& id, std::function<void(bool)> done) {
+  const auto* known = upstreams_.Find(id);
+  if (known == nullptr) return done(false);
+  auto report = known->report;
+  report.state = upstreams::State::kLeft;
+  Announce(report, std::move(done));
+}
+
+// An acknowledged drain binds all entries, so it is acknowledged only when a majority of the group
+// passes it on: an entry that is in touch reaches one of those.
+void ControlNode::Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done) {
+  if (members_.voter_count() == 0) return done(false);
+  const std::uint64_t ticket = next_ticket_++;
+  const cluster::Reports message{ticket, {{report, base::Duration::zero()}}};
+  acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Reports{0, message.reports});
+  if (Majority() <= 1) return done(true);
+  drains_[ticket] = {1, base::MonotonicNow() + kDrainTimeout, std::move(done)};
+  mesh_->Broadcast(message);
+}
+
+void ControlNode::ExpireDrains(base::MonotonicTime now) {
+  std::vector<std::function<void(bool)>> failed;
+  std::erase_if(drains_, [&](auto& item) {
+    if (now < item.second.due) return false;
+    failed.push_back(std::move(item.second.done));
+    return true;
+  });
+  for (const auto& done : failed) {
+    logging::Write(Level::kWarning, "drain_not_spread", "no majority of replicas took it in time");
+    done(false);
+  }
+}
+
+void ControlNode::SendBeats() {
+  if (beats_.empty()) return;
+  const cluster::Beats message{std::exchange(beats_, {})};
+  acceptor_->Broadcast(cluster::NodeRole::kEntry, message);
+  mesh_->Broadcast(message);
+}
+
+void ControlNode::SendEntries() {
+  cluster::Entries entries;
+  acceptor_->ForEach([&](const cluster::Session& session) {
+    if (session.hello.role == cluster::NodeRole::kEntry) entries.vms.push_back(session.hello.vm);
+  });
+  acceptor_->Broadcast(cluster::NodeRole::kEntry, entries);
+}
+
+cluster::Reports ControlNode::AllReports() const {
+  cluster::Reports all;
+  const auto now = base::MonotonicNow();
+  for (const auto& [id, known] : upstreams_.all()) {
+    all.reports.push_back({known.report, now - known.heard_at});
+  }
+  return all;
+}
+
+cluster::OrderSummary ControlNode::Summary() const {
+  return {state_.changed_index(),
+          state_.catalog_version(),
+          {state_.evacuated().begin(), state_.evacuated().end()}};
+}
+
+std::vector<cluster::ReplicaAddress> ControlNode::KnownReplicas() const {
+  auto known = mesh_->replicas();
+  known.push_back({self_, base::ToString(options_.orders)});
+  return known;
+}
+
+void ControlNode::Reply(const OrderDone& done, OrderReply reply) {
+  asio::post(loop_, [this, alive = alive_, done, reply = std::move(reply)]() mutable {
+    if (!*alive) return;
+    if (reply.status == OrderStatus::kRedirected) {
+      reply.redirect = mesh_->ServiceAddress(reply.redirect);
+      if (reply.redirect.empty()) reply.status = OrderStatus::kUnavailable;
+    }
+    done(std::move(reply));
+  });
+}
+
+void ControlNode::PutCatalog(const std::string& bytes, OrderDone done) {
+  const auto version = hooks_.check_catalog(bytes);
+  if (!version) {
+    logging::Write(Level::kWarning, "catalog_refused", version.error().message);
+    return done({OrderStatus::kInvalid, {}, version.error().message, {}});
+  }
+  // What was committed here is in force; an older version changes nothing.
+  if (version.value() <= state_.catalog_version()) {
+    return done({OrderStatus::kAccepted, {}, {}, {}});
+  }
+  log_->Submit(orders::PutCatalog{version.value(), bytes},
+               [this, done = std::move(done)](OrderReply reply) { Reply(done, std::move(reply)); });
+}
+
+void ControlNode::SetEvacuation(const std::string& data_centre, bool evacuated, OrderDone done) {
+  if (!options_.node.regions.contains(data_centre)) {
+    return done({OrderStatus::kInvalid, {}, "unknown data centre " + data_centre, {}});
+  }
+  log_->Submit(orders::SetEvacuation{data_centre, evacuated},
+               [this, done = std::move(done)](OrderReply reply) { Reply(done, std::move(reply)); });
+}
+
+void ControlNode::ReadCatalog(OrderDone done) {
+  log_->Read([this, done = std::move(done)](OrderReply reply) { Reply(done, std::move(reply)); });
+}
+
+std::vector<std::string> ControlNode::Lookup(const std::string& data_centre) const {
+  // Right after a start, or without a majority, only some of the entries may be connected.
+  if (base::MonotonicNow() - started_at_ < kSettleTime) return {};
+  if (members_.voter_count() > 0 && mesh_->up_count() + 1 < Majority()) return {};
+  std::vector<ReadyEntry> ready;
+  acceptor_->ForEach([&](const cluster::Session& session) {
+    if (session.hello.role != cluster::NodeRole::kEntry || !session.ready) return;
+    ready.push_back({session.hello.service_address, session.hello.data_centre});
+  });
+  return NearestEntries(ready, placement::NetworkDistance(data_centre, options_.node.regions));
+}
+
+void ControlNode::LearnSeeds(const std::vector<base::Endpoint>& seeds) {
+  mesh_->LearnSeeds(seeds, options_.node.cluster_port);
+}
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/control_node.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "cluster/acceptor.h"
+#include "metrics/registry.h"
+#include "net/http_listener.h"
+#include "node/lookup.h"
+#include "node/mesh.h"
+#include "node/node_options.h"
+#include "node/order_log.h"
+#include "node/order_reply.h"
+#include "upstreams/upstream_table.h"
+
+namespace wagtailpick::node {
+
+/// A control replica: takes operators' orders and upstreams' announcements, and tells the entries.
+/// Used on one loop only.
+class ControlNode {
+ public:
+  struct Hooks {
+    /// Decodes and checks a catalog; returns its version, or fails with `kInvalidArgument`.
+    std::function<base::Result<std::uint64_t>(const std::string& bytes)> check_catalog;
+    /// Serves the HTTP calls of operators and upstreams.
+    net::InboundHandler serve_orders;
+    /// Serves the lookups of callers.
+    net::InboundHandler serve_directory;
+  };
+
+  /// Recovers, listens, and joins the group. Fails when an address or the data folder can't be
+  /// used.
+  static base::Result<std::unique_ptr<ControlNode>> Start(asio::io_context& loop,
+                                                          const ControlOptions& options,
+                                                          Hooks hooks);
+  ~ControlNode();
+  ControlNode(const ControlNode&) = delete;
+  ControlNode& operator=(const ControlNode&) = delete;
+
+  /// Orders of operators; `done` is called once, on the loop.
+  void PutCatalog(const std::string& bytes, OrderDone done);
+  void SetEvacuation(const std::string& data_centre, bool evacuated, OrderDone done);
+  void ReadCatalog(OrderDone done);
+
+  /// Takes an announcement. `done` gets true once it may be acknowledged: for a drain that is when
+  /// a majority of replicas pass it on to their entries.
+  void Announce(const upstreams::UpstreamReport& report, std::function<void(bool)> done);
+
+  /// The run of an upstream that is known under `id` leaves; `done` as for `Announce`.
+  void AnnounceLeave(const std::string& id, std::function<void(bool)> done);
+
+  /// Addresses of entries for a caller in `data_centre`; empty while this replica can't tell.
+  std::vector<std::string> Lookup(const std::string& data_centre) const;
+
+  /// Seeds from settings that were read again.
+  void LearnSeeds(const std::vector<base::Endpoint>& seeds);
+
+  const ControlOptions& options() const { return options_; }
+
+ private:
+  struct PendingDrain {
+    std::size_t taken = 1;
+    base::MonotonicTime due;
+    std::function<void(bool)> done;
+  };
+
+  ControlNode(asio::io_context& loop, const ControlOptions& options, Hooks hooks);
+  base::Result<void> Open();
+  base::Result<void> OpenLog();
+  base::Result<void> Listen();
+  cluster::Acceptor::Hooks SessionHooks();
+  Mesh::Hooks MeshHooks();
+  void Tick();
+  void Welcome(const cluster::Session& session);
+  void TakeFromSession(const cluster::Session& session, const cluster::Message& message);
+  void TakeReports(const cluster::Session& session, const cluster::Reports& reports);
+  void TakeFromReplica(const std::string& replica, const cluster::Message& message);
+  void TakeState(const orders::OrderState& state);
+  void TakeMembers(const consensus::Membership& members);
+  void Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done);
+  void ExpireDrains(base::MonotonicTime now);
+  void SendBeats();
+  void SendEntries();
+  void ReportPeers(base::MonotonicTime now);
+  void Reply(const OrderDone& done, OrderReply reply);
+  cluster::Reports AllReports() const;
+  cluster::OrderSummary Summary() const;
+  std::vector<cluster::ReplicaAddress> KnownReplicas() const;
+  std::size_t Majority() const { return members_.voter_count() / 2 + 1; }
+
+  asio::io_context& loop_;
+  ControlOptions options_;
+  Hooks hooks_;
+  std::string self_;
+  base::MonotonicTime started_at_;
+  metrics::Registry metrics_;
+  orders::OrderState state_;
+  consensus::Membership members_;
+  upstreams::UpstreamTable upstreams_;
+  std::vector<cluster::Beat> beats_;
+  std::map<std::uint64_t, PendingDrain> drains_;
+  std::uint64_t next_ticket_ = 1;
+  std::map<std::string, std::uint64_t> incarnations_;
+  bool entries_changed_ = false;
+  base::MonotonicTime summary_due_;
+  std::unique_ptr<cluster::Acceptor> acceptor_;
+  std::unique_ptr<Mesh> mesh_;
+  std::unique_ptr<OrderLog> log_;
+  std::unique_ptr<net::HttpListener> orders_listener_;
+  std::unique_ptr<net::HttpListener> directory_listener_;
+  std::unique_ptr<net::HttpListener> metrics_listener_;
+  asio::steady_timer timer_;
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/entry_node.cpp
@@ -0,0 +1,263 @@
+#include "node/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+#include "node/metrics_page.h"
+
+namespace wagtailpick::node {
+namespace {
+
+using logging::Level;
+
+constexpr std::chrono::milliseconds kTick{200};
+constexpr base::Duration kSlowTick = std::chrono::seconds(1);
+/// A catalog that hasn't come by then is asked from another replica.
+constexpr base::Duration kCatalogRetry = std::chrono::milliseconds(400);
+constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
+/// Callers hold directory answers for some seconds; until then they are still served.
+constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
+/// Left of the grace time for the process to end.
+constexpr base::Duration kGraceMargin = std::chrono::milliseconds(300);
+
+}  // namespace
+
+base::Result<std::unique_ptr<EntryNode>> EntryNode::Start(asio::io_context& loop,
+                                                          const EntryOptions& options,
+                                                          Hooks hooks) {
+  std::unique_ptr<EntryNode> node(new EntryNode(loop, options, std::move(hooks)));
+  BOOST_OUTCOME_TRY(node->Listen());
+  node->Tick();
+  return node;
+}
+
+EntryNode::EntryNode(asio::io_context& loop, const EntryOptions& options, Hooks hooks)
+    : loop_(loop), options_(options), hooks_(std::move(hooks)), timer_(loop) {
+  relay::RelayOptions relay_options;
+  relay_options.vm = options.node.vm;
+  relay_options.data_centre = options.node.data_centre;
+  relay_options.regions = options.node.regions;
+  relay_options.cold_bound = options.cold_bound;
+  relay_options.retry_bound = options.retry_bound;
+  relay_ = std::make_unique<relay::Relay>(loop_, relay_options, hooks_.dialect, beliefs_, metrics_);
+  mesh_ = std::make_unique<Mesh>(loop_, options_.node, std::string(), MeshHooks());
+}
+
+base::Result<void> EntryNode::Listen() {
+  BOOST_OUTCOME_TRY(callers, net::HttpListener::Start(
+                                 loop_, options_.callers,
+                                 [this](std::shared_ptr<net::InboundRequest> inbound) {
+                                   relay_->Handle(std::move(inbound));
+                                 },
+                                 [this] { return CallerPolicy(); }));
+  callers_listener_ = std::move(callers);
+  BOOST_OUTCOME_TRY(readiness,
+                    net::HttpListener::Start(loop_, options_.readiness, hooks_.serve_readiness,
+                                             [] { return net::ServerPolicy(); }));
+  readiness_listener_ = std::move(readiness);
+  BOOST_OUTCOME_TRY(metrics, ServeMetrics(loop_, options_.node.metrics, metrics_));
+  metrics_listener_ = std::move(metrics);
+  return base::Ok();
+}
+
+net::ServerPolicy EntryNode::CallerPolicy() const {
+  net::ServerPolicy policy;
+  policy.closing = draining_;
+  if (beliefs_.catalog == nullptr) return policy;
+  const auto& limits = beliefs_.catalog->limits();
+  policy.message = {limits.max_header_bytes, limits.max_body_bytes};
+  policy.header_timeout = limits.header_timeout;
+  policy.idle_timeout = limits.idle_timeout;
+  return policy;
+}
+
+Mesh::Hooks EntryNode::MeshHooks() {
+  Mesh::Hooks hooks;
+  hooks.hello = [this] {
+    return cluster::Hello{cluster::NodeRole::kEntry,        options_.node.vm,
+                          options_.node.data_centre,        std::string(),
+                          base::ToString(options_.callers), 0};
+  };
+  hooks.ping = [this] { return cluster::Ping{ready()}; };
+  hooks.up = [](const std::string&) {};
+  hooks.down = [this](const std::string& replica) {
+    entries_.erase(replica);
+    catalog_offers_.erase(replica);
+  };
+  hooks.message = [this](const std::string& replica, const cluster::Message& message) {
+    TakeMessage(replica, message);
+  };
+  return hooks;
+}
+
+void EntryNode::Tick() {
+  const auto now = base::MonotonicNow();
+  mesh_->Tick(now);
+  if (!catalog_offers_.empty() && now >= catalog_request_due_) RequestCatalog(now);
+  if (now >= slow_tick_due_) {
+    slow_tick_due_ = now + kSlowTick;
+    relay_->Tick(now);
+    for (const auto& id : beliefs_.upstreams.Expire(kForgetUpstream, now)) {
+      logging::Write(Level::kInfo, "upstream_forgotten", id);
+    }
+    UpdateGauges(now);
+  }
+  if (draining_) CheckDrain(now);
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
+  const auto version = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
+  metrics_.GaugeAt("wagtailpick_catalog_version").Set(static_cast<std::int64_t>(version));
+  metrics_.GaugeAt("wagtailpick_replicas_reached")
+      .Set(static_cast<std::int64_t>(mesh_->up_count()));
+  metrics_.GaugeAt("wagtailpick_upstreams_known")
+      .Set(static_cast<std::int64_t>(beliefs_.upstreams.all().size()));
+  metrics_.GaugeAt("wagtailpick_requests_running")
+      .Set(static_cast<std::int64_t>(relay_->running()));
+}
+
+void EntryNode::TakeMessage(const std::string& replica, const cluster::Message& message) {
+  if (const auto* reports = std::get_if<cluster::Reports>(&message)) return TakeReports(*reports);
+  if (const auto* beats = std::get_if<cluster::Beats>(&message)) return TakeBeats(*beats);
+  if (const auto* summary = std::get_if<cluster::OrderSummary>(&message)) {
+    return TakeSummary(replica, *summary);
+  }
+  if (const auto* content = std::get_if<cluster::CatalogContent>(&message)) {
+    return TakeCatalog(*content);
+  }
+  if (const auto* entries = std::get_if<cluster::Entries>(&message)) {
+    return TakeEntries(replica, *entries);
+  }
+}
+
+void EntryNode::TakeReports(const cluster::Reports& reports) {
+  const auto now = base::MonotonicNow();
+  for (const auto& aged : reports.reports) {
+    const auto& report = aged.report;
+    const auto* known = beliefs_.upstreams.Find(report.id);
+    const bool restarted =
+        known != nullptr && known->report.started_unix_ms < report.started_unix_ms;
+    const auto change = beliefs_.upstreams.Apply(report, aged.age, now);
+    if (change != upstreams::Change::kChanged) continue;
+    logging::Write(Level::kInfo, "upstream_changed", report.id,
+                   {{"state", std::string(upstreams::ToString(report.state))},
+                    {"service", report.service},
+                    {"address", report.address},
+                    {"sequence", std::to_string(report.sequence)},
+                    {"age_ms", std::to_string(aged.age.count() / 1'000)},
+                    {"cold_left_ms", std::to_string(report.cold_left.count() / 1'000)}});
+    const bool gone = report.state == upstreams::State::kLeft;
+    if (gone || restarted) relay_->ForgetUpstream(report.id, report.address, restarted);
+  }
+}
+
+void EntryNode::TakeBeats(const cluster::Beats& beats) {
+  const auto now = base::MonotonicNow();
+  for (const auto& beat : beats.beats) {
+    beliefs_.upstreams.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
+  }
+}
+
+void EntryNode::TakeSummary(const std::string& replica, const cluster::OrderSummary& summary) {
+  const auto held = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
+  if (summary.catalog_version > held) {
+    catalog_offers_[replica] = summary.catalog_version;
+    const auto now = base::MonotonicNow();
+    if (now >= catalog_request_due_) RequestCatalog(now);
+  }
+  if (summary.changed_index <= orders_index_) return;
+  orders_index_ = summary.changed_index;
+  TakeEvacuations(summary.evacuated);
+}
+
+void EntryNode::TakeEvacuations(const std::vector<std::string>& evacuated) {
+  const std::set<std::string> now_evacuated(evacuated.begin(), evacuated.end());
+  if (now_evacuated == beliefs_.evacuated) return;
+  const auto now = base::MonotonicNow();
+  // Upstreams of a data centre that takes requests again have had no work and may be cold.
+  for (const auto& data_centre : beliefs_.evacuated) {
+    if (now_evacuated.contains(data_centre)) continue;
+    beliefs_.upstreams.Chill(data_centre, now + LongestColdStart());
+  }
+  beliefs_.evacuated = now_evacuated;
+  std::string list;
+  for (const auto& data_centre : now_evacuated) list += data_centre + " ";
+  logging::Write(Level::kInfo, "evacuations_changed", list,
+                 {{"orders_index", std::to_string(orders_index_)}});
+}
+
+base::Duration EntryNode::LongestColdStart() const {
+  base::Duration longest{};
+  if (beliefs_.catalog == nullptr) return longest;
+  for (const auto& [name, service] : beliefs_.catalog->services()) {
+    longest = std::max(longest, service.cold_start);
+  }
+  return longest;
+}
+
+void EntryNode::RequestCatalog(base::MonotonicTime now) {
+  catalog_request_due_ = now + kCatalogRetry;
+  const auto best =
+      std::max_element(catalog_offers_.begin(), catalog_offers_.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (best == catalog_offers_.end()) return;
+  const auto [replica, version] = *best;
+  // The next request goes to another replica if this one doesn't answer.
+  catalog_offers_.erase(best);
+  mesh_->Send(replica, cluster::CatalogRequest{version});
+}
+
+void EntryNode::TakeCatalog(const cluster::CatalogContent& content) {
+  const auto held = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
+  if (content.version <= held) return;
+  auto decoded = hooks_.decode_catalog(content.bytes);
+  if (!decoded) {
+    return logging::Write(Level::kError, "catalog_unreadable", decoded.error().message);
+  }
+  beliefs_.catalog = std::make_shared<const catalog::Catalog>(std::move(decoded.value()));
+  std::erase_if(catalog_offers_, [&](const auto& item) { return item.second <= content.version; });
+  logging::Write(Level::kInfo, "catalog_in_force", std::to_string(content.version),
+                 {{"before", std::to_string(held)},
+                  {"routes", std::to_string(beliefs_.catalog->routes().size())}});
+}
+
+void EntryNode::TakeEntries(const std::string& replica, const cluster::Entries& entries) {
+  entries_[replica] = entries.vms;
+  std::set<std::string> all{options_.node.vm};
+  for (const auto& [name, vms] : entries_) all.insert(vms.begin(), vms.end());
+  relay_->SetEntries({all.begin(), all.end()});
+}
+
+void EntryNode::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drain_started_ = base::MonotonicNow();
+  drained_ = std::move(done);
+  logging::Write(Level::kInfo, "drain_started", "no new callers are sent here",
+                 {{"running", std::to_string(relay_->running())}});
+  mesh_->Broadcast(cluster::Ping{false});
+}
+
+void EntryNode::CheckDrain(base::MonotonicTime now) {
+  const auto since = now - drain_started_;
+  if (since < kServeWhileDraining) return;
+  relay_->RefuseNew();
+  callers_listener_->CloseIdle();
+  const bool out_of_time = since > options_.grace - kGraceMargin;
+  if (relay_->running() > 0 && !out_of_time) return;
+  logging::Write(Level::kInfo, "drain_ended", out_of_time ? "out of time" : "no request is left",
+                 {{"running", std::to_string(relay_->running())}});
+  const auto done = std::exchange(drained_, nullptr);
+  if (done) done();
+}
+
+void EntryNode::LearnSeeds(const std::vector<base::Endpoint>& seeds) {
+  mesh_->LearnSeeds(seeds, options_.node.cluster_port);
+}
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/entry_node.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "metrics/registry.h"
+#include "net/http_listener.h"
+#include "node/mesh.h"
+#include "node/node_options.h"
+#include "relay/relay.h"
+
+namespace wagtailpick::node {
+
+/// An entry: serves callers by the newest catalog and upstreams that replicas have told it, also
+/// while no replica can be reached. Used on one loop only.
+class EntryNode {
+ public:
+  struct Hooks {
+    /// Decodes a catalog that replicas have accepted.
+    std::function<base::Result<catalog::Catalog>(const std::string& bytes)> decode_catalog;
+    /// Serves the platform's readiness check.
+    net::InboundHandler serve_readiness;
+    relay::Dialect dialect;
+  };
+
+  /// Listens and dials the replicas. Fails when an address can't be used.
+  static base::Result<std::unique_ptr<EntryNode>> Start(asio::io_context& loop,
+                                                        const EntryOptions& options, Hooks hooks);
+  EntryNode(const EntryNode&) = delete;
+  EntryNode& operator=(const EntryNode&) = delete;
+
+  /// Whether callers may be sent here.
+  bool ready() const { return !draining_ && beliefs_.catalog != nullptr; }
+
+  /// Takes this entry out of service; calls `done` when its requests have ended, or shortly before
+  /// the grace time ends.
+  void Drain(std::function<void()> done);
+
+  /// Seeds from settings that were read again.
+  void LearnSeeds(const std::vector<base::Endpoint>& seeds);
+
+ private:
+  EntryNode(asio::io_context& loop, const EntryOptions& options, Hooks hooks);
+  base::Result<void> Listen();
+  Mesh::Hooks MeshHooks();
+  net::ServerPolicy CallerPolicy() const;
+  void Tick();
+  void CheckDrain(base::MonotonicTime now);
+  void TakeMessage(const std::string& replica, const cluster::Message& message);
+  void TakeReports(const cluster::Reports& reports);
+  void TakeBeats(const cluster::Beats& beats);
+  void TakeSummary(const std::string& replica, const cluster::OrderSummary& summary);
+  void TakeEvacuations(const std::vector<std::string>& evacuated);
+  void TakeCatalog(const cluster::CatalogContent& content);
+  void TakeEntries(const std::string& replica, const cluster::Entries& entries);
+  void RequestCatalog(base::MonotonicTime now);
+  void UpdateGauges(base::MonotonicTime now);
+  base::Duration LongestColdStart() const;
+
+  asio::io_context& loop_;
+  EntryOptions options_;
+  Hooks hooks_;
+  metrics::Registry metrics_;
+  relay::Beliefs beliefs_;
+  std::unique_ptr<relay::Relay> relay_;
+  std::unique_ptr<Mesh> mesh_;
+  std::unique_ptr<net::HttpListener> callers_listener_;
+  std::unique_ptr<net::HttpListener> readiness_listener_;
+  std::unique_ptr<net::HttpListener> metrics_listener_;
+  asio::steady_timer timer_;
+  /// Index of the newest orders that were taken.
+  std::uint64_t orders_index_ = 0;
+  /// Replicas that have announced a catalog version above the one held, with that version.
+  std::map<std::string, std::uint64_t> catalog_offers_;
+  base::MonotonicTime catalog_request_due_;
+  std::map<std::string, std::vector<std::string>> entries_;
+  bool draining_ = false;
+  base::MonotonicTime drain_started_;
+  std::function<void()> drained_;
+  base::MonotonicTime slow_tick_due_;
+};
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/group_keeper.cpp
@@ -0,0 +1,44 @@
+#include "node/group_keeper.h"
+
+#include <algorithm>
+
+namespace wagtailpick::node {
+namespace {
+
+using consensus::MemberRole;
+using consensus::MembershipChange;
+
+/// Longer than a restart takes, shorter than the time after which a second VM may be lost.
+constexpr base::Duration kSilenceToRemove = std::chrono::seconds(4);
+constexpr std::size_t kSmallestShrinkable = 4;
+
+const PeerReplica* Find(const std::vector<PeerReplica>& peers, const std::string& name) {
+  const auto found =
+      std::find_if(peers.begin(), peers.end(), [&](const auto& peer) { return peer.name == name; });
+  return found == peers.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+std::optional<MembershipChange> NextChange(const consensus::Membership& members,
+                                           const std::string& self,
+                                           const std::vector<PeerReplica>& peers) {
+  for (const auto& peer : peers) {
+    if (peer.silent > base::Duration::zero() || peer.name.empty() || peer.incarnation == 0)
+      continue;
+    if (members.FindName(peer.name) != nullptr) continue;
+    return MembershipChange{MembershipChange::Kind::kAdd, {peer.name, peer.incarnation}};
+  }
+  const std::size_t voters = members.voter_count();
+  for (const auto& member : members.members()) {
+    if (member.key.name == self) continue;
+    const auto* peer = Find(peers, member.key.name);
+    if (peer == nullptr || peer->silent < kSilenceToRemove) continue;
+    const bool spare_voter = voters >= kSmallestShrinkable && voters % 2 == 0;
+    if (member.role == MemberRole::kVoter && !spare_voter) continue;
+    return MembershipChange{MembershipChange::Kind::kRemove, member.key};
+  }
+  return std::nullopt;
+}
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/mesh.cpp
@@ -0,0 +1,113 @@
+#include "node/mesh.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace wagtailpick::node {
+namespace {
+
+/// A replica that was replaced never comes back to its address.
+constexpr base::Duration kForgetAfter = std::chrono::seconds(60);
+
+}  // namespace
+
+Mesh::Mesh(asio::io_context& loop, const NodeOptions& options, std::string self, Hooks hooks)
+    : loop_(loop), self_(std::move(self)), hooks_(std::move(hooks)) {
+  LearnSeeds(options.seeds, options.cluster_port);
+}
+
+void Mesh::LearnSeeds(const std::vector<base::Endpoint>& seeds, std::uint16_t cluster_port) {
+  seeds_.clear();
+  for (const auto& seed : seeds) {
+    const std::string address = base::ToString({seed.address, cluster_port});
+    seeds_.insert(address);
+    Add(address, base::ToString(seed));
+  }
+}
+
+void Mesh::Learn(const std::vector<cluster::ReplicaAddress>& replicas) {
+  for (const auto& replica : replicas) Add(replica.cluster_address, replica.service_address);
+}
+
+void Mesh::Add(const std::string& address, const std::string& service_address) {
+  if (address == self_) return;
+  const auto known = peers_.find(address);
+  if (known != peers_.end()) {
+    if (!service_address.empty()) known->second.service_address = service_address;
+    return;
+  }
+  const auto endpoint = base::ParseEndpoint(address);
+  if (!endpoint) return;
+  cluster::Dialer::Hooks hooks;
+  hooks.hello = hooks_.hello;
+  hooks.ping = hooks_.ping;
+  hooks.up = [this, address] {
+    logging::Write(logging::Level::kInfo, "replica_reached", address);
+    hooks_.up(address);
+  };
+  hooks.down = [this, address](const std::string& reason) {
+    logging::Write(logging::Level::kWarning, "replica_lost", address, {{"reason", reason}});
+    hooks_.down(address);
+  };
+  hooks.message = [this, address](const cluster::Message& message) {
+    TakeMessage(address, message);
+  };
+  peers_[address] = {service_address,
+                     std::make_unique<cluster::Dialer>(loop_, endpoint.value(), std::move(hooks))};
+}
+
+void Mesh::TakeMessage(const std::string& replica, const cluster::Message& message) {
+  if (const auto* known = std::get_if<cluster::Replicas>(&message)) return Learn(known->replicas);
+  hooks_.message(replica, message);
+}
+
+void Mesh::Tick(base::MonotonicTime now) {
+  for (auto& [address, peer] : peers_) peer.dialer->Tick(now);
+  std::erase_if(peers_, [&](const auto& item) {
+    return !item.second.dialer->up() && !seeds_.contains(item.first) &&
+           now - item.second.dialer->down_since() > kForgetAfter;
+  });
+}
+
+bool Mesh::Send(const std::string& replica, const cluster::Message& message) {
+  const auto found = peers_.find(replica);
+  return found != peers_.end() && found->second.dialer->Send(message);
+}
+
+std::size_t Mesh::Broadcast(const cluster::Message& message) {
+  return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](auto& item) {
+    return item.second.dialer->up() && item.second.dialer->Send(message);
+  }));
+}
+
+std::size_t Mesh::up_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [](const auto& item) { return item.second.dialer->up(); }));
+}
+
+bool Mesh::IsUp(const std::string& replica) const {
+  const auto found = peers_.find(replica);
+  return found != peers_.end() && found->second.dialer->up();
+}
+
+base::Duration Mesh::DownFor(const std::string& replica, base::MonotonicTime now) const {
+  const auto found = peers_.find(replica);
+  if (found == peers_.end()) return base::Duration::max();
+  if (found->second.dialer->up()) return base::Duration::zero();
+  return std::max(now - found->second.dialer->down_since(), base::Duration(1));
+}
+
+std::vector<cluster::ReplicaAddress> Mesh::replicas() const {
+  std::vector<cluster::ReplicaAddress> list;
+  for (const auto& [address, peer] : peers_) list.push_back({address, peer.service_address});
+  return list;
+}
+
+std::string Mesh::ServiceAddress(const std::string& replica) const {
+  const auto found = peers_.find(replica);
+  return found == peers_.end() ? std::string() : found->second.service_address;
+}
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/order_log.cpp
@@ -0,0 +1,183 @@
+#include "node/order_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/monotonic_time.h"
+#include "logging/log.h"
+#include "orders/order_codec.h"
+#include "replica/replica_disk.h"
+
+namespace wagtailpick::node {
+namespace {
+
+using logging::Level;
+
+constexpr std::size_t kRingCapacity = 8'192;
+constexpr base::Duration kTick = std::chrono::milliseconds(20);
+constexpr base::Duration kKeepInterval = std::chrono::milliseconds(100);
+constexpr base::Duration kHeartbeat = std::chrono::milliseconds(150);
+/// Callers try another replica after a second without an answer.
+constexpr base::Duration kReadTimeout = std::chrono::milliseconds(900);
+/// Orders wait until so many replicas hold them, so that an acknowledged one survives a lost disk
+/// while the group forms.
+constexpr std::size_t kVotersToServe = 3;
+/// A system with fewer replicas than that serves after this time.
+constexpr base::Duration kFormationTime = std::chrono::seconds(8);
+
+}  // namespace
+
+base::Result<std::unique_ptr<OrderLog>> OrderLog::Start(const Options& options, Hooks hooks) {
+  std::unique_ptr<OrderLog> log(new OrderLog(options, std::move(hooks)));
+  BOOST_OUTCOME_TRY(log->Open(options));
+  log->loop_.Start(kTick, [raw = log.get()] { raw->Tick(); });
+  return log;
+}
+
+OrderLog::OrderLog(const Options& options, Hooks hooks)
+    : hooks_(std::move(hooks)),
+      self_(options.self),
+      started_at_(base::MonotonicNow()),
+      loop_(kRingCapacity) {}
+
+OrderLog::~OrderLog() { loop_.Stop(); }
+
+base::Result<void> OrderLog::Open(const Options& options) {
+  if (options.found_group) {
+    const auto founded = replica::ReplicaDisk::InitGroup(options.folder, self_, {self_});
+    // A founder that starts again has its group already.
+    if (!founded && founded.error().code != base::ErrorCode::kConflict) return founded.error();
+  }
+  const auto fresh = static_cast<std::uint64_t>(base::WallNowMillis());
+  BOOST_OUTCOME_TRY(disk, replica::ReplicaDisk::Open(options.folder, self_, fresh));
+  incarnation_ = disk.incarnation();
+  auto driver_options = replica::LogDriver::DefaultOptions();
+  driver_options.heartbeat_interval = kHeartbeat;
+  BOOST_OUTCOME_TRY(driver, replica::LogDriver::Create(self_, std::move(driver_options),
+                                                       std::move(disk), DriverHooks()));
+  driver_ = std::move(driver);
+  return base::Ok();
+}
+
+replica::LogDriver::Hooks OrderLog::DriverHooks() {
+  replica::LogDriver::Hooks hooks;
+  hooks.apply = [this](std::uint64_t index, const std::string& data) { Apply(index, data); };
+  hooks.restore = [this](const std::string& snapshot) { Restore(snapshot); };
+  hooks.snapshot = [this] { return state_.EncodeSnapshot(); };
+  hooks.members = [](const consensus::Membership&) {};
+  hooks.send = [this](const std::string& to, const std::vector<consensus::Message>& messages) {
+    hooks_.send(to, messages);
+  };
+  hooks.defer = [this](std::function<void()> task) { return loop_.TryPost(std::move(task)); };
+  return hooks;
+}
+
+void OrderLog::Apply(std::uint64_t index, const std::string& data) {
+  const auto order = orders::DecodeOrder(data);
+  if (!order) return logging::Write(Level::kError, "record_unreadable", order.error().message);
+  if (!state_.Apply(index, order.value())) return;
+  logging::Write(Level::kInfo, "order_applied", "an operator's order is committed",
+                 {{"index", std::to_string(index)},
+                  {"catalog_version", std::to_string(state_.catalog_version())},
+                  {"evacuated", std::to_string(state_.evacuated().size())}});
+  hooks_.changed(state_);
+}
+
+void OrderLog::Restore(const std::string& snapshot) {
+  auto state = orders::OrderState::DecodeSnapshot(snapshot);
+  if (!state) return logging::Write(Level::kError, "snapshot_unreadable", state.error().message);
+  state_ = std::move(state.value());
+  hooks_.changed(state_);
+}
+
+void OrderLog::Step(std::vector<consensus::Message> messages) {
+  // A message that finds the ring full is lost; its sender repeats it.
+  loop_.TryPost([this, messages = std::move(messages)] { driver_->Step(messages); });
+}
+
+void OrderLog::SetPeers(std::vector<PeerReplica> peers) {
+  loop_.TryPost([this, peers = std::move(peers)]() mutable { peers_ = std::move(peers); });
+}
+
+bool OrderLog::GroupIsFormed() const {
+  const auto voters = driver_->replica().membership().voter_count();
+  return voters >= kVotersToServe || base::MonotonicNow() - started_at_ > kFormationTime;
+}
+
+OrderReply OrderLog::NotLeader() const {
+  const std::string leader = driver_->leader();
+  if (leader.empty() || leader == self_) {
+    return {OrderStatus::kUnavailable, {}, "no leader is known", {}};
+  }
+  return {OrderStatus::kRedirected, leader, {}, {}};
+}
+
+void OrderLog::Submit(const orders::Order& order, OrderDone done) {
+  const bool queued = loop_.TryPost([this, order, done] {
+    if (driver_->replica().role() != consensus::Role::kLeader) return done(NotLeader());
+    if (!GroupIsFormed()) {
+      return done({OrderStatus::kUnavailable, {}, "the group is still forming", {}});
+    }
+    driver_->Propose(orders::EncodeOrder(order), [done](const base::Result<void>& proposed) {
+      if (proposed) return done({OrderStatus::kAccepted, {}, {}, {}});
+      done({OrderStatus::kUnavailable, {}, proposed.error().message, {}});
+    });
+  });
+  if (!queued) done({OrderStatus::kUnavailable, {}, "this replica is overloaded", {}});
+}
+
+void OrderLog::Read(OrderDone done) {
+  const auto asked_at = base::MonotonicNow();
+  const bool queued = loop_.TryPost([this, asked_at, done] {
+    reads_.push_back({asked_at, done});
+    SettleReads();
+  });
+  if (!queued) done({OrderStatus::kUnavailable, {}, "this replica is overloaded", {}});
+}
+
+void OrderLog::SettleReads() {
+  if (reads_.empty()) return;
+  const auto now = base::MonotonicNow();
+  const bool leads = driver_->replica().role() == consensus::Role::kLeader;
+  std::vector<PendingRead> waiting;
+  for (auto& read : std::exchange(reads_, {})) {
+    if (!leads) {
+      read.done(NotLeader());
+    } else if (driver_->LedSince(read.asked_at) && state_.catalog_bytes() != nullptr) {
+      read.done({OrderStatus::kAccepted, {}, {}, *state_.catalog_bytes()});
+    } else if (now - read.asked_at > kReadTimeout) {
+      read.done({OrderStatus::kUnavailable, {}, "no quorum has confirmed in time", {}});
+    } else {
+      waiting.push_back(std::move(read));
+    }
+  }
+  reads_ = std::move(waiting);
+}
+
+void OrderLog::Tick() {
+  driver_->Tick();
+  SettleReads();
+  NoteMembers();
+  KeepGroup();
+}
+
+void OrderLog::NoteMembers() {
+  const auto& members = driver_->replica().membership();
+  if (members == members_) return;
+  members_ = members;
+  logging::Write(Level::kInfo, "group_changed", members.Encode(),
+                 {{"voters", std::to_string(members.voter_count())}});
+  hooks_.members(members_);
+}
+
+void OrderLog::KeepGroup() {
+  const auto now = base::MonotonicNow();
+  if (now < keep_due_) return;
+  keep_due_ = now + kKeepInterval;
+  if (driver_->replica().role() != consensus::Role::kLeader) return;
+  const auto change = NextChange(driver_->replica().membership(), self_, peers_);
+  // A change that isn't possible yet is tried again at the next turn.
+  if (change) static_cast<void>(driver_->ProposeChange(*change));
+}
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/node/order_log.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/result.h"
+#include "consensus/membership.h"
+#include "consensus/message.h"
+#include "node/group_keeper.h"
+#include "node/order_reply.h"
+#include "orders/order_state.h"
+#include "replica/log_driver.h"
+
+namespace wagtailpick::node {
+
+/// The replicated log of operators' orders on a thread of its own, as that thread waits for the
+/// disk. All public functions may be called from any thread; hooks run on the log's thread.
+class OrderLog {
+ public:
+  struct Options {
+    std::string folder;
+    /// This replica's address for links, its name in the group.
+    std::string self;
+    /// Creates the group with this replica alone when the folder is empty.
+    bool found_group = false;
+  };
+
+  struct Hooks {
+    std::function<void(const orders::OrderState& state)> changed;
+    std::function<void(const consensus::Membership& members)> members;
+    std::function<void(const std::string& to, const std::vector<consensus::Message>& messages)>
+        send;
+  };
+
+  /// Recovers from the folder. Fails as `replica::ReplicaDisk::Open` does.
+  static base::Result<std::unique_ptr<OrderLog>> Start(const Options& options, Hooks hooks);
+  ~OrderLog();
+  OrderLog(const OrderLog&) = delete;
+  OrderLog& operator=(const OrderLog&) = delete;
+
+  void Step(std::vector<consensus::Message> messages);
+  void SetPeers(std::vector<PeerReplica> peers);
+
+  /// Commits an order. `redirect` of the reply is the leader's name.
+  void Submit(const orders::Order& order, OrderDone done);
+  /// Gives the newest catalog once a quorum has confirmed after the call that this replica leads.
+  void Read(OrderDone done);
+
+  std::uint64_t incarnation() const { return incarnation_; }
+
+ private:
+  struct PendingRead {
+    base::MonotonicTime asked_at;
+    OrderDone done;
+  };
+
+  explicit OrderLog(const Options& options, Hooks hooks);
+  base::Result<void> Open(const Options& options);
+  replica::LogDriver::Hooks DriverHooks();
+  void Tick();
+  void Apply(std::uint64_t index, const std::string& data);
+  void Restore(const std::string& snapshot);
+  void SettleReads();
+  void KeepGroup();
+  void NoteMembers();
+  bool GroupIsFormed() const;
+  OrderReply NotLeader() const;
+
+  Hooks hooks_;
+  std::string self_;
+  std::uint64_t incarnation_ = 0;
+  base::MonotonicTime started_at_;
+  base::EventLoop loop_;
+  std::unique_ptr<replica::LogDriver> driver_;
+  orders::OrderState state_;
+  consensus::Membership members_;
+  std::vector<PeerReplica> peers_;
+  std::vector<PendingRead> reads_;
+  base::MonotonicTime keep_due_;
+};
+
+}  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/orders/order_codec.cpp
@@ -0,0 +1,44 @@
+#include "orders/order_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wagtailpick::orders {
+namespace {
+
+enum class OrderKind : std::uint8_t { kPutCatalog = 1, kSetEvacuation = 2 };
+
+nlohmann::json ToFields(const Order& order) {
+  if (const auto* put = std::get_if<PutCatalog>(&order)) {
+    return {OrderKind::kPutCatalog, put->version,
+            nlohmann::json::binary({put->bytes.begin(), put->bytes.end()})};
+  }
+  const auto& evacuation = std::get<SetEvacuation>(order);
+  return {OrderKind::kSetEvacuation, evacuation.data_centre, evacuation.evacuated};
+}
+
+}  // namespace
+
+std::string EncodeOrder(const Order& order) {
+  const auto packed = nlohmann::json::to_msgpack(ToFields(order));
+  return {packed.begin(), packed.end()};
+}
+
+base::Result<Order> DecodeOrder(const std::string& bytes) {
+  try {
+    const auto fields = nlohmann::json::from_msgpack(bytes);
+    switch (fields.at(0).get<OrderKind>()) {
+      case OrderKind::kPutCatalog: {
+        const auto& content = fields.at(2).get_binary();
+        return Order(PutCatalog{fields.at(1).get<std::uint64_t>(),
+                                std::string(content.begin(), content.end())});
+      }
+      case OrderKind::kSetEvacuation:
+        return Order(SetEvacuation{fields.at(1).get<std::string>(), fields.at(2).get<bool>()});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    return base::Fail(base::ErrorCode::kCorrupt, std::string("order record: ") + error.what());
+  }
+  return base::Fail(base::ErrorCode::kCorrupt, "order record of an unknown kind");
+}
+
+}  // namespace wagtailpick::orders
--- /dev/null
+++ b/src/libs/placement/choice.cpp
@@ -0,0 +1,21 @@
+#include "placement/choice.h"
+
+#include <array>
+
+#include "base/enum_names.h"
+
+namespace wagtailpick::placement {
+namespace {
+
+constexpr std::array<base::EnumName<Refusal>, 4> kRefusalNames{{
+    {Refusal::kNone, "none"},
+    {Refusal::kNoUpstream, "no_upstream"},
+    {Refusal::kNoRoom, "no_room"},
+    {Refusal::kColdLimit, "cold_limit"},
+}};
+
+}  // namespace
+
+std::string_view ToString(Refusal refusal) { return base::NameOf(kRefusalNames, refusal); }
+
+}  // namespace wagtailpick::placement
--- /dev/null
+++ b/src/libs/placement/chooser.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "placement/choice.h"
+#include "placement/cold_pacer.h"
+#include "placement/network_distance.h"
+#include "placement/upstream_condition.h"
+#include "placement/work_estimate.h"
+#include "upstreams/upstream_table.h"
+
+namespace wagtailpick::placement {
+
+/// What the chooser reads; all of it belongs to the entry.
+struct Beliefs {
+  const upstreams::UpstreamTable* upstreams = nullptr;
+  const catalog::Catalog* catalog = nullptr;
+  /// Data centres that get no requests.
+  const std::set<std::string>* evacuated = nullptr;
+};
+
+/// Chooses the upstream from which the answer is expected first: network, queue and work, where the
+/// work depends on whether the upstream has lately handled the request's object. A rendezvous order
+/// per object tells which upstreams other entries use for it.
+class Chooser {
+ public:
+  Chooser(NetworkDistance network, ColdPacer pacer);
+
+  /// Chooses for `demand` and counts a cold upstream's request.
+  Choice Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now);
+
+  /// The request was sent to the chosen upstream.
+  void NoteSent(const Choice& choice, base::MonotonicTime now);
+  /// It ended there, `took` after it was sent.
+  void NoteEnd(const Choice& choice, const Demand& demand, Outcome outcome, base::Duration took,
+               base::MonotonicTime now);
+  void NoteLoad(const std::string& upstream, const LoadReport& load, base::MonotonicTime now);
+  void NoteConnect(const std::string& data_centre, base::Duration took);
+  /// The upstream has started again or is gone.
+  void Forget(const std::string& upstream) { conditions_.erase(upstream); }
+
+  void SetEntries(std::vector<std::string> entries) { pacer_.SetEntries(std::move(entries)); }
+
+ private:
+  struct Candidate;
+
+  bool IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
+                   const Beliefs& beliefs, base::MonotonicTime now);
+  std::vector<Candidate> Candidates(const Demand& demand, const Beliefs& beliefs,
+                                    base::MonotonicTime now);
+  void RankByObject(std::uint64_t object, std::vector<Candidate>& candidates) const;
+  void Estimate(const Demand& demand, Candidate& candidate, base::MonotonicTime now);
+  bool Accepts(const Demand& demand, const Candidate& best) const;
+
+  NetworkDistance network_;
+  ColdPacer pacer_;
+  WorkEstimates work_;
+  std::map<std::string, UpstreamCondition> conditions_;
+};
+
+}  // namespace wagtailpick::placement
--- /dev/null
+++ b/src/libs/placement/cold_pacer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "catalog/service.h"
+
+namespace wagtailpick::placement {
+
+/// How far requests to a cold upstream may exceed its rate, summed over all entries.
+struct ColdBound {
+  double factor = 1.0;
+  double slack = 0.0;
+};
+
+/// Keeps the requests that all entries send to a cold upstream within its bound without talking:
+/// each entry has a fixed share of a second's requests. Where entries outnumber them, rendezvous
+/// hashing picks the entries that may send one.
+class ColdPacer {
+ public:
+  ColdPacer(std::string self, const ColdBound& bound);
+
+  /// The entries of the system, this one included.
+  void SetEntries(std::vector<std::string> entries) { entries_ = std::move(entries); }
+
+  /// Whether one more request may go to the cold upstream now; counts it if so.
+  bool TryTake(const std::string& upstream, const catalog::Service& service,
+               base::MonotonicTime now);
+
+  /// As `TryTake`, without counting.
+  bool MayTake(const std::string& upstream, const catalog::Service& service,
+               base::MonotonicTime now) const;
+
+ private:
+  std::uint32_t ShareOf(const std::string& upstream, const catalog::Service& service) const;
+
+  std::string self_;
+  ColdBound bound_;
+  std::vector<std::string> entries_;
+  std::map<std::string, std::vector<base::MonotonicTime>> recent_;
+};
+
+}  // namespace wagtailpick::placement
--- /dev/null
+++ b/src/libs/placement/upstream_condition.cpp
@@ -0,0 +1,94 @@
+#include "placement/upstream_condition.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailpick::placement {
+namespace {
+
+/// Other entries' requests leave an upstream at about the rate of its work.
+constexpr double kLoadDecayMs = 700.0;
+/// An upstream keeps an object for about this long while it handles others.
+constexpr base::Duration kObjectMemory = std::chrono::seconds(20);
+constexpr std::size_t kMaxObjects = 256;
+constexpr std::uint32_t kFailuresToRest = 2;
+constexpr base::Duration kFirstRest = std::chrono::milliseconds(600);
+constexpr base::Duration kLongestRest = std::chrono::seconds(5);
+constexpr std::uint32_t kMaxDoublings = 4;
+/// An upstream that couldn't be reached is tried again without an announcement after this time.
+constexpr base::Duration kUnheardRetry = std::chrono::seconds(5);
+constexpr double kSpeedWeight = 0.2;
+constexpr double kMinSlowness = 0.8;
+constexpr double kMaxSlowness = 8.0;
+
+double Millis(base::Duration duration) { return static_cast<double>(duration.count()) / 1'000.0; }
+
+}  // namespace
+
+void UpstreamCondition::NoteSent(base::MonotonicTime /*now*/) { ++in_flight_; }
+
+void UpstreamCondition::NoteEnd(Outcome outcome, base::MonotonicTime now) {
+  if (in_flight_ > 0) --in_flight_;
+  switch (outcome) {
+    case Outcome::kServed:
+      failures_in_row_ = 0;
+      unreachable_at_.reset();
+      break;
+    case Outcome::kUnreachable:
+      unreachable_at_ = now;
+      objects_.clear();
+      break;
+    case Outcome::kFailed:
+    case Outcome::kShed:
+      CountFailure(now);
+      break;
+    case Outcome::kUnknown:
+      break;
+  }
+}
+
+void UpstreamCondition::CountFailure(base::MonotonicTime now) {
+  if (++failures_in_row_ < kFailuresToRest) return;
+  const auto doublings = std::min(failures_in_row_ - kFailuresToRest, kMaxDoublings);
+  rest_until_ = now + std::min(kFirstRest * (1 << doublings), kLongestRest);
+}
+
+void UpstreamCondition::NoteLoad(const LoadReport& load, base::MonotonicTime now) {
+  load_ = load;
+  own_at_report_ = in_flight_;
+  load_at_ = now;
+}
+
+void UpstreamCondition::NoteSpeed(double ratio) {
+  slowness_ += kSpeedWeight * (std::clamp(ratio, kMinSlowness, kMaxSlowness) - slowness_);
+}
+
+void UpstreamCondition::NoteObject(std::uint64_t object, base::MonotonicTime now) {
+  if (objects_.size() >= kMaxObjects) {
+    std::erase_if(objects_, [now](const auto& item) { return now - item.second > kObjectMemory; });
+  }
+  objects_[object] = now;
+}
+
+bool UpstreamCondition::KnowsObject(std::uint64_t object, base::MonotonicTime now) const {
+  const auto found = objects_.find(object);
+  return found != objects_.end() && now - found->second < kObjectMemory;
+}
+
+double UpstreamCondition::Load(base::MonotonicTime now) const {
+  double others = 0;
+  if (load_at_) {
+    const double reported = static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
+    others = std::max(0.0, reported - static_cast<double>(own_at_report_));
+    others *= std::exp(-Millis(now - *load_at_) / kLoadDecayMs);
+  }
+  return others + static_cast<double>(in_flight_);
+}
+
+bool UpstreamCondition::Usable(base::MonotonicTime heard_at, base::MonotonicTime now) const {
+  if (now < rest_until_) return false;
+  if (!unreachable_at_) return true;
+  return heard_at > *unreachable_at_ || now - *unreachable_at_ > kUnheardRetry;
+}
+
+}  // namespace wagtailpick::placement
--- /dev/null
+++ b/src/libs/relay/dialect.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/monotonic_time.h"
+#include "base/result.h"
+#include "http/message.h"
+#include "placement/upstream_condition.h"
+
+namespace wagtailpick::relay {
+
+/// What the relay has to know of a caller's request.
+struct CallerTerms {
+  std::string request_id;
+  std::string host;
+  /// How long the caller waits; absent when it didn't say.
+  std::optional<base::Duration> deadline;
+  /// Hash of the object that the request concerns; 0 for none.
+  std::uint64_t object = 0;
+};
+
+/// What an upstream's whole answer means.
+enum class AnswerKind : std::uint8_t {
+  /// The upstream's answer to this request, to be passed on as it is.
+  kFinal,
+  /// The upstream ran the request and failed.
+  kServerFailure,
+  /// The upstream states that it did not run the request.
+  kNotRun,
+  /// Another upstream has the address now; the request did not run.
+  kOtherUpstream,
+  /// It belongs to another request, or isn't the upstream's own.
+  kForeign,
+};
+
+struct JudgedAnswer {
+  AnswerKind kind = AnswerKind::kForeign;
+  std::optional<placement::LoadReport> load;
+};
+
+/// The words that callers and upstreams use, decoded at the boundary.
+struct Dialect {
+  /// Reads a caller's request; fails with `kInvalidArgument`.
+  std::function<base::Result<CallerTerms>(const http::Request&)> read;
+  /// Makes the request that goes to the upstream called `upstream`, which may work for `time_left`.
+  std::function<http::Request(const http::Request&, const std::string& upstream,
+                              base::Duration time_left)>
+      prepare;
+  std::function<JudgedAnswer(const http::Response&, const CallerTerms&)> judge;
+};
+
+}  // namespace wagtailpick::relay
--- /dev/null
+++ b/src/libs/relay/relay.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "catalog/split_picker.h"
+#include "metrics/registry.h"
+#include "net/inbound_request.h"
+#include "net/upstream_pool.h"
+#include "placement/chooser.h"
+#include "placement/retry_allowance.h"
+#include "relay/decision_log.h"
+#include "relay/dialect.h"
+#include "relay/relay_metrics.h"
+#include "upstreams/upstream_table.h"
+
+namespace wagtailpick::relay {
+
+/// What an entry believes, as far as requests need it.
+struct Beliefs {
+  /// Null until the first catalog has come.
+  std::shared_ptr<const catalog::Catalog> catalog;
+  upstreams::UpstreamTable upstreams;
+  std::set<std::string> evacuated;
+};
+
+struct RelayOptions {
+  std::string vm;
+  std::string data_centre;
+  /// Region of each data centre.
+  std::map<std::string, std::string> regions;
+  placement::ColdBound cold_bound;
+  placement::RetryBound retry_bound;
+};
+
+/// Serves callers' requests by one entry's beliefs. Used on one loop only.
+class Relay {
+ public:
+  Relay(asio::io_context& loop, const RelayOptions& options, Dialect dialect, Beliefs& beliefs,
+        metrics::Registry& registry);
+
+  void Handle(std::shared_ptr<net::InboundRequest> inbound);
+
+  /// Names of all entries, this one included.
+  void SetEntries(const std::vector<std::string>& entries);
+  /// An upstream at `address` has started again, drains or is gone.
+  void ForgetUpstream(const std::string& id, const std::string& address, bool restarted);
+  /// New requests are refused from now on.
+  void RefuseNew() { refusing_ = true; }
+  std::size_t running() const { return running_; }
+  /// Due about once a second.
+  void Tick(base::MonotonicTime now) { pool_.CloseStale(now); }
+
+ private:
+  friend class RequestRun;
+
+  asio::io_context& loop_;
+  Dialect dialect_;
+  Beliefs& beliefs_;
+  net::UpstreamPool pool_;
+  placement::Chooser chooser_;
+  placement::RetryAllowance allowance_;
+  catalog::SplitPicker splits_;
+  DecisionLog log_;
+  RelayMetrics metrics_;
+  std::size_t running_ = 0;
+  bool refusing_ = false;
+};
+
+}  // namespace wagtailpick::relay
--- /dev/null
+++ b/src/libs/relay/relay_metrics.cpp
@@ -0,0 +1,29 @@
+#include "relay/relay_metrics.h"
+
+#include <string>
+
+namespace wagtailpick::relay {
+namespace {
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+std::string Label(std::string_view result) { return "result=\"" + std::string(result) + "\""; }
+
+}  // namespace
+
+RelayMetrics::RelayMetrics(metrics::Registry& registry)
+    : registry_(registry),
+      total_(registry.HistogramAt("wagtailpick_request_seconds", metrics::LatencyBounds())),
+      upstream_(registry.HistogramAt("wagtailpick_upstream_seconds", metrics::LatencyBounds())) {}
+
+void RelayMetrics::NoteAnswer(std::string_view result, base::Duration total) {
+  registry_.CounterAt("wagtailpick_requests_total", Label(result)).Add();
+  total_.Observe(Seconds(total));
+}
+
+void RelayMetrics::NoteExchange(std::string_view result, base::Duration took) {
+  registry_.CounterAt("wagtailpick_exchanges_total", Label(result)).Add();
+  upstream_.Observe(Seconds(took));
+}
+
+}  // namespace wagtailpick::relay
--- /dev/null
+++ b/src/libs/relay/request_run.cpp
@@ -0,0 +1,272 @@
+#include "relay/request_run.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "net/http_text.h"
+
+namespace wagtailpick::relay {
+namespace {
+
+using base::Duration;
+using logging::Level;
+using placement::Outcome;
+using placement::Refusal;
+
+/// Used when neither the caller nor its route sets a time.
+constexpr Duration kLongestWait = std::chrono::seconds(600);
+constexpr std::uint32_t kMaxFailedConnects = 3;
+/// Less time than this isn't worth another try.
+constexpr Duration kLeastTimeToTry = std::chrono::milliseconds(60);
+/// An upstream may close an idle connection at any time; a request that must not run twice then has
+/// no answer, so it takes only connections that were just used.
+constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(1'500);
+/// Callers come back within a third of the time that they have left.
+constexpr int kReturnShare = 4;
+constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
+constexpr Duration kLatestReturn = std::chrono::seconds(2);
+
+std::string Millis(Duration duration) { return std::to_string(duration.count() / 1'000); }
+
+std::string RetryAfter(Duration duration) {
+  std::array<char, 32> text{};
+  const double seconds = std::chrono::duration<double>(duration).count();
+  const int length = std::snprintf(text.data(), text.size(), "%.2f", seconds);
+  return {text.data(), static_cast<std::size_t>(length)};
+}
+
+http::Response Plain(int status) {
+  http::Response response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+RequestRun::RequestRun(Relay& relay, std::shared_ptr<net::InboundRequest> inbound)
+    : relay_(relay),
+      inbound_(std::move(inbound)),
+      catalog_(relay.beliefs_.catalog),
+      timer_(relay.loop_) {
+  ++relay_.running_;
+}
+
+RequestRun::~RequestRun() { --relay_.running_; }
+
+void RequestRun::Start() {
+  auto terms = relay_.dialect_.read(inbound_->request);
+  if (!terms) {
+    return Finish(Plain(400), "rejected", terms.error().message);
+  }
+  terms_ = std::move(terms.value());
+  if (catalog_ == nullptr) return Refuse("no_catalog");
+  if (relay_.refusing_) return Refuse("stopping");
+  if (!FindRoute()) return Finish(Plain(404), "rejected", "no_route");
+  const auto& route = *demand_.route;
+  deadline_ =
+      inbound_->received_at + std::min(route.timeout, terms_.deadline.value_or(kLongestWait));
+  demand_.object = terms_.object;
+  relay_.allowance_.NoteRequest(demand_.service, inbound_->received_at);
+  inbound_->on_client_left = [self = shared_from_this()] { self->ClientLeft(); };
+  timer_.expires_after(deadline_ - base::MonotonicNow());
+  timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+    if (!error) self->Expire();
+  });
+  Try();
+}
+
+bool RequestRun::FindRoute() {
+  const auto* route = catalog_->Match(terms_.host, inbound_->request.target);
+  if (route == nullptr) return false;
+  demand_.route = route;
+  demand_.service = relay_.splits_.Pick(*route);
+  return true;
+}
+
+void RequestRun::Try() {
+  const auto now = base::MonotonicNow();
+  demand_.time_left = deadline_ - now;
+  demand_.waited = now - inbound_->received_at;
+  const placement::Beliefs beliefs{&relay_.beliefs_.upstreams, catalog_.get(),
+                                   &relay_.beliefs_.evacuated};
+  const auto choice = relay_.chooser_.Choose(demand_, beliefs, now);
+  if (choice.refusal != Refusal::kNone) {
+    choice_ = choice;
+    if (may_have_run_) return GiveUp();
+    return Refuse(placement::ToString(choice.refusal));
+  }
+  Send(choice);
+}
+
+void RequestRun::Send(const placement::Choice& choice) {
+  choice_ = choice;
+  sent_at_ = base::MonotonicNow();
+  demand_.tried.push_back(choice.upstream);
+  const auto endpoint = base::ParseEndpoint(choice.address);
+  if (!endpoint) return Refuse("bad_address");
+  relay_.chooser_.NoteSent(choice, sent_at_);
+  ++sends_;
+  const auto max_idle = demand_.route->idempotent ? Duration::max() : kMaxIdleOnce;
+  connection_ = relay_.pool_.Take(endpoint.value(), max_idle);
+  const auto request =
+      relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - sent_at_);
+  Log(Level::kInfo, "request_sent", "to " + choice.address,
+      {{"upstream", choice.upstream},
+       {"service", demand_.service},
+       {"catalog_version", std::to_string(catalog_->version())},
+       {"expected_ms", Millis(choice.expected)},
+       {"expected_wait_ms", Millis(choice.expected_wait)},
+       {"warm", choice.warm ? "true" : "false"},
+       {"heard_age_ms", Millis(choice.heard_age)},
+       {"candidates", std::to_string(choice.candidates)},
+       {"attempt", std::to_string(sends_)},
+       {"time_left_ms", Millis(deadline_ - sent_at_)}});
+  connection_->Exchange(net::RenderRequest(request), request.method == "HEAD",
+                        [self = shared_from_this()](net::ExchangeResult result) {
+                          self->TakeResult(std::move(result));
+                        });
+}
+
+void RequestRun::TakeResult(net::ExchangeResult result) {
+  if (finished_) return;
+  connection_ = nullptr;
+  if (result.connect_time > Duration::zero()) {
+    relay_.chooser_.NoteConnect(choice_.data_centre, result.connect_time);
+  }
+  if (result.end == net::ExchangeEnd::kAnswered) return TakeAnswer(std::move(result.response));
+  TakeLoss(result);
+}
+
+void RequestRun::TakeAnswer(http::Response response) {
+  const auto judged = relay_.dialect_.judge(response, terms_);
+  switch (judged.kind) {
+    case AnswerKind::kFinal:
+      EndExchange(Outcome::kServed, "served");
+      break;
+    case AnswerKind::kServerFailure:
+      EndExchange(Outcome::kFailed, "server_failure");
+      may_have_run_ = true;
+      break;
+    case AnswerKind::kNotRun:
+      EndExchange(Outcome::kShed, "not_run");
+      break;
+    case AnswerKind::kOtherUpstream:
+      EndExchange(Outcome::kUnreachable, "other_upstream");
+      break;
+    case AnswerKind::kForeign:
+      EndExchange(Outcome::kFailed, "foreign_answer");
+      may_have_run_ = true;
+      break;
+  }
+  if (judged.load) relay_.chooser_.NoteLoad(choice_.upstream, *judged.load, base::MonotonicNow());
+  if (judged.kind == AnswerKind::kFinal) {
+    return Finish(std::move(response), "served", "");
+  }
+  const bool not_run =
+      judged.kind == AnswerKind::kNotRun || judged.kind == AnswerKind::kOtherUpstream;
+  if (MayTryAgain(not_run)) return Try();
+  if (judged.kind == AnswerKind::kServerFailure) {
+    return Finish(std::move(response), "failed", "server_failure");
+  }
+  if (not_run && !may_have_run_) return Refuse("upstream_refused");
+  GiveUp();
+}
+
+void RequestRun::TakeLoss(const net::ExchangeResult& result) {
+  const bool connected = result.end != net::ExchangeEnd::kNotConnected;
+  EndExchange(connected ? Outcome::kFailed : Outcome::kUnreachable, net::ToString(result.end));
+  Log(Level::kWarning, "exchange_lost", result.detail,
+      {{"upstream", choice_.upstream},
+       {"end", std::string(net::ToString(result.end))},
+       {"reused", result.reused ? "true" : "false"},
+       {"answer_started", result.answer_started ? "true" : "false"}});
+  if (connected) {
+    may_have_run_ = true;
+    if (MayTryAgain(false)) return Try();
+    return GiveUp();
+  }
+  --sends_;
+  const bool time_left = deadline_ - base::MonotonicNow() > kLeastTimeToTry;
+  if (++failed_connects_ < kMaxFailedConnects && time_left) return Try();
+  if (may_have_run_) return GiveUp();
+  Refuse("upstreams_unreachable");
+}
+
+void RequestRun::EndExchange(Outcome outcome, std::string_view result) {
+  const auto now = base::MonotonicNow();
+  relay_.chooser_.NoteEnd(choice_, demand_, outcome, now - sent_at_, now);
+  relay_.metrics_.NoteExchange(result, now - sent_at_);
+}
+
+bool RequestRun::MayTryAgain(bool known_not_run) {
+  const auto now = base::MonotonicNow();
+  if (!demand_.route->idempotent && (may_have_run_ || !known_not_run)) return false;
+  if (sends_ >= demand_.route->attempts) return false;
+  if (deadline_ - now < kLeastTimeToTry) return false;
+  return relay_.allowance_.TryResend(demand_.service, now);
+}
+
+void RequestRun::GiveUp() { Finish(Plain(502), "failed", "may_have_run"); }
+
+void RequestRun::Expire() {
+  if (finished_) return;
+  if (connection_ != nullptr) {
+    connection_->Close();
+    connection_ = nullptr;
+    EndExchange(Outcome::kUnknown, "timeout");
+  }
+  Finish(Plain(504), "failed", "timeout");
+}
+
+void RequestRun::ClientLeft() {
+  if (finished_) return;
+  finished_ = true;
+  timer_.cancel();
+  if (connection_ != nullptr) {
+    connection_->Close();
+    connection_ = nullptr;
+    EndExchange(Outcome::kUnknown, "client_left");
+  }
+  relay_.metrics_.NoteAnswer("client_left", base::MonotonicNow() - inbound_->received_at);
+  Log(Level::kInfo, "client_left", "the caller closed its connection", {});
+}
+
+// The caller is told to come back while it still has time for an answer.
+void RequestRun::Refuse(std::string_view reason) {
+  auto response = Plain(503);
+  const auto left = terms_.deadline.value_or(std::chrono::seconds(3)) -
+                    (base::MonotonicNow() - inbound_->received_at);
+  const auto back = std::clamp(left / kReturnShare, kSoonestReturn, kLatestReturn);
+  response.headers.push_back({"Retry-After", RetryAfter(back)});
+  Finish(std::move(response), "refused", reason);
+}
+
+void RequestRun::Finish(http::Response response, std::string_view outcome,
+                        std::string_view reason) {
+  if (finished_) return;
+  finished_ = true;
+  timer_.cancel();
+  const auto total = base::MonotonicNow() - inbound_->received_at;
+  relay_.metrics_.NoteAnswer(reason.empty() ? outcome : reason, total);
+  Log(outcome == "served" ? Level::kInfo : Level::kWarning, "request_ended", std::string(outcome),
+      {{"reason", std::string(reason)},
+       {"status", std::to_string(response.status)},
+       {"upstream", choice_.upstream},
+       {"sends", std::to_string(sends_)},
+       {"total_ms", Millis(total)},
+       {"expected_ms", Millis(choice_.expected)},
+       {"heard_age_ms", Millis(choice_.heard_age)},
+       {"candidates", std::to_string(choice_.candidates)}});
+  inbound_->Answer(std::move(response));
+}
+
+void RequestRun::Log(Level level, const std::string& event, const std::string& message,
+                     std::vector<logging::Field> fields) {
+  fields.push_back({"request_id", terms_.request_id});
+  fields.push_back({"route", demand_.route == nullptr ? "" : demand_.route->name});
+  relay_.log_.Write(level, event, message, std::move(fields), base::MonotonicNow());
+}
+
+}  // namespace wagtailpick::relay
--- a/src/libs/controller/log_driver.cpp
+++ b/src/libs/replica/log_driver.cpp
@@ -1,15 +1,13 @@
-#include "controller/log_driver.h"
+#include "replica/log_driver.h"
 
 #include <random>
 #include <utility>
 
-#include "controller/message_codec.h"
 #include "logging/log.h"
 
-namespace wagtailpick::controller {
+namespace wagtailpick::replica {
 namespace {
 
-constexpr base::Duration kDeliverTimeout = std::chrono::milliseconds(500);
 /// Entries between two snapshots: bounds the log on disk and what a restart has to replay.
 constexpr std::uint64_t kSnapshotInterval = 2'000;
 
@@ -20,34 +18,28 @@
 
 }  // namespace
 
-base::Result<std::unique_ptr<LogDriver>> LogDriver::Create(const std::string& self,
-                                                           const std::vector<std::string>& peers,
-                                                           ReplicaDisk disk, base::EventLoop& loop,
-                                                           Hooks hooks) {
+consensus::Options LogDriver::DefaultOptions() {
   consensus::Options options;
-  options.self = {self, disk.incarnation()};
-  options.peers = peers;
   options.random = [engine = std::make_shared<std::mt19937_64>(std::random_device()())] {
     return (*engine)();
   };
+  return options;
+}
+
+base::Result<std::unique_ptr<LogDriver>> LogDriver::Create(const std::string& self,
+                                                           consensus::Options options,
+                                                           ReplicaDisk disk, Hooks hooks) {
+  options.self = {self, disk.incarnation()};
   BOOST_OUTCOME_TRY(replica, consensus::Replica::Create(std::move(options), disk.TakeRecovered(),
                                                         base::MonotonicNow()));
   std::unique_ptr<LogDriver> driver(
-      new LogDriver(self, std::move(disk), loop, std::move(hooks), std::move(replica)));
-  for (const auto& peer : peers) {
-    if (peer != self) driver->peers_[peer] = rpc::Client::Create(peer);
-  }
+      new LogDriver(std::move(disk), std::move(hooks), std::move(replica)));
   driver->Flush();
   return driver;
 }
 
-LogDriver::LogDriver(std::string self, ReplicaDisk disk, base::EventLoop& loop, Hooks hooks,
-                     consensus::Replica replica)
-    : self_(std::move(self)),
-      disk_(std::move(disk)),
-      loop_(loop),
-      hooks_(std::move(hooks)),
-      replica_(std::move(replica)) {}
+LogDriver::LogDriver(ReplicaDisk disk, Hooks hooks, consensus::Replica replica)
+    : disk_(std::move(disk)), hooks_(std::move(hooks)), replica_(std::move(replica)) {}
 
 void LogDriver::Propose(std::string data, Proposed done) {
   const auto position = replica_.Propose(std::move(data), base::MonotonicNow());
@@ -56,9 +48,15 @@
   ScheduleFlush();
 }
 
-void LogDriver::Step(const rpc::ConsensusBatch& batch) {
+base::Result<void> LogDriver::ProposeChange(const consensus::MembershipChange& change) {
+  BOOST_OUTCOME_TRY(replica_.ProposeChange(change, base::MonotonicNow()));
+  ScheduleFlush();
+  return base::Ok();
+}
+
+void LogDriver::Step(const std::vector<consensus::Message>& messages) {
   const auto now = base::MonotonicNow();
-  for (const auto& message : batch.messages()) replica_.Step(FromWire(message), now);
+  for (const auto& message : messages) replica_.Step(message, now);
   ScheduleFlush();
 }
 
@@ -69,6 +67,10 @@
 
 bool LogDriver::HasLease() const { return replica_.HasLease(base::MonotonicNow()); }
 
+bool LogDriver::LedSince(base::MonotonicTime since) const {
+  return replica_.LedSince(since, base::MonotonicNow());
+}
+
 std::string LogDriver::leader() const {
   const auto hint = replica_.LeaderHint();
   return hint ? hint->name : std::string();
@@ -77,7 +79,7 @@
 // Inputs that are already queued are handled before the flush, so that one sync covers them all.
 void LogDriver::ScheduleFlush() {
   if (flush_scheduled_) return;
-  flush_scheduled_ = loop_.TryPost([this] { Flush(); });
+  flush_scheduled_ = hooks_.defer([this] { Flush(); });
 }
 
 void LogDriver::Flush() {
@@ -101,17 +103,9 @@
 }
 
 void LogDriver::Send(const std::vector<consensus::Message>& messages) {
-  std::map<std::string, rpc::ConsensusBatch> batches;
-  for (const auto& message : messages) {
-    *batches[message.to.name].add_messages() = ToWire(message);
-  }
-  for (auto& [name, batch] : batches) {
-    const auto peer = peers_.find(name);
-    if (peer == peers_.end()) continue;
-    hooks_.stamp(batch);
-    // A lost message is made good by the next heartbeat.
-    peer->second->Deliver(batch, kDeliverTimeout, [](const base::Result<rpc::Empty>&) {});
-  }
+  std::map<std::string, std::vector<consensus::Message>> batches;
+  for (const auto& message : messages) batches[message.to.name].push_back(message);
+  for (const auto& [name, batch] : batches) hooks_.send(name, batch);
 }
 
 void LogDriver::Apply(const consensus::Output& output) {
@@ -157,4 +151,4 @@
   if (!taken) logging::Write(logging::Level::kError, "snapshot_failed", taken.error().message);
 }
 
-}  // namespace wagtailpick::controller
+}  // namespace wagtailpick::replica
--- a/src/libs/controller/log_driver.h
+++ b/src/libs/replica/log_driver.h
@@ -7,16 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "base/event_loop.h"
 #include "base/result.h"
 #include "consensus/replica.h"
-#include "controller/replica_disk.h"
-#include "rpc/client.h"
+#include "replica/replica_disk.h"
 
-namespace wagtailpick::controller {
+namespace wagtailpick::replica {
 
 /// Runs one consensus replica: feeds it messages and time, syncs what it asks for, sends what it
-/// says, and hands out committed entries. Used on one loop only.
+/// says, and hands out committed entries. Used on one thread only.
 class LogDriver {
  public:
   struct Hooks {
@@ -26,8 +24,13 @@
     std::function<void(const std::string& snapshot)> restore;
     /// Encodes the applied state.
     std::function<std::string()> snapshot;
-    /// Stamps an outgoing batch of messages.
-    std::function<void(rpc::ConsensusBatch&)> stamp;
+    /// Sends messages to the replica called `to`. A lost message is made good by the next
+    /// heartbeat.
+    std::function<void(const std::string& to, const std::vector<consensus::Message>& messages)>
+        send;
+    /// Runs a task on the driver's thread after the inputs that are already queued; returns false
+    /// when it can't, and then the next tick does the work.
+    std::function<bool(std::function<void()> task)> defer;
     /// Takes a membership that is committed.
     std::function<void(const consensus::Membership& members)> members;
   };
@@ -36,28 +39,35 @@
   /// unknown or that it was refused.
   using Proposed = std::function<void(base::Result<void>)>;
 
-  /// `peers` are the addresses of all replicas, which are their names as well. Fails as
+  /// `options` needs its random source; the replica's name and incarnation are filled in. Fails as
   /// `consensus::Replica::Create` does.
   static base::Result<std::unique_ptr<LogDriver>> Create(const std::string& self,
-                                                         const std::vector<std::string>& peers,
-                                                         ReplicaDisk disk, base::EventLoop& loop,
-                                                         Hooks hooks);
+                                                         consensus::Options options,
+                                                         ReplicaDisk disk, Hooks hooks);
+
+  /// Options with the project's timings and a source of randomness.
+  static consensus::Options DefaultOptions();
 
   /// Proposes an entry. `done` is called on the loop right after the entry was applied.
   void Propose(std::string data, Proposed done);
 
-  void Step(const rpc::ConsensusBatch& batch);
+  /// Proposes a change of one member; the outcome shows in the `members` hook.
+  base::Result<void> ProposeChange(const consensus::MembershipChange& change);
+
+  void Step(const std::vector<consensus::Message>& messages);
   void Tick();
 
   /// Whether this replica may answer for the committed state now.
   bool HasLease() const;
+  /// Whether this replica led, with all earlier entries applied, at some instant after `since`: a
+  /// quorum has answered a heartbeat that was sent later. Relies on no clock but its own.
+  bool LedSince(base::MonotonicTime since) const;
   /// Address of the leader as far as it is known; empty otherwise.
   std::string leader() const;
   const consensus::Replica& replica() const { return replica_; }
 
  private:
-  LogDriver(std::string self, ReplicaDisk disk, base::EventLoop& loop, Hooks hooks,
-            consensus::Replica replica);
+  LogDriver(ReplicaDisk disk, Hooks hooks, consensus::Replica replica);
 
   void ScheduleFlush();
   void Flush();
@@ -73,15 +83,12 @@
     Proposed done;
   };
 
-  std::string self_;
   ReplicaDisk disk_;
-  base::EventLoop& loop_;
   Hooks hooks_;
   consensus::Replica replica_;
-  std::map<std::string, std::unique_ptr<rpc::Client>> peers_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t applied_ = 0;
   bool flush_scheduled_ = false;
 };
 
-}  // namespace wagtailpick::controller
+}  // namespace wagtailpick::replica
--- a/src/libs/controller/replica_disk.cpp
+++ b/src/libs/replica/replica_disk.cpp
@@ -1,4 +1,4 @@
-#include "controller/replica_disk.h"
+#include "replica/replica_disk.h"
 
 #include <memory>
 #include <utility>
@@ -6,7 +6,7 @@
 #include "consensus/replica.h"
 #include "storage/file_ops.h"
 
-namespace wagtailpick::controller {
+namespace wagtailpick::replica {
 namespace {
 
 using base::ErrorCode;
@@ -163,4 +163,4 @@
   return log_.Sync();
 }
 
-}  // namespace wagtailpick::controller
+}  // namespace wagtailpick::replica
--- a/src/libs/controller/replica_disk.h
+++ b/src/libs/replica/replica_disk.h
@@ -11,7 +11,7 @@
 #include "storage/log_store.h"
 #include "storage/snapshot_store.h"
 
-namespace wagtailpick::controller {
+namespace wagtailpick::replica {
 
 /// What one control replica keeps on its disk.
 class ReplicaDisk {
@@ -63,4 +63,4 @@
   std::vector<std::uint64_t> claim_offsets_;
 };
 
-}  // namespace wagtailpick::controller
+}  // namespace wagtailpick::replica
--- a/src/libs/settings/key_rule.h
+++ b/src/libs/settings/key_rule.h
@@ -7,7 +7,7 @@
 namespace wagtailpick::settings {
 
 /// What a value has to look like.
-enum class KeyKind { kText, kNumber, kEndpoint, kEndpointList, kChoice, kChoiceList };
+enum class KeyKind { kText, kNumber, kDecimal, kEndpoint, kEndpointList, kChoice, kChoiceList };
 
 /// One allowed key of an INI file.
 struct KeyRule {
@@ -16,7 +16,7 @@
   KeyKind kind = KeyKind::kText;
   bool required = false;
   std::string default_value = {};
-  /// Accepted range of a `kNumber`, both ends included.
+  /// Accepted range of a `kNumber` or `kDecimal`, both ends included.
   std::int64_t min = 0;
   std::int64_t max = 0;
   /// Accepted values of a `kChoice` or `kChoiceList`.
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -43,8 +43,18 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(const std::string& text) {
+  double number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
 std::string Describe(const KeyRule& rule) {
   switch (rule.kind) {
+    case KeyKind::kDecimal:
+      return "a number from " + std::to_string(rule.min) + " to " + std::to_string(rule.max);
     case KeyKind::kText:
       return "a text that is not empty";
     case KeyKind::kNumber:
@@ -75,6 +85,11 @@
   switch (rule.kind) {
     case KeyKind::kText:
       return true;
+    case KeyKind::kDecimal: {
+      const auto number = ParseDecimal(value);
+      return number && *number >= static_cast<double>(rule.min) &&
+             *number <= static_cast<double>(rule.max);
+    }
     case KeyKind::kNumber: {
       const auto number = ParseNumber(value);
       return number && *number >= rule.min && *number <= rule.max;
@@ -227,6 +242,10 @@
   return values_.at(KeyOf(section, key));
 }
 
+double Settings::Decimal(const std::string& section, const std::string& key) const {
+  return ParseDecimal(Text(section, key)).value_or(0.0);
+}
+
 std::int64_t Settings::Number(const std::string& section, const std::string& key) const {
   return ParseNumber(Text(section, key)).value_or(0);
 }
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -22,6 +22,9 @@
   /// Path of the file, for messages.
   const std::string& path() const { return path_; }
 
+  /// Value of a key of kind `kDecimal`, which needs a default or to be required.
+  double Decimal(const std::string& section, const std::string& key) const;
+
   /// Value of a key of the schema; the empty string for an optional one that is not set.
   const std::string& Text(const std::string& section, const std::string& key) const;
 
--- /dev/null
+++ b/src/libs/upstreams/upstream_table.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "upstreams/upstream_report.h"
+
+namespace wagtailpick::upstreams {
+
+/// What a report did to the table.
+enum class Change : std::uint8_t {
+  /// It was older than what is known.
+  kStale,
+  /// Only the time of hearing has changed.
+  kHeard,
+  /// The upstream is new, has started again, or has changed its state or coldness.
+  kChanged,
+};
+
+/// An upstream as far as this process knows.
+struct KnownUpstream {
+  UpstreamReport report;
+  /// When the newest report reached this process, counted from its sending where that is known.
+  base::MonotonicTime heard_at;
+  base::MonotonicTime cold_until;
+};
+
+/// The upstreams of all services by id. At most one ready upstream has an address: an address is
+/// used again after its upstream has ended, and only the newest run counts.
+class UpstreamTable {
+ public:
+  /// Takes a report that is `age` old.
+  Change Apply(const UpstreamReport& report, base::Duration age, base::MonotonicTime now);
+
+  /// Marks an announcement without a change, named by run and sequence.
+  Change NoteHeard(const std::string& id, std::int64_t started_unix_ms, std::uint64_t sequence,
+                   base::MonotonicTime now);
+
+  /// Forgets upstreams of which nothing was heard for `silence`; those that have left are kept that
+  /// long as well, so that a late announcement doesn't bring them back. Returns their ids.
+  std::vector<std::string> Expire(base::Duration silence, base::MonotonicTime now);
+
+  /// Treats the upstreams of a data centre as cold until `until`.
+  void Chill(const std::string& data_centre, base::MonotonicTime until);
+
+  /// Returns the upstream, or null.
+  const KnownUpstream* Find(const std::string& id) const;
+
+  const std::map<std::string, KnownUpstream>& all() const { return upstreams_; }
+
+ private:
+  bool IsSuperseded(const UpstreamReport& report) const;
+  void RetireOthersAt(const UpstreamReport& report);
+
+  std::map<std::string, KnownUpstream> upstreams_;
+};
+
+}  // namespace wagtailpick::upstreams
