Let each object use only as many upstreams as can keep it

Change: a rendezvous order per object, the same on all entries, names the upstreams that may handle it; their number follows from the objects seen, 30 to an upstream. Warm and cold work are told apart by the answers themselves. A request is turned away by the wait before it and no longer by its total, as a cold upstream has to be used to get warm.

--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -13,17 +13,20 @@
 /// What bytes to another data centre or region are worth in time.
 constexpr base::Duration kSameRegionCost = std::chrono::milliseconds(4);
 constexpr base::Duration kOtherRegionCost = std::chrono::milliseconds(30);
-/// Chance that other entries have warmed an object on the first and second upstream of its order
-/// within a region, and on the others.
-constexpr double kWarmFirst = 0.85;
-constexpr double kWarmSecond = 0.35;
-constexpr double kWarmOther = 0.1;
+/// Chance that other entries have warmed an object on the first upstream of its order, and how much
+/// less it is on each that follows.
+constexpr double kWarmFirst = 0.9;
+constexpr double kWarmStep = 0.08;
+constexpr double kWarmLeast = 0.3;
 constexpr double kWarmKnown = 0.95;
 constexpr double kWarmEnough = 0.5;
 /// Load below the slots still costs something, as what others have sent is known late.
 constexpr double kCollisionWeight = 0.2;
 /// More urgent requests may wait this much longer before they are turned away.
-constexpr double kUrgentPatience = 1.3;
+constexpr double kUrgentPatience = 1.5;
+/// The part of the objective that a request may wait in an upstream's queue, even if its work alone
+/// takes longer than the objective: a cold upstream has to be used to get warm.
+constexpr double kLeastPatience = 0.33;
 
 base::Duration Scale(base::Duration duration, double factor) {
   return base::Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
@@ -43,7 +46,7 @@
   const upstreams::KnownUpstream* known = nullptr;
   UpstreamCondition* condition = nullptr;
   bool cold_start = false;
-  /// Position in the object's order within the upstream's region.
+  /// Position in the object's order.
   std::size_t rank = 0;
   double warm_chance = 0;
   base::Duration work{};
@@ -56,11 +59,11 @@
     : network_(std::move(network)), pacer_(std::move(pacer)) {}
 
 bool Chooser::IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
-                          const Beliefs& beliefs, base::MonotonicTime now) {
+                          const Beliefs& beliefs, base::MonotonicTime now) const {
   const auto& report = known.report;
   if (report.service != demand.service || report.state != upstreams::State::kReady) return false;
   if (beliefs.evacuated->contains(report.data_centre)) return false;
-  if (now - known.heard_at > kSilence || Contains(demand.tried, report.id)) return false;
+  if (now - known.heard_at > kSilence) return false;
   const auto& homes = demand.route->home_regions;
   return homes.empty() || Contains(homes, network_.RegionOf(report.data_centre));
 }
@@ -74,22 +77,30 @@
     candidate.known = &known;
     candidate.condition = &conditions_[id];
     candidate.cold_start = now < known.cold_until;
-    if (candidate.condition->Usable(known.heard_at, now)) candidates.push_back(candidate);
+    candidates.push_back(candidate);
   }
+  KeepObjectsUpstreams(demand, candidates);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return Contains(demand.tried, candidate.known->report.id) ||
+           !candidate.condition->Usable(candidate.known->heard_at, now);
+  });
   return candidates;
 }
 
-void Chooser::RankByObject(std::uint64_t object, std::vector<Candidate>& candidates) const {
-  std::map<std::string, std::vector<std::pair<std::uint64_t, Candidate*>>> by_region;
-  for (auto& candidate : candidates) {
-    const auto& report = candidate.known->report;
-    by_region[network_.RegionOf(report.data_centre)].emplace_back(RankOf(object, report.id),
-                                                                  &candidate);
+void Chooser::KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const {
+  if (!demand.route->sticky || demand.object == 0) return;
+  std::vector<std::pair<std::uint64_t, Candidate>> ranked;
+  ranked.reserve(candidates.size());
+  for (const auto& candidate : candidates) {
+    ranked.emplace_back(RankOf(demand.object, candidate.known->report.id), candidate);
   }
-  for (auto& [region, ranked] : by_region) {
-    std::sort(ranked.begin(), ranked.end(),
-              [](const auto& a, const auto& b) { return a.first > b.first; });
-    for (std::size_t i = 0; i < ranked.size(); ++i) ranked[i].second->rank = i;
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  const auto spread = std::min(ranked.size(), census_.Spread(demand.service, ranked.size()));
+  candidates.clear();
+  for (std::size_t i = 0; i < spread; ++i) {
+    candidates.push_back(ranked[i].second);
+    candidates.back().rank = i;
   }
 }
 
@@ -97,18 +108,17 @@
   const auto& report = candidate.known->report;
   const auto& estimate = work_.At(demand.route->name, demand.route->objective);
   const bool known = candidate.condition->KnowsObject(demand.object, now);
-  const double by_rank = candidate.rank == 0   ? kWarmFirst
-                         : candidate.rank == 1 ? kWarmSecond
-                                               : kWarmOther;
+  const double by_rank =
+      std::max(kWarmLeast, kWarmFirst - kWarmStep * static_cast<double>(candidate.rank));
   const bool sticky = demand.route->sticky && demand.object != 0;
   candidate.warm_chance = !sticky ? 0 : known ? kWarmKnown : by_rank;
-  const auto mixed = Scale(estimate.warm.value(), candidate.warm_chance) +
-                     Scale(estimate.cold.value(), 1.0 - candidate.warm_chance);
+  const auto mixed = Scale(estimate.warm(), candidate.warm_chance) +
+                     Scale(estimate.cold(), 1.0 - candidate.warm_chance);
   const double slots = std::max<double>(report.slots, 1);
   const double load = candidate.condition->Load(now);
   const double slowness = candidate.condition->slowness();
   candidate.work = Scale(mixed, slowness);
-  const auto turn = Scale((estimate.warm.value() + estimate.cold.value()) / 2, slowness);
+  const auto turn = Scale((estimate.warm() + estimate.cold()) / 2, slowness);
   candidate.wait = Scale(turn, std::max(0.0, load + 1.0 - slots) / slots);
   candidate.total = network_.RoundTrip(report.data_centre) + candidate.wait + candidate.work;
   const auto distance = network_.To(report.data_centre);
@@ -121,22 +131,25 @@
 
 // An answer that comes after its objective is worth little, and the slot that it takes would have
 // served another request in time. Where no queue stands before it, the slot is free anyway.
-bool Chooser::Accepts(const Demand& demand, const Candidate& best) const {
+bool Chooser::Accepts(const Demand& demand, const Candidate& best) {
   // Without a queue the estimate is of the work alone, which may be a guess for a new route.
   if (best.wait == base::Duration::zero()) return true;
   if (best.total > demand.time_left) return false;
+  const auto objective = demand.route->objective;
+  const auto& estimate = work_.At(demand.route->name, objective);
+  const auto spare = objective - (best.total - best.wait - best.work) - estimate.warm();
   const double patience = demand.route->priority <= 1 ? kUrgentPatience : 1.0;
-  return best.total + demand.waited <= Scale(demand.route->objective, patience);
+  return best.wait + demand.waited <= Scale(std::max(spare, Scale(objective, kLeastPatience)), patience);
 }
 
 Choice Chooser::Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now) {
   Choice choice;
   const auto* service = beliefs.catalog->FindService(demand.service);
+  census_.Note(demand.service, demand.object, now);
   auto candidates = Candidates(demand, beliefs, now);
   choice.candidates = candidates.size();
   choice.refusal = Refusal::kNoUpstream;
   if (service == nullptr || candidates.empty()) return choice;
-  RankByObject(demand.object, candidates);
   std::erase_if(candidates, [&](const Candidate& candidate) {
     return candidate.cold_start && !pacer_.MayTake(candidate.known->report.id, *service, now);
   });
@@ -173,9 +186,7 @@
   const auto work = took - network_.RoundTrip(choice.data_centre);
   auto& estimate = work_.At(demand.route->name, demand.route->objective);
   // An answer from behind a queue says little about the work.
-  if (choice.expected_wait == base::Duration::zero()) {
-    (choice.warm ? estimate.warm : estimate.cold).Add(work);
-  }
+  if (choice.expected_wait == base::Duration::zero()) estimate.Add(work);
   const auto expected = choice.expected_work + choice.expected_wait;
   if (expected > base::Duration::zero()) {
     condition.NoteSpeed(condition.slowness() * static_cast<double>(work.count()) /
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -9,6 +9,7 @@
 #include "placement/choice.h"
 #include "placement/cold_pacer.h"
 #include "placement/network_distance.h"
+#include "placement/object_census.h"
 #include "placement/upstream_condition.h"
 #include "placement/work_estimate.h"
 #include "upstreams/upstream_table.h"
@@ -25,7 +26,7 @@
 
 /// Chooses the upstream from which the answer is expected first: network, queue and work, where the
 /// work depends on whether the upstream has lately handled the request's object. A rendezvous order
-/// per object tells which upstreams other entries use for it.
+/// per object, the same on all entries, names the few upstreams that may handle it.
 class Chooser {
  public:
   Chooser(NetworkDistance network, ColdPacer pacer);
@@ -49,16 +50,17 @@
   struct Candidate;
 
   bool IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
-                   const Beliefs& beliefs, base::MonotonicTime now);
+                   const Beliefs& beliefs, base::MonotonicTime now) const;
   std::vector<Candidate> Candidates(const Demand& demand, const Beliefs& beliefs,
                                     base::MonotonicTime now);
-  void RankByObject(std::uint64_t object, std::vector<Candidate>& candidates) const;
+  void KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const;
   void Estimate(const Demand& demand, Candidate& candidate, base::MonotonicTime now);
-  bool Accepts(const Demand& demand, const Candidate& best) const;
+  bool Accepts(const Demand& demand, const Candidate& best);
 
   NetworkDistance network_;
   ColdPacer pacer_;
   WorkEstimates work_;
+  ObjectCensus census_;
   std::map<std::string, UpstreamCondition> conditions_;
 };
 
--- /dev/null
+++ b/src/libs/placement/object_census.cpp
@@ -0,0 +1,32 @@
+#include "placement/object_census.h"
+
+#include <algorithm>
+
+namespace wagtailpick::placement {
+namespace {
+
+/// Objects that an upstream is given to handle; it keeps somewhat more.
+constexpr std::size_t kObjectsPerUpstream = 30;
+constexpr base::Duration kMemory = std::chrono::seconds(30);
+constexpr std::size_t kMaxObjects = 20'000;
+
+}  // namespace
+
+void ObjectCensus::Note(const std::string& service, std::uint64_t object,
+                        base::MonotonicTime now) {
+  if (object == 0) return;
+  auto& objects = services_[service];
+  if (now >= objects.forget_due) {
+    objects.forget_due = now + kMemory;
+    std::erase_if(objects.seen, [now](const auto& item) { return now - item.second > kMemory; });
+  }
+  if (objects.seen.size() < kMaxObjects) objects.seen[object] = now;
+}
+
+std::size_t ObjectCensus::Spread(const std::string& service, std::size_t upstreams) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.seen.empty()) return upstreams;
+  return std::max<std::size_t>(1, kObjectsPerUpstream * upstreams / found->second.seen.size());
+}
+
+}  // namespace wagtailpick::placement
--- /dev/null
+++ b/src/libs/placement/object_census.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "base/monotonic_time.h"
+
+namespace wagtailpick::placement {
+
+/// Counts the objects that the requests of each service concern, and says from this how many
+/// upstreams may share an object. An upstream stays fast for a few dozen objects only: with more of
+/// them on each, every request finds its object forgotten.
+class ObjectCensus {
+ public:
+  void Note(const std::string& service, std::uint64_t object, base::MonotonicTime now);
+
+  /// Upstreams of `upstreams` that one object of the service may use, at least 1.
+  std::size_t Spread(const std::string& service, std::size_t upstreams) const;
+
+ private:
+  struct Objects {
+    std::unordered_map<std::uint64_t, base::MonotonicTime> seen;
+    base::MonotonicTime forget_due;
+  };
+
+  std::map<std::string, Objects> services_;
+};
+
+}  // namespace wagtailpick::placement
--- a/src/libs/placement/work_estimate.h
+++ b/src/libs/placement/work_estimate.h
@@ -11,10 +11,20 @@
 /// How long upstreams work on a route's requests, learned from answers.
 class WorkEstimates {
  public:
-  struct Estimate {
+  class Estimate {
+   public:
+    explicit Estimate(base::Duration objective);
+
+    /// Takes an answer that came without a queue; it counts for the nearer of the two.
+    void Add(base::Duration work);
+
     /// The upstream has lately handled the same object.
-    RunningMedian warm;
-    RunningMedian cold;
+    base::Duration warm() const { return warm_.value(); }
+    base::Duration cold() const { return cold_.value(); }
+
+   private:
+    RunningMedian warm_;
+    RunningMedian cold_;
   };
 
   /// Returns the route's estimate; a new one starts from the route's objective.
