Prefer an object's upstreams in the region of its callers

Change: objects are counted for all regions, and the rendezvous order weighs upstreams of the entry's own region three times as much. The line request_sent tells object, load and slots.

--- a/src/libs/placement/choice.h
+++ b/src/libs/placement/choice.h
@@ -52,6 +52,9 @@
   bool warm = false;
   /// Age of the upstream's last announcement.
   base::Duration heard_age{};
+  /// The upstream's load as it was believed, and its slots.
+  double load = 0;
+  std::uint32_t slots = 0;
   /// Upstreams that were considered.
   std::size_t candidates = 0;
 };
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace wagtailpick::placement {
@@ -13,6 +14,8 @@
 /// What bytes to another data centre or region are worth in time.
 constexpr base::Duration kSameRegionCost = std::chrono::milliseconds(4);
 constexpr base::Duration kOtherRegionCost = std::chrono::milliseconds(30);
+/// How much more of an object's upstreams lie in the entry's region than elsewhere.
+constexpr double kOwnRegionWeight = 3.0;
 /// Chance that other entries have warmed an object on the first upstream of its order, and how much
 /// less it is on each that follows.
 constexpr double kWarmFirst = 0.9;
@@ -32,8 +35,12 @@
   return base::Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
-std::uint64_t RankOf(std::uint64_t object, const std::string& upstream) {
-  return XXH3_64bits_withSeed(upstream.data(), upstream.size(), object);
+/// Weighted rendezvous hashing: an upstream with twice the weight is first for twice the objects.
+double RankOf(std::uint64_t object, const std::string& upstream, double weight) {
+  const auto hash = XXH3_64bits_withSeed(upstream.data(), upstream.size(), object);
+  const double uniform =
+      (static_cast<double>(hash >> 11U) + 0.5) / static_cast<double>(std::uint64_t{1} << 53U);
+  return -weight / std::log(uniform);
 }
 
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
@@ -89,14 +96,17 @@
 
 void Chooser::KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const {
   if (!demand.route->sticky || demand.object == 0) return;
-  std::vector<std::pair<std::uint64_t, Candidate>> ranked;
+  std::vector<std::pair<double, Candidate>> ranked;
   ranked.reserve(candidates.size());
   for (const auto& candidate : candidates) {
-    ranked.emplace_back(RankOf(demand.object, candidate.known->report.id), candidate);
+    const auto& report = candidate.known->report;
+    const bool own = network_.To(report.data_centre) != Distance::kOtherRegion;
+    ranked.emplace_back(RankOf(demand.object, report.id, own ? kOwnRegionWeight : 1.0), candidate);
   }
   std::sort(ranked.begin(), ranked.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
-  const auto spread = std::min(ranked.size(), census_.Spread(demand.service, ranked.size()));
+  const auto spread = std::min(
+      ranked.size(), census_.Spread(demand.service, ranked.size(), network_.region_count()));
   candidates.clear();
   for (std::size_t i = 0; i < spread; ++i) {
     candidates.push_back(ranked[i].second);
@@ -139,7 +149,8 @@
   const auto& estimate = work_.At(demand.route->name, objective);
   const auto spare = objective - (best.total - best.wait - best.work) - estimate.warm();
   const double patience = demand.route->priority <= 1 ? kUrgentPatience : 1.0;
-  return best.wait + demand.waited <= Scale(std::max(spare, Scale(objective, kLeastPatience)), patience);
+  return best.wait + demand.waited <=
+         Scale(std::max(spare, Scale(objective, kLeastPatience)), patience);
 }
 
 Choice Chooser::Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now) {
@@ -162,6 +173,8 @@
   choice.expected = best.total;
   choice.expected_wait = best.wait;
   choice.expected_work = best.work;
+  choice.load = best.condition->Load(now);
+  choice.slots = best.known->report.slots;
   choice.warm = best.warm_chance > kWarmEnough;
   choice.heard_age = now - best.known->heard_at;
   choice.upstream = best.known->report.id;
--- a/src/libs/placement/network_distance.cpp
+++ b/src/libs/placement/network_distance.cpp
@@ -1,6 +1,7 @@
 #include "placement/network_distance.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace wagtailpick::placement {
@@ -15,7 +16,11 @@
 
 NetworkDistance::NetworkDistance(std::string data_centre,
                                  std::map<std::string, std::string> regions)
-    : data_centre_(std::move(data_centre)), regions_(std::move(regions)) {}
+    : data_centre_(std::move(data_centre)), regions_(std::move(regions)) {
+  std::set<std::string> names;
+  for (const auto& [name, region] : regions_) names.insert(region);
+  region_count_ = names.size();
+}
 
 const std::string& NetworkDistance::RegionOf(const std::string& data_centre) const {
   const auto found = regions_.find(data_centre);
--- a/src/libs/placement/network_distance.h
+++ b/src/libs/placement/network_distance.h
@@ -18,6 +18,7 @@
   Distance To(const std::string& data_centre) const;
   base::Duration RoundTrip(const std::string& data_centre) const;
   const std::string& RegionOf(const std::string& data_centre) const;
+  std::size_t region_count() const { return region_count_; }
   const std::string& region() const { return RegionOf(data_centre_); }
 
   void NoteConnect(const std::string& data_centre, base::Duration time);
@@ -25,6 +26,7 @@
  private:
   std::string data_centre_;
   std::map<std::string, std::string> regions_;
+  std::size_t region_count_ = 0;
   std::map<std::string, base::Duration> measured_;
 };
 
--- a/src/libs/placement/object_census.cpp
+++ b/src/libs/placement/object_census.cpp
@@ -6,14 +6,13 @@
 namespace {
 
 /// Objects that an upstream is given to handle; it keeps somewhat more.
-constexpr std::size_t kObjectsPerUpstream = 30;
+constexpr std::size_t kObjectsPerUpstream = 34;
 constexpr base::Duration kMemory = std::chrono::seconds(30);
 constexpr std::size_t kMaxObjects = 20'000;
 
 }  // namespace
 
-void ObjectCensus::Note(const std::string& service, std::uint64_t object,
-                        base::MonotonicTime now) {
+void ObjectCensus::Note(const std::string& service, std::uint64_t object, base::MonotonicTime now) {
   if (object == 0) return;
   auto& objects = services_[service];
   if (now >= objects.forget_due) {
@@ -23,10 +22,12 @@
   if (objects.seen.size() < kMaxObjects) objects.seen[object] = now;
 }
 
-std::size_t ObjectCensus::Spread(const std::string& service, std::size_t upstreams) const {
+std::size_t ObjectCensus::Spread(const std::string& service, std::size_t upstreams,
+                                 std::size_t regions) const {
   const auto found = services_.find(service);
   if (found == services_.end() || found->second.seen.empty()) return upstreams;
-  return std::max<std::size_t>(1, kObjectsPerUpstream * upstreams / found->second.seen.size());
+  const std::size_t objects = found->second.seen.size() * std::max<std::size_t>(regions, 1);
+  return std::max<std::size_t>(1, (kObjectsPerUpstream * upstreams + objects / 2) / objects);
 }
 
 }  // namespace wagtailpick::placement
--- a/src/libs/placement/object_census.h
+++ b/src/libs/placement/object_census.h
@@ -17,8 +17,9 @@
  public:
   void Note(const std::string& service, std::uint64_t object, base::MonotonicTime now);
 
-  /// Upstreams of `upstreams` that one object of the service may use, at least 1.
-  std::size_t Spread(const std::string& service, std::size_t upstreams) const;
+  /// Upstreams of `upstreams` that one object of the service may use, at least 1. Callers of each
+  /// of `regions` have objects of their own, and an entry sees those of its region.
+  std::size_t Spread(const std::string& service, std::size_t upstreams, std::size_t regions) const;
 
  private:
   struct Objects {
--- a/src/libs/placement/work_estimate.cpp
+++ b/src/libs/placement/work_estimate.cpp
@@ -9,8 +9,7 @@
 // The two are told apart by their geometric mean, as work varies by a factor.
 void WorkEstimates::Estimate::Add(base::Duration work) {
   const auto squared = static_cast<double>(work.count()) * static_cast<double>(work.count());
-  const auto product =
-      static_cast<double>(warm().count()) * static_cast<double>(cold().count());
+  const auto product = static_cast<double>(warm().count()) * static_cast<double>(cold().count());
   (squared < product ? warm_ : cold_).Add(work);
 }
 
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -1,6 +1,7 @@
 #include "relay/request_run.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -30,6 +31,12 @@
 
 std::string Millis(Duration duration) { return std::to_string(duration.count() / 1'000); }
 
+std::string Tenths(double value) {
+  std::array<char, 32> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.1f", value);
+  return {text.data(), static_cast<std::size_t>(length)};
+}
+
 std::string RetryAfter(Duration duration) {
   std::array<char, 32> text{};
   const double seconds = std::chrono::duration<double>(duration).count();
@@ -118,7 +125,10 @@
        {"catalog_version", std::to_string(catalog_->version())},
        {"expected_ms", Millis(choice.expected)},
        {"expected_wait_ms", Millis(choice.expected_wait)},
+       {"object", std::to_string(demand_.object)},
        {"warm", choice.warm ? "true" : "false"},
+       {"load", Tenths(choice.load)},
+       {"slots", std::to_string(choice.slots)},
        {"heard_age_ms", Millis(choice.heard_age)},
        {"candidates", std::to_string(choice.candidates)},
        {"attempt", std::to_string(sends_)},
