Stay on an object's first upstream until its queue costs a cold run

Change: only the first upstream of an object's order is assumed warm; the others are taken when an answer has shown them warm, or when the first one's queue costs more than a cold run.

Ruled out: a warmth that falls evenly with the rank (0.9, 0.82, ...), which is what stood here.

--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -16,11 +16,11 @@
 constexpr base::Duration kOtherRegionCost = std::chrono::milliseconds(30);
 /// How much more of an object's upstreams lie in the entry's region than elsewhere.
 constexpr double kOwnRegionWeight = 3.0;
-/// Chance that other entries have warmed an object on the first upstream of its order, and how much
-/// less it is on each that follows.
-constexpr double kWarmFirst = 0.9;
-constexpr double kWarmStep = 0.08;
-constexpr double kWarmLeast = 0.3;
+/// Chance that other entries have warmed an object on the first upstream of its order, and on the
+/// others. The difference keeps requests on the first one until its queue costs more than a cold
+/// run: each further upstream of an object has to be warmed at that price.
+constexpr double kWarmFirst = 0.8;
+constexpr double kWarmOther = 0.2;
 constexpr double kWarmKnown = 0.95;
 constexpr double kWarmEnough = 0.5;
 /// Load below the slots still costs something, as what others have sent is known late.
@@ -118,8 +118,7 @@
   const auto& report = candidate.known->report;
   const auto& estimate = work_.At(demand.route->name, demand.route->objective);
   const bool known = candidate.condition->KnowsObject(demand.object, now);
-  const double by_rank =
-      std::max(kWarmLeast, kWarmFirst - kWarmStep * static_cast<double>(candidate.rank));
+  const double by_rank = candidate.rank == 0 ? kWarmFirst : kWarmOther;
   const bool sticky = demand.route->sticky && demand.object != 0;
   candidate.warm_chance = !sticky ? 0 : known ? kWarmKnown : by_rank;
   const auto mixed = Scale(estimate.warm(), candidate.warm_chance) +
