Keep a replica's orders and upstreams in a cache file for its next start

Change: node/state_cache writes the committed orders and the known upstreams beside the log on a thread of its own; a replica that starts again tells entries at once. No acknowledgement and no read relies on it: reads are still confirmed by a quorum.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -16,9 +16,10 @@
 constexpr base::Duration kDrainTimeout = std::chrono::milliseconds(800);
 /// Upstreams that were silent for this long are forgotten; late announcements are older than that.
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
+constexpr base::Duration kCacheInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kSummaryInterval = std::chrono::seconds(1);
 /// Entries find a replica that has just started within this time.
-constexpr base::Duration kSettleTime = std::chrono::milliseconds(1'500);
+constexpr base::Duration kSettleTime = std::chrono::milliseconds(800);
 
 }  // namespace
 
@@ -36,12 +37,14 @@
       hooks_(std::move(hooks)),
       self_(base::ToString({options.node.ip, options.node.cluster_port})),
       started_at_(base::MonotonicNow()),
+      cache_(options.data_folder + "/cache"),
       timer_(loop),
       alive_(std::make_shared<bool>(true)) {}
 
 ControlNode::~ControlNode() { *alive_ = false; }
 
 base::Result<void> ControlNode::Open() {
+  LoadCache();
   BOOST_OUTCOME_TRY(OpenLog());
   mesh_ = std::make_unique<Mesh>(loop_, options_.node, self_, MeshHooks());
   BOOST_OUTCOME_TRY(Listen());
@@ -143,6 +146,7 @@
     acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
   }
   ReportPeers(now);
+  SaveCache(now);
   for (const auto& id : upstreams_.Expire(kForgetUpstream, now)) {
     logging::Write(Level::kInfo, "upstream_forgotten", id);
   }
@@ -152,6 +156,27 @@
   });
 }
 
+void ControlNode::LoadCache() {
+  const auto cached = cache_.Load();
+  if (!cached) return;
+  state_ = cached->orders;
+  const auto now = base::MonotonicNow();
+  // How long the process was away is unknown; entries find out which upstreams have gone.
+  for (const auto& aged : cached->reports) {
+    upstreams_.Apply(aged.report, base::Duration::zero(), now);
+  }
+  logging::Write(Level::kInfo, "cache_loaded", "orders and upstreams of the last run",
+                 {{"catalog_version", std::to_string(state_.catalog_version())},
+                  {"upstreams", std::to_string(cached->reports.size())}});
+}
+
+void ControlNode::SaveCache(base::MonotonicTime now) {
+  if (!cache_outdated_ || now < cache_due_) return;
+  cache_outdated_ = false;
+  cache_due_ = now + kCacheInterval;
+  cache_.Save({state_, AllReports().reports});
+}
+
 void ControlNode::ReportPeers(base::MonotonicTime now) {
   std::vector<PeerReplica> peers;
   for (const auto& replica : mesh_->replicas()) {
@@ -212,6 +237,7 @@
     const auto change = upstreams_.Apply(aged.report, aged.age, now);
     if (change == upstreams::Change::kChanged) changed.reports.push_back(aged);
   }
+  if (!changed.reports.empty()) cache_outdated_ = true;
   if (!changed.reports.empty()) acceptor_->Broadcast(cluster::NodeRole::kEntry, changed);
   if (reports.ticket != 0) {
     acceptor_->Send(session.id, cluster::ReportsTaken{reports.ticket});
@@ -230,7 +256,10 @@
 }
 
 void ControlNode::TakeState(const orders::OrderState& state) {
+  // The log repeats its orders from the last snapshot after a start; the cache may be further.
+  if (state.changed_index() <= state_.changed_index()) return;
   state_ = state;
+  cache_outdated_ = true;
   acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
 }
 
@@ -246,6 +275,7 @@
   const auto now = base::MonotonicNow();
   const auto change = upstreams_.Apply(report, base::Duration::zero(), now);
   if (change == upstreams::Change::kChanged) {
+    cache_outdated_ = true;
     logging::Write(Level::kInfo, "upstream_changed", report.id,
                    {{"state", std::string(upstreams::ToString(report.state))},
                     {"service", report.service},
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -17,6 +17,7 @@
 #include "node/node_options.h"
 #include "node/order_log.h"
 #include "node/order_reply.h"
+#include "node/state_cache.h"
 #include "upstreams/upstream_table.h"
 
 namespace wagtailpick::node {
@@ -81,6 +82,8 @@
   void TakeFromSession(const cluster::Session& session, const cluster::Message& message);
   void TakeReports(const cluster::Session& session, const cluster::Reports& reports);
   void TakeFromReplica(const std::string& replica, const cluster::Message& message);
+  void LoadCache();
+  void SaveCache(base::MonotonicTime now);
   void TakeState(const orders::OrderState& state);
   void TakeMembers(const consensus::Membership& members);
   void Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done);
@@ -109,6 +112,9 @@
   std::map<std::string, std::uint64_t> incarnations_;
   bool entries_changed_ = false;
   base::MonotonicTime summary_due_;
+  StateCache cache_;
+  bool cache_outdated_ = false;
+  base::MonotonicTime cache_due_;
   std::unique_ptr<cluster::Acceptor> acceptor_;
   std::unique_ptr<Mesh> mesh_;
   std::unique_ptr<OrderLog> log_;
--- /dev/null
+++ b/src/libs/node/state_cache.cpp
@@ -0,0 +1,82 @@
+#include "node/state_cache.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cluster/report_codec.h"
+#include "logging/log.h"
+#include "storage/file_ops.h"
+#include "storage/record_log.h"
+
+namespace wagtailpick::node {
+namespace {
+
+using nlohmann::json;
+
+/// Saves that wait behind a stalled disk; further ones are left out.
+constexpr std::size_t kMaxWaiting = 2;
+constexpr base::Duration kIdleTick = std::chrono::minutes(1);
+
+std::string Encode(const CachedState& state) {
+  json reports = json::array();
+  for (const auto& report : state.reports) reports.push_back(cluster::ToFields(report));
+  const std::string orders = state.orders.EncodeSnapshot();
+  const json fields = {json::binary({orders.begin(), orders.end()}), reports};
+  std::string bytes;
+  json::to_msgpack(fields, bytes);
+  return bytes;
+}
+
+std::optional<CachedState> Decode(const std::string& bytes) {
+  try {
+    const auto fields = json::from_msgpack(bytes);
+    const auto& packed = fields.at(0).get_binary();
+    auto orders = orders::OrderState::DecodeSnapshot({packed.begin(), packed.end()});
+    if (!orders) return std::nullopt;
+    CachedState state{std::move(orders.value()), {}};
+    for (const auto& one : fields.at(1)) state.reports.push_back(cluster::ReportFrom(one));
+    return state;
+  } catch (const json::exception& error) {
+    logging::Write(logging::Level::kWarning, "cache_unreadable", error.what());
+    return std::nullopt;
+  }
+}
+
+base::Result<void> Write(const std::string& path, const std::string& bytes) {
+  const auto ops = storage::PosixFileOps();
+  BOOST_OUTCOME_TRY(file, storage::RecordLog::Create(ops, path + ".new"));
+  BOOST_OUTCOME_TRY(file.Append(bytes));
+  BOOST_OUTCOME_TRY(file.Sync());
+  return ops->rename(path + ".new", path);
+}
+
+}  // namespace
+
+StateCache::StateCache(std::string path) : path_(std::move(path)), loop_(kMaxWaiting) {
+  loop_.Start(kIdleTick, [] {});
+}
+
+StateCache::~StateCache() { loop_.Stop(); }
+
+std::optional<CachedState> StateCache::Load() const {
+  std::optional<CachedState> state;
+  const auto opened = storage::RecordLog::Open(
+      storage::PosixFileOps(), path_,
+      [&state](std::uint64_t /*offset*/, std::string_view bytes) -> base::Result<void> {
+        state = Decode(std::string(bytes));
+        return base::Ok();
+      });
+  if (!opened) return std::nullopt;
+  return state;
+}
+
+void StateCache::Save(const CachedState& state) {
+  loop_.TryPost([path = path_, bytes = Encode(state)] {
+    const auto written = Write(path, bytes);
+    if (!written) {
+      logging::Write(logging::Level::kWarning, "cache_not_written", written.error().message);
+    }
+  });
+}
+
+}  // namespace wagtailpick::node
