Weigh refusals instead of resting an upstream; test the new libraries

Change: refusals and failures count as a share that adds to an upstream's cost, only three lost requests in a row rest it, and an upstream that refused with room may be asked again.

--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -134,8 +134,10 @@
   const auto traffic = distance == Distance::kSameDataCentre ? base::Duration::zero()
                        : distance == Distance::kSameRegion   ? kSameRegionCost
                                                              : kOtherRegionCost;
-  candidate.cost =
-      candidate.total + traffic + Scale(turn, kCollisionWeight * std::min(1.0, load / slots));
+  // A failure costs another try somewhere else.
+  const auto failures = Scale(estimate.cold(), candidate.condition->failure_share());
+  candidate.cost = candidate.total + traffic + failures +
+                   Scale(turn, kCollisionWeight * std::min(1.0, load / slots));
 }
 
 // An answer that comes after its objective is worth little, and the slot that it takes would have
--- a/src/libs/placement/upstream_condition.cpp
+++ b/src/libs/placement/upstream_condition.cpp
@@ -11,7 +11,8 @@
 /// An upstream keeps an object for about this long while it handles others.
 constexpr base::Duration kObjectMemory = std::chrono::seconds(20);
 constexpr std::size_t kMaxObjects = 256;
-constexpr std::uint32_t kFailuresToRest = 2;
+constexpr double kFailureWeight = 0.15;
+constexpr std::uint32_t kFailuresToRest = 3;
 constexpr base::Duration kFirstRest = std::chrono::milliseconds(600);
 constexpr base::Duration kLongestRest = std::chrono::seconds(5);
 constexpr std::uint32_t kMaxDoublings = 4;
@@ -32,14 +33,19 @@
   switch (outcome) {
     case Outcome::kServed:
       failures_in_row_ = 0;
+      failure_share_ -= kFailureWeight * failure_share_;
       unreachable_at_.reset();
       break;
     case Outcome::kUnreachable:
       unreachable_at_ = now;
       objects_.clear();
       break;
-    case Outcome::kFailed:
     case Outcome::kShed:
+      // It is alive and answers at once: what it refuses is weighed, but it isn't left out.
+      failure_share_ += kFailureWeight * (1.0 - failure_share_);
+      break;
+    case Outcome::kFailed:
+      failure_share_ += kFailureWeight * (1.0 - failure_share_);
       CountFailure(now);
       break;
     case Outcome::kUnknown:
--- a/src/libs/placement/upstream_condition.h
+++ b/src/libs/placement/upstream_condition.h
@@ -48,6 +48,9 @@
   /// Work on it takes this many times as long as on the others.
   double slowness() const { return slowness_; }
 
+  /// Share of its recent answers that were refusals or failures.
+  double failure_share() const { return failure_share_; }
+
   /// Whether new work may be sent after its failures; `heard_at` is its last announcement.
   bool Usable(base::MonotonicTime heard_at, base::MonotonicTime now) const;
 
@@ -62,6 +65,7 @@
   std::uint32_t own_at_report_ = 0;
   std::optional<base::MonotonicTime> load_at_;
   double slowness_ = 1.0;
+  double failure_share_ = 0;
   std::uint32_t failures_in_row_ = 0;
   base::MonotonicTime rest_until_ = base::MonotonicTime::min();
   std::optional<base::MonotonicTime> unreachable_at_;
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -174,6 +174,10 @@
   if (judged.kind == AnswerKind::kFinal) {
     return Finish(std::move(response), "served", "");
   }
+  // A refusal with free slots says nothing about the next request to the same upstream, which may
+  // be the only one that is warm for it.
+  const bool had_room = judged.load && judged.load->running < judged.load->slots;
+  if (judged.kind == AnswerKind::kNotRun && had_room) demand_.tried.pop_back();
   const bool not_run =
       judged.kind == AnswerKind::kNotRun || judged.kind == AnswerKind::kOtherUpstream;
   if (MayTryAgain(not_run)) return Try();
--- /dev/null
+++ b/tests/auto/net/http_parser_state_test.cpp
@@ -0,0 +1,70 @@
+#include "net/http_parser_state.h"
+
+#include <criterion/criterion.h>
+
+#include "net/http_text.h"
+
+namespace {
+
+using namespace wagtailpick::net;
+
+HttpParserState Parser(HttpParserState::Kind kind) { return {kind, MessageLimits{200, 10}}; }
+
+ParseError ErrorOf(const std::string& text) {
+  auto parser = Parser(HttpParserState::Kind::kRequest);
+  parser.Feed(text);
+  return parser.error();
+}
+
+}  // namespace
+
+// Guards against a request that is cut at the wrong byte when it comes in pieces.
+Test(http_parser_state, reads_requests_byte_by_byte) {
+  const std::string text =
+      "POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /next HTTP/1.1\r\n";
+  auto parser = Parser(HttpParserState::Kind::kRequest);
+  std::size_t used = 0;
+  while (!parser.complete()) used += parser.Feed(text.substr(used, 1));
+  cr_expect(parser.request().body == "abcde");
+  cr_expect(parser.request().target == "/a?b");
+  cr_expect(text.substr(used) == "GET /next HTTP/1.1\r\n");
+}
+
+// Guards against a request hidden in another one's body, and input beyond the limits.
+Test(http_parser_state, refuses_ambiguous_and_oversized_requests) {
+  cr_expect(ErrorOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+                    "chunked\r\n\r\n") == ParseError::kMalformed);
+  cr_expect(ErrorOf("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n") ==
+            ParseError::kMalformed);
+  cr_expect(ErrorOf("GET / HTTP/1.1\r\nBad Name: x\r\n\r\n") == ParseError::kMalformed);
+  cr_expect(ErrorOf("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n") == ParseError::kBodyTooLarge);
+  cr_expect(ErrorOf("GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n") ==
+            ParseError::kHeadersTooLarge);
+  cr_expect(ErrorOf("\x01\x02") == ParseError::kMalformed);
+}
+
+// Guards against a truncated answer that looks complete.
+Test(http_parser_state, completes_an_unframed_answer_only_at_the_orderly_end) {
+  auto parser = Parser(HttpParserState::Kind::kResponse);
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  cr_expect(!parser.complete() && parser.ends_with_stream());
+  parser.FeedEnd();
+  cr_expect(parser.complete());
+  parser.Reset();
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  parser.FeedEnd();
+  cr_expect(!parser.complete());
+  cr_expect(parser.error() == ParseError::kMalformed);
+}
+
+// Guards against headers of one connection that are passed on to another.
+Test(http_text, renders_messages_with_one_length_of_their_own) {
+  const std::string text = RenderResponse(
+      {200, {{"Connection", "keep-alive"}, {"Content-Length", "99"}, {"A", "b"}}, "body"}, true,
+      false);
+  cr_expect(text ==
+            "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+  cr_expect(RenderRequest({"GET", "/a", {{"Host", "h"}, {"Keep-Alive", "x"}}, "", ""}) ==
+            "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+}
--- /dev/null
+++ b/tests/auto/node/lookup_test.cpp
@@ -0,0 +1,25 @@
+#include "node/lookup.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace wagtailpick;
+
+const std::map<std::string, std::string> kRegions{
+    {"mvd-a", "mvd"}, {"mvd-b", "mvd"}, {"pde-a", "pde"}};
+
+std::vector<std::string> Lookup(const std::vector<node::ReadyEntry>& entries) {
+  return node::NearestEntries(entries, placement::NetworkDistance("mvd-a", kRegions));
+}
+
+}  // namespace
+
+// Guards against a caller that gets a single address and has no choice when it fails.
+Test(lookup, gives_the_nearest_entries_but_never_one_alone) {
+  using Addresses = std::vector<std::string>;
+  cr_expect(Lookup({{"a1", "mvd-a"}, {"a2", "mvd-a"}, {"b1", "mvd-b"}}) == Addresses({"a1", "a2"}));
+  cr_expect(Lookup({{"a1", "mvd-a"}, {"b1", "mvd-b"}, {"p1", "pde-a"}}) == Addresses({"a1", "b1"}));
+  cr_expect(Lookup({{"a1", "mvd-a"}, {"p1", "pde-a"}}) == Addresses({"a1", "p1"}));
+  cr_expect(Lookup({}).empty());
+}
--- /dev/null
+++ b/tests/auto/node/order_log_test.cpp
@@ -0,0 +1,91 @@
+#include "node/order_log.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+
+#include "node/state_cache.h"
+
+namespace {
+
+using namespace wagtailpick;
+using node::OrderLog;
+using node::OrderReply;
+using node::OrderStatus;
+
+std::string MakeFolder() {
+  std::string path = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
+  cr_assert(mkdtemp(path.data()) != nullptr);
+  return path;
+}
+
+OrderLog::Hooks Quiet() {
+  return {[](const auto&) {}, [](const auto&) {}, [](const auto&, const auto&) {}};
+}
+
+OrderReply Submit(OrderLog& log, const orders::Order& order) {
+  std::promise<OrderReply> reply;
+  log.Submit(order, [&reply](OrderReply one) { reply.set_value(std::move(one)); });
+  return reply.get_future().get();
+}
+
+OrderReply Read(OrderLog& log) {
+  std::promise<OrderReply> reply;
+  log.Read([&reply](OrderReply one) { reply.set_value(std::move(one)); });
+  return reply.get_future().get();
+}
+
+}  // namespace
+
+// Guards against an order that is acknowledged while one disk alone holds it: the group of several
+// is still forming, and the loss of that disk would lose the order.
+Test(order_log, acknowledges_nothing_before_the_group_has_formed) {
+  const std::string folder = MakeFolder();
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, Quiet());
+  cr_assert(log.has_value());
+  // Longer than the election of a single replica.
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  while (std::chrono::steady_clock::now() < end) {
+    const auto reply = Submit(*log.value(), orders::PutCatalog{1, "one"});
+    cr_assert(reply.status == OrderStatus::kUnavailable);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
+// Guards against a replica without a group that answers reads of the catalog.
+Test(order_log, answers_no_read_without_a_group) {
+  const std::string folder = MakeFolder();
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", false}, Quiet());
+  cr_assert(log.has_value());
+  cr_expect(Read(*log.value()).status == OrderStatus::kUnavailable);
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
+// Guards against a cache that comes back changed, and a start that fails on a damaged one.
+Test(state_cache, loads_what_was_saved_and_ignores_damage) {
+  const std::string folder = MakeFolder();
+  const std::string path = folder + "/cache";
+  node::CachedState state;
+  state.orders.Apply(3, orders::PutCatalog{7, "bytes"});
+  state.reports.resize(1);
+  state.reports[0].report.id = "i-1";
+  {
+    node::StateCache cache(path);
+    cr_expect(!cache.Load().has_value());
+    cache.Save(state);
+  }
+  const auto loaded = node::StateCache(path).Load();
+  cr_assert(loaded.has_value());
+  cr_expect(loaded->orders.catalog_version() == 7);
+  cr_expect(loaded->orders.changed_index() == 3);
+  cr_expect(loaded->reports.at(0).report.id == "i-1");
+  std::filesystem::resize_file(path, std::filesystem::file_size(path) - 3);
+  cr_expect(!node::StateCache(path).Load().has_value());
+  std::filesystem::remove_all(folder);
+}
--- /dev/null
+++ b/tests/auto/placement/chooser_test.cpp
@@ -0,0 +1,166 @@
+#include "placement/chooser.h"
+
+#include <criterion/criterion.h>
+
+#include "load_replay.h"
+
+namespace {
+
+using namespace wagtailpick;
+using base::Duration;
+using base::MonotonicTime;
+using placement::Refusal;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonotonicTime kStart(seconds(1'000));
+const std::map<std::string, std::string> kRegions{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}};
+
+/// One entry in data centre a1 with two upstreams near and one far.
+struct World {
+  World() : chooser(placement::NetworkDistance("a1", kRegions), placement::ColdPacer("e1", {})) {
+    catalog::Route route;
+    route.name = "r";
+    route.objective = milliseconds(300);
+    route.timeout = seconds(2);
+    route.targets = {{"s", 1}};
+    catalog::Service service;
+    service.name = "s";
+    catalog = catalog::Catalog(1, {route}, {service}, {});
+    Announce("near1", "a1");
+    Announce("near2", "a2");
+    Announce("far", "b1");
+  }
+
+  void Announce(const std::string& id, const std::string& data_centre, Duration cold = {},
+                upstreams::State state = upstreams::State::kReady,
+                const MonotonicTime& now = kStart) {
+    upstreams::UpstreamReport report;
+    report.id = id;
+    report.sequence = ++sequence;
+    report.service = "s";
+    report.address = "10.0.0.1:" + std::to_string(1'000 + id.size() * 7 + id.back());
+    report.data_centre = data_centre;
+    report.slots = 2;
+    report.cold_left = cold;
+    report.state = state;
+    table.Apply(report, {}, now);
+  }
+
+  placement::Choice Choose(const placement::Demand& demand, MonotonicTime now = kStart) {
+    return chooser.Choose(demand, {&table, &catalog, &evacuated}, now);
+  }
+
+  placement::Demand Ask() const {
+    placement::Demand demand;
+    demand.route = &catalog.routes().front();
+    demand.service = "s";
+    demand.time_left = seconds(2);
+    return demand;
+  }
+
+  upstreams::UpstreamTable table;
+  catalog::Catalog catalog;
+  std::set<std::string> evacuated;
+  placement::Chooser chooser;
+  std::uint64_t sequence = 0;
+};
+
+}  // namespace
+
+// Guards against requests to upstreams that drain, are in an evacuated data centre, or were tried.
+Test(chooser, leaves_out_upstreams_that_must_not_be_used) {
+  World world;
+  cr_expect(world.Choose(world.Ask()).upstream == "near1");
+  world.Announce("near1", "a1", {}, upstreams::State::kDraining);
+  cr_expect(world.Choose(world.Ask()).upstream == "near2");
+  world.evacuated.insert("a2");
+  cr_expect(world.Choose(world.Ask()).upstream == "far");
+  auto demand = world.Ask();
+  demand.tried = {"far"};
+  cr_expect(world.Choose(demand).refusal == Refusal::kNoUpstream);
+  cr_expect(world.Choose(world.Ask(), kStart + seconds(60)).refusal == Refusal::kNoUpstream);
+}
+
+// Guards against work that goes on being sent to an upstream that can't be reached, and against one
+// that is left out although it has announced itself since.
+Test(chooser, uses_a_lost_upstream_again_after_its_next_announcement) {
+  World world;
+  const auto choice = world.Choose(world.Ask());
+  world.chooser.NoteSent(choice, kStart);
+  world.chooser.NoteEnd(choice, world.Ask(), placement::Outcome::kUnreachable, {}, kStart);
+  cr_expect(world.Choose(world.Ask()).upstream == "near2");
+  world.Announce("near1", "a1", {}, upstreams::State::kReady, kStart + seconds(1));
+  cr_expect(world.Choose(world.Ask(), kStart + seconds(1)).upstream == "near1");
+}
+
+// Guards against upstreams that refuse part of their requests with room left: left out one after
+// the other, they sent every request to upstreams that were cold for it.
+Test(chooser, keeps_using_an_upstream_that_refuses_some_requests) {
+  World world;
+  world.evacuated = {"a2", "b1"};
+  for (int i = 0; i < 5; ++i) {
+    const auto choice = world.Choose(world.Ask());
+    cr_assert(choice.upstream == "near1");
+    world.chooser.NoteSent(choice, kStart);
+    world.chooser.NoteEnd(choice, world.Ask(), placement::Outcome::kShed, {}, kStart);
+  }
+  world.evacuated.clear();
+  cr_expect(world.Choose(world.Ask()).upstream == "near2");
+}
+
+// Guards against a queue that grows until every answer is late.
+Test(chooser, turns_requests_away_when_all_queues_are_long) {
+  World world;
+  int sent = 0;
+  while (sent < 1'000) {
+    const auto choice = world.Choose(world.Ask());
+    if (choice.refusal != Refusal::kNone) {
+      cr_expect(choice.refusal == Refusal::kNoRoom);
+      break;
+    }
+    world.chooser.NoteSent(choice, kStart);
+    ++sent;
+  }
+  // Six slots, and a short queue at each upstream.
+  cr_expect(sent >= 6 && sent <= 18);
+}
+
+// Guards against requests for cold upstreams beyond their rate.
+Test(chooser, keeps_to_the_rate_of_cold_upstreams) {
+  World world;
+  for (const auto* id : {"near1", "near2", "far"}) {
+    world.Announce(id, std::string(id) == "far" ? "b1" : "a1", seconds(3));
+  }
+  int sent = 0;
+  while (world.Choose(world.Ask()).refusal == Refusal::kNone) ++sent;
+  cr_expect(sent == 3);
+  cr_expect(world.Choose(world.Ask()).refusal == Refusal::kColdLimit);
+}
+
+// Guards against the load of crust-preorder's scale days, where each upstream saw every object and
+// ran nearly everything cold. Without the objects' order the same load has to fail, or the replay
+// would show nothing.
+Test(chooser, keeps_upstreams_warm_when_objects_outnumber_their_memory) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    placement_test::LoadPattern pattern;
+    pattern.requests_per_second = 520;
+    const auto with_order = placement_test::Replay(pattern, seed);
+    cr_expect(with_order.warm_share > 0.95);
+    cr_expect(with_order.in_time_share > 0.9);
+    pattern.sticky = false;
+    const auto without = placement_test::Replay(pattern, seed);
+    cr_expect(without.warm_share < 0.9);
+    cr_expect(without.in_time_share < with_order.in_time_share - 0.2);
+  }
+}
+
+// Guards against goodput that falls when more is asked than the upstreams can do.
+Test(chooser, keeps_serving_at_twice_the_capacity) {
+  placement_test::LoadPattern pattern;
+  pattern.requests_per_second = 600;
+  const auto at_capacity = placement_test::Replay(pattern, 5);
+  pattern.requests_per_second = 1'200;
+  const auto beyond = placement_test::Replay(pattern, 5);
+  cr_expect(beyond.in_time_share * 1'200 > at_capacity.in_time_share * 600 * 0.7);
+}
--- /dev/null
+++ b/tests/auto/placement/load_replay.cpp
@@ -0,0 +1,200 @@
+#include "load_replay.h"
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "placement/chooser.h"
+
+namespace wagtailpick::placement_test {
+namespace {
+
+using base::Duration;
+using base::MonotonicTime;
+using std::chrono::milliseconds;
+
+constexpr Duration kWarmWork = milliseconds(108);
+constexpr Duration kColdWork = milliseconds(360);
+constexpr Duration kObjective = milliseconds(300);
+constexpr Duration kLength = std::chrono::seconds(24);
+constexpr Duration kMeasuredFrom = std::chrono::seconds(16);
+constexpr Duration kBetweenRegions = milliseconds(70);
+
+struct Job {
+  MonotonicTime sent_at;
+  std::size_t entry = 0;
+  placement::Choice choice;
+  placement::Demand demand;
+};
+
+struct Upstream {
+  std::size_t running = 0;
+  std::deque<Job> queue;
+  /// Newest first.
+  std::list<std::uint64_t> objects;
+};
+
+struct Finish {
+  MonotonicTime at;
+  std::size_t upstream = 0;
+  Job job;
+  bool warm = false;
+  bool operator>(const Finish& other) const { return at > other.at; }
+};
+
+class Replayer {
+ public:
+  Replayer(const LoadPattern& pattern, unsigned seed)
+      : pattern_(pattern), random_(seed), catalog_(MakeCatalog(pattern)) {
+    const std::size_t upstreams = pattern.regions * pattern.upstreams_per_region;
+    upstreams_.resize(upstreams);
+    for (std::size_t i = 0; i < upstreams; ++i) {
+      upstreams::UpstreamReport report;
+      report.id = std::to_string(i);
+      report.service = "s";
+      report.address = "10.0.0." + report.id + ":80";
+      report.data_centre = "dc" + std::to_string(i % pattern.regions);
+      report.slots = static_cast<std::uint32_t>(pattern.slots);
+      table_.Apply(report, {}, MonotonicTime());
+    }
+    std::map<std::string, std::string> regions;
+    for (std::size_t r = 0; r < pattern.regions; ++r) {
+      regions["dc" + std::to_string(r)] = "region" + std::to_string(r);
+    }
+    for (std::size_t e = 0; e < pattern.regions * pattern.entries_per_region; ++e) {
+      entries_.emplace_back(
+          placement::NetworkDistance("dc" + std::to_string(e % pattern.regions), regions),
+          placement::ColdPacer("e" + std::to_string(e), {}));
+    }
+  }
+
+  LoadResult Run() {
+    std::exponential_distribution<double> gap(pattern_.requests_per_second);
+    MonotonicTime now;
+    while (now < MonotonicTime() + kLength) {
+      now += Duration(static_cast<std::int64_t>(gap(random_) * 1e6) + 1);
+      FinishUntil(now);
+      Request(now);
+    }
+    FinishUntil(now + std::chrono::seconds(10));
+    const double asked = std::max(1.0, asked_);
+    return {served_ / asked, warm_ / std::max(1.0, served_), in_time_ / asked};
+  }
+
+ private:
+  static catalog::Catalog MakeCatalog(const LoadPattern& pattern) {
+    catalog::Route route;
+    route.name = "r";
+    route.sticky = pattern.sticky;
+    route.objective = kObjective;
+    route.timeout = std::chrono::seconds(2);
+    route.priority = 2;
+    route.targets = {{"s", 1}};
+    catalog::Service service;
+    service.name = "s";
+    return {1, {route}, {service}, {}};
+  }
+
+  void Request(MonotonicTime now) {
+    // Announcements come in time.
+    if (now >= heard_due_) {
+      heard_due_ = now + std::chrono::seconds(1);
+      ++sequence_;
+      for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+        table_.NoteHeard(std::to_string(i), 0, sequence_, now);
+      }
+    }
+    const std::size_t entry = random_() % entries_.size();
+    const std::size_t region = entry % pattern_.regions;
+    Job job;
+    job.entry = entry;
+    job.sent_at = now;
+    job.demand.route = &catalog_.routes().front();
+    job.demand.service = "s";
+    job.demand.object = 1 + region * 1'000 + random_() % pattern_.objects_per_region;
+    job.demand.time_left = std::chrono::seconds(2);
+    const bool measured = now >= MonotonicTime() + kMeasuredFrom;
+    asked_ += measured ? 1 : 0;
+    const std::set<std::string> evacuated;
+    job.choice = entries_[entry].Choose(job.demand, {&table_, &catalog_, &evacuated}, now);
+    if (job.choice.refusal != placement::Refusal::kNone) return;
+    entries_[entry].NoteSent(job.choice, now);
+    const std::size_t at = std::stoul(job.choice.upstream);
+    auto& upstream = upstreams_[at];
+    if (upstream.running < pattern_.slots) {
+      Begin(at, std::move(job), now);
+    } else {
+      upstream.queue.push_back(std::move(job));
+    }
+  }
+
+  void Begin(std::size_t at, Job job, MonotonicTime now) {
+    auto& upstream = upstreams_[at];
+    ++upstream.running;
+    const auto found =
+        std::find(upstream.objects.begin(), upstream.objects.end(), job.demand.object);
+    const bool warm = found != upstream.objects.end();
+    if (warm) upstream.objects.erase(found);
+    upstream.objects.push_front(job.demand.object);
+    if (upstream.objects.size() > pattern_.kept_objects) upstream.objects.pop_back();
+    finishes_.push({now + (warm ? kWarmWork : kColdWork), at, std::move(job), warm});
+  }
+
+  void FinishUntil(MonotonicTime now) {
+    while (!finishes_.empty() && finishes_.top().at <= now) {
+      const Finish finish = finishes_.top();
+      finishes_.pop();
+      End(finish);
+    }
+  }
+
+  void End(const Finish& finish) {
+    auto& upstream = upstreams_[finish.upstream];
+    --upstream.running;
+    const auto& job = finish.job;
+    const bool near = finish.upstream % pattern_.regions == job.entry % pattern_.regions;
+    const auto took = finish.at - job.sent_at + (near ? Duration(0) : kBetweenRegions);
+    auto& entry = entries_[job.entry];
+    entry.NoteEnd(job.choice, job.demand, placement::Outcome::kServed, took, finish.at);
+    entry.NoteLoad(job.choice.upstream,
+                   {static_cast<std::uint32_t>(upstream.running),
+                    static_cast<std::uint32_t>(upstream.queue.size()),
+                    static_cast<std::uint32_t>(pattern_.slots)},
+                   finish.at);
+    if (job.sent_at >= MonotonicTime() + kMeasuredFrom) {
+      served_ += 1;
+      warm_ += finish.warm ? 1 : 0;
+      in_time_ += took <= kObjective ? 1 : 0;
+    }
+    if (upstream.queue.empty()) return;
+    Job next = std::move(upstream.queue.front());
+    upstream.queue.pop_front();
+    Begin(finish.upstream, std::move(next), finish.at);
+  }
+
+  LoadPattern pattern_;
+  std::mt19937 random_;
+  catalog::Catalog catalog_;
+  upstreams::UpstreamTable table_;
+  std::vector<placement::Chooser> entries_;
+  std::vector<Upstream> upstreams_;
+  std::priority_queue<Finish, std::vector<Finish>, std::greater<>> finishes_;
+  MonotonicTime heard_due_;
+  std::uint64_t sequence_ = 0;
+  double asked_ = 0;
+  double served_ = 0;
+  double warm_ = 0;
+  double in_time_ = 0;
+};
+
+}  // namespace
+
+LoadResult Replay(const LoadPattern& pattern, unsigned seed) {
+  return Replayer(pattern, seed).Run();
+}
+
+}  // namespace wagtailpick::placement_test
--- /dev/null
+++ b/tests/auto/platform/platform_test.cpp
@@ -0,0 +1,121 @@
+#include <criterion/criterion.h>
+
+#include "platform/announcement_json.h"
+#include "platform/caller_dialect.h"
+#include "platform/catalog_json.h"
+
+namespace {
+
+using namespace wagtailpick;
+using relay::AnswerKind;
+
+std::string Config(const std::string& route, int version = 7) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"resources":[{"type":"routes","meta":{"name":"r"},"spec":)" + route +
+         R"(},{"type":"services","meta":{"name":"s"},"spec":{"healthPath":"/health",)"
+         R"("maxConns":330,"coldStartS":3.0,"coldPerS":2.6}},)"
+         R"({"type":"limits","meta":{},"spec":{"maxHeaderBytes":100,"maxBodyBytes":200,)"
+         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})";
+}
+
+std::string Route(const std::string& extra) {
+  return R"({"host":"h","pathPrefix":"/a/","kind":"unsafe","timeoutMs":2000,"goalMs":300,)"
+         R"("priority":2,"attempts":2,"sticky":true,"homeRegions":[])" +
+         extra + "}";
+}
+
+http::Response Answer(int status, http::Headers headers) { return {status, headers, ""}; }
+
+AnswerKind KindOf(const http::Response& response) {
+  relay::CallerTerms terms;
+  terms.request_id = "id-1";
+  return platform::CallerDialect().judge(response, terms).kind;
+}
+
+}  // namespace
+
+// Guards against a field of a config that is read as something else.
+Test(catalog_json, decodes_routes_services_and_limits) {
+  const auto decoded =
+      platform::DecodeCatalog(Config(Route(R"(,"split":[{"service":"s","weight":9}])")));
+  cr_assert(decoded.has_value());
+  const auto& route = decoded.value().routes().at(0);
+  cr_expect(!route.idempotent && route.sticky && route.attempts == 2);
+  cr_expect(route.timeout == std::chrono::seconds(2));
+  cr_expect(route.objective == std::chrono::milliseconds(300));
+  cr_expect(route.targets.at(0).weight == 9);
+  cr_expect(decoded.value().FindService("s")->cold_rate == 2.6);
+  cr_expect(decoded.value().limits().max_body_bytes == 200);
+  cr_expect(decoded.value().version() == 7);
+}
+
+// Guards against an invalid config that is acknowledged.
+Test(catalog_json, refuses_invalid_configs) {
+  const std::string whole = Config(Route(R"(,"service":"s")"));
+  cr_expect(platform::DecodeCatalog(whole).has_value());
+  cr_expect(!platform::DecodeCatalog(whole.substr(0, whole.size() - 2)));
+  cr_expect(!platform::DecodeCatalog(Config(Route(R"(,"service":"unknown")"))));
+  cr_expect(!platform::DecodeCatalog(Config(Route(""))));
+  cr_expect(!platform::DecodeCatalog("[]"));
+  cr_expect(!platform::DecodeCatalog(""));
+  cr_expect(!platform::DecodeCatalog(Config(Route(R"(,"service":"s")"), -1)));
+}
+
+// Guards against announcements of other writers that name an upstream to use.
+Test(announcement_json, takes_whole_announcements_only) {
+  const std::string whole =
+      R"({"addr":"10.1.0.9:80","born":1700,"info":{"service":"s","version":"v1","zone":"z",)"
+      R"("slots":4},"status":{"state":"draining","seq":4,"coldLeftMs":1500}})";
+  const auto report = platform::DecodeAnnouncement("i-1", whole);
+  cr_assert(report.has_value());
+  cr_expect(report.value().started_unix_ms == 1700);
+  cr_expect(report.value().state == upstreams::State::kDraining);
+  cr_expect(report.value().cold_left == std::chrono::milliseconds(1500));
+  const auto refuses = [&whole](const std::string& from, const std::string& to) {
+    auto text = whole;
+    text.replace(text.find(from), from.size(), to);
+    return !platform::DecodeAnnouncement("i-1", text);
+  };
+  cr_expect(refuses("\"seq\":4", "\"seq\":\"4\""));
+  cr_expect(refuses("\"seq\":4,", ""));
+  cr_expect(refuses("draining", "resting"));
+  cr_expect(refuses("10.1.0.9:80", "somewhere"));
+  cr_expect(refuses("1700", "17.5"));
+  cr_expect(refuses("\"slots\":4", "\"slots\":-1"));
+  cr_expect(refuses("\"service\":\"s\",", ""));
+}
+
+// Guards against answers of other requests or other senders that reach a caller.
+Test(caller_dialect, tells_answers_apart) {
+  const http::Header id{"Request-Id", "id-1"};
+  const http::Header seal{"Server-Seal", "x"};
+  cr_expect(KindOf(Answer(200, {id, seal})) == AnswerKind::kFinal);
+  cr_expect(KindOf(Answer(404, {id, seal})) == AnswerKind::kFinal);
+  cr_expect(KindOf(Answer(200, {id})) == AnswerKind::kForeign);
+  cr_expect(KindOf(Answer(200, {{"Request-Id", "id-2"}, seal})) == AnswerKind::kForeign);
+  cr_expect(KindOf(Answer(200, {id, seal, {"Content-Encoding", "br"}})) == AnswerKind::kForeign);
+  cr_expect(KindOf(Answer(500, {id, seal})) == AnswerKind::kServerFailure);
+  cr_expect(KindOf(Answer(503, {{"Not-Run", "1"}})) == AnswerKind::kNotRun);
+  cr_expect(KindOf(Answer(503, {id})) == AnswerKind::kServerFailure);
+  cr_expect(KindOf(Answer(421, {})) == AnswerKind::kOtherUpstream);
+}
+
+// Guards against a request that any upstream would run, or that gets more time than its caller has.
+Test(caller_dialect, names_the_upstream_and_the_time_left) {
+  const auto dialect = platform::CallerDialect();
+  http::Request request{"GET", "/a/1", {}, "", ""};
+  request.headers = {{"Host", "h"},
+                     {"Request-Id", "id-1"},
+                     {"Deadline-Ms", "3000"},
+                     {"Expect-Instance", "other"},
+                     {"Cookie", "x=1; Affinity-Key=17; y=2"}};
+  const auto terms = dialect.read(request);
+  cr_assert(terms.has_value());
+  cr_expect(terms.value().deadline == std::chrono::seconds(3));
+  cr_expect(terms.value().object != 0);
+  const auto sent = dialect.prepare(request, "i-1", std::chrono::milliseconds(1200));
+  cr_expect(*http::FindHeader(sent.headers, "Expect-Instance") == "i-1");
+  cr_expect(*http::FindHeader(sent.headers, "Deadline-Ms") == "1200");
+  request.headers.push_back({"Host", "second"});
+  cr_expect(!dialect.read(request));
+}
--- /dev/null
+++ b/tests/auto/relay/relay_test.cpp
@@ -0,0 +1,139 @@
+#include "relay/relay.h"
+
+#include <criterion/criterion.h>
+
+#include "standin.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using wagtailpick::base::Duration;
+using wagtailpick::relay_test::RawAnswer;
+using wagtailpick::relay_test::RelayHost;
+using wagtailpick::relay_test::StandinUpstream;
+
+constexpr Duration kWait = std::chrono::seconds(3);
+/// An answer that ends before its time limit ends the wait; one that doesn't come takes this long.
+constexpr Duration kRouteTimeout = milliseconds(1'200);
+
+std::string Request(const std::string& id) {
+  return "GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nConnection: close\r\n\r\n";
+}
+
+std::string Whole(const std::string& id, const std::string& body = "END") {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+RawAnswer Served(const std::string& /*head*/, int /*number*/) { return {Whole("1"), false}; }
+
+int StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+}  // namespace
+
+// Guards against an answer that is changed on its way.
+Test(relay, passes_a_whole_answer_on) {
+  StandinUpstream upstream(Served);
+  const RelayHost host({upstream.address()});
+  const auto answer = host.Exchange(Request("1"), kWait);
+  cr_expect(StatusOf(answer) == 200);
+  cr_expect(answer.ends_with("\r\n\r\nEND"));
+}
+
+// Guards against truncated, late and foreign answers that look like this request's own.
+Test(relay, passes_no_broken_or_foreign_answer_on) {
+  const std::vector<RawAnswer> wrong{
+      {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf", true},
+      {Whole("2"), false},
+      {"no answer at all END", true},
+      {"", true},
+  };
+  for (const auto& answer : wrong) {
+    StandinUpstream upstream([answer](const std::string&, int) { return answer; });
+    const RelayHost host({upstream.address()});
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 502);
+  }
+}
+
+// Guards against a second answer on a kept connection that is taken for the next request's.
+Test(relay, drops_a_connection_with_more_bytes_than_one_answer) {
+  StandinUpstream upstream([](const std::string& head, int) -> RawAnswer {
+    const std::string id = head.find("Id: 1") != std::string::npos ? "1" : "2";
+    return {Whole(id) + (id == "1" ? Whole("2", "wrong-END") : ""), false};
+  });
+  const RelayHost host({upstream.address()});
+  cr_expect(host.Exchange(Request("1"), kWait).ends_with("\r\n\r\nEND"));
+  cr_expect(host.Exchange(Request("2"), kWait).ends_with("\r\n\r\nEND"));
+}
+
+// Guards against a failure that reaches the caller although another upstream could serve it.
+Test(relay, sends_an_idempotent_request_to_another_upstream) {
+  StandinUpstream broken([](const std::string&, int) { return RawAnswer{"", true}; });
+  StandinUpstream sound(Served);
+  const RelayHost host({broken.address(), sound.address()});
+  for (int i = 0; i < 5; ++i) cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  cr_expect(sound.requests() == 5);
+}
+
+// Guards against a charge that runs twice, and a "not run" for one that may have run.
+Test(relay, never_sends_again_what_may_have_run) {
+  StandinUpstream first([](const std::string&, int) { return RawAnswer{"", true}; });
+  StandinUpstream second([](const std::string&, int) { return RawAnswer{"", true}; });
+  const RelayHost host({first.address(), second.address()}, false);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 502);
+  cr_expect(first.requests() + second.requests() == 1);
+}
+
+// Guards against a refusal by an upstream that ends a charge which could still be made.
+Test(relay, sends_again_what_has_certainly_not_run) {
+  const auto refuses = [](const std::string&, int) {
+    return RawAnswer{"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false};
+  };
+  StandinUpstream full(refuses);
+  StandinUpstream free(Served);
+  {
+    const RelayHost host({full.address(), free.address()}, false);
+    for (int i = 0; i < 4; ++i) cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  }
+  const RelayHost host({full.address()}, false);
+  const auto answer = host.Exchange(Request("1"), kWait);
+  cr_expect(StatusOf(answer) == 503);
+  cr_expect(answer.find("Retry-After: ") != std::string::npos);
+}
+
+// Guards against a "not run" that is true but keeps nothing from being sent: an upstream that can't
+// be reached.
+Test(relay, refuses_when_no_upstream_can_be_reached) {
+  std::string address;
+  {
+    const StandinUpstream gone(Served);
+    address = gone.address();
+  }
+  const RelayHost host({address}, false);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+}
+
+// Guards against requests that are held past their route's time.
+Test(relay, answers_when_the_routes_time_is_up) {
+  StandinUpstream silent([](const std::string&, int) { return RawAnswer{"", false}; });
+  const RelayHost host({silent.address()});
+  const auto start = std::chrono::steady_clock::now();
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 504);
+  const auto took = std::chrono::steady_clock::now() - start;
+  cr_expect(took > kRouteTimeout - milliseconds(100));
+  cr_expect(took < kRouteTimeout + milliseconds(400));
+}
+
+// Guards against upstreams that go on working for callers who have left.
+Test(relay, ends_the_upstreams_work_when_the_caller_leaves) {
+  StandinUpstream silent([](const std::string&, int) { return RawAnswer{"", false}; });
+  const RelayHost host({silent.address()});
+  host.SendAndLeave(Request("1"), milliseconds(200));
+  const auto end = std::chrono::steady_clock::now() + milliseconds(500);
+  while (silent.abandoned() == 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  cr_expect(silent.abandoned() == 1);
+}
--- /dev/null
+++ b/tests/auto/relay/standin.cpp
@@ -0,0 +1,209 @@
+#include "standin.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <asio/connect.hpp>
+#include <asio/executor_work_guard.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+namespace wagtailpick::relay_test {
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+
+std::string HeaderOf(const http::Headers& headers, const char* name) {
+  const auto* value = http::FindHeader(headers, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+/// A dialect of the test's own: the words don't matter here.
+relay::Dialect TestDialect() {
+  relay::Dialect dialect;
+  dialect.read = [](const http::Request& request) -> base::Result<relay::CallerTerms> {
+    relay::CallerTerms terms;
+    terms.request_id = HeaderOf(request.headers, "Id");
+    terms.host = "h";
+    terms.deadline = std::chrono::milliseconds(1'500);
+    return terms;
+  };
+  dialect.prepare = [](const http::Request& request, const std::string& upstream,
+                       base::Duration /*left*/) {
+    auto copy = request;
+    copy.headers.push_back({"For", upstream});
+    return copy;
+  };
+  dialect.judge = [](const http::Response& response, const relay::CallerTerms& terms) {
+    relay::JudgedAnswer judged;
+    if (http::FindHeader(response.headers, "Not-Run") != nullptr) {
+      judged.kind = relay::AnswerKind::kNotRun;
+    } else if (HeaderOf(response.headers, "Id") != terms.request_id) {
+      judged.kind = relay::AnswerKind::kForeign;
+    } else if (response.status >= 500) {
+      judged.kind = relay::AnswerKind::kServerFailure;
+    } else {
+      judged.kind = relay::AnswerKind::kFinal;
+    }
+    return judged;
+  };
+  return dialect;
+}
+
+catalog::Catalog TestCatalog(bool idempotent) {
+  catalog::Route route;
+  route.name = "r";
+  route.host = "h";
+  route.path_prefix = "/";
+  route.idempotent = idempotent;
+  route.timeout = std::chrono::milliseconds(1'200);
+  route.objective = std::chrono::milliseconds(300);
+  route.attempts = 2;
+  route.targets = {{"s", 1}};
+  catalog::Service service;
+  service.name = "s";
+  return {1, {route}, {service}, {}};
+}
+
+int ConnectTo(const base::Endpoint& endpoint) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, kLoopback, &address.sin_addr);
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(socket);
+    return -1;
+  }
+  return socket;
+}
+
+}  // namespace
+
+struct StandinUpstream::Peer {
+  explicit Peer(asio::ip::tcp::socket connection) : socket(std::move(connection)) {}
+  asio::ip::tcp::socket socket;
+  std::string input;
+  bool running = false;
+  std::string output;
+};
+
+StandinUpstream::StandinUpstream(Script script)
+    : script_(std::move(script)), acceptor_(loop_, {asio::ip::make_address(kLoopback), 0}) {
+  Accept();
+  thread_ = std::thread([this] { loop_.run(); });
+}
+
+StandinUpstream::~StandinUpstream() {
+  loop_.stop();
+  thread_.join();
+}
+
+std::string StandinUpstream::address() const {
+  return std::string(kLoopback) + ":" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void StandinUpstream::Accept() {
+  acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
+    if (error) return;
+    Read(std::make_shared<Peer>(std::move(socket)));
+    Accept();
+  });
+}
+
+// Requests of these tests have no body.
+void StandinUpstream::Read(const std::shared_ptr<Peer>& peer) {
+  asio::async_read_until(peer->socket, asio::dynamic_buffer(peer->input), "\r\n\r\n",
+                         [this, peer](asio::error_code error, std::size_t length) {
+                           if (error) {
+                             abandoned_ += peer->running ? 1 : 0;
+                             return;
+                           }
+                           const std::string head = peer->input.substr(0, length);
+                           peer->input.erase(0, length);
+                           peer->running = true;
+                           const auto answer = script_(head, ++requests_);
+                           if (answer.text.empty() && answer.close) {
+                             asio::error_code ignored;
+                             peer->socket.close(ignored);
+                             return;
+                           }
+                           peer->output = answer.text;
+                           asio::error_code write_error;
+                           asio::write(peer->socket, asio::buffer(peer->output), write_error);
+                           if (!answer.text.empty()) peer->running = false;
+                           if (answer.close) peer->socket.close(write_error);
+                           if (!answer.close) Read(peer);
+                         });
+}
+
+RelayHost::RelayHost(const std::vector<std::string>& upstreams, bool idempotent) {
+  beliefs_.catalog = std::make_shared<const catalog::Catalog>(TestCatalog(idempotent));
+  for (const auto& address : upstreams) {
+    upstreams::UpstreamReport report;
+    report.id = address;
+    report.service = "s";
+    report.address = address;
+    report.data_centre = "dc";
+    beliefs_.upstreams.Apply(report, {}, base::MonotonicNow());
+  }
+  relay::RelayOptions options;
+  options.vm = "e1";
+  options.data_centre = "dc";
+  options.regions = {{"dc", "region"}};
+  options.retry_bound.slack = 100;
+  relay_ = std::make_unique<relay::Relay>(loop_, options, TestDialect(), beliefs_, metrics_);
+  // A port that was just free; another process may take it in between, then the next one is tried.
+  for (int attempt = 0; listener_ == nullptr && attempt < 20; ++attempt) {
+    {
+      asio::ip::tcp::acceptor probe(loop_, {asio::ip::make_address(kLoopback), 0});
+      endpoint_ = {kLoopback, probe.local_endpoint().port()};
+    }
+    auto started = net::HttpListener::Start(
+        loop_, endpoint_,
+        [this](std::shared_ptr<net::InboundRequest> inbound) {
+          relay_->Handle(std::move(inbound));
+        },
+        [] { return net::ServerPolicy(); });
+    if (started) listener_ = std::move(started.value());
+  }
+  thread_ = std::thread([this] { loop_.run(); });
+}
+
+RelayHost::~RelayHost() {
+  loop_.stop();
+  thread_.join();
+}
+
+std::string RelayHost::Exchange(const std::string& bytes, base::Duration wait) const {
+  const int socket = ConnectTo(endpoint_);
+  if (socket < 0) return "not connected";
+  if (::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) return "not sent";
+  std::string answer;
+  std::array<char, 4'096> buffer{};
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (std::chrono::steady_clock::now() < end) {
+    pollfd waiting{socket, POLLIN, 0};
+    if (::poll(&waiting, 1, 20) <= 0) continue;
+    const auto length = ::recv(socket, buffer.data(), buffer.size(), 0);
+    if (length <= 0) break;
+    answer.append(buffer.data(), static_cast<std::size_t>(length));
+    if (answer.ends_with("END")) break;
+  }
+  ::close(socket);
+  return answer;
+}
+
+void RelayHost::SendAndLeave(const std::string& bytes, base::Duration wait) const {
+  const int socket = ConnectTo(endpoint_);
+  if (socket < 0) return;
+  if (::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0) {
+    std::this_thread::sleep_for(wait);
+  }
+  ::close(socket);
+}
+
+}  // namespace wagtailpick::relay_test
--- /dev/null
+++ b/tests/auto/upstreams/upstream_table_test.cpp
@@ -0,0 +1,95 @@
+#include "upstreams/upstream_table.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace wagtailpick::upstreams;
+using std::chrono::seconds;
+using wagtailpick::base::Duration;
+using wagtailpick::base::MonotonicTime;
+
+const MonotonicTime kStart(seconds(1'000));
+
+UpstreamReport Report(const std::string& id, std::int64_t started, std::uint64_t sequence,
+                      State state = State::kReady) {
+  UpstreamReport report;
+  report.id = id;
+  report.started_unix_ms = started;
+  report.sequence = sequence;
+  report.state = state;
+  report.service = "menu";
+  report.address = "10.0.0.1:80";
+  report.data_centre = "mvd-a";
+  return report;
+}
+
+Change Apply(UpstreamTable& table, const UpstreamReport& report, MonotonicTime now = kStart) {
+  return table.Apply(report, Duration(0), now);
+}
+
+}  // namespace
+
+// Guards against a late announcement that revives an upstream which drains.
+Test(upstream_table, ignores_announcements_that_are_older_than_the_drain) {
+  UpstreamTable table;
+  cr_expect(Apply(table, Report("a", 1, 1)) == Change::kChanged);
+  cr_expect(Apply(table, Report("a", 1, 3, State::kDraining)) == Change::kChanged);
+  cr_expect(Apply(table, Report("a", 1, 2)) == Change::kStale);
+  cr_expect(table.Find("a")->report.state == State::kDraining);
+}
+
+// Guards against an announcement that overtakes the leaving of its upstream on another way.
+Test(upstream_table, never_revives_a_run_that_left) {
+  UpstreamTable table;
+  Apply(table, Report("a", 1, 1));
+  cr_expect(Apply(table, Report("a", 1, 1, State::kLeft)) == Change::kChanged);
+  cr_expect(Apply(table, Report("a", 1, 9)) == Change::kStale);
+  cr_expect(table.Find("a")->report.state == State::kLeft);
+}
+
+// Guards against a restart under the same id whose sequence starts anew.
+Test(upstream_table, takes_a_later_start_under_the_same_id) {
+  UpstreamTable table;
+  Apply(table, Report("a", 1, 50));
+  cr_expect(Apply(table, Report("a", 2, 1)) == Change::kChanged);
+  cr_expect(Apply(table, Report("a", 1, 51)) == Change::kStale);
+}
+
+// Guards against work for an upstream whose address another one has taken over.
+Test(upstream_table, keeps_one_upstream_at_an_address) {
+  UpstreamTable table;
+  Apply(table, Report("old", 1, 5));
+  Apply(table, Report("new", 2, 1));
+  cr_expect(table.Find("old")->report.state == State::kLeft);
+  cr_expect(Apply(table, Report("older", 0, 9)) == Change::kStale);
+  cr_expect(Apply(table, Report("old", 1, 6)) == Change::kStale);
+}
+
+// Guards against upstreams that are taken for dead while they announce themselves.
+Test(upstream_table, expires_by_silence_only) {
+  UpstreamTable table;
+  Apply(table, Report("a", 1, 1));
+  cr_expect(table.NoteHeard("a", 1, 2, kStart + seconds(50)) == Change::kHeard);
+  cr_expect(table.NoteHeard("a", 0, 3, kStart + seconds(50)) == Change::kStale);
+  cr_expect(table.Expire(seconds(60), kStart + seconds(100)).empty());
+  cr_expect(table.Expire(seconds(60), kStart + seconds(111)).size() == 1);
+}
+
+// Guards against a cold upstream that is taken for warm because its next announcement came at once.
+Test(upstream_table, remembers_how_long_an_upstream_is_cold) {
+  UpstreamTable table;
+  auto report = Report("a", 1, 1);
+  report.cold_left = seconds(3);
+  Apply(table, report);
+  cr_expect(table.Find("a")->cold_until == kStart + seconds(3));
+  report.sequence = 2;
+  report.cold_left = Duration(0);
+  cr_expect(Apply(table, report, kStart + seconds(1)) == Change::kHeard);
+  cr_expect(table.Find("a")->cold_until == kStart + seconds(3));
+  report.sequence = 3;
+  report.cold_left = seconds(5);
+  cr_expect(Apply(table, report, kStart + seconds(2)) == Change::kChanged);
+  table.Chill("mvd-a", kStart + seconds(20));
+  cr_expect(table.Find("a")->cold_until == kStart + seconds(20));
+}
