Report all upstreams to an entry by one replica, the nearest

Cause: on the grown sites most bytes between regions were reports: every replica sent the whole list to every entry at its start (411 x 100 B x 70 x 11), and passed every change on to all of its entries.

Change: an entry follows the nearest replica that it reaches and hears all reports and beats from it alone; replicas pass them on to each other as before. Upstreams that leave are still reported by the replica that acknowledges them to all its entries, and when a link is made.

--- a/src/libs/cluster/acceptor.cpp
+++ b/src/libs/cluster/acceptor.cpp
@@ -68,6 +68,8 @@
   if (const auto* ping = std::get_if<Ping>(&message)) {
     const bool changed = std::exchange(peer.session.ready, ping->ready) != ping->ready;
     if (changed) hooks_.ready_changed(peer.session);
+    const bool followed = !std::exchange(peer.session.follows, ping->follows) && ping->follows;
+    if (followed) hooks_.followed(peer.session);
     // Last, as a link that fails takes the peer with it.
     return peer.link->Send(Encode(Ping{}));
   }
@@ -96,15 +98,24 @@
   if (found != peers_.end()) found->second.link->Send(Encode(message));
 }
 
-void Acceptor::Broadcast(NodeRole role, const Message& message) {
+void Acceptor::SendToAll(const Message& message,
+                         const std::function<bool(const Session&)>& wanted) {
   const std::string frame = Encode(message);
   std::vector<std::shared_ptr<net::FrameLink>> links;
   for (const auto& [id, peer] : peers_) {
-    if (peer.greeted && peer.session.hello.role == role) links.push_back(peer.link);
+    if (peer.greeted && wanted(peer.session)) links.push_back(peer.link);
   }
   for (const auto& link : links) link->Send(frame);
 }
 
+void Acceptor::Broadcast(NodeRole role, const Message& message) {
+  SendToAll(message, [role](const Session& session) { return session.hello.role == role; });
+}
+
+void Acceptor::BroadcastToFollowers(const Message& message) {
+  SendToAll(message, [](const Session& session) { return session.follows; });
+}
+
 void Acceptor::ForEach(const std::function<void(const Session& session)>& visit) const {
   for (const auto& [id, peer] : peers_) {
     if (peer.greeted) visit(peer.session);
--- a/src/libs/cluster/acceptor.h
+++ b/src/libs/cluster/acceptor.h
@@ -20,6 +20,7 @@
   Hello hello;
   /// What its last ping said.
   bool ready = false;
+  bool follows = false;
 };
 
 /// Takes links from other processes and keeps a session for each that says hello.
@@ -31,6 +32,8 @@
     std::function<void(const Session& session, const Message& message)> message;
     /// The `ready` of a ping has changed.
     std::function<void(const Session& session)> ready_changed;
+    /// The `follows` of a ping has become true.
+    std::function<void(const Session& session)> followed;
   };
 
   /// Listens on `endpoint`. Fails with `kUnavailable` when it can't.
@@ -47,6 +50,9 @@
   /// Sends to all sessions of a role; the message is encoded once.
   void Broadcast(NodeRole role, const Message& message);
 
+  /// Sends to the entries that follow this replica.
+  void BroadcastToFollowers(const Message& message);
+
   /// Calls `visit` for each session that has said hello.
   void ForEach(const std::function<void(const Session& session)>& visit) const;
 
@@ -63,6 +69,7 @@
   void TakeFrame(std::uint64_t id, const std::string& frame);
   void TakeMessage(Peer& peer, const Message& message);
   void Remove(std::uint64_t id, const std::string& reason);
+  void SendToAll(const Message& message, const std::function<bool(const Session&)>& wanted);
 
   asio::ip::tcp::acceptor acceptor_;
   Hooks hooks_;
--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -22,7 +22,8 @@
 json Fields(const Replicas& message) {
   json list = json::array();
   for (const auto& replica : message.replicas) {
-    list.push_back(json::array({replica.cluster_address, replica.service_address}));
+    list.push_back(
+        json::array({replica.cluster_address, replica.service_address, replica.data_centre}));
   }
   return json::array({list});
 }
@@ -61,7 +62,7 @@
   return {message.version, json::binary({message.bytes.begin(), message.bytes.end()})};
 }
 
-json Fields(const Ping& message) { return json::array({message.ready}); }
+json Fields(const Ping& message) { return json::array({message.ready, message.follows}); }
 
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
@@ -74,7 +75,8 @@
 
 void Read(const json& fields, Replicas& out) {
   for (const auto& one : fields.at(0)) {
-    out.replicas.push_back({one.at(0).get<std::string>(), one.at(1).get<std::string>()});
+    out.replicas.push_back(
+        {one.at(0).get<std::string>(), one.at(1).get<std::string>(), one.at(2).get<std::string>()});
   }
 }
 
@@ -116,7 +118,10 @@
   out.bytes.assign(bytes.begin(), bytes.end());
 }
 
-void Read(const json& fields, Ping& out) { out.ready = fields.at(0).get<bool>(); }
+void Read(const json& fields, Ping& out) {
+  out.ready = fields.at(0).get<bool>();
+  out.follows = fields.at(1).get<bool>();
+}
 
 /// Decodes the alternative of `Message` at position `kind`.
 template <std::size_t Position = 0>
--- a/src/libs/cluster/messages.h
+++ b/src/libs/cluster/messages.h
@@ -29,6 +29,8 @@
 struct ReplicaAddress {
   std::string cluster_address;
   std::string service_address;
+  /// Empty where it isn't known.
+  std::string data_centre;
 
   friend auto operator<=>(const ReplicaAddress&, const ReplicaAddress&) = default;
 };
@@ -91,9 +93,13 @@
   std::string bytes;
 };
 
-/// Keeps a link alive; answered by one. `ready` tells whether an entry takes callers.
+/// Keeps a link alive; answered by one.
 struct Ping {
+  /// Whether an entry takes callers.
   bool ready = false;
+  /// Whether an entry wants all reports and beats from this replica; it hears only of upstreams
+  /// that leave from the others.
+  bool follows = false;
 };
 
 using Message = std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary,
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -109,6 +109,9 @@
   hooks.message = [this](const cluster::Session& session, const cluster::Message& message) {
     TakeFromSession(session, message);
   };
+  hooks.followed = [this](const cluster::Session& session) {
+    acceptor_->Send(session.id, AllReports());
+  };
   hooks.ready_changed = [](const cluster::Session& session) {
     logging::Write(Level::kInfo, "entry_ready_changed", session.hello.vm,
                    {{"ready", session.ready ? "true" : "false"}});
@@ -123,7 +126,7 @@
                           options_.node.data_centre,       self_,
                           base::ToString(options_.orders), log_->incarnation()};
   };
-  hooks.ping = [] { return cluster::Ping{}; };
+  hooks.ping = [](const std::string&) { return cluster::Ping{}; };
   // What this replica knows goes to each replica that it reaches, which may have just started.
   hooks.up = [this](const std::string& replica) { mesh_->Send(replica, AllReports()); };
   hooks.down = [](const std::string&) {};
@@ -195,14 +198,14 @@
                   {"address", hello.service_address}});
   if (hello.role == cluster::NodeRole::kReplica) {
     incarnations_[hello.cluster_address] = hello.incarnation;
-    mesh_->Learn({{hello.cluster_address, hello.service_address}});
+    mesh_->Learn({{hello.cluster_address, hello.service_address, hello.data_centre}});
     acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Replicas{KnownReplicas()});
     acceptor_->Broadcast(cluster::NodeRole::kReplica, cluster::Replicas{KnownReplicas()});
     return;
   }
   entries_changed_ = true;
   acceptor_->Send(session.id, cluster::Replicas{KnownReplicas()});
-  acceptor_->Send(session.id, AllReports());
+  acceptor_->Send(session.id, LeavingReports());
   acceptor_->Send(session.id, Summary());
 }
 
@@ -217,7 +220,8 @@
   if (const auto* beats = std::get_if<cluster::Beats>(&message)) {
     const auto now = base::MonotonicNow();
     for (const auto& beat : beats->beats) {
-      upstreams_.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
+      const auto change = upstreams_.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
+      if (change == upstreams::Change::kHeard) relayed_beats_.push_back(beat);
     }
     return;
   }
@@ -238,7 +242,7 @@
     if (change == upstreams::Change::kChanged) changed.reports.push_back(aged);
   }
   if (!changed.reports.empty()) cache_outdated_ = true;
-  if (!changed.reports.empty()) acceptor_->Broadcast(cluster::NodeRole::kEntry, changed);
+  if (!changed.reports.empty()) acceptor_->BroadcastToFollowers(changed);
   if (reports.ticket != 0) {
     acceptor_->Send(session.id, cluster::ReportsTaken{reports.ticket});
   }
@@ -266,7 +270,7 @@
 void ControlNode::TakeMembers(const consensus::Membership& members) {
   members_ = members;
   std::vector<cluster::ReplicaAddress> named;
-  for (const auto& member : members.members()) named.push_back({member.key.name, {}});
+  for (const auto& member : members.members()) named.push_back({member.key.name, {}, {}});
   mesh_->Learn(named);
 }
 
@@ -286,7 +290,7 @@
   if (report.state != upstreams::State::kReady) return Spread(report, std::move(done));
   if (change == upstreams::Change::kChanged) {
     const cluster::Reports message{0, {{report, base::Duration::zero()}}};
-    acceptor_->Broadcast(cluster::NodeRole::kEntry, message);
+    acceptor_->BroadcastToFollowers(message);
     mesh_->Broadcast(message);
   } else if (change == upstreams::Change::kHeard) {
     beats_.push_back({report.id, report.started_unix_ms, report.sequence});
@@ -328,10 +332,11 @@
 }
 
 void ControlNode::SendBeats() {
-  if (beats_.empty()) return;
-  const cluster::Beats message{std::exchange(beats_, {})};
-  acceptor_->Broadcast(cluster::NodeRole::kEntry, message);
-  mesh_->Broadcast(message);
+  cluster::Beats all{std::exchange(relayed_beats_, {})};
+  const cluster::Beats own{std::exchange(beats_, {})};
+  all.beats.insert(all.beats.end(), own.beats.begin(), own.beats.end());
+  if (!all.beats.empty()) acceptor_->BroadcastToFollowers(all);
+  if (!own.beats.empty()) mesh_->Broadcast(own);
 }
 
 void ControlNode::SendEntries() {
@@ -351,6 +356,13 @@
   return all;
 }
 
+cluster::Reports ControlNode::LeavingReports() const {
+  auto leaving = AllReports();
+  std::erase_if(leaving.reports,
+                [](const auto& aged) { return aged.report.state == upstreams::State::kReady; });
+  return leaving;
+}
+
 cluster::OrderSummary ControlNode::Summary() const {
   return {state_.changed_index(),
           state_.catalog_version(),
@@ -359,7 +371,7 @@
 
 std::vector<cluster::ReplicaAddress> ControlNode::KnownReplicas() const {
   auto known = mesh_->replicas();
-  known.push_back({self_, base::ToString(options_.orders)});
+  known.push_back({self_, base::ToString(options_.orders), options_.node.data_centre});
   return known;
 }
 
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -93,6 +93,7 @@
   void ReportPeers(base::MonotonicTime now);
   void Reply(const OrderDone& done, OrderReply reply);
   cluster::Reports AllReports() const;
+  cluster::Reports LeavingReports() const;
   cluster::OrderSummary Summary() const;
   std::vector<cluster::ReplicaAddress> KnownReplicas() const;
   std::size_t Majority() const { return members_.voter_count() / 2 + 1; }
@@ -107,6 +108,8 @@
   consensus::Membership members_;
   upstreams::UpstreamTable upstreams_;
   std::vector<cluster::Beat> beats_;
+  /// Beats that other replicas have taken, for the entries that follow this one.
+  std::vector<cluster::Beat> relayed_beats_;
   std::map<std::uint64_t, PendingDrain> drains_;
   std::uint64_t next_ticket_ = 1;
   std::map<std::string, std::uint64_t> incarnations_;
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -33,7 +33,11 @@
 }
 
 EntryNode::EntryNode(asio::io_context& loop, const EntryOptions& options, Hooks hooks)
-    : loop_(loop), options_(options), hooks_(std::move(hooks)), timer_(loop) {
+    : loop_(loop),
+      options_(options),
+      hooks_(std::move(hooks)),
+      timer_(loop),
+      network_(options.node.data_centre, options.node.regions) {
   relay::RelayOptions relay_options;
   relay_options.vm = options.node.vm;
   relay_options.data_centre = options.node.data_centre;
@@ -79,7 +83,9 @@
                           options_.node.data_centre,        std::string(),
                           base::ToString(options_.callers), 0};
   };
-  hooks.ping = [this] { return cluster::Ping{ready()}; };
+  hooks.ping = [this](const std::string& replica) {
+    return cluster::Ping{ready(), replica == followed_};
+  };
   hooks.up = [](const std::string&) {};
   hooks.down = [this](const std::string& replica) {
     entries_.erase(replica);
@@ -94,6 +100,7 @@
 void EntryNode::Tick() {
   const auto now = base::MonotonicNow();
   mesh_->Tick(now);
+  ChooseFollowed();
   if (!catalog_offers_.empty() && now >= catalog_request_due_) RequestCatalog(now);
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
@@ -110,6 +117,16 @@
   });
 }
 
+// All upstreams are reported by one replica, the nearest, as reports from each of them would be
+// most of the traffic between regions. Upstreams that leave are reported by all.
+void EntryNode::ChooseFollowed() {
+  const std::string nearest = mesh_->Nearest(network_, options_.node.vm);
+  if (nearest == followed_) return;
+  logging::Write(Level::kInfo, "followed_replica_changed", nearest, {{"before", followed_}});
+  followed_ = nearest;
+  mesh_->PingAll();
+}
+
 void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
   const auto version = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
   metrics_.GaugeAt("wagtailpick_catalog_version").Set(static_cast<std::int64_t>(version));
@@ -240,7 +257,7 @@
   drained_ = std::move(done);
   logging::Write(Level::kInfo, "drain_started", "no new callers are sent here",
                  {{"running", std::to_string(relay_->running())}});
-  mesh_->Broadcast(cluster::Ping{false});
+  mesh_->PingAll();
 }
 
 void EntryNode::CheckDrain(base::MonotonicTime now) {
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -61,6 +61,7 @@
   void TakeCatalog(const cluster::CatalogContent& content);
   void TakeEntries(const std::string& replica, const cluster::Entries& entries);
   void RequestCatalog(base::MonotonicTime now);
+  void ChooseFollowed();
   void UpdateGauges(base::MonotonicTime now);
   base::Duration LongestColdStart() const;
 
@@ -81,6 +82,9 @@
   std::map<std::string, std::uint64_t> catalog_offers_;
   base::MonotonicTime catalog_request_due_;
   std::map<std::string, std::vector<std::string>> entries_;
+  /// The replica that reports all upstreams to this entry; empty while none is reached.
+  std::string followed_;
+  placement::NetworkDistance network_;
   bool draining_ = false;
   base::MonotonicTime drain_started_;
   std::function<void()> drained_;
--- a/src/libs/node/mesh.cpp
+++ b/src/libs/node/mesh.cpp
@@ -1,6 +1,7 @@
 #include "node/mesh.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "logging/log.h"
@@ -23,26 +24,28 @@
   for (const auto& seed : seeds) {
     const std::string address = base::ToString({seed.address, cluster_port});
     seeds_.insert(address);
-    Add(address, base::ToString(seed));
+    Add({address, base::ToString(seed), {}});
   }
 }
 
 void Mesh::Learn(const std::vector<cluster::ReplicaAddress>& replicas) {
-  for (const auto& replica : replicas) Add(replica.cluster_address, replica.service_address);
+  for (const auto& replica : replicas) Add(replica);
 }
 
-void Mesh::Add(const std::string& address, const std::string& service_address) {
+void Mesh::Add(const cluster::ReplicaAddress& replica) {
+  const std::string address = replica.cluster_address;
   if (address == self_) return;
   const auto known = peers_.find(address);
   if (known != peers_.end()) {
-    if (!service_address.empty()) known->second.service_address = service_address;
+    if (!replica.service_address.empty()) known->second.service_address = replica.service_address;
+    if (!replica.data_centre.empty()) known->second.data_centre = replica.data_centre;
     return;
   }
   const auto endpoint = base::ParseEndpoint(address);
   if (!endpoint) return;
   cluster::Dialer::Hooks hooks;
   hooks.hello = hooks_.hello;
-  hooks.ping = hooks_.ping;
+  hooks.ping = [this, address] { return hooks_.ping(address); };
   hooks.up = [this, address] {
     logging::Write(logging::Level::kInfo, "replica_reached", address);
     hooks_.up(address);
@@ -54,7 +57,7 @@
   hooks.message = [this, address](const cluster::Message& message) {
     TakeMessage(address, message);
   };
-  peers_[address] = {service_address,
+  peers_[address] = {replica.service_address, replica.data_centre,
                      std::make_unique<cluster::Dialer>(loop_, endpoint.value(), std::move(hooks))};
 }
 
@@ -82,6 +85,10 @@
   }));
 }
 
+void Mesh::PingAll() {
+  for (auto& [address, peer] : peers_) peer.dialer->Send(hooks_.ping(address));
+}
+
 std::size_t Mesh::up_count() const {
   return static_cast<std::size_t>(std::count_if(
       peers_.begin(), peers_.end(), [](const auto& item) { return item.second.dialer->up(); }));
@@ -99,9 +106,24 @@
   return std::max(now - found->second.dialer->down_since(), base::Duration(1));
 }
 
+std::string Mesh::Nearest(const placement::NetworkDistance& network, const std::string& vm) const {
+  const auto order = [&](const std::string& address, const Peer& peer) {
+    return std::make_pair(network.To(peer.data_centre), std::hash<std::string>()(vm + address));
+  };
+  const std::pair<const std::string, Peer>* best = nullptr;
+  for (const auto& item : peers_) {
+    if (!item.second.dialer->up()) continue;
+    const bool nearer =
+        best == nullptr || order(item.first, item.second) < order(best->first, best->second);
+    if (nearer) best = &item;
+  }
+  return best == nullptr ? std::string() : best->first;
+}
+
 std::vector<cluster::ReplicaAddress> Mesh::replicas() const {
   std::vector<cluster::ReplicaAddress> list;
-  for (const auto& [address, peer] : peers_) list.push_back({address, peer.service_address});
+  for (const auto& [address, peer] : peers_)
+    list.push_back({address, peer.service_address, peer.data_centre});
   return list;
 }
 
--- a/src/libs/node/mesh.h
+++ b/src/libs/node/mesh.h
@@ -10,6 +10,7 @@
 
 #include "cluster/dialer.h"
 #include "node/node_options.h"
+#include "placement/network_distance.h"
 
 namespace wagtailpick::node {
 
@@ -18,7 +19,7 @@
  public:
   struct Hooks {
     std::function<cluster::Hello()> hello;
-    std::function<cluster::Ping()> ping;
+    std::function<cluster::Ping(const std::string& replica)> ping;
     std::function<void(const std::string& replica)> up;
     std::function<void(const std::string& replica)> down;
     std::function<void(const std::string& replica, const cluster::Message& message)> message;
@@ -38,10 +39,17 @@
   /// Sends to all replicas whose links are up; returns how many.
   std::size_t Broadcast(const cluster::Message& message);
 
+  /// Pings all replicas now, so that they learn a change at once.
+  void PingAll();
+
   std::size_t up_count() const;
   bool IsUp(const std::string& replica) const;
   /// How long the link to a replica has been down; zero while it is up.
   base::Duration DownFor(const std::string& replica, base::MonotonicTime now) const;
+  /// The nearest replica whose link is up, the same one as long as it stays up; empty when there is
+  /// none. Entries of one VM prefer different ones of equal distance, so that the load is divided.
+  std::string Nearest(const placement::NetworkDistance& network, const std::string& vm) const;
+
   /// All known replicas with the addresses at which they take orders, as far as known.
   std::vector<cluster::ReplicaAddress> replicas() const;
   /// Address at which a replica takes orders; empty when it isn't known.
@@ -50,10 +58,11 @@
  private:
   struct Peer {
     std::string service_address;
+    std::string data_centre;
     std::unique_ptr<cluster::Dialer> dialer;
   };
 
-  void Add(const std::string& address, const std::string& service_address);
+  void Add(const cluster::ReplicaAddress& replica);
   void TakeMessage(const std::string& replica, const cluster::Message& message);
 
   asio::io_context& loop_;
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -51,7 +51,7 @@
 Test(message_codec, carries_the_other_messages) {
   const auto hello = RoundTrip(Hello{NodeRole::kReplica, "vm", "mvd-a", "a:1", "a:2", 99});
   cr_expect(hello.role == NodeRole::kReplica && hello.incarnation == 99);
-  cr_expect(RoundTrip(Replicas{{{"a:1", "a:2"}}}).replicas.at(0).service_address == "a:2");
+  cr_expect(RoundTrip(Replicas{{{"a:1", "a:2", "dc"}}}).replicas.at(0).service_address == "a:2");
   cr_expect(RoundTrip(Beats{{{"i-1", 5, 6}}}).beats.at(0).sequence == 6);
   cr_expect(RoundTrip(OrderSummary{3, 4, {"mvd-a"}}).evacuated.at(0) == "mvd-a");
   cr_expect(RoundTrip(Entries{{"e1", "e2"}}).vms.size() == 2);
