Ask a second upstream when the first is silent for long

Change: an idempotent request goes to a second upstream after three times the expected time, at least its objective later, within attempts, time and the shared allowance, and only where no queue stands. The first whole answer wins; the other sending ends.

Ruled out: ending the first sending earlier, as a silent upstream may still answer.

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -25,6 +25,8 @@
 /// An upstream may close an idle connection at any time; a request that must not run twice then has
 /// no answer, so it takes only connections that were just used.
 constexpr Duration kMaxIdleOnce = std::chrono::milliseconds(1'500);
+/// A second sending starts when the first takes this many times as long as expected.
+constexpr int kHedgeFactor = 3;
 /// Callers come back within a third of the time that they have left.
 constexpr int kReturnShare = 4;
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
@@ -57,7 +59,8 @@
     : relay_(relay),
       inbound_(std::move(inbound)),
       catalog_(relay.beliefs_.catalog),
-      timer_(relay.loop_) {
+      timer_(relay.loop_),
+      hedge_timer_(relay.loop_) {
   ++relay_.running_;
 }
 
@@ -93,13 +96,17 @@
   return true;
 }
 
-void RequestRun::Try() {
+placement::Choice RequestRun::Choose() {
   const auto now = base::MonotonicNow();
   demand_.time_left = deadline_ - now;
   demand_.waited = now - inbound_->received_at;
   const placement::Beliefs beliefs{&relay_.beliefs_.upstreams, catalog_.get(),
                                    &relay_.beliefs_.evacuated};
-  const auto choice = relay_.chooser_.Choose(demand_, beliefs, now);
+  return relay_.chooser_.Choose(demand_, beliefs, now);
+}
+
+void RequestRun::Try() {
+  const auto choice = Choose();
   if (choice.refusal != Refusal::kNone) {
     choice_ = choice;
     if (may_have_run_) return GiveUp();
@@ -110,16 +117,25 @@
 
 void RequestRun::Send(const placement::Choice& choice) {
   choice_ = choice;
-  sent_at_ = base::MonotonicNow();
-  demand_.tried.push_back(choice.upstream);
   const auto endpoint = base::ParseEndpoint(choice.address);
   if (!endpoint) return Refuse("bad_address");
-  relay_.chooser_.NoteSent(choice, sent_at_);
+  const auto now = base::MonotonicNow();
+  demand_.tried.push_back(choice.upstream);
+  relay_.chooser_.NoteSent(choice, now);
   ++sends_;
   const auto max_idle = demand_.route->idempotent ? Duration::max() : kMaxIdleOnce;
-  connection_ = relay_.pool_.Take(endpoint.value(), max_idle);
-  const auto request =
-      relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - sent_at_);
+  auto leg = std::make_shared<Leg>(Leg{choice, relay_.pool_.Take(endpoint.value(), max_idle), now});
+  legs_.push_back(leg);
+  LogSent(choice, now);
+  const auto request = relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - now);
+  WaitForHedge(choice);
+  leg->connection->Exchange(net::RenderRequest(request), request.method == "HEAD",
+                            [self = shared_from_this(), leg](net::ExchangeResult result) {
+                              self->TakeResult(leg, std::move(result));
+                            });
+}
+
+void RequestRun::LogSent(const placement::Choice& choice, base::MonotonicTime now) {
   Log(Level::kInfo, "request_sent", "to " + choice.address,
       {{"upstream", choice.upstream},
        {"service", demand_.service},
@@ -133,52 +149,77 @@
        {"heard_age_ms", Millis(choice.heard_age)},
        {"candidates", std::to_string(choice.candidates)},
        {"attempt", std::to_string(sends_)},
-       {"time_left_ms", Millis(deadline_ - sent_at_)}});
-  connection_->Exchange(net::RenderRequest(request), request.method == "HEAD",
-                        [self = shared_from_this()](net::ExchangeResult result) {
-                          self->TakeResult(std::move(result));
-                        });
+       {"time_left_ms", Millis(deadline_ - now)}});
+}
+
+// Some answers are lost without a sign, and an upstream without power says nothing. A second
+// upstream answers then, while the first one may still be the sooner.
+void RequestRun::WaitForHedge(const placement::Choice& choice) {
+  if (!demand_.route->idempotent || legs_.size() > 1) return;
+  const auto patience =
+      std::max(choice.expected * kHedgeFactor, choice.expected + demand_.route->objective);
+  hedge_timer_.expires_after(patience);
+  hedge_timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+    if (!error) self->Hedge();
+  });
+}
+
+void RequestRun::Hedge() {
+  if (finished_ || legs_.size() != 1) return;
+  if (sends_ >= demand_.route->attempts) return;
+  if (deadline_ - base::MonotonicNow() < demand_.route->objective / 2) return;
+  if (!relay_.allowance_.MayResend(demand_.service, base::MonotonicNow())) return;
+  const auto choice = Choose();
+  // A second sending that has to queue would take the place of a first one.
+  if (choice.refusal != Refusal::kNone || choice.expected_wait > Duration::zero()) return;
+  if (!relay_.allowance_.TryResend(demand_.service, base::MonotonicNow())) return;
+  Send(choice);
 }
 
-void RequestRun::TakeResult(net::ExchangeResult result) {
+void RequestRun::TakeResult(const std::shared_ptr<Leg>& leg, net::ExchangeResult result) {
   if (finished_) return;
-  connection_ = nullptr;
+  std::erase(legs_, leg);
+  hedge_timer_.cancel();
   if (result.connect_time > Duration::zero()) {
-    relay_.chooser_.NoteConnect(choice_.data_centre, result.connect_time);
+    relay_.chooser_.NoteConnect(leg->choice.data_centre, result.connect_time);
+  }
+  if (result.end == net::ExchangeEnd::kAnswered) {
+    return TakeAnswer(*leg, std::move(result.response));
   }
-  if (result.end == net::ExchangeEnd::kAnswered) return TakeAnswer(std::move(result.response));
-  TakeLoss(result);
+  TakeLoss(*leg, result);
 }
 
-void RequestRun::TakeAnswer(http::Response response) {
+void RequestRun::TakeAnswer(const Leg& leg, http::Response response) {
   const auto judged = relay_.dialect_.judge(response, terms_);
   switch (judged.kind) {
     case AnswerKind::kFinal:
-      EndExchange(Outcome::kServed, "served");
+      EndExchange(leg, Outcome::kServed, "served");
       break;
     case AnswerKind::kServerFailure:
-      EndExchange(Outcome::kFailed, "server_failure");
+      EndExchange(leg, Outcome::kFailed, "server_failure");
       may_have_run_ = true;
       break;
     case AnswerKind::kNotRun:
-      EndExchange(Outcome::kShed, "not_run");
+      EndExchange(leg, Outcome::kShed, "not_run");
       break;
     case AnswerKind::kOtherUpstream:
-      EndExchange(Outcome::kUnreachable, "other_upstream");
+      EndExchange(leg, Outcome::kUnreachable, "other_upstream");
       break;
     case AnswerKind::kForeign:
-      EndExchange(Outcome::kFailed, "foreign_answer");
+      EndExchange(leg, Outcome::kFailed, "foreign_answer");
       may_have_run_ = true;
       break;
   }
-  if (judged.load) relay_.chooser_.NoteLoad(choice_.upstream, *judged.load, base::MonotonicNow());
-  if (judged.kind == AnswerKind::kFinal) {
-    return Finish(std::move(response), "served", "");
-  }
+  if (judged.load)
+    relay_.chooser_.NoteLoad(leg.choice.upstream, *judged.load, base::MonotonicNow());
+  if (judged.kind == AnswerKind::kFinal) return Finish(std::move(response), "served", "");
+  // The other sending may still be answered.
+  if (!legs_.empty()) return;
   // A refusal with free slots says nothing about the next request to the same upstream, which may
   // be the only one that is warm for it.
   const bool had_room = judged.load && judged.load->running < judged.load->slots;
-  if (judged.kind == AnswerKind::kNotRun && had_room) demand_.tried.pop_back();
+  if (judged.kind == AnswerKind::kNotRun && had_room)
+    std::erase(demand_.tried, leg.choice.upstream);
   const bool not_run =
       judged.kind == AnswerKind::kNotRun || judged.kind == AnswerKind::kOtherUpstream;
   if (MayTryAgain(not_run)) return Try();
@@ -189,30 +230,39 @@
   GiveUp();
 }
 
-void RequestRun::TakeLoss(const net::ExchangeResult& result) {
+void RequestRun::TakeLoss(const Leg& leg, const net::ExchangeResult& result) {
   const bool connected = result.end != net::ExchangeEnd::kNotConnected;
-  EndExchange(connected ? Outcome::kFailed : Outcome::kUnreachable, net::ToString(result.end));
+  EndExchange(leg, connected ? Outcome::kFailed : Outcome::kUnreachable, net::ToString(result.end));
   Log(Level::kWarning, "exchange_lost", result.detail,
-      {{"upstream", choice_.upstream},
+      {{"upstream", leg.choice.upstream},
        {"end", std::string(net::ToString(result.end))},
        {"reused", result.reused ? "true" : "false"},
        {"answer_started", result.answer_started ? "true" : "false"}});
+  if (connected) may_have_run_ = true;
+  if (!connected) --sends_;
+  if (!legs_.empty()) return;
   if (connected) {
-    may_have_run_ = true;
     if (MayTryAgain(false)) return Try();
     return GiveUp();
   }
-  --sends_;
   const bool time_left = deadline_ - base::MonotonicNow() > kLeastTimeToTry;
   if (++failed_connects_ < kMaxFailedConnects && time_left) return Try();
   if (may_have_run_) return GiveUp();
   Refuse("upstreams_unreachable");
 }
 
-void RequestRun::EndExchange(Outcome outcome, std::string_view result) {
+void RequestRun::EndExchange(const Leg& leg, Outcome outcome, std::string_view result) {
   const auto now = base::MonotonicNow();
-  relay_.chooser_.NoteEnd(choice_, demand_, outcome, now - sent_at_, now);
-  relay_.metrics_.NoteExchange(result, now - sent_at_);
+  relay_.chooser_.NoteEnd(leg.choice, demand_, outcome, now - leg.sent_at, now);
+  relay_.metrics_.NoteExchange(result, now - leg.sent_at);
+}
+
+// Upstreams drop a request when its connection closes.
+void RequestRun::EndAllLegs(std::string_view result) {
+  for (const auto& leg : std::exchange(legs_, {})) {
+    leg->connection->Close();
+    EndExchange(*leg, Outcome::kUnknown, result);
+  }
 }
 
 bool RequestRun::MayTryAgain(bool known_not_run) {
@@ -227,11 +277,7 @@
 
 void RequestRun::Expire() {
   if (finished_) return;
-  if (connection_ != nullptr) {
-    connection_->Close();
-    connection_ = nullptr;
-    EndExchange(Outcome::kUnknown, "timeout");
-  }
+  EndAllLegs("timeout");
   Finish(Plain(504), "failed", "timeout");
 }
 
@@ -239,11 +285,8 @@
   if (finished_) return;
   finished_ = true;
   timer_.cancel();
-  if (connection_ != nullptr) {
-    connection_->Close();
-    connection_ = nullptr;
-    EndExchange(Outcome::kUnknown, "client_left");
-  }
+  hedge_timer_.cancel();
+  EndAllLegs("client_left");
   relay_.metrics_.NoteAnswer("client_left", base::MonotonicNow() - inbound_->received_at);
   Log(Level::kInfo, "client_left", "the caller closed its connection", {});
 }
@@ -263,6 +306,8 @@
   if (finished_) return;
   finished_ = true;
   timer_.cancel();
+  hedge_timer_.cancel();
+  EndAllLegs("overtaken");
   const auto total = base::MonotonicNow() - inbound_->received_at;
   relay_.metrics_.NoteAnswer(reason.empty() ? outcome : reason, total);
   Log(outcome == "served" ? Level::kInfo : Level::kWarning, "request_ended", std::string(outcome),
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -23,19 +23,31 @@
   void Start();
 
  private:
+  /// One sending of the request. A late answer lets a second one run beside the first.
+  struct Leg {
+    placement::Choice choice;
+    std::shared_ptr<net::UpstreamConnection> connection;
+    base::MonotonicTime sent_at;
+  };
+
   bool FindRoute();
   void Try();
+  placement::Choice Choose();
   void Send(const placement::Choice& choice);
-  void TakeResult(net::ExchangeResult result);
-  void TakeAnswer(http::Response response);
-  void TakeLoss(const net::ExchangeResult& result);
-  void EndExchange(placement::Outcome outcome, std::string_view result);
+  void TakeResult(const std::shared_ptr<Leg>& leg, net::ExchangeResult result);
+  void TakeAnswer(const Leg& leg, http::Response response);
+  void TakeLoss(const Leg& leg, const net::ExchangeResult& result);
+  void EndExchange(const Leg& leg, placement::Outcome outcome, std::string_view result);
+  void EndAllLegs(std::string_view result);
+  void WaitForHedge(const placement::Choice& choice);
+  void Hedge();
   bool MayTryAgain(bool known_not_run);
   void GiveUp();
   void Expire();
   void ClientLeft();
   void Refuse(std::string_view reason);
   void Finish(http::Response response, std::string_view outcome, std::string_view reason);
+  void LogSent(const placement::Choice& choice, base::MonotonicTime now);
   void Log(logging::Level level, const std::string& event, const std::string& message,
            std::vector<logging::Field> fields);
 
@@ -45,11 +57,12 @@
   std::shared_ptr<const catalog::Catalog> catalog_;
   CallerTerms terms_;
   placement::Demand demand_;
+  /// The last choice, for the log.
   placement::Choice choice_;
-  std::shared_ptr<net::UpstreamConnection> connection_;
+  std::vector<std::shared_ptr<Leg>> legs_;
   asio::steady_timer timer_;
+  asio::steady_timer hedge_timer_;
   base::MonotonicTime deadline_;
-  base::MonotonicTime sent_at_;
   /// Requests that reached an upstream, or may have.
   std::uint32_t sends_ = 0;
   std::uint32_t failed_connects_ = 0;
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -126,6 +126,23 @@
   cr_expect(took < kRouteTimeout + milliseconds(400));
 }
 
+// Guards against callers that wait in vain for an answer that was lost without a sign: seen in the
+// recorded day inc-5d23 of manta-alta, where 150 requests ended by their time.
+Test(relay, asks_a_second_upstream_when_the_first_is_silent) {
+  StandinUpstream silent([](const std::string&, int) { return RawAnswer{"", false}; });
+  StandinUpstream sound(Served);
+  {
+    const RelayHost host({silent.address(), sound.address()});
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  }
+  // What must not run twice waits.
+  const RelayHost host({silent.address(), sound.address()}, false);
+  const int before = silent.requests() + sound.requests();
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) != 0);
+  cr_expect(silent.requests() + sound.requests() == before + 1);
+}
+
 // Guards against upstreams that go on working for callers who have left.
 Test(relay, ends_the_upstreams_work_when_the_caller_leaves) {
   StandinUpstream silent([](const std::string&, int) { return RawAnswer{"", false}; });
