--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,3 +6,4 @@
 bash scripts/build.sh
 bash scripts/lint.sh
 bash scripts/run-tests.sh
+build/tests/soak/soak --seed=1 --seconds=6
--- a/src/libs/node/mesh.cpp
+++ b/src/libs/node/mesh.cpp
@@ -122,8 +122,9 @@
 
 std::vector<cluster::ReplicaAddress> Mesh::replicas() const {
   std::vector<cluster::ReplicaAddress> list;
-  for (const auto& [address, peer] : peers_)
+  for (const auto& [address, peer] : peers_) {
     list.push_back({address, peer.service_address, peer.data_centre});
+  }
   return list;
 }
 
