--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -12,8 +12,6 @@
 using logging::Level;
 
 constexpr std::chrono::milliseconds kTick{150};
-/// Less than the second after which an upstream tries another replica.
-constexpr base::Duration kDrainTimeout = std::chrono::milliseconds(800);
 /// Upstreams that were silent for this long are forgotten; late announcements are older than that.
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
 constexpr base::Duration kCacheInterval = std::chrono::milliseconds(500);
@@ -232,33 +230,6 @@
   }
 }
 
-// Another replica has taken an announcement: it is passed on to this replica's entries, as some of
-// them may not reach the other.
-void ControlNode::TakeReports(const cluster::Session& session, const cluster::Reports& reports) {
-  const auto now = base::MonotonicNow();
-  cluster::Reports changed;
-  for (const auto& aged : reports.reports) {
-    const auto change = upstreams_.Apply(aged.report, aged.age, now);
-    if (change == upstreams::Change::kChanged) changed.reports.push_back(aged);
-  }
-  if (!changed.reports.empty()) cache_outdated_ = true;
-  if (!changed.reports.empty()) acceptor_->BroadcastToFollowers(changed);
-  if (reports.ticket != 0) {
-    acceptor_->Send(session.id, cluster::ReportsTaken{reports.ticket});
-  }
-}
-
-void ControlNode::TakeFromReplica(const std::string& replica, const cluster::Message& message) {
-  const auto* taken = std::get_if<cluster::ReportsTaken>(&message);
-  if (taken == nullptr) return;
-  const auto found = drains_.find(taken->ticket);
-  if (found == drains_.end() || !members_.FindName(replica)) return;
-  if (++found->second.taken < Majority()) return;
-  const auto done = std::move(found->second.done);
-  drains_.erase(found);
-  done(true);
-}
-
 void ControlNode::TakeState(const orders::OrderState& state) {
   // The log repeats its orders from the last snapshot after a start; the cache may be further.
   if (state.changed_index() <= state_.changed_index()) return;
@@ -274,71 +245,6 @@
   mesh_->Learn(named);
 }
 
-void ControlNode::Announce(const upstreams::UpstreamReport& report,
-                           std::function<void(bool)> done) {
-  const auto now = base::MonotonicNow();
-  const auto change = upstreams_.Apply(report, base::Duration::zero(), now);
-  if (change == upstreams::Change::kChanged) {
-    cache_outdated_ = true;
-    logging::Write(Level::kInfo, "upstream_changed", report.id,
-                   {{"state", std::string(upstreams::ToString(report.state))},
-                    {"service", report.service},
-                    {"address", report.address},
-                    {"sequence", std::to_string(report.sequence)},
-                    {"cold_left_ms", std::to_string(report.cold_left.count() / 1'000)}});
-  }
-  if (report.state != upstreams::State::kReady) return Spread(report, std::move(done));
-  if (change == upstreams::Change::kChanged) {
-    const cluster::Reports message{0, {{report, base::Duration::zero()}}};
-    acceptor_->BroadcastToFollowers(message);
-    mesh_->Broadcast(message);
-  } else if (change == upstreams::Change::kHeard) {
-    beats_.push_back({report.id, report.started_unix_ms, report.sequence});
-  }
-  done(true);
-}
-
-void ControlNode::AnnounceLeave(const std::string& id, std::function<void(bool)> done) {
-  const auto* known = upstreams_.Find(id);
-  if (known == nullptr) return done(false);
-  auto report = known->report;
-  report.state = upstreams::State::kLeft;
-  Announce(report, std::move(done));
-}
-
-// An acknowledged drain binds all entries, so it is acknowledged only when a majority of the group
-// passes it on: an entry that is in touch reaches one of those.
-void ControlNode::Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done) {
-  if (members_.voter_count() == 0) return done(false);
-  const std::uint64_t ticket = next_ticket_++;
-  const cluster::Reports message{ticket, {{report, base::Duration::zero()}}};
-  acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Reports{0, message.reports});
-  if (Majority() <= 1) return done(true);
-  drains_[ticket] = {1, base::MonotonicNow() + kDrainTimeout, std::move(done)};
-  mesh_->Broadcast(message);
-}
-
-void ControlNode::ExpireDrains(base::MonotonicTime now) {
-  std::vector<std::function<void(bool)>> failed;
-  std::erase_if(drains_, [&](auto& item) {
-    if (now < item.second.due) return false;
-    failed.push_back(std::move(item.second.done));
-    return true;
-  });
-  for (const auto& done : failed) {
-    logging::Write(Level::kWarning, "drain_not_spread", "no majority of replicas took it in time");
-    done(false);
-  }
-}
-
-void ControlNode::SendBeats() {
-  cluster::Beats all{std::exchange(relayed_beats_, {})};
-  const cluster::Beats own{std::exchange(beats_, {})};
-  all.beats.insert(all.beats.end(), own.beats.begin(), own.beats.end());
-  if (!all.beats.empty()) acceptor_->BroadcastToFollowers(all);
-  if (!own.beats.empty()) mesh_->Broadcast(own);
-}
-
 void ControlNode::SendEntries() {
   cluster::Entries entries;
   acceptor_->ForEach([&](const cluster::Session& session) {
@@ -347,22 +253,6 @@
   acceptor_->Broadcast(cluster::NodeRole::kEntry, entries);
 }
 
-cluster::Reports ControlNode::AllReports() const {
-  cluster::Reports all;
-  const auto now = base::MonotonicNow();
-  for (const auto& [id, known] : upstreams_.all()) {
-    all.reports.push_back({known.report, now - known.heard_at});
-  }
-  return all;
-}
-
-cluster::Reports ControlNode::LeavingReports() const {
-  auto leaving = AllReports();
-  std::erase_if(leaving.reports,
-                [](const auto& aged) { return aged.report.state == upstreams::State::kReady; });
-  return leaving;
-}
-
 cluster::OrderSummary ControlNode::Summary() const {
   return {state_.changed_index(),
           state_.catalog_version(),
