--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "platform/standin_wire.h"
 #include "soak/http_call.h"
 
 namespace wagtailpick::soak {
@@ -23,40 +24,8 @@
 /// requests have to be served.
 constexpr double kServedAfterRecovery = 0.9;
 constexpr int kMaxRedirects = 2;
-
-std::string CatalogText(std::uint64_t version) {
-  const auto route = [](const char* name, const char* prefix, const char* kind) {
-    return nlohmann::json{{"type", "routes"},
-                          {"meta", {{"name", name}}},
-                          {"spec",
-                           {{"host", "shop"},
-                            {"pathPrefix", prefix},
-                            {"kind", kind},
-                            {"timeoutMs", 1500},
-                            {"goalMs", 300},
-                            {"priority", 1},
-                            {"service", "s"},
-                            {"attempts", 2},
-                            {"sticky", true},
-                            {"homeRegions", nlohmann::json::array()}}}};
-  };
-  const nlohmann::json config = {
-      {"version", version},
-      {"resources",
-       {route("read", "/read/", "safe"),
-        route("charge", "/charge/", "unsafe"),
-        {{"type", "services"},
-         {"meta", {{"name", "s"}}},
-         {"spec", {{"healthPath", "/h"}, {"maxConns", 300}, {"coldStartS", 1}, {"coldPerS", 50}}}},
-        {{"type", "limits"},
-         {"meta", nlohmann::json::object()},
-         {"spec",
-          {{"maxHeaderBytes", 16384},
-           {"maxBodyBytes", 65536},
-           {"headerTimeoutMs", 3000},
-           {"idleTimeoutMs", 15000}}}}}}};
-  return config.dump();
-}
+constexpr int kDeadlineMs = 1'800;
+constexpr int kObjects = 20;
 
 /// One run's processes, stand-ins and threads.
 class Run {
@@ -107,7 +76,7 @@
     std::mt19937_64 random(options_.seed + 1);
     std::uint64_t version = 1;
     while (!stopping_) {
-      http::Request put{"POST", "/-/config/put", {{"Host", "control"}}, CatalogText(version), ""};
+      const auto put = platform::PutConfig(platform::TwoRouteConfig(version, "s"));
       const auto answer = Order(put, random());
       if (answer && answer->status == 200) ledger_.NoteCatalogAcknowledged(version++);
       if (answer && answer->status >= 400 && answer->status < 500) {
@@ -121,7 +90,7 @@
 
   std::optional<std::uint64_t> ReadCatalog(std::size_t first) {
     const auto acknowledged = ledger_.acknowledged_catalog();
-    const auto answer = Order({"GET", "/-/config/get", {{"Host", "control"}}, "", ""}, first);
+    const auto answer = Order(platform::GetConfig(), first);
     if (!answer || answer->status != 200) {
       last_read_ = answer ? std::to_string(answer->status) + " " + answer->body : "no answer";
       return std::nullopt;
@@ -136,13 +105,9 @@
     for (int i = 0; !stopping_; ++i) {
       const bool idempotent = random() % 2 == 0;
       const std::string id = std::to_string(caller) + "-" + std::to_string(i);
-      http::Request request;
-      request.method = idempotent ? "GET" : "POST";
-      request.target = idempotent ? "/read/x" : "/charge/x";
-      request.headers = {{"Host", "shop"},
-                         {"Request-Id", id},
-                         {"Deadline-Ms", "1800"},
-                         {"Cookie", "Affinity-Key=" + std::to_string(random() % 20)}};
+      auto request =
+          platform::ClientRequest(idempotent ? "GET" : "POST", idempotent ? "/read/x" : "/charge/x",
+                                  id, kDeadlineMs, std::to_string(random() % kObjects));
       if (!idempotent) request.body = "charge";
       const auto entry = random() % options_.entries;
       const auto answer = Call(deployment_.CallersAddress(entry), request, kCallerTimeout);
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -3,6 +3,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "platform/standin_wire.h"
 #include "soak/http_call.h"
 
 namespace wagtailpick::soak {
@@ -11,18 +12,13 @@
 using std::chrono::milliseconds;
 
 constexpr int kPort = 17'730;
+constexpr const char* kService = "s";
 constexpr milliseconds kAnnounceInterval{300};
 constexpr base::Duration kCallTimeout = milliseconds(1'000);
 /// How long a draining upstream goes on after the acknowledgement.
 constexpr base::Duration kAfterDrain = std::chrono::seconds(4);
 /// The system's bound for new work after an acknowledged drain.
 constexpr base::Duration kDrainBound = milliseconds(2'500);
-constexpr const char* kNoHeader = "";
-
-std::string HeaderOf(const http::Request& request, const char* name) {
-  const auto* value = http::FindHeader(request.headers, name);
-  return value == nullptr ? kNoHeader : *value;
-}
 
 }  // namespace
 
@@ -73,7 +69,7 @@
     const std::lock_guard lock(mutex_);
     id = upstream.id;
   }
-  if (HeaderOf(inbound->request, "Expect-Instance") != id) {
+  if (platform::ExpectedServer(inbound->request) != id) {
     http::Response other;
     other.status = 421;
     return inbound->Answer(std::move(other));
@@ -83,17 +79,14 @@
 }
 
 void StandinService::Run(const std::shared_ptr<net::InboundRequest>& inbound) {
-  const std::string request = HeaderOf(inbound->request, "Request-Id");
+  const std::string request = platform::RequestIdOf(inbound->request);
   ledger_.NoteRun(request, inbound->request.method == "GET");
   auto timer = std::make_shared<asio::steady_timer>(loop_, milliseconds(5 + random_() % 40));
   const bool lost = static_cast<double>(random_() % 1'000) < lost_share_ * 1'000;
   timer->async_wait([inbound, request, timer, lost](asio::error_code error) {
     if (error) return;
     if (lost) return inbound->Abort();
-    http::Response response;
-    response.headers = {{"Request-Id", request}, {"Server-Seal", "s"}, {"Server-Load", "1,0,4"}};
-    response.body = "answer to " + request;
-    inbound->Answer(std::move(response));
+    inbound->Answer(platform::ServerAnswer(request, "answer to " + request));
   });
 }
 
@@ -105,33 +98,30 @@
 }
 
 void StandinService::Announce(std::size_t position) {
-  http::Request request;
-  std::string id;
-  bool draining = false;
+  upstreams::UpstreamReport report;
   {
     const std::lock_guard lock(mutex_);
     auto& upstream = upstreams_[position];
     if (upstream.drain_acknowledged && base::MonotonicNow() > upstream.replace_due) {
       Restart(upstream);
     }
-    id = upstream.id;
-    draining = upstream.draining;
-    request.method = "POST";
-    request.target = "/-/instances/" + id + "/heartbeat";
-    request.headers = {{"Host", "control"}, {"Content-Type", "application/json"}};
-    request.body = R"({"addr":")" + upstream.ip + ":" + std::to_string(kPort) + R"(","born":)" +
-                   std::to_string(upstream.started_unix_ms) +
-                   R"(,"info":{"service":"s","version":"v1","zone":"dc-)" +
-                   std::to_string(position % 2) + R"(","slots":4},"status":{"state":")" +
-                   (draining ? "draining" : "ready") + R"(","seq":)" +
-                   std::to_string(++upstream.sequence) + R"(,"coldLeftMs":0}})";
+    report.id = upstream.id;
+    report.started_unix_ms = upstream.started_unix_ms;
+    report.sequence = ++upstream.sequence;
+    report.state = upstream.draining ? upstreams::State::kDraining : upstreams::State::kReady;
+    report.service = kService;
+    report.address = upstream.ip + ":" + std::to_string(kPort);
+    report.data_centre = "dc-" + std::to_string(position % 2);
+    report.version = "v1";
+    report.slots = 4;
   }
+  const auto request = platform::Heartbeat(report);
   const std::size_t first = static_cast<std::size_t>(base::WallNowMillis()) % replicas_.size();
   for (std::size_t i = 0; i < replicas_.size(); ++i) {
     const auto answer = Call(replicas_[(first + i) % replicas_.size()], request, kCallTimeout);
     if (!answer || answer->status != 200) continue;
-    if (!draining) return;
-    ledger_.NoteDrainAcknowledged(id);
+    if (report.state == upstreams::State::kReady) return;
+    ledger_.NoteDrainAcknowledged(report.id);
     const std::lock_guard lock(mutex_);
     auto& upstream = upstreams_[position];
     if (upstream.drain_acknowledged) return;
