Ask replicas for copies of claims once a tick, not once an answer

Cause: a replica that lost its disk asks the others for their claims; each answer, also "not now" from one that holds nothing itself, made it ask all others at once again, so requests doubled with every round trip.

Change: an answer with records asks its own source for the next page; anything else waits for the tick.

Test: claim_service::asks_empty_replicas_once_a_tick, which ran until the process broke before the change, and counts at most two requests a tick after it.

--- a/src/libs/catalog/validate_catalog.h
+++ b/src/libs/catalog/validate_catalog.h
@@ -5,8 +5,8 @@
 
 namespace wagtailpick::catalog {
 
-/// Checks what an operator sent; fails with `kInvalidArgument` and names the route. Route names and
-/// prefixes have to be unique, targets have to be known services with some weight.
+/// Checks what an operator sent; fails with `kInvalidArgument` and names the route. Each
+/// host and prefix may stand once, targets have to be known services with some weight.
 base::Result<void> Validate(const Catalog& catalog);
 
 }  // namespace wagtailpick::catalog
--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -214,16 +214,19 @@
 
 void ClaimService::ContinueCopy() {
   for (std::size_t i = 0; i < peers_.size(); ++i) {
-    const auto index = static_cast<claims::ReplicaIndex>(i);
-    if (index == store_.identity().index) continue;
-    const auto request = copy_->NextRequest(index);
-    if (!request) continue;
-    peers_[i]->Copy(rpc::ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
-      loop_.TryPost([this, reply = std::move(reply)] { TakePage(reply); });
-    });
+    RequestPage(static_cast<claims::ReplicaIndex>(i));
   }
 }
 
+void ClaimService::RequestPage(claims::ReplicaIndex source) {
+  if (source == store_.identity().index || source >= peers_.size()) return;
+  const auto request = copy_->NextRequest(source);
+  if (!request) return;
+  peers_[source]->Copy(rpc::ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
+    loop_.TryPost([this, reply = std::move(reply)] { TakePage(reply); });
+  });
+}
+
 void ClaimService::TakePage(const Result<rpc::CopyReply>& reply) {
   if (!reply || !copy_) return;
   const auto page = rpc::FromWire(reply.value());
@@ -231,7 +234,12 @@
   const auto records = copy_->TakePage(page.value(), store_, base::WallNowMillis());
   for (const auto& record : records) Store(record);
   Flush();
-  if (!copy_->done()) return ContinueCopy();
+  if (!copy_->done()) {
+    // A source that has nothing to give now is asked again at the next tick. An answer asks no
+    // other source: replicas that all hold nothing would flood each other.
+    if (!page.value().restart) RequestPage(page.value().source);
+    return;
+  }
   copy_.reset();
   events_.Record(base::WallNowMillis(), timeline::EventKind::kReplicaCaughtUp, options_.vm,
                  "claims");
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -55,6 +55,7 @@
   void FillAnswer(std::uint64_t position, std::string& answer);
   void CompactWhenDue();
   void ContinueCopy();
+  void RequestPage(claims::ReplicaIndex source);
   void TakePage(const base::Result<rpc::CopyReply>& reply);
 
   ControllerOptions options_;
--- a/tests/auto/controller/claim_service_test.cpp
+++ b/tests/auto/controller/claim_service_test.cpp
@@ -3,13 +3,17 @@
 #include <criterion/criterion.h>
 #include <stdlib.h>
 
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "base/monotonic_time.h"
 #include "claims/claim_messages.h"
+#include "rpc/claim_codec.h"
+#include "rpc/server.h"
 #include "storage/file_ops.h"
 #include "timeline/event_ring.h"
 
@@ -180,3 +184,71 @@
   // A record for each key (held, completed or released) and one that the replica is ready.
   cr_expect_eq(restarted.records_found, kKeys + 1);
 }
+
+namespace {
+
+/// A replica that holds nothing itself: it answers each request for a copy by "not now".
+class EmptyReplica {
+ public:
+  EmptyReplica() {
+    rpc::ControlHandlers handlers;
+    handlers.copy = [this](const rpc::CopyRequest& request,
+                           const rpc::Responder<rpc::CopyReply>& done) {
+      ++requests;
+      wagtailpick::claims::CopyPage page;
+      page.source = index;
+      page.source_incarnation = 2;
+      page.for_incarnation = request.incarnation();
+      page.copy_id = request.copy_id();
+      page.number = request.page();
+      page.restart = true;
+      done(rpc::ToWire(page));
+    };
+    for (int port = 18'200; server == nullptr && port < 18'300; ++port) {
+      address = "127.0.0.1:" + std::to_string(port);
+      auto started = rpc::Server::Start(address, handlers, std::nullopt);
+      if (started) server = std::move(started.value());
+    }
+  }
+
+  std::atomic<int> requests = 0;
+  wagtailpick::claims::ReplicaIndex index = 0;
+  std::string address;
+  std::unique_ptr<rpc::Server> server;
+};
+
+}  // namespace
+
+// Guards against replicas that all lost their disks and flood each other: each answer asked all
+// replicas at once again, so that the number of requests doubled with every round trip.
+Test(claim_service, asks_empty_replicas_once_a_tick) {
+  std::string folder = (std::filesystem::temp_directory_path() / "claim_service_XXXXXX").string();
+  cr_assert(mkdtemp(folder.data()) != nullptr);
+  const auto ops = wagtailpick::storage::PosixFileOps();
+  const std::string path = folder + "/claims";
+  cr_assert(ClaimLog::Create(ops, path));
+  auto log = ClaimLog::Open(ops, path, [](std::uint64_t, std::string_view) {
+    return Result<void>(wagtailpick::base::Ok());
+  });
+  EmptyReplica first;
+  EmptyReplica second;
+  first.index = 1;
+  second.index = 2;
+  ControllerOptions options;
+  options.replicas = {"127.0.0.1:1", first.address, second.address};
+  RecoveredClaims recovered;
+  recovered.incarnation = 2;
+  EventLoop loop(1'024);
+  wagtailpick::timeline::EventRing events("vm", 16);
+  ClaimService service(options, std::move(log.value()), recovered, loop, events);
+  std::atomic<int> ticks = 0;
+  loop.Start(std::chrono::milliseconds(100), [&] {
+    ++ticks;
+    service.Tick();
+  });
+  while (ticks < 10) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  loop.Stop();
+  cr_expect(first.requests > 0);
+  cr_expect(first.requests + second.requests <= 2 * ticks);
+  std::filesystem::remove_all(folder);
+}
