--- a/src/libs/node/mesh.h
+++ b/src/libs/node/mesh.h
@@ -47,7 +47,7 @@
   /// How long the link to a replica has been down; zero while it is up.
   base::Duration DownFor(const std::string& replica, base::MonotonicTime now) const;
   /// The nearest replica whose link is up, the same one as long as it stays up; empty when there is
-  /// none. Entries of one VM prefer different ones of equal distance, so that the load is divided.
+  /// none. Of several that are equally near, different VMs take different ones.
   std::string Nearest(const placement::NetworkDistance& network, const std::string& vm) const;
 
   /// All known replicas with the addresses at which they take orders, as far as known.
--- a/src/libs/node/node_options.h
+++ b/src/libs/node/node_options.h
@@ -42,7 +42,7 @@
   NodeOptions node;
   /// Where orders and announcements are taken.
   base::Endpoint orders;
-  /// Where callers ask for entries; may equal `orders`' VM with another port.
+  /// Where callers ask for entries; the same listener serves both when it equals `orders`.
   base::Endpoint directory;
   std::string data_folder;
   /// The whole system starts for the first time, with empty disks.
