Count requests where they are sent, index upstreams by service

Cause: Chooser::Choose counted a request in the census and took a cold upstream's turn, so a second sending that was considered and dropped counted as well. For each request the table of all services was walked, and the slots an object needs were worked out for each candidate. Start, signals and reload stood in both roles of wagtailpick_edge, the parsing of arguments in three programs.

Ruled out: a token that is given back when the choice is not followed; it needs a second path for each way in which a request can end before its sending.

Now NoteRequest counts the object, NoteSent the cold turn; UpstreamTable has indexes by service and by address; role_loop and settings/command_line hold the common parts. The soak keeps its folder and prints its faults when a promise was broken.

Before: ten choices that aren't sent use up a cold upstream's second (the new test fails). After: test_placement and test_upstreams pass. Unused accessors are gone.

--- a/src/app/wagtailpick_edge/main.cpp
+++ b/src/app/wagtailpick_edge/main.cpp
@@ -1,20 +1,18 @@
-#include <docopt/docopt.h>
-
 #include <cstdlib>
 #include <iostream>
-#include <map>
 #include <string>
-#include <vector>
 
 #include "logging/log.h"
+#include "settings/command_line.h"
 #include "wagtailpick_edge/edge_settings.h"
+#include "wagtailpick_edge/role_loop.h"
 #include "wagtailpick_edge/serve_control.h"
 #include "wagtailpick_edge/serve_entry.h"
-#include "wagtailpick_edge/signals.h"
 
 namespace {
 
 namespace edge = wagtailpick::wagtailpick_edge;
+namespace settings = wagtailpick::settings;
 
 constexpr const char* kUsage =
     R"(wagtailpick_edge: one VM of the steering system on a provider's platform.
@@ -39,46 +37,33 @@
   return path == nullptr ? std::string() : path;
 }
 
-int Run(const std::string& path, bool check) {
+int Run(const settings::Arguments& arguments) {
+  const std::string path = SettingsPath(arguments.at("--config"));
+  if (path.empty()) {
+    std::cerr << "wagtailpick_edge: no settings: give --config or set WAGTAILPICK_CONFIG\n";
+    return settings::kExitWrongInput;
+  }
   const auto loaded = edge::LoadEdgeSettings(path);
   if (!loaded) {
     std::cerr << loaded.error().message << "\n";
-    return edge::kExitWrongInput;
+    return settings::kExitWrongInput;
   }
-  if (check) return 0;
-  const auto& settings = loaded.value();
-  const auto& node = settings.node();
+  if (arguments.at("--check").asBool()) return 0;
+  const auto& edge_settings = loaded.value();
+  const auto& node = edge_settings.node();
   const auto logging =
-      wagtailpick::logging::Start({node.vm, node.data_centre, settings.log_file, true});
+      wagtailpick::logging::Start({node.vm, node.data_centre, edge_settings.log_file, true});
   if (!logging) {
     std::cerr << "wagtailpick_edge: " << logging.error().message << "\n";
     return edge::kExitCannotStart;
   }
-  if (settings.entry) return edge::ServeEntry(*settings.entry, path);
-  return edge::ServeControl(*settings.control, path);
+  if (edge_settings.entry) return edge::ServeEntry(*edge_settings.entry, path);
+  return edge::ServeControl(*edge_settings.control, path);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::vector<std::string> words(argv + 1, argv + argc);
-  std::map<std::string, docopt::value> arguments;
-  try {
-    arguments = docopt::docopt_parse(kUsage, words, true, true);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << "wagtailpick_edge " << WAGTAILPICK_VERSION << "\n";
-    return 0;
-  } catch (const std::exception& error) {
-    std::cerr << "wagtailpick_edge: " << error.what() << "\n" << kUsage;
-    return edge::kExitWrongInput;
-  }
-  const std::string path = SettingsPath(arguments.at("--config"));
-  if (path.empty()) {
-    std::cerr << "wagtailpick_edge: no settings: give --config or set WAGTAILPICK_CONFIG\n";
-    return edge::kExitWrongInput;
-  }
-  return Run(path, arguments.at("--check").asBool());
+  const settings::CommandLine command_line{"wagtailpick_edge", WAGTAILPICK_VERSION, kUsage};
+  return settings::RunCommandLine(command_line, argc, argv, Run);
 }
--- /dev/null
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -0,0 +1,46 @@
+#include "wagtailpick_edge/role_loop.h"
+
+#include <asio/signal_set.hpp>
+#include <csignal>
+
+#include "logging/log.h"
+#include "wagtailpick_edge/edge_settings.h"
+
+namespace wagtailpick::wagtailpick_edge {
+namespace {
+
+using logging::Level;
+
+void Reload(const std::string& settings_path, const RoleHooks& hooks) {
+  const auto settings = LoadEdgeSettings(settings_path);
+  if (!settings) return logging::Write(Level::kError, "reload_failed", settings.error().message);
+  logging::Write(Level::kInfo, "settings_reloaded", settings_path);
+  hooks.reload(settings.value().node());
+}
+
+}  // namespace
+
+int RunRole(asio::io_context& loop, const std::string& settings_path, const std::string& serving,
+            const RoleHooks& hooks) {
+  logging::Write(Level::kInfo, "process_started", serving);
+  asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+  const std::function<void()> wait = [&] {
+    signals.async_wait([&](asio::error_code error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        Reload(settings_path, hooks);
+      } else {
+        logging::Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
+        hooks.stop([&loop] { loop.stop(); });
+      }
+      wait();
+    });
+  };
+  wait();
+  loop.run();
+  logging::Write(Level::kInfo, "process_stopped", "");
+  logging::Stop();
+  return 0;
+}
+
+}  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_control.cpp
+++ b/src/app/wagtailpick_edge/serve_control.cpp
@@ -4,12 +4,10 @@
 #include <iostream>
 #include <memory>
 
-#include "logging/log.h"
 #include "node/control_node.h"
 #include "platform/catalog_json.h"
 #include "platform/control_api.h"
-#include "wagtailpick_edge/edge_settings.h"
-#include "wagtailpick_edge/signals.h"
+#include "wagtailpick_edge/role_loop.h"
 
 namespace wagtailpick::wagtailpick_edge {
 
@@ -32,26 +30,12 @@
     return kExitCannotStart;
   }
   control = std::move(started.value());
-  logging::Write(logging::Level::kInfo, "process_started",
-                 "control on " + base::ToString(options.orders));
-  SignalWatch signals(loop);
-  signals.Start(
-      [&] {
-        logging::Write(logging::Level::kInfo, "process_stopping", "SIGTERM");
-        loop.stop();
-      },
-      [&] {
-        const auto settings = LoadEdgeSettings(settings_path);
-        if (!settings) {
-          return logging::Write(logging::Level::kError, "reload_failed", settings.error().message);
-        }
-        logging::Write(logging::Level::kInfo, "settings_reloaded", settings_path);
-        control->LearnSeeds(settings.value().node().seeds);
-      });
-  loop.run();
-  logging::Write(logging::Level::kInfo, "process_stopped", "");
-  logging::Stop();
-  return 0;
+  RoleHooks role;
+  role.stop = [](const std::function<void()>& done) { done(); };
+  role.reload = [&control](const node::NodeOptions& settings) {
+    control->LearnSeeds(settings.seeds);
+  };
+  return RunRole(loop, settings_path, "control on " + base::ToString(options.orders), role);
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_entry.cpp
+++ b/src/app/wagtailpick_edge/serve_entry.cpp
@@ -1,19 +1,15 @@
 #include "wagtailpick_edge/serve_entry.h"
 
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
-#include <csignal>
 #include <functional>
 #include <iostream>
 #include <memory>
 
-#include "logging/log.h"
 #include "node/entry_node.h"
 #include "platform/caller_dialect.h"
 #include "platform/catalog_json.h"
 #include "platform/entry_api.h"
-#include "wagtailpick_edge/edge_settings.h"
-#include "wagtailpick_edge/signals.h"
+#include "wagtailpick_edge/role_loop.h"
 
 namespace wagtailpick::wagtailpick_edge {
 
@@ -31,26 +27,10 @@
     return kExitCannotStart;
   }
   entry = std::move(started.value());
-  logging::Write(logging::Level::kInfo, "process_started",
-                 "entry on " + base::ToString(options.callers));
-  SignalWatch signals(loop);
-  signals.Start(
-      [&] {
-        logging::Write(logging::Level::kInfo, "process_stopping", "SIGTERM");
-        entry->Drain([&loop] { loop.stop(); });
-      },
-      [&] {
-        const auto settings = LoadEdgeSettings(settings_path);
-        if (!settings) {
-          return logging::Write(logging::Level::kError, "reload_failed", settings.error().message);
-        }
-        logging::Write(logging::Level::kInfo, "settings_reloaded", settings_path);
-        entry->LearnSeeds(settings.value().node().seeds);
-      });
-  loop.run();
-  logging::Write(logging::Level::kInfo, "process_stopped", "");
-  logging::Stop();
-  return 0;
+  RoleHooks role;
+  role.stop = [&entry](std::function<void()> done) { entry->Drain(std::move(done)); };
+  role.reload = [&entry](const node::NodeOptions& settings) { entry->LearnSeeds(settings.seeds); };
+  return RunRole(loop, settings_path, "entry on " + base::ToString(options.callers), role);
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpickd/main.cpp
+++ b/src/app/wagtailpickd/main.cpp
@@ -1,20 +1,19 @@
-#include <docopt/docopt.h>
-
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <map>
 #include <string>
-#include <vector>
 
 #include "controller/controller.h"
 #include "logging/log.h"
+#include "settings/command_line.h"
 #include "wagtailpickd/daemon.h"
 #include "wagtailpickd/node_settings.h"
 
 namespace {
 
+namespace settings = wagtailpick::settings;
+
 constexpr const char* kUsage = R"(wagtailpickd: one VM of the traffic steering system.
 
 Usage:
@@ -36,24 +35,23 @@
 /// Above the longest lookup lifetime plus the longest request deadline (10 s each).
 constexpr std::chrono::seconds kLongestDrain{25};
 constexpr int kExitCannotStart = 1;
-constexpr int kExitWrongInput = 2;
 
 using wagtailpick::logging::Level;
 using wagtailpick::logging::Write;
 
-int Serve(const wagtailpick::wagtailpickd::NodeSettings& settings) {
+int Serve(const wagtailpick::wagtailpickd::NodeSettings& node) {
   // All threads inherit the blocked signals, so that only the wait below takes them.
   sigset_t stop_signals;
   sigemptyset(&stop_signals);
   sigaddset(&stop_signals, SIGTERM);
   sigaddset(&stop_signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
-  auto daemon = wagtailpick::wagtailpickd::Daemon::Start(settings);
+  auto daemon = wagtailpick::wagtailpickd::Daemon::Start(node);
   if (!daemon) {
     std::cerr << "wagtailpickd: " << daemon.error().message << "\n";
     return kExitCannotStart;
   }
-  Write(Level::kInfo, "process_started", "serving on " + settings.rpc_address);
+  Write(Level::kInfo, "process_started", "serving on " + node.rpc_address);
   int signal = 0;
   sigwait(&stop_signals, &signal);
   Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
@@ -65,42 +63,26 @@
   return 0;
 }
 
-int InitGroup(const wagtailpick::wagtailpickd::NodeSettings& settings) {
-  if (!settings.control) {
+int InitGroup(const wagtailpick::wagtailpickd::NodeSettings& node) {
+  if (!node.control) {
     std::cerr << "wagtailpickd: --init-group needs the role control\n";
-    return kExitWrongInput;
+    return settings::kExitWrongInput;
   }
-  const auto done = wagtailpick::controller::Controller::InitGroup(*settings.control);
+  const auto done = wagtailpick::controller::Controller::InitGroup(*node.control);
   if (done) return 0;
   std::cerr << "wagtailpickd: " << done.error().message << "\n";
   return kExitCannotStart;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  const std::vector<std::string> words(argv + 1, argv + argc);
-  std::map<std::string, docopt::value> arguments;
-  try {
-    arguments = docopt::docopt_parse(kUsage, words, true, true);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << "wagtailpickd " << WAGTAILPICK_VERSION << "\n";
-    return 0;
-  } catch (const std::exception& error) {
-    std::cerr << "wagtailpickd: " << error.what() << "\n" << kUsage;
-    return kExitWrongInput;
-  }
-  const auto settings =
+int Run(const settings::Arguments& arguments) {
+  const auto loaded =
       wagtailpick::wagtailpickd::LoadNodeSettings(arguments.at("--config").asString());
-  if (!settings) {
-    std::cerr << settings.error().message << "\n";
-    return kExitWrongInput;
+  if (!loaded) {
+    std::cerr << loaded.error().message << "\n";
+    return settings::kExitWrongInput;
   }
   if (arguments.at("--check").asBool()) return 0;
-  const auto& node = settings.value();
+  const auto& node = loaded.value();
   if (arguments.at("--init-group").asBool()) return InitGroup(node);
   const auto logging = wagtailpick::logging::Start({node.vm, node.data_centre, node.log_file});
   if (!logging) {
@@ -109,3 +91,10 @@
   }
   return Serve(node);
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const settings::CommandLine command_line{"wagtailpickd", WAGTAILPICK_VERSION, kUsage};
+  return settings::RunCommandLine(command_line, argc, argv, Run);
+}
--- a/src/libs/net/upstream_pool.cpp
+++ b/src/libs/net/upstream_pool.cpp
@@ -36,7 +36,6 @@
     if (IsFresh(*connection, now, max_idle)) return connection;
     connection->Close();
   }
-  ++opened_;
   auto connection = std::make_shared<UpstreamConnection>(loop_, endpoint, limits_);
   connection->on_idle = [weak = std::weak_ptr(idle_),
                          key](const std::shared_ptr<UpstreamConnection>& freed) {
--- a/src/libs/net/upstream_pool.h
+++ b/src/libs/net/upstream_pool.h
@@ -26,7 +26,6 @@
   void CloseStale(base::MonotonicTime now);
 
   /// Connections made since the start.
-  std::uint64_t opened() const { return opened_; }
 
  private:
   using Idle = std::vector<std::shared_ptr<UpstreamConnection>>;
@@ -34,7 +33,6 @@
   asio::io_context& loop_;
   MessageLimits limits_;
   std::shared_ptr<std::unordered_map<std::string, Idle>> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace wagtailpick::net
--- a/src/libs/placement/choice.h
+++ b/src/libs/placement/choice.h
@@ -50,6 +50,8 @@
   base::Duration expected_work{};
   /// Whether the object was expected to be warm there.
   bool warm = false;
+  /// Whether the upstream has just started and bounds its requests.
+  bool cold_start = false;
   /// Age of the upstream's last announcement.
   base::Duration heard_age{};
   /// The upstream's load as it was believed, and its slots.
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -71,7 +71,7 @@
 bool Chooser::IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
                           const Beliefs& beliefs, base::MonotonicTime now) const {
   const auto& report = known.report;
-  if (report.service != demand.service || report.state != upstreams::State::kReady) return false;
+  if (report.state != upstreams::State::kReady) return false;
   if (beliefs.evacuated->contains(report.data_centre)) return false;
   if (now - known.heard_at > kSilence) return false;
   const auto& homes = demand.route->home_regions;
@@ -81,12 +81,12 @@
 std::vector<Chooser::Candidate> Chooser::Candidates(const Demand& demand, const Beliefs& beliefs,
                                                     base::MonotonicTime now) {
   std::vector<Candidate> candidates;
-  for (const auto& [id, known] : beliefs.upstreams->all()) {
-    if (!IsCandidate(known, demand, beliefs, now)) continue;
+  for (const auto* known : beliefs.upstreams->OfService(demand.service)) {
+    if (!IsCandidate(*known, demand, beliefs, now)) continue;
     Candidate candidate;
-    candidate.known = &known;
-    candidate.condition = &conditions_[id];
-    candidate.cold_start = now < known.cold_until;
+    candidate.known = known;
+    candidate.condition = &conditions_[known->report.id];
+    candidate.cold_start = now < known->cold_until;
     candidates.push_back(candidate);
   }
   KeepObjectsUpstreams(demand, candidates);
@@ -117,16 +117,19 @@
   }
 }
 
-void Chooser::Estimate(const Demand& demand, Candidate& candidate, base::MonotonicTime now) {
+void Chooser::Estimate(const Demand& demand, double slots_per_object, Candidate& candidate,
+                       base::MonotonicTime now) {
   const auto& report = candidate.known->report;
   const auto& estimate = work_.At(demand.route->name, demand.route->objective);
   const bool known = candidate.condition->KnowsObject(demand.object, now);
-  const double by_rank = candidate.rank < WarmRanks(demand, report.slots) ? kWarmFirst : kWarmOther;
+  const double slots = std::max<double>(report.slots, 1);
+  const bool warmed = static_cast<double>(candidate.rank) < std::ceil(slots_per_object / slots) ||
+                      candidate.rank == 0;
+  const double by_rank = warmed ? kWarmFirst : kWarmOther;
   const bool sticky = demand.route->sticky && demand.object != 0;
   candidate.warm_chance = !sticky ? 0 : known ? kWarmKnown : by_rank;
   const auto mixed = Scale(estimate.warm(), candidate.warm_chance) +
                      Scale(estimate.cold(), 1.0 - candidate.warm_chance);
-  const double slots = std::max<double>(report.slots, 1);
   const double load = candidate.condition->Load(now);
   const double slowness = candidate.condition->slowness();
   candidate.work = Scale(mixed, slowness);
@@ -143,12 +146,13 @@
                    Scale(turn, kCollisionWeight * std::min(1.0, load / slots));
 }
 
-std::size_t Chooser::WarmRanks(const Demand& demand, std::uint32_t slots) {
+// Slots that the demand's object needs over all entries, so that none of its upstreams is too busy
+// with it.
+double Chooser::SlotsPerObject(const Demand& demand) {
   const auto& estimate = work_.At(demand.route->name, demand.route->objective);
   const double busy = census_.RatePerObject(demand.service, entry_count_, network_.region_count()) *
                       std::chrono::duration<double>(estimate.warm()).count();
-  const double needed = busy / (static_cast<double>(std::max(slots, 1U)) * kBusyPerObject);
-  return static_cast<std::size_t>(std::max(1.0, std::ceil(needed)));
+  return busy / kBusyPerObject;
 }
 
 // An answer that comes after its objective is worth little, and the slot that it takes would have
@@ -168,7 +172,6 @@
 Choice Chooser::Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now) {
   Choice choice;
   const auto* service = beliefs.catalog->FindService(demand.service);
-  census_.Note(demand.service, demand.object, now);
   auto candidates = Candidates(demand, beliefs, now);
   choice.candidates = candidates.size();
   choice.refusal = Refusal::kNoUpstream;
@@ -178,7 +181,8 @@
   });
   choice.refusal = Refusal::kColdLimit;
   if (candidates.empty()) return choice;
-  for (auto& candidate : candidates) Estimate(demand, candidate, now);
+  const double slots_per_object = SlotsPerObject(demand);
+  for (auto& candidate : candidates) Estimate(demand, slots_per_object, candidate, now);
   const auto& best =
       *std::min_element(candidates.begin(), candidates.end(),
                         [](const auto& a, const auto& b) { return a.cost < b.cost; });
@@ -194,13 +198,14 @@
   choice.data_centre = best.known->report.data_centre;
   choice.refusal = Refusal::kNoRoom;
   if (!Accepts(demand, best)) return choice;
-  if (best.cold_start) pacer_.TryTake(choice.upstream, *service, now);
+  choice.cold_start = best.cold_start;
   choice.refusal = Refusal::kNone;
   return choice;
 }
 
 void Chooser::NoteSent(const Choice& choice, base::MonotonicTime now) {
-  conditions_[choice.upstream].NoteSent(now);
+  conditions_[choice.upstream].NoteSent();
+  if (choice.cold_start) pacer_.Count(choice.upstream, now);
 }
 
 void Chooser::NoteEnd(const Choice& choice, const Demand& demand, Outcome outcome,
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -31,10 +31,15 @@
  public:
   Chooser(NetworkDistance network, ColdPacer pacer);
 
-  /// Chooses for `demand` and counts a cold upstream's request.
+  /// Counts a request that has come, for the rate of its object.
+  void NoteRequest(const Demand& demand, base::MonotonicTime now) {
+    census_.Note(demand.service, demand.object, now);
+  }
+
+  /// Chooses for `demand`; counts nothing, as the choice may not be followed.
   Choice Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now);
 
-  /// The request was sent to the chosen upstream.
+  /// The request is sent to the chosen upstream; a cold one's bound counts it.
   void NoteSent(const Choice& choice, base::MonotonicTime now);
   /// It ended there, `took` after it was sent.
   void NoteEnd(const Choice& choice, const Demand& demand, Outcome outcome, base::Duration took,
@@ -58,8 +63,9 @@
   std::vector<Candidate> Candidates(const Demand& demand, const Beliefs& beliefs,
                                     base::MonotonicTime now);
   void KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const;
-  void Estimate(const Demand& demand, Candidate& candidate, base::MonotonicTime now);
-  std::size_t WarmRanks(const Demand& demand, std::uint32_t slots);
+  void Estimate(const Demand& demand, double slots_per_object, Candidate& candidate,
+                base::MonotonicTime now);
+  double SlotsPerObject(const Demand& demand);
   bool Accepts(const Demand& demand, const Candidate& best);
 
   NetworkDistance network_;
--- a/src/libs/placement/cold_pacer.cpp
+++ b/src/libs/placement/cold_pacer.cpp
@@ -48,14 +48,11 @@
   return static_cast<std::uint32_t>(used) < share;
 }
 
-bool ColdPacer::TryTake(const std::string& upstream, const catalog::Service& service,
-                        base::MonotonicTime now) {
-  if (!MayTake(upstream, service, now)) return false;
+void ColdPacer::Count(const std::string& upstream, base::MonotonicTime now) {
   if (recent_.size() > kMaxUpstreams) recent_.clear();
   auto& times = recent_[upstream];
   std::erase_if(times, [now](auto at) { return now - at >= kWindow; });
   times.push_back(now);
-  return true;
 }
 
 }  // namespace wagtailpick::placement
--- a/src/libs/placement/cold_pacer.h
+++ b/src/libs/placement/cold_pacer.h
@@ -26,14 +26,13 @@
   /// The entries of the system, this one included.
   void SetEntries(std::vector<std::string> entries) { entries_ = std::move(entries); }
 
-  /// Whether one more request may go to the cold upstream now; counts it if so.
-  bool TryTake(const std::string& upstream, const catalog::Service& service,
-               base::MonotonicTime now);
-
-  /// As `TryTake`, without counting.
+  /// Whether one more request may go to the cold upstream now.
   bool MayTake(const std::string& upstream, const catalog::Service& service,
                base::MonotonicTime now) const;
 
+  /// Counts a request that goes to the cold upstream.
+  void Count(const std::string& upstream, base::MonotonicTime now);
+
  private:
   std::uint32_t ShareOf(const std::string& upstream, const catalog::Service& service) const;
 
--- a/src/libs/placement/upstream_condition.cpp
+++ b/src/libs/placement/upstream_condition.cpp
@@ -26,8 +26,6 @@
 
 }  // namespace
 
-void UpstreamCondition::NoteSent(base::MonotonicTime /*now*/) { ++in_flight_; }
-
 void UpstreamCondition::NoteEnd(Outcome outcome, base::MonotonicTime now) {
   if (in_flight_ > 0) --in_flight_;
   switch (outcome) {
--- a/src/libs/placement/upstream_condition.h
+++ b/src/libs/placement/upstream_condition.h
@@ -31,7 +31,7 @@
 /// What one entry has seen of one upstream.
 class UpstreamCondition {
  public:
-  void NoteSent(base::MonotonicTime now);
+  void NoteSent() { ++in_flight_; }
   void NoteEnd(Outcome outcome, base::MonotonicTime now);
   void NoteLoad(const LoadReport& load, base::MonotonicTime now);
   /// The answer took `ratio` times the expected work.
@@ -43,7 +43,6 @@
 
   /// Requests at the upstream: this entry's own, and those of others as last reported.
   double Load(base::MonotonicTime now) const;
-  std::uint32_t in_flight() const { return in_flight_; }
 
   /// Work on it takes this many times as long as on the others.
   double slowness() const { return slowness_; }
@@ -54,9 +53,6 @@
   /// Whether new work may be sent after its failures; `heard_at` is its last announcement.
   bool Usable(base::MonotonicTime heard_at, base::MonotonicTime now) const;
 
-  /// When this entry last lost contact with it.
-  std::optional<base::MonotonicTime> unreachable_at() const { return unreachable_at_; }
-
  private:
   void CountFailure(base::MonotonicTime now);
 
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -79,6 +79,7 @@
   deadline_ =
       inbound_->received_at + std::min(route.timeout, terms_.deadline.value_or(kLongestWait));
   demand_.object = placement::ObjectOnRoute(terms_.object, route.name);
+  relay_.chooser_.NoteRequest(demand_, inbound_->received_at);
   relay_.allowance_.NoteRequest(demand_.service, inbound_->received_at);
   inbound_->on_client_left = [self = shared_from_this()] { self->ClientLeft(); };
   timer_.expires_after(deadline_ - base::MonotonicNow());
--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -18,20 +18,64 @@
          a.address == b.address && a.slots == b.slots && a.data_centre == b.data_centre;
 }
 
+template <typename Pointer>
+using Index = std::map<std::string, std::vector<Pointer>>;
+
+template <typename Pointer>
+const std::vector<Pointer>& At(const Index<Pointer>& index, const std::string& key) {
+  static const std::vector<Pointer> kNone;
+  const auto found = index.find(key);
+  return found == index.end() ? kNone : found->second;
+}
+
+template <typename Pointer>
+void RemoveFrom(Index<Pointer>& index, const std::string& key, const KnownUpstream* known) {
+  const auto found = index.find(key);
+  if (found == index.end()) return;
+  std::erase(found->second, known);
+  if (found->second.empty()) index.erase(found);
+}
+
 }  // namespace
 
+void UpstreamTable::Put(const KnownUpstream& known) {
+  const auto found = upstreams_.find(known.report.id);
+  if (found != upstreams_.end() && found->second.report.service == known.report.service &&
+      found->second.report.address == known.report.address) {
+    found->second = known;
+    return;
+  }
+  Remove(known.report.id);
+  auto& stored = upstreams_[known.report.id];
+  stored = known;
+  by_service_[known.report.service].push_back(&stored);
+  by_address_[known.report.address].push_back(&stored);
+}
+
+void UpstreamTable::Remove(const std::string& id) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  RemoveFrom(by_service_, found->second.report.service, &found->second);
+  RemoveFrom(by_address_, found->second.report.address, &found->second);
+  upstreams_.erase(found);
+}
+
+const std::vector<const KnownUpstream*>& UpstreamTable::OfService(
+    const std::string& service) const {
+  return At(by_service_, service);
+}
+
 bool UpstreamTable::IsSuperseded(const UpstreamReport& report) const {
-  return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
-    const auto& known = item.second.report;
-    return known.id != report.id && known.address == report.address &&
-           known.started_unix_ms > report.started_unix_ms;
+  const auto& same_address = At(by_address_, report.address);
+  return std::any_of(same_address.begin(), same_address.end(), [&](const auto* known) {
+    return known->report.id != report.id && known->report.started_unix_ms > report.started_unix_ms;
   });
 }
 
 void UpstreamTable::RetireOthersAt(const UpstreamReport& report) {
-  for (auto& [id, known] : upstreams_) {
-    if (id == report.id || known.report.address != report.address) continue;
-    if (known.report.started_unix_ms < report.started_unix_ms) known.report.state = State::kLeft;
+  for (auto* known : At(by_address_, report.address)) {
+    const bool older = known->report.started_unix_ms < report.started_unix_ms;
+    if (known->report.id != report.id && older) known->report.state = State::kLeft;
   }
 }
 
@@ -41,7 +85,7 @@
   const auto cold_until = heard_at + report.cold_left;
   const auto found = upstreams_.find(report.id);
   if (found != upstreams_.end()) {
-    auto& known = found->second;
+    const auto& known = found->second;
     const bool same_run = known.report.started_unix_ms == report.started_unix_ms;
     if (OrderOf(report) <= OrderOf(known.report)) return Change::kStale;
     // A run that has said that it leaves never takes new work again.
@@ -52,12 +96,12 @@
     const bool cold_changed =
         report.cold_left > base::Duration::zero() && cold_until > known.cold_until + kColdTolerance;
     const bool same = IsSameBelief(known.report, report) && !cold_changed;
-    known = {report, std::max(known.heard_at, heard_at),
-             same_run ? std::max(known.cold_until, cold_until) : cold_until};
+    Put({report, std::max(known.heard_at, heard_at),
+         same_run ? std::max(known.cold_until, cold_until) : cold_until});
     if (same) return Change::kHeard;
   } else {
     if (IsSuperseded(report)) return Change::kStale;
-    upstreams_[report.id] = {report, heard_at, cold_until};
+    Put({report, heard_at, cold_until});
   }
   RetireOthersAt(report);
   return Change::kChanged;
@@ -81,7 +125,7 @@
   for (const auto& [id, known] : upstreams_) {
     if (now - known.heard_at > silence) expired.push_back(id);
   }
-  for (const auto& id : expired) upstreams_.erase(id);
+  for (const auto& id : expired) Remove(id);
   return expired;
 }
 
--- a/src/libs/upstreams/upstream_table.h
+++ b/src/libs/upstreams/upstream_table.h
@@ -32,6 +32,11 @@
 /// used again after its upstream has ended, and only the newest run counts.
 class UpstreamTable {
  public:
+  UpstreamTable() = default;
+  // The indexes point into the table.
+  UpstreamTable(const UpstreamTable&) = delete;
+  UpstreamTable& operator=(const UpstreamTable&) = delete;
+
   /// Takes a report that is `age` old.
   Change Apply(const UpstreamReport& report, base::Duration age, base::MonotonicTime now);
 
@@ -51,11 +56,19 @@
 
   const std::map<std::string, KnownUpstream>& all() const { return upstreams_; }
 
+  /// The upstreams of a service, in any state.
+  const std::vector<const KnownUpstream*>& OfService(const std::string& service) const;
+
  private:
+  /// Replaces what is known of the report's upstream.
+  void Put(const KnownUpstream& known);
+  void Remove(const std::string& id);
   bool IsSuperseded(const UpstreamReport& report) const;
   void RetireOthersAt(const UpstreamReport& report);
 
   std::map<std::string, KnownUpstream> upstreams_;
+  std::map<std::string, std::vector<const KnownUpstream*>> by_service_;
+  std::map<std::string, std::vector<KnownUpstream*>> by_address_;
 };
 
 }  // namespace wagtailpick::upstreams
--- a/src/tools/wagtailpick/main.cpp
+++ b/src/tools/wagtailpick/main.cpp
@@ -1,13 +1,11 @@
-#include <docopt/docopt.h>
-
 #include <charconv>
 #include <iostream>
-#include <map>
 #include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
 
+#include "settings/command_line.h"
 #include "wagtailpick/bundle_commands.h"
 #include "wagtailpick/control_commands.h"
 #include "wagtailpick/exit_codes.h"
@@ -42,9 +40,8 @@
 Exit codes: 0 done, 1 refused or unreachable, 2 wrong arguments, file or bundle.
 )";
 
-using wagtailpick::tool::kExitDone;
+using wagtailpick::settings::Arguments;
 using wagtailpick::tool::kExitWrongInput;
-using Arguments = std::map<std::string, docopt::value>;
 
 std::vector<std::string> SplitAddresses(const std::string& text) {
   std::vector<std::string> parts;
@@ -103,17 +100,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::vector<std::string> words(argv + 1, argv + argc);
-  try {
-    return Run(docopt::docopt_parse(kUsage, words, true, true));
-  } catch (const docopt::DocoptExitHelp&) {
-    std::cout << kUsage;
-    return kExitDone;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::cout << "wagtailpick " << WAGTAILPICK_VERSION << "\n";
-    return kExitDone;
-  } catch (const std::exception& error) {
-    std::cerr << "wagtailpick: " << error.what() << "\n" << kUsage;
-    return kExitWrongInput;
-  }
+  const wagtailpick::settings::CommandLine command_line{"wagtailpick", WAGTAILPICK_VERSION, kUsage};
+  return wagtailpick::settings::RunCommandLine(command_line, argc, argv, Run);
 }
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -147,11 +147,27 @@
     world.Announce(id, std::string(id) == "far" ? "b1" : "a1", seconds(3));
   }
   int sent = 0;
-  while (world.Choose(world.Ask()).refusal == Refusal::kNone) ++sent;
+  while (true) {
+    const auto choice = world.Choose(world.Ask());
+    if (choice.refusal != Refusal::kNone) break;
+    world.chooser.NoteSent(choice, kStart);
+    ++sent;
+  }
   cr_expect(sent == 3);
   cr_expect(world.Choose(world.Ask()).refusal == Refusal::kColdLimit);
 }
 
+// Guards against a second sending that is considered and not made, and still uses up the rate of a
+// cold upstream.
+Test(chooser, counts_only_what_is_sent_to_a_cold_upstream) {
+  World world;
+  world.evacuated = {"a2", "b1"};
+  world.Announce("near1", "a1", seconds(3));
+  for (int i = 0; i < 10; ++i) cr_expect(world.Choose(world.Ask()).refusal == Refusal::kNone);
+  world.chooser.NoteSent(world.Choose(world.Ask()), kStart);
+  cr_expect(world.Choose(world.Ask()).refusal == Refusal::kColdLimit);
+}
+
 // Guards against the load of crust-preorder's scale days, where each upstream saw every object and
 // ran nearly everything cold. Without the objects' order the same load has to fail, or the replay
 // would show nothing.
--- a/tests/auto/placement/cold_pacer_test.cpp
+++ b/tests/auto/placement/cold_pacer_test.cpp
@@ -25,7 +25,10 @@
   std::vector<std::int64_t> sent;
   for (std::int64_t ms = 0; ms < 8'000; ms += 5) {
     for (auto& entry : entries) {
-      if (entry.TryTake("i-1", service, MonotonicTime() + milliseconds(ms))) sent.push_back(ms);
+      if (entry.MayTake("i-1", service, MonotonicTime() + milliseconds(ms))) {
+        entry.Count("i-1", MonotonicTime() + milliseconds(ms));
+        sent.push_back(ms);
+      }
     }
   }
   std::size_t worst = 0;
--- a/tests/auto/placement/load_replay.cpp
+++ b/tests/auto/placement/load_replay.cpp
@@ -120,6 +120,7 @@
     const bool measured = now >= MonotonicTime() + kMeasuredFrom;
     asked_ += measured ? 1 : 0;
     const std::set<std::string> evacuated;
+    entries_[entry].NoteRequest(job.demand, now);
     job.choice = entries_[entry].Choose(job.demand, {&table_, &catalog_, &evacuated}, now);
     if (job.choice.refusal != placement::Refusal::kNone) return;
     entries_[entry].NoteSent(job.choice, now);
--- a/tests/auto/processes/harness/work_folder.cpp
+++ b/tests/auto/processes/harness/work_folder.cpp
@@ -18,7 +18,7 @@
 }
 
 WorkFolder::~WorkFolder() {
-  if (std::uncaught_exceptions() > 0) {
+  if (keep_ || std::uncaught_exceptions() > 0) {
     std::cerr << "the logs of the failed test are in " << path_ << "\n";
     return;
   }
--- a/tests/auto/processes/harness/work_folder.h
+++ b/tests/auto/processes/harness/work_folder.h
@@ -4,8 +4,8 @@
 
 namespace wagtailpick::processes {
 
-/// A fresh temporary folder, removed at the end unless an exception is on its way: then its logs
-/// are needed, and its path is printed.
+/// A fresh temporary folder, removed at the end unless it is to be kept or an exception is on its
+/// way: then its logs are needed, and its path is printed.
 class WorkFolder {
  public:
   WorkFolder();
@@ -25,8 +25,12 @@
   /// Makes an empty folder out of `name`, whatever it held.
   std::string MakeEmpty(const std::string& name) const;
 
+  /// Leaves the folder where it is at the end.
+  void Keep() { keep_ = true; }
+
  private:
   std::string path_;
+  bool keep_ = false;
 };
 
 }  // namespace wagtailpick::processes
--- a/tests/auto/upstreams/upstream_table_test.cpp
+++ b/tests/auto/upstreams/upstream_table_test.cpp
@@ -93,3 +93,28 @@
   table.Chill("mvd-a", kStart + seconds(20));
   cr_expect(table.Find("a")->cold_until == kStart + seconds(20));
 }
+
+// Guards against an index that still names an upstream under the service or address it had before,
+// or after it was forgotten.
+Test(upstream_table, finds_the_upstreams_of_a_service) {
+  UpstreamTable table;
+  Apply(table, Report("a", 1, 1));
+  auto moved = Report("b", 1, 1);
+  moved.address = "10.0.0.2:80";
+  Apply(table, moved);
+  cr_expect(table.OfService("menu").size() == 2);
+  moved.sequence = 2;
+  moved.service = "deposits";
+  moved.address = "10.0.0.3:80";
+  cr_expect(Apply(table, moved) == Change::kChanged);
+  cr_expect(table.OfService("menu").size() == 1);
+  cr_assert(table.OfService("deposits").size() == 1);
+  cr_expect(table.OfService("deposits").front()->report.address == "10.0.0.3:80");
+  // The address that it had is free for others, also for those that started earlier.
+  auto other = Report("c", 0, 1);
+  other.address = "10.0.0.2:80";
+  cr_expect(Apply(table, other) == Change::kChanged);
+  table.Expire(seconds(1), kStart + seconds(5));
+  cr_expect(table.OfService("menu").empty());
+  cr_expect(table.OfService("deposits").empty());
+}
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -30,8 +30,8 @@
 
   std::string OrdersAddress(std::size_t replica) const;
   std::string CallersAddress(std::size_t entry) const;
-  /// Path of the processes' logs.
-  std::string LogFolder() const { return folder_.Path(""); }
+  /// Leaves the processes' settings, disks and logs where they are, and prints the path.
+  void KeepFolder() { folder_.Keep(); }
 
  private:
   struct Node {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -128,7 +128,10 @@
 
   void Strike(StandinService& service) {
     const std::size_t node = random_() % deployment_.size();
-    switch (random_() % 8) {
+    const auto kind = random_() % 8;
+    history_.push_back(std::to_string(base::WallNowMillis()) + " fault " + std::to_string(kind) +
+                       " at process " + std::to_string(node));
+    switch (kind) {
       case 0:
         deployment_.Kill(node);
         std::this_thread::sleep_for(milliseconds(random_() % 1'500));
@@ -173,6 +176,7 @@
     if (base::MonotonicNow() < disk_loss_due_) return;
     disk_loss_due_ = base::MonotonicNow() + std::chrono::seconds(10);
     const std::size_t node = random_() % deployment_.replica_count();
+    history_.push_back("the disk of process " + std::to_string(node) + " is lost");
     deployment_.Kill(node);
     deployment_.WipeDisk(node);
     deployment_.Start(node);
@@ -203,6 +207,10 @@
     for (std::size_t i = 0; i < deployment_.size(); ++i) {
       if (deployment_.HasEnded(i)) broken.emplace_back("process " + std::to_string(i) + " ended");
     }
+    if (!broken.empty()) {
+      deployment_.KeepFolder();
+      for (const auto& fault : history_) std::cout << fault << "\n";
+    }
     std::cout << "seed " << options_.seed << ": " << ledger_.Summary() << ", served "
               << ledger_.served_share() << ", broken " << broken.size() << std::endl;
     return broken;
@@ -219,6 +227,8 @@
   /// How the last read without a catalog ended.
   std::string last_read_;
   base::MonotonicTime disk_loss_due_;
+  /// Each fault with its Unix time in milliseconds, printed when a promise was broken.
+  std::vector<std::string> history_;
 };
 
 }  // namespace
