Spread objects over regions by the slots that are left over

Cause: a slot in the own region weighed three times any other.

RegionWeights: a region keeps nine tenths of what its slots hold of an equal part of all requests; the rest goes where slots are left over.

--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "placement/region_weights.h"
+
 namespace wagtailpick::placement {
 namespace {
 
@@ -14,8 +16,6 @@
 /// What bytes to another data centre or region are worth in time.
 constexpr base::Duration kSameRegionCost = std::chrono::milliseconds(4);
 constexpr base::Duration kOtherRegionCost = std::chrono::milliseconds(30);
-/// How much more of an object's upstreams lie in the entry's region than elsewhere.
-constexpr double kOwnRegionWeight = 3.0;
 /// Part of an upstream's slots that one object may keep busy; beyond it, the next upstream of the
 /// object's order is warm as well, since all entries need it.
 constexpr double kBusyPerObject = 0.35;
@@ -46,6 +46,10 @@
   return -weight / std::log(uniform);
 }
 
+double SlotsOf(const upstreams::UpstreamReport& report) {
+  return std::max<double>(report.slots, 1);
+}
+
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -100,12 +104,18 @@
 
 void Chooser::KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const {
   if (!demand.route->sticky || demand.object == 0) return;
+  std::map<std::string, double> slots;
+  for (const auto& candidate : candidates) {
+    const auto& report = candidate.known->report;
+    slots[network_.RegionOf(report.data_centre)] += SlotsOf(report);
+  }
+  const auto weights = RegionWeights(network_.region(), slots, network_.region_count());
   std::vector<std::pair<double, Candidate>> ranked;
   ranked.reserve(candidates.size());
   for (const auto& candidate : candidates) {
     const auto& report = candidate.known->report;
-    const bool own = network_.To(report.data_centre) != Distance::kOtherRegion;
-    ranked.emplace_back(RankOf(demand.object, report.id, own ? kOwnRegionWeight : 1.0), candidate);
+    const double weight = weights.at(network_.RegionOf(report.data_centre)) * SlotsOf(report);
+    ranked.emplace_back(RankOf(demand.object, report.id, weight), candidate);
   }
   std::sort(ranked.begin(), ranked.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
@@ -126,7 +136,7 @@
   const auto& report = candidate.known->report;
   const auto& estimate = work_.At(demand.route->name, demand.route->objective);
   const bool known = candidate.condition->KnowsObject(demand.object, now);
-  const double slots = std::max<double>(report.slots, 1);
+  const double slots = SlotsOf(report);
   const bool warmed = static_cast<double>(candidate.rank) < std::ceil(slots_per_object / slots) ||
                       candidate.rank == 0;
   const double by_rank = warmed ? kWarmFirst : kWarmOther;
--- a/src/libs/placement/object_census.cpp
+++ b/src/libs/placement/object_census.cpp
@@ -9,8 +9,8 @@
 
 /// Objects that an upstream is given to handle; it keeps somewhat more.
 constexpr std::size_t kObjectsPerUpstream = 34;
-/// An object needs one upstream, and another for when that one is full. Each further one is cold for
-/// it and pushes another object out of that upstream's memory.
+/// An object needs one upstream, and another for when that one is full. Each further one is cold
+/// for it and pushes another object out of that upstream's memory.
 constexpr std::size_t kMaxSpread = 2;
 constexpr base::Duration kRateWindow = std::chrono::seconds(2);
 constexpr base::Duration kMemory = std::chrono::seconds(30);
