--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -29,7 +29,6 @@
   /// Ends the connections that wait for a request; the others end with their answer.
   void CloseIdle();
 
-
  private:
   HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                std::function<ServerPolicy()> policy);
