Add "wagtailpick explain" for the story of one request

Cause: docs/OPERATIONS.md led from an id to its cause by several searches through the logs of the entry and of replicas; what the entry believed at the time had to be found by hand.

The command merges logs of any processes, prints the request's lines in time order, and before them the last catalog, evacuations, followed replica and state of the request's upstreams that each process had logged by then. Text before the JSON object is ignored, as collectors add their own.

Test: test_processes explain (beliefs of other processes and of later times are left out; an unknown id and a missing file fail).

--- a/src/tools/wagtailpick/main.cpp
+++ b/src/tools/wagtailpick/main.cpp
@@ -9,6 +9,7 @@
 #include "wagtailpick/bundle_commands.h"
 #include "wagtailpick/control_commands.h"
 #include "wagtailpick/exit_codes.h"
+#include "wagtailpick/explain_command.h"
 #include "wagtailpick/timeline_command.h"
 
 namespace {
@@ -24,6 +25,7 @@
   wagtailpick status --control=ADDRESSES [--json]
   wagtailpick wait VERSION --control=ADDRESSES [--timeout=SECONDS]
   wagtailpick timeline --admin=ADDRESSES [--json]
+  wagtailpick explain ID FILE... [--json]
   wagtailpick --help
   wagtailpick --version
 
@@ -89,6 +91,10 @@
   if (is_set("timeline")) {
     return wagtailpick::tool::ShowTimeline(SplitAddresses(text("--admin")), as_json);
   }
+  if (is_set("explain")) {
+    return wagtailpick::tool::ExplainRequest(text("ID"), arguments.at("FILE").asStringList(),
+                                             as_json);
+  }
   const auto control = SplitAddresses(text("--control"));
   if (is_set("submit")) {
     return wagtailpick::tool::SubmitBundle(text("SIGNED"), control, as_json);
--- /dev/null
+++ b/tests/auto/processes/explain_test.cpp
@@ -0,0 +1,67 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "harness/child.h"
+#include "harness/expect.h"
+#include "harness/work_folder.h"
+
+using wagtailpick::processes::Child;
+using wagtailpick::processes::Expect;
+using wagtailpick::processes::RunTest;
+using wagtailpick::processes::WorkFolder;
+
+namespace {
+
+constexpr int kExitRefused = 1;
+constexpr int kExitWrongInput = 2;
+
+std::string Line(const std::string& second, const std::string& vm, const std::string& event,
+                 const std::string& message, const std::string& fields = "") {
+  return R"({ "timestamp": "2026-12-04 07:00:)" + second + R"(", "message": ")" + message +
+         R"(", "context_map": { "event": ")" + event + R"(", "vm": ")" + vm + "\"" + fields +
+         " } }\n";
+}
+
+std::string OfRequest(const std::string& id, const std::string& upstream) {
+  return R"(, "request_id": ")" + id + R"(", "upstream": ")" + upstream + "\"";
+}
+
+}  // namespace
+
+// Guards against a story that leaves out what decided a request (the catalog, the state of its
+// upstream), or that takes over beliefs of another process or of a later time.
+Test(explain, tells_a_request_with_what_its_process_believed) {
+  RunTest([] {
+    const WorkFolder folder;
+    const std::string entry = folder.Write(
+        "e.log", Line("01,000", "e", "catalog_in_force", "4") +
+                     Line("02,000", "e", "catalog_in_force", "5") +
+                     Line("03,000", "e", "upstream_changed", "i-1", R"(, "state": "ready")") +
+                     Line("03,500", "e", "upstream_changed", "i-2", R"(, "state": "ready")") +
+                     "not a log line {\n" +
+                     Line("04,000", "e", "request_sent", "to a", OfRequest("r1", "i-1")) +
+                     Line("04,100", "e", "request_sent", "to b", OfRequest("r2", "i-2")) +
+                     Line("05,000", "e", "upstream_changed", "i-1", R"(, "state": "left")"));
+    const std::string other = folder.Write(
+        "o.log", "  12.5 o " + Line("03,900", "o", "catalog_in_force", "9") +
+                     Line("04,500", "o", "request_ended", "failed", OfRequest("r1", "i-1")));
+    const auto explain = [&](const std::vector<std::string>& rest) {
+      std::vector<std::string> words{WAGTAILPICK_TOOL, "explain"};
+      words.insert(words.end(), rest.begin(), rest.end());
+      Child tool(words, folder.Path("out"), folder.Path("err"));
+      return tool.Wait();
+    };
+    Expect(explain({"r1", other, entry}) == 0, folder.Read("err"));
+    Expect(folder.Read("out") ==
+               "2026-12-04 07:00:02,000 e catalog_in_force: 5\n"
+               "2026-12-04 07:00:03,000 e upstream_changed: i-1 state=ready\n"
+               "2026-12-04 07:00:03,900 o catalog_in_force: 9\n"
+               "2026-12-04 07:00:04,000 e request_sent: to a upstream=i-1\n"
+               "2026-12-04 07:00:04,500 o request_ended: failed upstream=i-1\n",
+           folder.Read("out"));
+    Expect(explain({"r3", entry}) == kExitRefused, "an unknown request was explained");
+    Expect(explain({"r1", folder.Path("none")}) == kExitWrongInput, "a missing file was read");
+  });
+}
