Test a standard output that nobody reads

20,000 lines into a pipe that isn't read: no call of logging::Write takes 100 ms, and the lines left out are counted in the log once the reader goes on.

Found on the way: such a process doesn't end. The writer's thread is blocked in write(2) with the appender's lock, for which the log library's destructor waits at exit (seen in a debugger).

--- /dev/null
+++ b/tests/auto/logging/blocked_output_test.cpp
@@ -0,0 +1,96 @@
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <string>
+#include <thread>
+
+#include "logging/log.h"
+
+namespace {
+
+using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kLines = 20'000;
+/// A request that logs three lines may not wait for the reader of the output.
+constexpr milliseconds kLongestWrite{100};
+
+/// Standard output of this process as a pipe that is read only when asked.
+class Pipe {
+ public:
+  Pipe() {
+    cr_assert(pipe(ends_.data()) == 0);
+    cr_assert(dup2(ends_[1], STDOUT_FILENO) >= 0);
+  }
+
+  /// What arrives until nothing more does for half a second.
+  std::string ReadAll() {
+    cr_assert(fcntl(ends_[0], F_SETFL, O_NONBLOCK) == 0);
+    std::string content;
+    std::array<char, 65'536> buffer{};
+    auto quiet_since = steady_clock::now();
+    while (steady_clock::now() - quiet_since < milliseconds(500)) {
+      const auto length = read(ends_[0], buffer.data(), buffer.size());
+      if (length > 0) {
+        content.append(buffer.data(), static_cast<std::size_t>(length));
+        quiet_since = steady_clock::now();
+      } else {
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    }
+    return content;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
+}  // namespace
+
+// Guards against requests that wait because nobody reads the standard output, and against lines
+// that are left out without a word.
+Test(logging, a_reader_that_stops_reading_blocks_nobody) {
+  Pipe output;
+  cr_assert(logging::Start({"vm", "dc", "stdout", true}).has_value());
+  steady_clock::duration longest{};
+  for (int i = 0; i < kLines; ++i) {
+    const auto begin = steady_clock::now();
+    logging::Write(logging::Level::kInfo, "request_ended", "served", {{"request_id", "r"}});
+    longest = std::max(longest, steady_clock::now() - begin);
+  }
+  cr_expect(longest < kLongestWrite);
+  const std::string content = output.ReadAll();
+  cr_expect(content.find("log_lines_dropped") != std::string::npos);
+  cr_expect(content.find("request_ended") != std::string::npos);
+}
+
+// Guards against a process that doesn't end after SIGTERM because nobody reads its standard output.
+Test(logging, a_process_ends_in_time_when_nobody_reads) {
+  const Pipe output;
+  const pid_t child = fork();
+  cr_assert(child >= 0);
+  if (child == 0) {
+    const bool started = logging::Start({"vm", "dc", "stdout", true}).has_value();
+    for (int i = 0; i < kLines; ++i) logging::Write(logging::Level::kInfo, "event", "message");
+    logging::Stop();
+    std::exit(started ? 0 : 1);
+  }
+  const auto end = steady_clock::now() + std::chrono::seconds(3);
+  pid_t ended = 0;
+  while (ended == 0 && steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(20));
+    ended = waitpid(child, nullptr, WNOHANG);
+  }
+  if (ended == 0) {
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+  }
+  cr_expect(ended == child);
+}
