--- a/src/tools/wagtailpick/explain_command.cpp
+++ b/src/tools/wagtailpick/explain_command.cpp
@@ -17,7 +17,8 @@
 using nlohmann::json;
 
 /// Events that change what a process believes about all requests; the last of each counts.
-constexpr std::array kBeliefs{"process_started", "catalog_in_force", "evacuations_changed",
+constexpr const char* kStart = "process_started";
+constexpr std::array kBeliefs{kStart, "catalog_in_force", "evacuations_changed",
                               "followed_replica_changed", "replica_lost"};
 /// Events whose message names the upstream that they are about.
 constexpr std::array kUpstreamBeliefs{"upstream_changed", "upstream_forgotten"};
@@ -64,6 +65,8 @@
   for (std::size_t i = 0; i < first; ++i) {
     const auto& line = lines[i];
     if (line.vm != lines[first].vm) continue;
+    // A process that has just started believes nothing of what its predecessor did.
+    if (line.event == kStart) last.clear();
     if (IsOneOf(line.event, kBeliefs)) last[line.event] = i;
     if (IsOneOf(line.event, kUpstreamBeliefs) && upstreams.contains(line.Message())) {
       last[line.Message()] = i;
--- a/tests/auto/processes/explain_test.cpp
+++ b/tests/auto/processes/explain_test.cpp
@@ -31,12 +31,14 @@
 }  // namespace
 
 // Guards against a story that leaves out what decided a request (the catalog, the state of its
-// upstream), or that takes over beliefs of another process or of a later time.
+// upstream), or that takes over beliefs of another process, of an earlier run or of a later time.
 Test(explain, tells_a_request_with_what_its_process_believed) {
   RunTest([] {
     const WorkFolder folder;
     const std::string entry = folder.Write(
-        "e.log", Line("01,000", "e", "catalog_in_force", "4") +
+        "e.log", Line("00,500", "e", "evacuations_changed", "dc-1") +
+                     Line("00,900", "e", "process_started", "entry") +
+                     Line("01,000", "e", "catalog_in_force", "4") +
                      Line("02,000", "e", "catalog_in_force", "5") +
                      Line("03,000", "e", "upstream_changed", "i-1", R"(, "state": "ready")") +
                      Line("03,500", "e", "upstream_changed", "i-2", R"(, "state": "ready")") +
@@ -55,6 +57,7 @@
     };
     Expect(explain({"r1", other, entry}) == 0, folder.Read("err"));
     Expect(folder.Read("out") ==
+               "2026-12-04 07:00:00,900 e process_started: entry\n"
                "2026-12-04 07:00:02,000 e catalog_in_force: 5\n"
                "2026-12-04 07:00:03,000 e upstream_changed: i-1 state=ready\n"
                "2026-12-04 07:00:03,900 o catalog_in_force: 9\n"
