--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -23,9 +23,9 @@
 
 template <typename Pointer>
 const std::vector<Pointer>& At(const Index<Pointer>& index, const std::string& key) {
-  static const std::vector<Pointer> kNone;
+  static const std::vector<Pointer> none;
   const auto found = index.find(key);
-  return found == index.end() ? kNone : found->second;
+  return found == index.end() ? none : found->second;
 }
 
 template <typename Pointer>
