--- a/tests/auto/placement/region_weights_test.cpp
+++ b/tests/auto/placement/region_weights_test.cpp
@@ -9,7 +9,9 @@
 using wagtailpick::placement::RegionWeights;
 
 constexpr std::size_t kRegions = 3;
-const std::map<std::string, double> kUneven{{"small", 12}, {"middle", 52}, {"large", 62}};
+std::map<std::string, double> UnevenSlots() {
+  return {{"small", 12}, {"middle", 52}, {"large", 62}};
+}
 
 /// Share of the objects of `own` that `region` gets.
 double Share(const std::map<std::string, double>& slots, const std::string& own,
@@ -25,15 +27,17 @@
 // Guards against objects that leave a region which has slots for them: each request of theirs then
 // crosses regions, and the bytes are paid.
 Test(region_weights, keeps_objects_in_a_region_with_enough_slots) {
-  cr_expect(Share(kUneven, "large", "large") > 0.85);
-  cr_expect(Share(kUneven, "middle", "middle") > 0.85);
+  const auto uneven = UnevenSlots();
+  cr_expect(Share(uneven, "large", "large") > 0.85);
+  cr_expect(Share(uneven, "middle", "middle") > 0.85);
 }
 
 // Guards against a region with few slots that is given as many objects as the others.
 Test(region_weights, loads_all_slots_about_equally) {
+  const auto uneven = UnevenSlots();
   std::map<std::string, double> load;
-  for (const auto& [own, own_slots] : kUneven) {
-    for (const auto& [region, slots] : kUneven) load[region] += Share(kUneven, own, region) / slots;
+  for (const auto& [own, own_slots] : uneven) {
+    for (const auto& [region, slots] : uneven) load[region] += Share(uneven, own, region) / slots;
   }
   cr_expect(load.at("small") < 1.3 * load.at("large"));
   cr_expect(load.at("large") < 1.3 * load.at("small"));
@@ -54,12 +58,13 @@
 // Guards against objects that change their region all at once when upstreams join: the shares of a
 // region may move by 0.15 in two seconds, and a quarter more upstreams may join within that time.
 Test(region_weights, moves_few_objects_when_upstreams_join) {
-  auto more = kUneven;
+  const auto uneven = UnevenSlots();
+  auto more = uneven;
   more["middle"] *= 1.25;
-  for (const auto& [own, own_slots] : kUneven) {
+  for (const auto& [own, own_slots] : uneven) {
     double moved = 0;
-    for (const auto& [region, slots] : kUneven) {
-      moved += std::abs(Share(more, own, region) - Share(kUneven, own, region)) / 2;
+    for (const auto& [region, slots] : uneven) {
+      moved += std::abs(Share(more, own, region) - Share(uneven, own, region)) / 2;
     }
     cr_expect(moved < 0.1, "%s: %f", own.c_str(), moved);
   }
--- a/tests/auto/replica/slow_disk_test.cpp
+++ b/tests/auto/replica/slow_disk_test.cpp
@@ -19,7 +19,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const std::array<std::string, 3> kNames{"a:1", "b:1", "c:1"};
+constexpr std::array<const char*, 3> kNames{"a:1", "b:1", "c:1"};
 
 /// A group of three replicas in one process whose disks take as long for a sync as they are told.
 class Group {
