--- a/src/app/wagtailpick_edge/edge_settings.cpp
+++ b/src/app/wagtailpick_edge/edge_settings.cpp
@@ -14,6 +14,7 @@
 using settings::Settings;
 
 constexpr std::int64_t kMaxPort = 65'535;
+constexpr double kBytesPerSecondOfOneMbps = 125'000;
 
 base::Duration Seconds(double value) {
   return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(value));
@@ -28,6 +29,7 @@
       {"node", "ip", KeyKind::kText, true},
       {"node", "cluster_port", KeyKind::kNumber, true, {}, 1, kMaxPort},
       {"node", "metrics_port", KeyKind::kNumber, false, "0", 0, kMaxPort},
+      {"node", "link_mbps", KeyKind::kDecimal, false, "0", 0, 1'000'000},
       {"node", "seeds", KeyKind::kEndpointList, true},
       {"node", "log_file", KeyKind::kText, false, "stdout"},
       {"entry", "callers", KeyKind::kEndpoint},
@@ -62,6 +64,8 @@
     }
     options.regions[pair.substr(0, mark)] = pair.substr(mark + 1);
   }
+  options.link_bytes_per_second =
+      static_cast<std::uint64_t>(settings.Decimal("node", "link_mbps") * kBytesPerSecondOfOneMbps);
   for (const auto& seed : settings.List("node", "seeds")) {
     BOOST_OUTCOME_TRY(endpoint, base::ParseEndpoint(seed));
     options.seeds.push_back(endpoint);
--- a/src/libs/cluster/acceptor.cpp
+++ b/src/libs/cluster/acceptor.cpp
@@ -66,10 +66,10 @@
   }
   if (!peer.greeted) return Remove(peer.session.id, "no hello");
   if (const auto* ping = std::get_if<Ping>(&message)) {
-    const bool changed = std::exchange(peer.session.ready, ping->ready) != ping->ready;
-    if (changed) hooks_.ready_changed(peer.session);
-    const bool followed = !std::exchange(peer.session.follows, ping->follows) && ping->follows;
-    if (followed) hooks_.followed(peer.session);
+    const auto before = std::exchange(peer.session.last_ping, *ping);
+    if (before.ready != ping->ready) hooks_.ready_changed(peer.session);
+    if (!before.follows && ping->follows) hooks_.followed(peer.session);
+    hooks_.pinged(peer.session);
     // Last, as a link that fails takes the peer with it.
     return peer.link->Send(Encode(Ping{}));
   }
@@ -113,7 +113,7 @@
 }
 
 void Acceptor::BroadcastToFollowers(const Message& message) {
-  SendToAll(message, [](const Session& session) { return session.follows; });
+  SendToAll(message, [](const Session& session) { return session.last_ping.follows; });
 }
 
 void Acceptor::ForEach(const std::function<void(const Session& session)>& visit) const {
--- a/src/libs/cluster/acceptor.h
+++ b/src/libs/cluster/acceptor.h
@@ -18,9 +18,7 @@
 struct Session {
   std::uint64_t id = 0;
   Hello hello;
-  /// What its last ping said.
-  bool ready = false;
-  bool follows = false;
+  Ping last_ping;
 };
 
 /// Takes links from other processes and keeps a session for each that says hello.
@@ -30,6 +28,8 @@
     std::function<void(const Session& session)> opened;
     std::function<void(const Session& session, const std::string& reason)> closed;
     std::function<void(const Session& session, const Message& message)> message;
+    /// A ping has come; the session holds it.
+    std::function<void(const Session& session)> pinged;
     /// The `ready` of a ping has changed.
     std::function<void(const Session& session)> ready_changed;
     /// The `follows` of a ping has become true.
--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -4,12 +4,20 @@
 
 #include "cluster/consensus_codec.h"
 #include "cluster/report_codec.h"
+#include "compress/zstd_codec.h"
 
 namespace wagtailpick::cluster {
 namespace {
 
+using distribution::CatalogKey;
 using nlohmann::json;
 
+/// Set in a frame's first byte, which names the kind of its message, when the rest is compressed.
+constexpr unsigned kCompressed = 0x80;
+/// Shorter messages gain little.
+constexpr std::size_t kLeastToCompress = 512;
+constexpr std::size_t kMaxMessageBytes = 64UL * 1024 * 1024;
+
 json Fields(const Hello& hello) {
   return {static_cast<std::uint8_t>(hello.role),
           hello.vm,
@@ -37,7 +45,8 @@
 json Fields(const Reports& message) {
   json list = json::array();
   for (const auto& report : message.reports) list.push_back(ToFields(report));
-  return json::array({message.ticket, list});
+  const json parts = message.complete_parts ? json(*message.complete_parts) : json();
+  return json::array({message.ticket, list, parts});
 }
 
 json Fields(const ReportsTaken& message) { return json::array({message.ticket}); }
@@ -54,15 +63,34 @@
   return {message.changed_index, message.catalog_version, message.evacuated};
 }
 
-json Fields(const Entries& message) { return json::array({message.vms}); }
+json Fields(const EntryNames& message) {
+  return {message.complete, message.added, message.removed};
+}
+
+json Fields(const CatalogKey& key) { return json::array({key.version, key.digest}); }
+
+json Fields(const CatalogRequest& message) {
+  return {Fields(message.held), Fields(message.wanted), Fields(message.base), message.offset};
+}
 
-json Fields(const CatalogRequest& message) { return json::array({message.version}); }
+json Fields(const CatalogPiece& message) {
+  return {Fields(message.key), Fields(message.base), message.total, message.offset,
+          json::binary({message.bytes.begin(), message.bytes.end()})};
+}
 
-json Fields(const CatalogContent& message) {
-  return {message.version, json::binary({message.bytes.begin(), message.bytes.end()})};
+json Fields(const Ping& message) {
+  return {message.ready, message.follows, message.orders_index, message.catalog_version};
 }
 
-json Fields(const Ping& message) { return json::array({message.ready, message.follows}); }
+json Fields(const ReportsRequest& message) { return json::array({message.digests}); }
+
+json Fields(const UpstreamsHeard& message) {
+  json list = json::array();
+  for (const auto& silent : message.silent) {
+    list.push_back(json::array({silent.id, silent.silence.count()}));
+  }
+  return json::array({message.digest, list});
+}
 
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
@@ -87,6 +115,7 @@
 void Read(const json& fields, Reports& out) {
   out.ticket = fields.at(0).get<std::uint64_t>();
   for (const auto& one : fields.at(1)) out.reports.push_back(ReportFrom(one));
+  if (!fields.at(2).is_null()) out.complete_parts = fields.at(2).get<std::vector<std::uint8_t>>();
 }
 
 void Read(const json& fields, ReportsTaken& out) { out.ticket = fields.at(0).get<std::uint64_t>(); }
@@ -104,23 +133,49 @@
   out.evacuated = fields.at(2).get<std::vector<std::string>>();
 }
 
-void Read(const json& fields, Entries& out) {
-  out.vms = fields.at(0).get<std::vector<std::string>>();
+void Read(const json& fields, EntryNames& out) {
+  out.complete = fields.at(0).get<bool>();
+  out.added = fields.at(1).get<std::vector<std::string>>();
+  out.removed = fields.at(2).get<std::vector<std::string>>();
 }
 
-void Read(const json& fields, CatalogRequest& out) {
-  out.version = fields.at(0).get<std::uint64_t>();
+CatalogKey KeyFrom(const json& fields) {
+  return {fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>()};
 }
 
-void Read(const json& fields, CatalogContent& out) {
-  out.version = fields.at(0).get<std::uint64_t>();
-  const auto& bytes = fields.at(1).get_binary();
+void Read(const json& fields, CatalogRequest& out) {
+  out.held = KeyFrom(fields.at(0));
+  out.wanted = KeyFrom(fields.at(1));
+  out.base = KeyFrom(fields.at(2));
+  out.offset = fields.at(3).get<std::uint64_t>();
+}
+
+void Read(const json& fields, CatalogPiece& out) {
+  out.key = KeyFrom(fields.at(0));
+  out.base = KeyFrom(fields.at(1));
+  out.total = fields.at(2).get<std::uint64_t>();
+  out.offset = fields.at(3).get<std::uint64_t>();
+  const auto& bytes = fields.at(4).get_binary();
   out.bytes.assign(bytes.begin(), bytes.end());
 }
 
 void Read(const json& fields, Ping& out) {
   out.ready = fields.at(0).get<bool>();
   out.follows = fields.at(1).get<bool>();
+  out.orders_index = fields.at(2).get<std::uint64_t>();
+  out.catalog_version = fields.at(3).get<std::uint64_t>();
+}
+
+void Read(const json& fields, ReportsRequest& out) {
+  out.digests = fields.at(0).get<std::vector<std::uint64_t>>();
+}
+
+void Read(const json& fields, UpstreamsHeard& out) {
+  out.digest = fields.at(0).get<std::uint64_t>();
+  for (const auto& one : fields.at(1)) {
+    out.silent.push_back(
+        {one.at(0).get<std::string>(), base::Duration(one.at(1).get<std::int64_t>())});
+  }
 }
 
 /// Decodes the alternative of `Message` at position `kind`.
@@ -140,16 +195,25 @@
 
 std::string Encode(const Message& message) {
   const json fields = std::visit([](const auto& one) { return Fields(one); }, message);
-  std::string frame(1, static_cast<char>(message.index()));
-  json::to_msgpack(fields, frame);
-  return frame;
+  const auto kind = static_cast<unsigned char>(message.index());
+  std::string packed;
+  json::to_msgpack(fields, packed);
+  if (packed.size() >= kLeastToCompress) {
+    return std::string(1, static_cast<char>(kind | kCompressed)) + compress::Compress(packed);
+  }
+  return std::string(1, static_cast<char>(kind)) + packed;
 }
 
 base::Result<Message> Decode(const std::string& frame) {
   if (frame.empty()) return base::Fail(base::ErrorCode::kCorrupt, "empty frame");
+  const auto first = static_cast<unsigned char>(frame.front());
+  std::string packed = frame.substr(1);
+  if ((first & kCompressed) != 0) {
+    BOOST_OUTCOME_TRY(content, compress::Decompress(packed, kMaxMessageBytes));
+    packed = std::move(content);
+  }
   try {
-    const auto fields = json::from_msgpack(frame.begin() + 1, frame.end());
-    return DecodeAs(static_cast<unsigned char>(frame.front()), fields);
+    return DecodeAs(first & ~kCompressed, json::from_msgpack(packed));
   } catch (const json::exception& error) {
     return base::Fail(base::ErrorCode::kCorrupt, error.what());
   }
--- a/src/libs/cluster/messages.h
+++ b/src/libs/cluster/messages.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "base/monotonic_time.h"
 #include "consensus/message.h"
+#include "distribution/catalog_transfer.h"
 #include "upstreams/upstream_report.h"
 
 namespace wagtailpick::cluster {
@@ -54,6 +56,9 @@
 struct Reports {
   std::uint64_t ticket = 0;
   std::vector<AgedReport> reports;
+  /// Parts of the sender's table (`upstreams::TableDigests`) of which `reports` holds every
+  /// upstream; present in the answer to a `ReportsRequest` only.
+  std::optional<std::vector<std::uint8_t>> complete_parts;
 };
 
 /// The sender has taken the reports and passed them on to its entries.
@@ -79,30 +84,50 @@
   std::vector<std::string> evacuated;
 };
 
-/// The entries that are connected to the sender.
-struct Entries {
-  std::vector<std::string> vms;
+/// What has changed of the entries that are connected to the sender.
+struct EntryNames {
+  /// `added` holds all of them.
+  bool complete = false;
+  std::vector<std::string> added;
+  std::vector<std::string> removed;
 };
 
-struct CatalogRequest {
-  std::uint64_t version = 0;
+/// Asks for the reports in which the receiver differs from the sender, by digests of the sender's
+/// upstreams (`upstreams::TableDigests`).
+struct ReportsRequest {
+  std::vector<std::uint64_t> digests;
 };
 
-struct CatalogContent {
-  std::uint64_t version = 0;
-  std::string bytes;
+struct SilentUpstream {
+  std::string id;
+  /// Time since it was heard.
+  base::Duration silence{};
+};
+
+/// Which upstreams haven't announced themselves lately; all others that the sender knows have.
+struct UpstreamsHeard {
+  /// Of all upstreams that the sender knows.
+  std::uint64_t digest = 0;
+  std::vector<SilentUpstream> silent;
 };
 
 /// Keeps a link alive; answered by one.
 struct Ping {
   /// Whether an entry takes callers.
   bool ready = false;
-  /// Whether an entry wants all reports and beats from this replica; it hears only of upstreams
-  /// that leave from the others.
+  /// Whether an entry wants to hear of all upstreams and entries from this replica; it hears only
+  /// of upstreams that leave from the others.
   bool follows = false;
+  /// The orders that an entry has taken; it is told again while they are behind the replica's.
+  std::uint64_t orders_index = 0;
+  std::uint64_t catalog_version = 0;
 };
 
-using Message = std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary,
-                             Entries, CatalogRequest, CatalogContent, Ping>;
+using distribution::CatalogPiece;
+using distribution::CatalogRequest;
+
+using Message =
+    std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary, EntryNames,
+                 CatalogRequest, CatalogPiece, Ping, ReportsRequest, UpstreamsHeard>;
 
 }  // namespace wagtailpick::cluster
--- /dev/null
+++ b/src/libs/distribution/catalog_fetch.cpp
@@ -0,0 +1,113 @@
+#include "distribution/catalog_fetch.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "compress/zstd_codec.h"
+
+namespace wagtailpick::distribution {
+namespace {
+
+/// A piece takes a tenth of a second on a free link of 1 Mbit/s; a full link takes several times
+/// that, and a further request would only add to it.
+constexpr base::Duration kFirstTimeout = std::chrono::milliseconds(1'200);
+constexpr std::uint32_t kMaxDoublings = 2;
+
+}  // namespace
+
+void CatalogFetch::Offer(const std::string& replica, std::uint64_t version, int distance) {
+  auto& offer = offers_[replica];
+  offer.version = std::max(offer.version, version);
+  offer.distance = distance;
+}
+
+void CatalogFetch::Lost(const std::string& replica) {
+  offers_.erase(replica);
+  if (outstanding_ && outstanding_->replica == replica) outstanding_.reset();
+}
+
+std::map<std::string, CatalogFetch::Offered>::iterator CatalogFetch::BestOffer() {
+  // A transfer that has begun is carried on by whoever has its version.
+  const auto wanted = std::max(held_.version + 1, transfer_.key.version);
+  auto best = offers_.end();
+  const auto order = [](const Offered& offer) {
+    return std::make_tuple(offer.unanswered, offer.distance);
+  };
+  for (auto offer = offers_.begin(); offer != offers_.end(); ++offer) {
+    if (offer->second.version < wanted) continue;
+    if (best == offers_.end() || order(offer->second) < order(best->second)) best = offer;
+  }
+  return best;
+}
+
+std::optional<CatalogFetch::Request> CatalogFetch::Next(base::MonotonicTime now) {
+  if (outstanding_) {
+    if (now < outstanding_->due) return std::nullopt;
+    const auto silent = offers_.find(outstanding_->replica);
+    if (silent != offers_.end()) ++silent->second.unanswered;
+    outstanding_.reset();
+  }
+  if (now < next_due_) return std::nullopt;
+  const auto best = BestOffer();
+  if (best == offers_.end()) return std::nullopt;
+  const auto doublings = std::min(best->second.unanswered, kMaxDoublings);
+  outstanding_ = {best->first, now, now + kFirstTimeout * (1 << doublings)};
+  CatalogRequest request;
+  request.held = wants_whole_ ? CatalogKey{} : held_;
+  request.wanted = transfer_.key;
+  if (transfer_.key.version == 0) request.wanted.version = held_.version + 1;
+  request.base = transfer_.base;
+  request.offset = transfer_.bytes.size();
+  return Request{best->first, request};
+}
+
+void CatalogFetch::NoteAnswered(std::size_t bytes, base::MonotonicTime now) {
+  const auto offer = offers_.find(outstanding_->replica);
+  if (offer != offers_.end()) offer->second.unanswered = 0;
+  if (bytes_per_second_ > 0) {
+    const auto least = base::Duration(std::chrono::seconds(1)) * static_cast<std::int64_t>(bytes) /
+                       static_cast<std::int64_t>(bytes_per_second_);
+    next_due_ = std::max(now, outstanding_->sent_at + least);
+  }
+  outstanding_.reset();
+}
+
+base::Result<std::optional<CatalogFetch::Arrival>> CatalogFetch::Take(const std::string& replica,
+                                                                      const CatalogPiece& piece,
+                                                                      base::MonotonicTime now) {
+  if (outstanding_ && outstanding_->replica == replica) NoteAnswered(piece.bytes.size(), now);
+  const auto none = std::optional<Arrival>();
+  if (piece.key.version <= held_.version || piece.bytes.empty()) return none;
+  const bool carries_on = piece.key == transfer_.key && piece.base == transfer_.base &&
+                          piece.total == transfer_.total && piece.offset == transfer_.bytes.size();
+  if (carries_on) {
+    transfer_.bytes += piece.bytes;
+  } else if (piece.offset == 0) {
+    transfer_ = piece;
+  } else {
+    // A piece of a transfer that was given up.
+    return none;
+  }
+  if (transfer_.bytes.size() < transfer_.total) return none;
+  return Complete();
+}
+
+base::Result<std::optional<CatalogFetch::Arrival>> CatalogFetch::Complete() {
+  const auto transfer = std::exchange(transfer_, {});
+  const bool whole = transfer.base.version == 0;
+  if (!whole && transfer.base != held_) return std::optional<Arrival>();
+  auto content =
+      compress::Decompress(transfer.bytes, kMaxCatalogBytes, whole ? std::string_view() : content_);
+  const bool good = content && KeyOf(transfer.key.version, content.value()) == transfer.key;
+  wants_whole_ = !good;
+  if (!content) return content.error();
+  if (!good) {
+    return base::Fail(base::ErrorCode::kCorrupt, "the digest of the transfer's content differs");
+  }
+  held_ = transfer.key;
+  content_ = std::move(content.value());
+  return std::optional<Arrival>(Arrival{held_.version, content_});
+}
+
+}  // namespace wagtailpick::distribution
--- /dev/null
+++ b/src/libs/distribution/catalog_source.cpp
@@ -0,0 +1,68 @@
+#include "distribution/catalog_source.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "compress/zstd_codec.h"
+
+namespace wagtailpick::distribution {
+namespace {
+
+/// Entries that missed more versions than that take the complete catalog.
+constexpr std::size_t kMaxVersions = 6;
+/// Differences from each kept version, and as many that older requests may still carry on.
+constexpr std::size_t kMaxTransfers = 12;
+/// A tenth of a second of a link of 1 Mbit/s, so that what waits behind a piece waits no longer.
+constexpr std::size_t kPieceBytes = 12UL * 1024;
+
+}  // namespace
+
+void CatalogSource::Put(std::uint64_t version, Content content) {
+  if (content == nullptr) return;
+  if (!versions_.empty() && version <= versions_.front().key.version) return;
+  const auto key = KeyOf(version, *content);
+  versions_.push_front({key, std::move(content)});
+  if (versions_.size() > kMaxVersions) versions_.pop_back();
+}
+
+const CatalogSource::Version* CatalogSource::Find(const CatalogKey& key) const {
+  const auto found = std::find_if(versions_.begin(), versions_.end(),
+                                  [&](const Version& version) { return version.key == key; });
+  return found == versions_.end() ? nullptr : &*found;
+}
+
+const CatalogSource::Transfer& CatalogSource::TransferOf(const Version& version,
+                                                         const CatalogKey& held) {
+  const auto* base = Find(held);
+  const CatalogKey base_key = base == nullptr ? CatalogKey{} : base->key;
+  const auto made =
+      std::find_if(transfers_.begin(), transfers_.end(), [&](const Transfer& transfer) {
+        return transfer.key == version.key && transfer.base == base_key;
+      });
+  if (made != transfers_.end()) return *made;
+  const std::string_view base_content = base == nullptr ? std::string_view() : *base->content;
+  transfers_.push_front(
+      {version.key, base_key, compress::Compress(*version.content, base_content)});
+  if (transfers_.size() > kMaxTransfers) transfers_.pop_back();
+  return transfers_.front();
+}
+
+std::optional<CatalogPiece> CatalogSource::Answer(const CatalogRequest& request) {
+  if (versions_.empty() || versions_.front().key.version < request.wanted.version) {
+    return std::nullopt;
+  }
+  if (const auto* version = request.offset == 0 ? nullptr : Find(request.wanted)) {
+    const auto& transfer = TransferOf(*version, request.held);
+    // Another replica may have begun the transfer from a base that this one doesn't keep.
+    const bool same = transfer.base == request.base && request.offset < transfer.packed.size();
+    if (same) return PieceOf(transfer, request.offset);
+  }
+  return PieceOf(TransferOf(versions_.front(), request.held), 0);
+}
+
+CatalogPiece CatalogSource::PieceOf(const Transfer& transfer, std::uint64_t offset) {
+  return {transfer.key, transfer.base, transfer.packed.size(), offset,
+          transfer.packed.substr(offset, kPieceBytes)};
+}
+
+}  // namespace wagtailpick::distribution
--- /dev/null
+++ b/src/libs/distribution/catalog_transfer.cpp
@@ -0,0 +1,11 @@
+#include "distribution/catalog_transfer.h"
+
+#include <xxhash.h>
+
+namespace wagtailpick::distribution {
+
+CatalogKey KeyOf(std::uint64_t version, std::string_view content) {
+  return {version, XXH3_64bits(content.data(), content.size())};
+}
+
+}  // namespace wagtailpick::distribution
--- a/src/libs/net/frame_link.cpp
+++ b/src/libs/net/frame_link.cpp
@@ -47,6 +47,8 @@
                           [self = shared_from_this()](asio::error_code error, std::size_t length) {
                             if (self->closed_) return;
                             if (error) return self->Fail(error.message());
+                            // A long frame on a slow link is a sign of life all the while it comes.
+                            self->last_received_ = base::MonotonicNow();
                             self->input_.append(self->buffer_.data(), length);
                             if (self->TakeFrames()) self->ReadSome();
                           });
@@ -63,7 +65,6 @@
     if (input_.size() - at - kLengthBytes < length) break;
     const std::string frame = input_.substr(at + kLengthBytes, length);
     at += kLengthBytes + length;
-    last_received_ = base::MonotonicNow();
     hooks_.frame(frame);
     if (closed_) return false;
   }
--- a/src/libs/net/frame_link.h
+++ b/src/libs/net/frame_link.h
@@ -32,7 +32,7 @@
   void Close();
 
   bool open() const { return !closed_; }
-  /// When the last frame came.
+  /// When bytes last came.
   base::MonotonicTime last_received() const { return last_received_; }
 
  private:
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -1,10 +1,13 @@
 #include "node/control_node.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
+#include <iterator>
 #include <utility>
 
 #include "logging/log.h"
 #include "node/metrics_page.h"
+#include "node/upstream_sync.h"
 
 namespace wagtailpick::node {
 namespace {
@@ -15,7 +18,7 @@
 /// Upstreams that were silent for this long are forgotten; late announcements are older than that.
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
 constexpr base::Duration kCacheInterval = std::chrono::milliseconds(500);
-constexpr base::Duration kSummaryInterval = std::chrono::seconds(1);
+constexpr base::Duration kHeardInterval = std::chrono::seconds(1);
 /// Entries find a replica that has just started within this time.
 constexpr base::Duration kSettleTime = std::chrono::milliseconds(800);
 
@@ -107,12 +110,14 @@
   hooks.message = [this](const cluster::Session& session, const cluster::Message& message) {
     TakeFromSession(session, message);
   };
+  hooks.pinged = [this](const cluster::Session& session) { TakePing(session); };
   hooks.followed = [this](const cluster::Session& session) {
-    acceptor_->Send(session.id, AllReports());
+    acceptor_->Send(session.id,
+                    cluster::EntryNames{true, {told_entries_.begin(), told_entries_.end()}, {}});
   };
   hooks.ready_changed = [](const cluster::Session& session) {
     logging::Write(Level::kInfo, "entry_ready_changed", session.hello.vm,
-                   {{"ready", session.ready ? "true" : "false"}});
+                   {{"ready", session.last_ping.ready ? "true" : "false"}});
   };
   return hooks;
 }
@@ -125,8 +130,10 @@
                           base::ToString(options_.orders), log_->incarnation()};
   };
   hooks.ping = [](const std::string&) { return cluster::Ping{}; };
-  // What this replica knows goes to each replica that it reaches, which may have just started.
-  hooks.up = [this](const std::string& replica) { mesh_->Send(replica, AllReports()); };
+  // Either side may have just started; the other one asks for its part by its own link.
+  hooks.up = [this](const std::string& replica) {
+    mesh_->Send(replica, RequestReports(upstreams_));
+  };
   hooks.down = [](const std::string&) {};
   hooks.message = [this](const std::string& replica, const cluster::Message& message) {
     TakeFromReplica(replica, message);
@@ -140,11 +147,10 @@
   acceptor_->Tick(now);
   ExpireDrains(now);
   SendBeats();
-  if (std::exchange(entries_changed_, false)) SendEntries();
-  // Repeated, as an entry asks for a catalog only when it is told of it.
-  if (now >= summary_due_) {
-    summary_due_ = now + kSummaryInterval;
-    acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
+  if (std::exchange(entries_changed_, false)) SendEntryChanges();
+  if (now >= heard_due_) {
+    heard_due_ = now + kHeardInterval;
+    acceptor_->BroadcastToFollowers(HeardOf(upstreams_, now));
   }
   ReportPeers(now);
   SaveCache(now);
@@ -161,6 +167,7 @@
   const auto cached = cache_.Load();
   if (!cached) return;
   state_ = cached->orders;
+  catalogs_.Put(state_.catalog_version(), state_.catalog_bytes());
   const auto now = base::MonotonicNow();
   // How long the process was away is unknown; entries find out which upstreams have gone.
   for (const auto& aged : cached->reports) {
@@ -213,27 +220,41 @@
     return log_->Step(consensus->messages);
   }
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
-    return TakeReports(session, *reports);
+    TakeReports(*reports);
+    if (reports->ticket == 0) return;
+    return acceptor_->Send(session.id, cluster::ReportsTaken{reports->ticket});
   }
   if (const auto* beats = std::get_if<cluster::Beats>(&message)) {
     const auto now = base::MonotonicNow();
     for (const auto& beat : beats->beats) {
-      const auto change = upstreams_.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
-      if (change == upstreams::Change::kHeard) relayed_beats_.push_back(beat);
+      upstreams_.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
     }
     return;
   }
+  if (const auto* request = std::get_if<cluster::ReportsRequest>(&message)) {
+    return acceptor_->Send(session.id, AnswerReports(upstreams_, *request, base::MonotonicNow()));
+  }
   if (const auto* request = std::get_if<cluster::CatalogRequest>(&message)) {
-    if (state_.catalog_bytes() == nullptr || state_.catalog_version() < request->version) return;
-    acceptor_->Send(session.id,
-                    cluster::CatalogContent{state_.catalog_version(), *state_.catalog_bytes()});
+    const auto piece = catalogs_.Answer(*request);
+    if (piece) acceptor_->Send(session.id, *piece);
   }
 }
 
+// An entry learns of orders when they are committed, and again from each ping while it is behind:
+// the first word may have been lost with a link.
+void ControlNode::TakePing(const cluster::Session& session) {
+  if (session.hello.role != cluster::NodeRole::kEntry) return;
+  const auto& ping = session.last_ping;
+  const bool behind =
+      ping.orders_index < state_.changed_index() || ping.catalog_version < state_.catalog_version();
+  if (behind) acceptor_->Send(session.id, Summary());
+}
+
 void ControlNode::TakeState(const orders::OrderState& state) {
   // The log repeats its orders from the last snapshot after a start; the cache may be further.
   if (state.changed_index() <= state_.changed_index()) return;
   state_ = state;
+  catalogs_.Put(state_.catalog_version(), state_.catalog_bytes());
   cache_outdated_ = true;
   acceptor_->Broadcast(cluster::NodeRole::kEntry, Summary());
 }
@@ -245,12 +266,24 @@
   mesh_->Learn(named);
 }
 
-void ControlNode::SendEntries() {
-  cluster::Entries entries;
+std::set<std::string> ControlNode::ConnectedEntries() const {
+  std::set<std::string> names;
   acceptor_->ForEach([&](const cluster::Session& session) {
-    if (session.hello.role == cluster::NodeRole::kEntry) entries.vms.push_back(session.hello.vm);
+    if (session.hello.role == cluster::NodeRole::kEntry) names.insert(session.hello.vm);
   });
-  acceptor_->Broadcast(cluster::NodeRole::kEntry, entries);
+  return names;
+}
+
+void ControlNode::SendEntryChanges() {
+  const auto connected = ConnectedEntries();
+  cluster::EntryNames changes;
+  std::set_difference(connected.begin(), connected.end(), told_entries_.begin(),
+                      told_entries_.end(), std::back_inserter(changes.added));
+  std::set_difference(told_entries_.begin(), told_entries_.end(), connected.begin(),
+                      connected.end(), std::back_inserter(changes.removed));
+  told_entries_ = connected;
+  if (changes.added.empty() && changes.removed.empty()) return;
+  acceptor_->BroadcastToFollowers(changes);
 }
 
 cluster::OrderSummary ControlNode::Summary() const {
@@ -308,7 +341,7 @@
   if (members_.voter_count() > 0 && mesh_->up_count() + 1 < Majority()) return {};
   std::vector<ReadyEntry> ready;
   acceptor_->ForEach([&](const cluster::Session& session) {
-    if (session.hello.role != cluster::NodeRole::kEntry || !session.ready) return;
+    if (session.hello.role != cluster::NodeRole::kEntry || !session.last_ping.ready) return;
     ready.push_back({session.hello.service_address, session.hello.data_centre});
   });
   return NearestEntries(ready, placement::NetworkDistance(data_centre, options_.node.regions));
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/result.h"
 #include "cluster/acceptor.h"
+#include "distribution/catalog_source.h"
 #include "metrics/registry.h"
 #include "net/http_listener.h"
 #include "node/lookup.h"
@@ -80,7 +82,8 @@
   void Tick();
   void Welcome(const cluster::Session& session);
   void TakeFromSession(const cluster::Session& session, const cluster::Message& message);
-  void TakeReports(const cluster::Session& session, const cluster::Reports& reports);
+  void TakePing(const cluster::Session& session);
+  void TakeReports(const cluster::Reports& reports);
   void TakeFromReplica(const std::string& replica, const cluster::Message& message);
   void LoadCache();
   void SaveCache(base::MonotonicTime now);
@@ -89,7 +92,8 @@
   void Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done);
   void ExpireDrains(base::MonotonicTime now);
   void SendBeats();
-  void SendEntries();
+  void SendEntryChanges();
+  std::set<std::string> ConnectedEntries() const;
   void ReportPeers(base::MonotonicTime now);
   void Reply(const OrderDone& done, OrderReply reply);
   cluster::Reports AllReports() const;
@@ -108,13 +112,14 @@
   consensus::Membership members_;
   upstreams::UpstreamTable upstreams_;
   std::vector<cluster::Beat> beats_;
-  /// Beats that other replicas have taken, for the entries that follow this one.
-  std::vector<cluster::Beat> relayed_beats_;
   std::map<std::uint64_t, PendingDrain> drains_;
   std::uint64_t next_ticket_ = 1;
   std::map<std::string, std::uint64_t> incarnations_;
   bool entries_changed_ = false;
-  base::MonotonicTime summary_due_;
+  /// Names of the connected entries, as the followers were told.
+  std::set<std::string> told_entries_;
+  base::MonotonicTime heard_due_;
+  distribution::CatalogSource catalogs_;
   StateCache cache_;
   bool cache_outdated_ = false;
   base::MonotonicTime cache_due_;
--- a/src/libs/node/control_node_announcements.cpp
+++ b/src/libs/node/control_node_announcements.cpp
@@ -3,6 +3,7 @@
 
 #include "logging/log.h"
 #include "node/control_node.h"
+#include "node/upstream_sync.h"
 
 namespace wagtailpick::node {
 namespace {
@@ -16,21 +17,20 @@
 
 // Another replica has taken an announcement: it is passed on to this replica's entries, as some of
 // them may not reach the other.
-void ControlNode::TakeReports(const cluster::Session& session, const cluster::Reports& reports) {
+void ControlNode::TakeReports(const cluster::Reports& reports) {
   const auto now = base::MonotonicNow();
   cluster::Reports changed;
   for (const auto& aged : reports.reports) {
     const auto change = upstreams_.Apply(aged.report, aged.age, now);
     if (change == upstreams::Change::kChanged) changed.reports.push_back(aged);
   }
-  if (!changed.reports.empty()) cache_outdated_ = true;
-  if (!changed.reports.empty()) acceptor_->BroadcastToFollowers(changed);
-  if (reports.ticket != 0) {
-    acceptor_->Send(session.id, cluster::ReportsTaken{reports.ticket});
-  }
+  if (changed.reports.empty()) return;
+  cache_outdated_ = true;
+  acceptor_->BroadcastToFollowers(changed);
 }
 
 void ControlNode::TakeFromReplica(const std::string& replica, const cluster::Message& message) {
+  if (const auto* reports = std::get_if<cluster::Reports>(&message)) return TakeReports(*reports);
   const auto* taken = std::get_if<cluster::ReportsTaken>(&message);
   if (taken == nullptr) return;
   const auto found = drains_.find(taken->ticket);
@@ -56,7 +56,7 @@
   }
   if (report.state != upstreams::State::kReady) return Spread(report, std::move(done));
   if (change == upstreams::Change::kChanged) {
-    const cluster::Reports message{0, {{report, base::Duration::zero()}}};
+    const cluster::Reports message{0, {{report, base::Duration::zero()}}, {}};
     acceptor_->BroadcastToFollowers(message);
     mesh_->Broadcast(message);
   } else if (change == upstreams::Change::kHeard) {
@@ -78,8 +78,8 @@
 void ControlNode::Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done) {
   if (members_.voter_count() == 0) return done(false);
   const std::uint64_t ticket = next_ticket_++;
-  const cluster::Reports message{ticket, {{report, base::Duration::zero()}}};
-  acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Reports{0, message.reports});
+  const cluster::Reports message{ticket, {{report, base::Duration::zero()}}, {}};
+  acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Reports{0, message.reports, {}});
   if (Majority() <= 1) return done(true);
   drains_[ticket] = {1, base::MonotonicNow() + kDrainTimeout, std::move(done)};
   mesh_->Broadcast(message);
@@ -99,18 +99,15 @@
 }
 
 void ControlNode::SendBeats() {
-  cluster::Beats all{std::exchange(relayed_beats_, {})};
-  const cluster::Beats own{std::exchange(beats_, {})};
-  all.beats.insert(all.beats.end(), own.beats.begin(), own.beats.end());
-  if (!all.beats.empty()) acceptor_->BroadcastToFollowers(all);
-  if (!own.beats.empty()) mesh_->Broadcast(own);
+  const cluster::Beats beats{std::exchange(beats_, {})};
+  if (!beats.beats.empty()) mesh_->Broadcast(beats);
 }
 
 cluster::Reports ControlNode::AllReports() const {
   cluster::Reports all;
   const auto now = base::MonotonicNow();
   for (const auto& [id, known] : upstreams_.all()) {
-    all.reports.push_back({known.report, now - known.heard_at});
+    all.reports.push_back(AgedReportOf(known, now));
   }
   return all;
 }
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::chrono::milliseconds kTick{200};
 constexpr base::Duration kSlowTick = std::chrono::seconds(1);
-/// A catalog that hasn't come by then is asked from another replica.
-constexpr base::Duration kCatalogRetry = std::chrono::milliseconds(400);
+/// Part of the VM's link that transfers of the catalog may take; the rest is left to requests.
+constexpr double kCatalogPartOfLink = 0.5;
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
 /// Callers hold directory answers for some seconds; until then they are still served.
 constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
@@ -37,6 +37,11 @@
       options_(options),
       hooks_(std::move(hooks)),
       timer_(loop),
+      catalog_fetch_(static_cast<std::uint64_t>(
+          static_cast<double>(options.node.link_bytes_per_second) * kCatalogPartOfLink)),
+      catalog_timer_(loop),
+      roster_(options.node.vm),
+      upstream_sync_(beliefs_.upstreams),
       network_(options.node.data_centre, options.node.regions) {
   relay::RelayOptions relay_options;
   relay_options.vm = options.node.vm;
@@ -84,12 +89,12 @@
                           base::ToString(options_.callers), 0};
   };
   hooks.ping = [this](const std::string& replica) {
-    return cluster::Ping{ready(), replica == followed_};
+    return cluster::Ping{ready(), replica == followed_, orders_index_, catalog_fetch_.version()};
   };
   hooks.up = [](const std::string&) {};
   hooks.down = [this](const std::string& replica) {
-    entries_.erase(replica);
-    catalog_offers_.erase(replica);
+    catalog_fetch_.Lost(replica);
+    RequestCatalog(base::MonotonicNow());
   };
   hooks.message = [this](const std::string& replica, const cluster::Message& message) {
     TakeMessage(replica, message);
@@ -101,13 +106,16 @@
   const auto now = base::MonotonicNow();
   mesh_->Tick(now);
   ChooseFollowed();
-  if (!catalog_offers_.empty() && now >= catalog_request_due_) RequestCatalog(now);
+  RequestCatalog(now);
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
     relay_->Tick(now);
-    for (const auto& id : beliefs_.upstreams.Expire(kForgetUpstream, now)) {
+    // An entry that hears of no upstream is cut off itself and forgets none.
+    const auto heard_at = beliefs_.upstreams.heard_any_at();
+    for (const auto& id : beliefs_.upstreams.Expire(kForgetUpstream, heard_at)) {
       logging::Write(Level::kInfo, "upstream_forgotten", id);
     }
+    if (roster_.Expire(now)) relay_->SetEntries(roster_.names());
     UpdateGauges(now);
   }
   if (draining_) CheckDrain(now);
@@ -125,6 +133,7 @@
   logging::Write(Level::kInfo, "followed_replica_changed", nearest, {{"before", followed_}});
   followed_ = nearest;
   mesh_->PingAll();
+  mesh_->Send(followed_, upstream_sync_.Restart());
 }
 
 void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
@@ -140,15 +149,17 @@
 
 void EntryNode::TakeMessage(const std::string& replica, const cluster::Message& message) {
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) return TakeReports(*reports);
-  if (const auto* beats = std::get_if<cluster::Beats>(&message)) return TakeBeats(*beats);
+  if (const auto* heard = std::get_if<cluster::UpstreamsHeard>(&message)) {
+    return TakeHeard(replica, *heard);
+  }
   if (const auto* summary = std::get_if<cluster::OrderSummary>(&message)) {
     return TakeSummary(replica, *summary);
   }
-  if (const auto* content = std::get_if<cluster::CatalogContent>(&message)) {
-    return TakeCatalog(*content);
+  if (const auto* piece = std::get_if<cluster::CatalogPiece>(&message)) {
+    return TakePiece(replica, *piece);
   }
-  if (const auto* entries = std::get_if<cluster::Entries>(&message)) {
-    return TakeEntries(replica, *entries);
+  if (const auto* names = std::get_if<cluster::EntryNames>(&message)) {
+    if (replica == followed_) TakeEntries(*names);
   }
 }
 
@@ -171,21 +182,19 @@
     const bool gone = report.state == upstreams::State::kLeft;
     if (gone || restarted) relay_->ForgetUpstream(report.id, report.address, restarted);
   }
+  upstream_sync_.TakeAnswer(reports);
 }
 
-void EntryNode::TakeBeats(const cluster::Beats& beats) {
-  const auto now = base::MonotonicNow();
-  for (const auto& beat : beats.beats) {
-    beliefs_.upstreams.NoteHeard(beat.id, beat.started_unix_ms, beat.sequence, now);
-  }
+void EntryNode::TakeHeard(const std::string& replica, const cluster::UpstreamsHeard& heard) {
+  if (replica != followed_) return;
+  const auto request = upstream_sync_.Take(heard, base::MonotonicNow());
+  if (request) mesh_->Send(replica, *request);
 }
 
 void EntryNode::TakeSummary(const std::string& replica, const cluster::OrderSummary& summary) {
-  const auto held = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
-  if (summary.catalog_version > held) {
-    catalog_offers_[replica] = summary.catalog_version;
-    const auto now = base::MonotonicNow();
-    if (now >= catalog_request_due_) RequestCatalog(now);
+  if (summary.catalog_version > catalog_fetch_.version()) {
+    catalog_fetch_.Offer(replica, summary.catalog_version, mesh_->DistanceOf(replica, network_));
+    RequestCatalog(base::MonotonicNow());
   }
   if (summary.changed_index <= orders_index_) return;
   orders_index_ = summary.changed_index;
@@ -218,36 +227,42 @@
 }
 
 void EntryNode::RequestCatalog(base::MonotonicTime now) {
-  catalog_request_due_ = now + kCatalogRetry;
-  const auto best =
-      std::max_element(catalog_offers_.begin(), catalog_offers_.end(),
-                       [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (best == catalog_offers_.end()) return;
-  const auto [replica, version] = *best;
-  // The next request goes to another replica if this one doesn't answer.
-  catalog_offers_.erase(best);
-  mesh_->Send(replica, cluster::CatalogRequest{version});
+  const auto next = catalog_fetch_.Next(now);
+  if (next) mesh_->Send(next->replica, next->request);
+}
+
+void EntryNode::TakePiece(const std::string& replica, const cluster::CatalogPiece& piece) {
+  const auto now = base::MonotonicNow();
+  const auto arrival = catalog_fetch_.Take(replica, piece, now);
+  if (!arrival) {
+    logging::Write(Level::kError, "catalog_damaged", arrival.error().message,
+                   {{"replica", replica}, {"version", std::to_string(piece.key.version)}});
+  } else if (arrival.value()) {
+    TakeCatalog(*arrival.value());
+  }
+  RequestCatalog(now);
+  if (catalog_fetch_.next_due() <= now) return;
+  catalog_timer_.expires_after(catalog_fetch_.next_due() - now);
+  catalog_timer_.async_wait([this](asio::error_code error) {
+    if (!error) RequestCatalog(base::MonotonicNow());
+  });
 }
 
-void EntryNode::TakeCatalog(const cluster::CatalogContent& content) {
-  const auto held = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
-  if (content.version <= held) return;
-  auto decoded = hooks_.decode_catalog(content.bytes);
+void EntryNode::TakeCatalog(const distribution::CatalogFetch::Arrival& arrival) {
+  const auto before = beliefs_.catalog == nullptr ? 0 : beliefs_.catalog->version();
+  auto decoded = hooks_.decode_catalog(arrival.content);
   if (!decoded) {
     return logging::Write(Level::kError, "catalog_unreadable", decoded.error().message);
   }
   beliefs_.catalog = std::make_shared<const catalog::Catalog>(std::move(decoded.value()));
-  std::erase_if(catalog_offers_, [&](const auto& item) { return item.second <= content.version; });
-  logging::Write(Level::kInfo, "catalog_in_force", std::to_string(content.version),
-                 {{"before", std::to_string(held)},
+  logging::Write(Level::kInfo, "catalog_in_force", std::to_string(arrival.version),
+                 {{"before", std::to_string(before)},
                   {"routes", std::to_string(beliefs_.catalog->routes().size())}});
 }
 
-void EntryNode::TakeEntries(const std::string& replica, const cluster::Entries& entries) {
-  entries_[replica] = entries.vms;
-  std::set<std::string> all{options_.node.vm};
-  for (const auto& [name, vms] : entries_) all.insert(vms.begin(), vms.end());
-  relay_->SetEntries({all.begin(), all.end()});
+void EntryNode::TakeEntries(const cluster::EntryNames& names) {
+  roster_.Take(names, base::MonotonicNow());
+  relay_->SetEntries(roster_.names());
 }
 
 void EntryNode::Drain(std::function<void()> done) {
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -10,10 +10,13 @@
 #include <vector>
 
 #include "base/result.h"
+#include "distribution/catalog_fetch.h"
 #include "metrics/registry.h"
 #include "net/http_listener.h"
+#include "node/entry_roster.h"
 #include "node/mesh.h"
 #include "node/node_options.h"
+#include "node/upstream_sync.h"
 #include "relay/relay.h"
 
 namespace wagtailpick::node {
@@ -55,11 +58,12 @@
   void CheckDrain(base::MonotonicTime now);
   void TakeMessage(const std::string& replica, const cluster::Message& message);
   void TakeReports(const cluster::Reports& reports);
-  void TakeBeats(const cluster::Beats& beats);
+  void TakeHeard(const std::string& replica, const cluster::UpstreamsHeard& heard);
   void TakeSummary(const std::string& replica, const cluster::OrderSummary& summary);
   void TakeEvacuations(const std::vector<std::string>& evacuated);
-  void TakeCatalog(const cluster::CatalogContent& content);
-  void TakeEntries(const std::string& replica, const cluster::Entries& entries);
+  void TakePiece(const std::string& replica, const cluster::CatalogPiece& piece);
+  void TakeCatalog(const distribution::CatalogFetch::Arrival& arrival);
+  void TakeEntries(const cluster::EntryNames& names);
   void RequestCatalog(base::MonotonicTime now);
   void ChooseFollowed();
   void UpdateGauges(base::MonotonicTime now);
@@ -78,10 +82,10 @@
   asio::steady_timer timer_;
   /// Index of the newest orders that were taken.
   std::uint64_t orders_index_ = 0;
-  /// Replicas that have announced a catalog version above the one held, with that version.
-  std::map<std::string, std::uint64_t> catalog_offers_;
-  base::MonotonicTime catalog_request_due_;
-  std::map<std::string, std::vector<std::string>> entries_;
+  distribution::CatalogFetch catalog_fetch_;
+  asio::steady_timer catalog_timer_;
+  EntryRoster roster_;
+  UpstreamSync upstream_sync_;
   /// The replica that reports all upstreams to this entry; empty while none is reached.
   std::string followed_;
   placement::NetworkDistance network_;
--- a/src/libs/node/mesh.cpp
+++ b/src/libs/node/mesh.cpp
@@ -120,6 +120,12 @@
   return best == nullptr ? std::string() : best->first;
 }
 
+int Mesh::DistanceOf(const std::string& replica, const placement::NetworkDistance& network) const {
+  const auto found = peers_.find(replica);
+  const std::string data_centre = found == peers_.end() ? std::string() : found->second.data_centre;
+  return static_cast<int>(network.To(data_centre));
+}
+
 std::vector<cluster::ReplicaAddress> Mesh::replicas() const {
   std::vector<cluster::ReplicaAddress> list;
   for (const auto& [address, peer] : peers_) {
--- a/src/libs/node/mesh.h
+++ b/src/libs/node/mesh.h
@@ -50,6 +50,8 @@
   /// none. Of several that are equally near, different VMs take different ones.
   std::string Nearest(const placement::NetworkDistance& network, const std::string& vm) const;
 
+  int DistanceOf(const std::string& replica, const placement::NetworkDistance& network) const;
+
   /// All known replicas with the addresses at which they take orders, as far as known.
   std::vector<cluster::ReplicaAddress> replicas() const;
   /// Address at which a replica takes orders; empty when it isn't known.
--- a/src/libs/node/node_options.h
+++ b/src/libs/node/node_options.h
@@ -22,6 +22,8 @@
   std::string ip;
   /// Port of the links between processes, the same on all VMs.
   std::uint16_t cluster_port = 0;
+  /// Bandwidth of this VM's link in bytes a second; 0 when it isn't known.
+  std::uint64_t link_bytes_per_second = 0;
   /// Addresses at which some replicas take orders.
   std::vector<base::Endpoint> seeds;
   /// Where metrics are served; absent for nowhere.
--- a/src/libs/node/order_log.cpp
+++ b/src/libs/node/order_log.cpp
@@ -138,10 +138,40 @@
     if (!GroupIsFormed()) {
       return done({OrderStatus::kUnavailable, {}, "the group is still forming", {}});
     }
-    driver_->Propose(orders::EncodeOrder(order), [done](const base::Result<void>& proposed) {
-      if (proposed) return done({OrderStatus::kAccepted, {}, {}, {}});
-      done({OrderStatus::kUnavailable, {}, proposed.error().message, {}});
-    });
+    if (const auto* put = std::get_if<orders::PutCatalog>(&order)) {
+      return ProposeCatalog(std::make_shared<const orders::PutCatalog>(*put), done);
+    }
+    driver_->Propose(orders::EncodeOrder(order), AnswerProposed(done));
+  });
+  if (!queued) done({OrderStatus::kUnavailable, {}, "this replica is overloaded", {}});
+}
+
+std::function<void(const base::Result<void>&)> OrderLog::AnswerProposed(const OrderDone& done) {
+  return [done](const base::Result<void>& proposed) {
+    if (proposed) return done({OrderStatus::kAccepted, {}, {}, {}});
+    done({OrderStatus::kUnavailable, {}, proposed.error().message, {}});
+  };
+}
+
+// A catalog is proposed as the difference from the newest one. When another was committed before
+// it, the difference didn't apply, and the complete catalog follows.
+void OrderLog::ProposeCatalog(const std::shared_ptr<const orders::PutCatalog>& put,
+                              const OrderDone& done) {
+  driver_->Propose(orders::EncodeOrder(state_.MakePatch(*put)),
+                   [this, put, done](const base::Result<void>& proposed) {
+                     const bool applied = state_.catalog_version() >= put->version;
+                     if (!proposed || applied) return AnswerProposed(done)(proposed);
+                     ProposeComplete(put, done);
+                   });
+}
+
+void OrderLog::ProposeComplete(const std::shared_ptr<const orders::PutCatalog>& put,
+                               const OrderDone& done) {
+  // The log is at work on its committed entries now; it takes proposals afterwards.
+  const bool queued = loop_.TryPost([this, put, done] {
+    if (!Leads()) return done(NotLeader());
+    driver_->Propose(orders::EncodeOrder(orders::OrderState::MakeComplete(*put)),
+                     AnswerProposed(done));
   });
   if (!queued) done({OrderStatus::kUnavailable, {}, "this replica is overloaded", {}});
 }
--- a/src/libs/node/order_log.h
+++ b/src/libs/node/order_log.h
@@ -69,6 +69,9 @@
   void Tick();
   void Apply(std::uint64_t index, const std::string& data);
   void Restore(const std::string& snapshot);
+  static std::function<void(const base::Result<void>&)> AnswerProposed(const OrderDone& done);
+  void ProposeCatalog(const std::shared_ptr<const orders::PutCatalog>& put, const OrderDone& done);
+  void ProposeComplete(const std::shared_ptr<const orders::PutCatalog>& put, const OrderDone& done);
   void SettleReads();
   void KeepGroup();
   void NoteMembers();
--- a/src/libs/orders/order_codec.cpp
+++ b/src/libs/orders/order_codec.cpp
@@ -5,13 +5,17 @@
 namespace wagtailpick::orders {
 namespace {
 
-enum class OrderKind : std::uint8_t { kPutCatalog = 1, kSetEvacuation = 2 };
+enum class OrderKind : std::uint8_t { kPutCatalog = 1, kSetEvacuation = 2, kCatalogPatch = 3 };
 
 nlohmann::json ToFields(const Order& order) {
   if (const auto* put = std::get_if<PutCatalog>(&order)) {
     return {OrderKind::kPutCatalog, put->version,
             nlohmann::json::binary({put->bytes.begin(), put->bytes.end()})};
   }
+  if (const auto* patch = std::get_if<CatalogPatch>(&order)) {
+    return {OrderKind::kCatalogPatch, patch->version, patch->base.version, patch->base.digest,
+            nlohmann::json::binary({patch->packed.begin(), patch->packed.end()})};
+  }
   const auto& evacuation = std::get<SetEvacuation>(order);
   return {OrderKind::kSetEvacuation, evacuation.data_centre, evacuation.evacuated};
 }
@@ -34,6 +38,13 @@
       }
       case OrderKind::kSetEvacuation:
         return Order(SetEvacuation{fields.at(1).get<std::string>(), fields.at(2).get<bool>()});
+      case OrderKind::kCatalogPatch: {
+        const auto& packed = fields.at(4).get_binary();
+        return Order(
+            CatalogPatch{fields.at(1).get<std::uint64_t>(),
+                         {fields.at(2).get<std::uint64_t>(), fields.at(3).get<std::uint64_t>()},
+                         std::string(packed.begin(), packed.end())});
+      }
     }
   } catch (const nlohmann::json::exception& error) {
     return base::Fail(base::ErrorCode::kCorrupt, std::string("order record: ") + error.what());
--- a/src/libs/orders/order_state.cpp
+++ b/src/libs/orders/order_state.cpp
@@ -1,17 +1,25 @@
 #include "orders/order_state.h"
 
 #include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+#include "compress/zstd_codec.h"
 
 namespace wagtailpick::orders {
+namespace {
+
+constexpr bool kCompressed = true;
+constexpr std::size_t kCompressedField = 4;
+
+}  // namespace
 
 bool OrderState::Apply(std::uint64_t index, const Order& order) {
   bool changed = false;
   if (const auto* put = std::get_if<PutCatalog>(&order)) {
-    changed = put->version > catalog_version_;
-    if (changed) {
-      catalog_version_ = put->version;
-      catalog_bytes_ = std::make_shared<const std::string>(put->bytes);
-    }
+    changed = put->version > catalog_version_ && PutNewer(put->version, put->bytes);
+  } else if (const auto* patch = std::get_if<CatalogPatch>(&order)) {
+    changed = patch->version > catalog_version_ && Apply(*patch);
   } else if (const auto* evacuation = std::get_if<SetEvacuation>(&order)) {
     changed = evacuation->evacuated ? evacuated_.insert(evacuation->data_centre).second
                                     : evacuated_.erase(evacuation->data_centre) > 0;
@@ -20,15 +28,42 @@
   return changed;
 }
 
-std::string OrderState::EncodeSnapshot() const {
-  const nlohmann::json fields = {changed_index_, catalog_version_, nlohmann::json::binary({}),
-                                 evacuated_};
-  auto with_bytes = fields;
-  if (catalog_bytes_ != nullptr) {
-    with_bytes[2] = nlohmann::json::binary({catalog_bytes_->begin(), catalog_bytes_->end()});
+bool OrderState::PutNewer(std::uint64_t version, std::string bytes) {
+  catalog_version_ = version;
+  catalog_bytes_ = std::make_shared<const std::string>(std::move(bytes));
+  return true;
+}
+
+// Every replica holds the same version when it comes to this order, so that all apply it or none.
+bool OrderState::Apply(const CatalogPatch& patch) {
+  std::string_view base;
+  if (patch.base.version != 0) {
+    if (catalog_bytes_ == nullptr) return false;
+    if (distribution::KeyOf(catalog_version_, *catalog_bytes_) != patch.base) return false;
+    base = *catalog_bytes_;
   }
-  const auto packed = nlohmann::json::to_msgpack(with_bytes);
-  return {packed.begin(), packed.end()};
+  auto bytes = compress::Decompress(patch.packed, distribution::kMaxCatalogBytes, base);
+  return bytes && PutNewer(patch.version, std::move(bytes.value()));
+}
+
+CatalogPatch OrderState::MakePatch(const PutCatalog& put) const {
+  if (catalog_bytes_ == nullptr) return MakeComplete(put);
+  return {put.version, distribution::KeyOf(catalog_version_, *catalog_bytes_),
+          compress::Compress(put.bytes, *catalog_bytes_)};
+}
+
+CatalogPatch OrderState::MakeComplete(const PutCatalog& put) {
+  return {put.version, {}, compress::Compress(put.bytes)};
+}
+
+std::string OrderState::EncodeSnapshot() const {
+  const std::string packed =
+      catalog_bytes_ == nullptr ? std::string() : compress::Compress(*catalog_bytes_);
+  const nlohmann::json fields = {changed_index_, catalog_version_,
+                                 nlohmann::json::binary({packed.begin(), packed.end()}), evacuated_,
+                                 kCompressed};
+  const auto encoded = nlohmann::json::to_msgpack(fields);
+  return {encoded.begin(), encoded.end()};
 }
 
 base::Result<OrderState> OrderState::DecodeSnapshot(const std::string& bytes) {
@@ -39,7 +74,13 @@
     state.catalog_version_ = fields.at(1).get<std::uint64_t>();
     if (state.catalog_version_ > 0) {
       const auto& stored = fields.at(2).get_binary();
-      state.catalog_bytes_ = std::make_shared<const std::string>(stored.begin(), stored.end());
+      std::string content(stored.begin(), stored.end());
+      // Snapshots of earlier versions hold the catalog as it is.
+      if (fields.size() > kCompressedField && fields.at(kCompressedField).get<bool>()) {
+        BOOST_OUTCOME_TRY(restored, compress::Decompress(content, distribution::kMaxCatalogBytes));
+        content = std::move(restored);
+      }
+      state.catalog_bytes_ = std::make_shared<const std::string>(std::move(content));
     }
     state.evacuated_ = fields.at(3).get<std::set<std::string>>();
     return state;
--- a/src/libs/orders/order_state.h
+++ b/src/libs/orders/order_state.h
@@ -16,6 +16,10 @@
   /// Applies the order at `index`; returns whether it changed anything.
   bool Apply(std::uint64_t index, const Order& order);
 
+  /// Returns a catalog as the difference from the one held, or complete.
+  CatalogPatch MakePatch(const PutCatalog& put) const;
+  static CatalogPatch MakeComplete(const PutCatalog& put);
+
   /// Index of the last order that changed something.
   std::uint64_t changed_index() const { return changed_index_; }
   /// 0 before the first catalog.
@@ -29,6 +33,9 @@
   static base::Result<OrderState> DecodeSnapshot(const std::string& bytes);
 
  private:
+  bool PutNewer(std::uint64_t version, std::string bytes);
+  bool Apply(const CatalogPatch& patch);
+
   std::uint64_t changed_index_ = 0;
   std::uint64_t catalog_version_ = 0;
   std::shared_ptr<const std::string> catalog_bytes_;
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -75,11 +75,11 @@
     : network_(std::move(network)), pacer_(std::move(pacer)) {}
 
 bool Chooser::IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
-                          const Beliefs& beliefs, base::MonotonicTime now) const {
+                          const Beliefs& beliefs) const {
   const auto& report = known.report;
   if (report.state != upstreams::State::kReady) return false;
   if (beliefs.evacuated->contains(report.data_centre)) return false;
-  if (now - known.heard_at > kSilence) return false;
+  if (beliefs.upstreams->SilenceOf(known) > kSilence) return false;
   const auto& homes = demand.route->home_regions;
   return homes.empty() || Contains(homes, network_.RegionOf(report.data_centre));
 }
@@ -88,7 +88,7 @@
                                                     base::MonotonicTime now) {
   std::vector<Candidate> candidates;
   for (const auto* known : beliefs.upstreams->OfService(demand.service)) {
-    if (!IsCandidate(*known, demand, beliefs, now)) continue;
+    if (!IsCandidate(*known, demand, beliefs)) continue;
     Candidate candidate;
     candidate.known = known;
     candidate.condition = &conditions_[known->report.id];
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -59,7 +59,7 @@
   struct Candidate;
 
   bool IsCandidate(const upstreams::KnownUpstream& known, const Demand& demand,
-                   const Beliefs& beliefs, base::MonotonicTime now) const;
+                   const Beliefs& beliefs) const;
   std::vector<Candidate> Candidates(const Demand& demand, const Beliefs& beliefs,
                                     base::MonotonicTime now);
   void KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const;
--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -42,10 +42,13 @@
   const auto found = upstreams_.find(known.report.id);
   if (found != upstreams_.end() && found->second.report.service == known.report.service &&
       found->second.report.address == known.report.address) {
+    digests_.Toggle(found->second.report);
+    digests_.Toggle(known.report);
     found->second = known;
     return;
   }
   Remove(known.report.id);
+  digests_.Toggle(known.report);
   auto& stored = upstreams_[known.report.id];
   stored = known;
   by_service_[known.report.service].push_back(&stored);
@@ -55,6 +58,7 @@
 void UpstreamTable::Remove(const std::string& id) {
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
+  digests_.Toggle(found->second.report);
   RemoveFrom(by_service_, found->second.report.service, &found->second);
   RemoveFrom(by_address_, found->second.report.address, &found->second);
   upstreams_.erase(found);
@@ -75,13 +79,17 @@
 void UpstreamTable::RetireOthersAt(const UpstreamReport& report) {
   for (auto* known : At(by_address_, report.address)) {
     const bool older = known->report.started_unix_ms < report.started_unix_ms;
-    if (known->report.id != report.id && older) known->report.state = State::kLeft;
+    if (known->report.id == report.id || !older) continue;
+    digests_.Toggle(known->report);
+    known->report.state = State::kLeft;
+    digests_.Toggle(known->report);
   }
 }
 
 Change UpstreamTable::Apply(const UpstreamReport& report, base::Duration age,
                             base::MonotonicTime now) {
   const auto heard_at = now - age;
+  heard_any_at_ = std::max(heard_any_at_, now);
   const auto cold_until = heard_at + report.cold_left;
   const auto found = upstreams_.find(report.id);
   if (found != upstreams_.end()) {
@@ -117,9 +125,24 @@
   }
   report.sequence = sequence;
   found->second.heard_at = std::max(found->second.heard_at, now);
+  heard_any_at_ = std::max(heard_any_at_, now);
   return Change::kHeard;
 }
 
+void UpstreamTable::NoteAllHeard(base::Duration interval,
+                                 const std::map<std::string, base::Duration>& silent,
+                                 base::MonotonicTime now) {
+  heard_any_at_ = std::max(heard_any_at_, now);
+  for (auto& [id, known] : upstreams_) {
+    const auto found = silent.find(id);
+    if (found == silent.end()) {
+      known.heard_at = std::max(known.heard_at, now - interval);
+    } else if (found->second != base::Duration::max()) {
+      known.heard_at = std::max(known.heard_at, now - found->second);
+    }
+  }
+}
+
 std::vector<std::string> UpstreamTable::Expire(base::Duration silence, base::MonotonicTime now) {
   std::vector<std::string> expired;
   for (const auto& [id, known] : upstreams_) {
--- a/src/libs/upstreams/upstream_table.h
+++ b/src/libs/upstreams/upstream_table.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/monotonic_time.h"
+#include "upstreams/table_digest.h"
 #include "upstreams/upstream_report.h"
 
 namespace wagtailpick::upstreams {
@@ -44,6 +45,20 @@
   Change NoteHeard(const std::string& id, std::int64_t started_unix_ms, std::uint64_t sequence,
                    base::MonotonicTime now);
 
+  /// Takes a replica's word that all upstreams were heard within `interval`, but for those of
+  /// `silent`, with the time since they were heard; `Duration::max()` where that isn't known.
+  void NoteAllHeard(base::Duration interval, const std::map<std::string, base::Duration>& silent,
+                    base::MonotonicTime now);
+
+  /// How long an upstream was silent when this table last heard of any. A process that hears of
+  /// none is cut off itself, which says nothing about the upstreams.
+  base::Duration SilenceOf(const KnownUpstream& known) const {
+    return heard_any_at_ - known.heard_at;
+  }
+
+  /// When any upstream was last heard of.
+  base::MonotonicTime heard_any_at() const { return heard_any_at_; }
+
   /// Forgets upstreams of which nothing was heard for `silence`; those that have left are kept that
   /// long as well, so that a late announcement doesn't bring them back. Returns their ids.
   std::vector<std::string> Expire(base::Duration silence, base::MonotonicTime now);
@@ -54,6 +69,8 @@
   /// Returns the upstream, or null.
   const KnownUpstream* Find(const std::string& id) const;
 
+  const TableDigests& digests() const { return digests_; }
+
   const std::map<std::string, KnownUpstream>& all() const { return upstreams_; }
 
   /// The upstreams of a service, in any state.
@@ -67,6 +84,8 @@
   void RetireOthersAt(const UpstreamReport& report);
 
   std::map<std::string, KnownUpstream> upstreams_;
+  TableDigests digests_;
+  base::MonotonicTime heard_any_at_ = base::MonotonicTime::min();
   std::map<std::string, std::vector<const KnownUpstream*>> by_service_;
   std::map<std::string, std::vector<KnownUpstream*>> by_address_;
 };
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace wagtailpick;           // NOLINT(google-build-using-namespace)
 using namespace wagtailpick::cluster;  // NOLINT(google-build-using-namespace)
+using distribution::CatalogKey;
 
 template <typename T>
 T RoundTrip(const T& message) {
@@ -42,7 +43,8 @@
   aged.report = {"i-1",   123,  9, upstreams::State::kDraining, "menu", "10.0.0.9:80",
                  "mvd-a", "v2", 4, std::chrono::seconds(2)};
   aged.age = std::chrono::milliseconds(30);
-  const auto back = RoundTrip(Reports{17, {aged}});
+  const auto back = RoundTrip(Reports{17, {aged}, {}});
+  cr_expect(!back.complete_parts);
   cr_expect(back.ticket == 17);
   cr_expect(back.reports.at(0).report == aged.report);
   cr_expect(back.reports.at(0).age == aged.age);
@@ -54,11 +56,55 @@
   cr_expect(RoundTrip(Replicas{{{"a:1", "a:2", "dc"}}}).replicas.at(0).service_address == "a:2");
   cr_expect(RoundTrip(Beats{{{"i-1", 5, 6}}}).beats.at(0).sequence == 6);
   cr_expect(RoundTrip(OrderSummary{3, 4, {"mvd-a"}}).evacuated.at(0) == "mvd-a");
-  cr_expect(RoundTrip(Entries{{"e1", "e2"}}).vms.size() == 2);
-  cr_expect(RoundTrip(CatalogContent{4, "bytes"}).bytes == "bytes");
-  cr_expect(RoundTrip(CatalogRequest{4}).version == 4);
   cr_expect(RoundTrip(ReportsTaken{8}).ticket == 8);
-  cr_expect(RoundTrip(Ping{true}).ready);
+  const auto names = RoundTrip(EntryNames{true, {"e1", "e2"}, {"e3"}});
+  cr_expect(names.complete && names.added.size() == 2 && names.removed.at(0) == "e3");
+  const auto ping = RoundTrip(Ping{true, true, 7, 8});
+  cr_expect(ping.ready && ping.follows && ping.orders_index == 7 && ping.catalog_version == 8);
+}
+
+// Guards against an entry that asks for, or is sent, another part of a catalog than it lacks.
+Test(message_codec, carries_transfers_of_the_catalog) {
+  const auto request = RoundTrip(CatalogRequest{{1, 2}, {3, 4}, {5, 6}, 7});
+  cr_expect((request.held == CatalogKey{1, 2}));
+  cr_expect((request.wanted == CatalogKey{3, 4}));
+  cr_expect((request.base == CatalogKey{5, 6}));
+  cr_expect(request.offset == 7);
+  const auto piece = RoundTrip(CatalogPiece{{1, 2}, {3, 4}, 5, 6, std::string("\0\xff", 2)});
+  cr_expect((piece.key == CatalogKey{1, 2}));
+  cr_expect((piece.base == CatalogKey{3, 4}));
+  cr_expect(piece.total == 5 && piece.offset == 6);
+  cr_expect(piece.bytes == std::string("\0\xff", 2));
+}
+
+// Guards against digests that compare different parts of two tables.
+Test(message_codec, carries_what_compares_tables) {
+  const auto request = RoundTrip(ReportsRequest{{1, 2, ~0ULL}});
+  cr_expect(request.digests == std::vector<std::uint64_t>({1, 2, ~0ULL}));
+  const auto answer = RoundTrip(Reports{0, {}, std::vector<std::uint8_t>{3, 63}});
+  cr_expect(answer.complete_parts == std::vector<std::uint8_t>({3, 63}));
+  const auto heard = RoundTrip(UpstreamsHeard{9, {{"i-1", std::chrono::seconds(4)}}});
+  cr_expect(heard.digest == 9 && heard.silent.at(0).id == "i-1");
+  cr_expect(heard.silent.at(0).silence == std::chrono::seconds(4));
+}
+
+// Guards against lists that cross regions at their full length, and compressed ones that are lost.
+Test(message_codec, compresses_long_messages) {
+  Reports reports;
+  for (int i = 0; i < 800; ++i) {
+    AgedReport aged;
+    aged.report.id = "i-" + std::to_string(i * 7'919);
+    aged.report.service = "menu";
+    aged.report.address = "10.128.0." + std::to_string(i) + ":9080";
+    aged.report.data_centre = "mvd-a";
+    reports.reports.push_back(aged);
+  }
+  const auto frame = Encode(reports);
+  cr_expect(frame.size() < 800 * 30, "%zu bytes", frame.size());
+  cr_expect(RoundTrip(reports).reports.size() == 800);
+  for (std::size_t size = 1; size < frame.size(); size += 97) {
+    cr_expect(!Decode(frame.substr(0, size)));
+  }
 }
 
 // Guards against a process that dies of a message it can't read.
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -99,6 +99,28 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against an acknowledged catalog that was dropped: two orders in flight are differences
+// from the same version, and the second doesn't fit once the first is committed.
+Test(order_log, applies_catalogs_that_are_ordered_at_the_same_time) {
+  const std::string folder = MakeFolder();
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, Quiet());
+  cr_assert(log.has_value());
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (Submit(*log.value(), orders::PutCatalog{1, "one"}).status != OrderStatus::kAccepted) {
+    cr_assert(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  std::vector<std::promise<OrderReply>> replies(4);
+  for (std::size_t i = 0; i < replies.size(); ++i) {
+    log.value()->Submit(orders::PutCatalog{i + 2, "catalog " + std::to_string(i + 2)},
+                        [&reply = replies[i]](OrderReply one) { reply.set_value(std::move(one)); });
+  }
+  for (auto& reply : replies) cr_expect(reply.get_future().get().status == OrderStatus::kAccepted);
+  cr_expect(Read(*log.value()).content == "catalog 5");
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against a cache that comes back changed, and a start that fails on a damaged one.
 Test(state_cache, loads_what_was_saved_and_ignores_damage) {
   const std::string folder = MakeFolder();
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -82,9 +82,18 @@
   auto demand = world.Ask();
   demand.tried = {"far"};
   cr_expect(world.Choose(demand).refusal == Refusal::kNoUpstream);
+  // Others are still heard of, so that the silence is the upstream's own.
+  world.Announce("near2", "a2", {}, upstreams::State::kReady, kStart + seconds(60));
   cr_expect(world.Choose(world.Ask(), kStart + seconds(60)).refusal == Refusal::kNoUpstream);
 }
 
+// Guards against an entry that refuses all requests while no replica reaches it: what it hears of
+// no upstream says nothing about any of them.
+Test(chooser, goes_on_using_upstreams_while_nothing_is_heard_of_any) {
+  World world;
+  cr_expect(world.Choose(world.Ask(), kStart + seconds(60)).upstream == "near1");
+}
+
 // Guards against work that goes on being sent to an upstream that can't be reached, and against one
 // that is left out although it has announced itself since.
 Test(chooser, uses_a_lost_upstream_again_after_its_next_announcement) {
