Tell entries of slow and failing upstreams that they seldom meet

Cause: an entry of 185 meets a given upstream of 807 once in about 100 s. What it believes of the upstream's speed, failures and queue is too old or missing, so slow upstreams keep receiving requests (the users' complaint).

Change: entries tell the replica that they follow how their requests ended; one replica for each upstream merges it and decides which to spare, on the word of two entries or more, at most 0.3 of a service; all entries prefer others while it lasts. Queues that upstreams tell are shared in the same way.

--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -92,6 +92,22 @@
   return json::array({message.digest, list});
 }
 
+json Fields(const Observations& message) {
+  json list = json::array();
+  for (const auto& seen : message.observations) {
+    list.push_back({seen.upstream, seen.good, seen.slow, seen.failed, seen.entries, seen.waiting});
+  }
+  return json::array({list});
+}
+
+json Fields(const Conditions& message) {
+  json list = json::array();
+  for (const auto& condition : message.conditions) {
+    list.push_back({condition.upstream, condition.spared, condition.waiting});
+  }
+  return json::array({list});
+}
+
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
   out.vm = fields.at(1).get<std::string>();
@@ -178,6 +194,21 @@
   }
 }
 
+void Read(const json& fields, Observations& out) {
+  for (const auto& one : fields.at(0)) {
+    out.observations.push_back({one.at(0).get<std::string>(), one.at(1).get<std::uint32_t>(),
+                                one.at(2).get<std::uint32_t>(), one.at(3).get<std::uint32_t>(),
+                                one.at(4).get<std::uint32_t>(), one.at(5).get<std::uint32_t>()});
+  }
+}
+
+void Read(const json& fields, Conditions& out) {
+  for (const auto& one : fields.at(0)) {
+    out.conditions.push_back(
+        {one.at(0).get<std::string>(), one.at(1).get<bool>(), one.at(2).get<std::uint32_t>()});
+  }
+}
+
 /// Decodes the alternative of `Message` at position `kind`.
 template <std::size_t Position = 0>
 base::Result<Message> DecodeAs(std::size_t kind, const json& fields) {
--- a/src/libs/cluster/messages.h
+++ b/src/libs/cluster/messages.h
@@ -9,6 +9,7 @@
 #include "base/monotonic_time.h"
 #include "consensus/message.h"
 #include "distribution/catalog_transfer.h"
+#include "observation/observation.h"
 #include "upstreams/upstream_report.h"
 
 namespace wagtailpick::cluster {
@@ -111,6 +112,18 @@
   std::vector<SilentUpstream> silent;
 };
 
+/// What entries saw of upstreams: from an entry to the replica that it follows, and from that one
+/// to the replicas that merge them.
+struct Observations {
+  std::vector<observation::Observation> observations;
+};
+
+/// The upstreams that entries should know of: from the replica that merges what was seen of them to
+/// the others, and from each replica to the entries that follow it.
+struct Conditions {
+  std::vector<observation::Condition> conditions;
+};
+
 /// Keeps a link alive; answered by one.
 struct Ping {
   /// Whether an entry takes callers.
@@ -126,8 +139,8 @@
 using distribution::CatalogPiece;
 using distribution::CatalogRequest;
 
-using Message =
-    std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary, EntryNames,
-                 CatalogRequest, CatalogPiece, Ping, ReportsRequest, UpstreamsHeard>;
+using Message = std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary,
+                             EntryNames, CatalogRequest, CatalogPiece, Ping, ReportsRequest,
+                             UpstreamsHeard, Observations, Conditions>;
 
 }  // namespace wagtailpick::cluster
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -152,6 +152,7 @@
     heard_due_ = now + kHeardInterval;
     acceptor_->BroadcastToFollowers(HeardOf(upstreams_, now));
   }
+  SendConditions(now);
   ReportPeers(now);
   SaveCache(now);
   for (const auto& id : upstreams_.Expire(kForgetUpstream, now)) {
@@ -231,6 +232,13 @@
     }
     return;
   }
+  if (const auto* observations = std::get_if<cluster::Observations>(&message)) {
+    return TakeObservations(session, *observations);
+  }
+  if (const auto* conditions = std::get_if<cluster::Conditions>(&message)) {
+    return conditions_[session.hello.cluster_address].Take(conditions->conditions,
+                                                           base::MonotonicNow());
+  }
   if (const auto* request = std::get_if<cluster::ReportsRequest>(&message)) {
     return acceptor_->Send(session.id, AnswerReports(upstreams_, *request, base::MonotonicNow()));
   }
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -20,6 +20,8 @@
 #include "node/order_log.h"
 #include "node/order_reply.h"
 #include "node/state_cache.h"
+#include "observation/merger.h"
+#include "observation/shared_conditions.h"
 #include "upstreams/upstream_table.h"
 
 namespace wagtailpick::node {
@@ -93,6 +95,10 @@
   void ExpireDrains(base::MonotonicTime now);
   void SendBeats();
   void SendEntryChanges();
+  void TakeObservations(const cluster::Session& session, const cluster::Observations& message);
+  std::string MergingReplica(const std::string& upstream) const;
+  void SendObservations(base::MonotonicTime now);
+  void SendConditions(base::MonotonicTime now);
   std::set<std::string> ConnectedEntries() const;
   void ReportPeers(base::MonotonicTime now);
   void Reply(const OrderDone& done, OrderReply reply);
@@ -120,6 +126,15 @@
   std::set<std::string> told_entries_;
   base::MonotonicTime heard_due_;
   distribution::CatalogSource catalogs_;
+  observation::Merger observed_;
+  /// What followers have seen of upstreams, for the replicas that merge it.
+  std::map<std::string, observation::Observation> unsent_observations_;
+  /// What each replica, this one included, has last decided on the upstreams of which it merges the
+  /// observations.
+  std::map<std::string, observation::SharedConditions> conditions_;
+  /// The last conditions that followers were told weren't empty.
+  bool told_conditions_ = false;
+  base::MonotonicTime conditions_due_;
   StateCache cache_;
   bool cache_outdated_ = false;
   base::MonotonicTime cache_due_;
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::chrono::milliseconds kTick{200};
 constexpr base::Duration kSlowTick = std::chrono::seconds(1);
+/// A slow upstream is to be spared by all entries within about two seconds.
+constexpr base::Duration kObservationInterval = std::chrono::milliseconds(400);
 /// Part of the VM's link that transfers of the catalog may take; the rest is left to requests.
 constexpr double kCatalogPartOfLink = 0.5;
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
@@ -107,6 +109,7 @@
   mesh_->Tick(now);
   ChooseFollowed();
   RequestCatalog(now);
+  if (now >= observations_due_) SendObservations(now);
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
     relay_->Tick(now);
@@ -143,6 +146,8 @@
       .Set(static_cast<std::int64_t>(mesh_->up_count()));
   metrics_.GaugeAt("wagtailpick_upstreams_known")
       .Set(static_cast<std::int64_t>(beliefs_.upstreams.all().size()));
+  metrics_.GaugeAt("wagtailpick_upstreams_spared")
+      .Set(static_cast<std::int64_t>(beliefs_.shared.spared_count()));
   metrics_.GaugeAt("wagtailpick_requests_running")
       .Set(static_cast<std::int64_t>(relay_->running()));
 }
@@ -160,6 +165,10 @@
   }
   if (const auto* names = std::get_if<cluster::EntryNames>(&message)) {
     if (replica == followed_) TakeEntries(*names);
+    return;
+  }
+  if (const auto* conditions = std::get_if<cluster::Conditions>(&message)) {
+    if (replica == followed_) TakeConditions(*conditions);
   }
 }
 
@@ -226,6 +235,22 @@
   return longest;
 }
 
+void EntryNode::SendObservations(base::MonotonicTime now) {
+  observations_due_ = now + kObservationInterval;
+  cluster::Observations message{relay_->TakeObservations(now)};
+  if (!message.observations.empty()) mesh_->Send(followed_, message);
+}
+
+void EntryNode::TakeConditions(const cluster::Conditions& message) {
+  const auto now = base::MonotonicNow();
+  for (const auto& condition : message.conditions) {
+    if (!condition.spared || beliefs_.shared.IsSpared(condition.upstream, now)) continue;
+    logging::Write(Level::kInfo, "upstream_spared", condition.upstream,
+                   {{"spared", std::to_string(beliefs_.shared.spared_count())}});
+  }
+  beliefs_.shared.Take(message.conditions, now);
+}
+
 void EntryNode::RequestCatalog(base::MonotonicTime now) {
   const auto next = catalog_fetch_.Next(now);
   if (next) mesh_->Send(next->replica, next->request);
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -64,6 +64,8 @@
   void TakePiece(const std::string& replica, const cluster::CatalogPiece& piece);
   void TakeCatalog(const distribution::CatalogFetch::Arrival& arrival);
   void TakeEntries(const cluster::EntryNames& names);
+  void TakeConditions(const cluster::Conditions& message);
+  void SendObservations(base::MonotonicTime now);
   void RequestCatalog(base::MonotonicTime now);
   void ChooseFollowed();
   void UpdateGauges(base::MonotonicTime now);
@@ -93,6 +95,7 @@
   base::MonotonicTime drain_started_;
   std::function<void()> drained_;
   base::MonotonicTime slow_tick_due_;
+  base::MonotonicTime observations_due_;
 };
 
 }  // namespace wagtailpick::node
--- /dev/null
+++ b/src/libs/observation/merger.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "observation/observation.h"
+
+namespace wagtailpick::observation {
+
+/// Puts together what all entries saw of some upstreams, and decides which of them are spared. An
+/// upstream is spared when several entries saw it slow or failing within a few seconds, far more
+/// often than the other upstreams of its service, and never on one entry's word. It gets work again
+/// when the requests that still reach it are answered well, or when nothing bad was seen of it for
+/// some seconds.
+class Merger {
+ public:
+  /// Service of an upstream; empty where it isn't known.
+  using ServiceOf = std::function<std::string(const std::string& upstream)>;
+
+  void Take(const std::vector<Observation>& observations, base::MonotonicTime now);
+
+  /// The upstreams that entries should know of. At most a part of each service's upstreams that
+  /// were seen lately is spared, the worst ones first.
+  std::vector<Condition> Conditions(base::MonotonicTime now, const ServiceOf& service_of);
+
+ private:
+  struct Sample {
+    base::MonotonicTime at;
+    Observation seen;
+  };
+  struct Upstream {
+    std::deque<Sample> samples;
+    bool spared = false;
+    base::MonotonicTime bad_at;
+    std::uint32_t waiting = 0;
+    base::MonotonicTime waiting_at;
+  };
+  struct Service {
+    std::size_t upstreams = 0;
+    Observation seen;
+    /// Upstreams to spare, with how bad they are.
+    std::vector<std::pair<double, std::string>> spared;
+  };
+
+  static Observation SumSince(const Upstream& upstream, base::MonotonicTime since);
+  static bool IsBad(const Observation& seen, const Observation& service);
+  static void Judge(Upstream& upstream, const Observation& service, base::MonotonicTime now);
+  void Forget(base::MonotonicTime now);
+
+  std::map<std::string, Upstream> upstreams_;
+};
+
+}  // namespace wagtailpick::observation
--- /dev/null
+++ b/src/libs/observation/recorder.cpp
@@ -0,0 +1,64 @@
+#include "observation/recorder.h"
+
+#include <utility>
+
+namespace wagtailpick::observation {
+namespace {
+
+/// A warm object on an upstream that has turned slow takes about that many times what is expected.
+/// A cold object does as well; it is told apart by how few of them there are.
+constexpr int kOverdueFactor = 2;
+
+bool IsOverdue(base::Duration expected, base::Duration took) {
+  return took > expected * kOverdueFactor;
+}
+
+}  // namespace
+
+Observation& Recorder::At(const std::string& upstream) {
+  auto& seen = seen_[upstream];
+  if (seen.upstream.empty()) seen.upstream = upstream;
+  return seen;
+}
+
+std::uint64_t Recorder::Begin(const std::string& upstream, base::Duration expected,
+                              base::MonotonicTime now) {
+  const auto number = next_number_++;
+  running_[number] = {upstream, now, expected, false};
+  return number;
+}
+
+void Recorder::End(std::uint64_t number, Ending ending, base::MonotonicTime now) {
+  const auto found = running_.find(number);
+  if (found == running_.end()) return;
+  const auto running = std::move(found->second);
+  running_.erase(found);
+  if (running.counted) return;
+  if (ending == Ending::kFailed) {
+    ++At(running.upstream).failed;
+  } else if (IsOverdue(running.expected, now - running.sent_at)) {
+    ++At(running.upstream).slow;
+  } else if (ending == Ending::kAnswered) {
+    ++At(running.upstream).good;
+  }
+}
+
+void Recorder::NoteWaiting(const std::string& upstream, std::uint32_t waiting) {
+  At(upstream).waiting = waiting;
+}
+
+std::vector<Observation> Recorder::Take(base::MonotonicTime now) {
+  for (auto& [number, running] : running_) {
+    if (running.counted || !IsOverdue(running.expected, now - running.sent_at)) continue;
+    running.counted = true;
+    ++At(running.upstream).slow;
+  }
+  std::vector<Observation> told;
+  for (auto& [upstream, seen] : std::exchange(seen_, {})) {
+    seen.entries = seen.slow + seen.failed > 0 ? 1 : 0;
+    told.push_back(std::move(seen));
+  }
+  return told;
+}
+
+}  // namespace wagtailpick::observation
--- /dev/null
+++ b/src/libs/observation/shared_conditions.cpp
@@ -0,0 +1,44 @@
+#include "observation/shared_conditions.h"
+
+#include <algorithm>
+
+namespace wagtailpick::observation {
+namespace {
+
+/// Several messages have been missed by then.
+constexpr base::Duration kValid = std::chrono::seconds(3);
+
+}  // namespace
+
+void SharedConditions::Take(const std::vector<Condition>& conditions, base::MonotonicTime now) {
+  conditions_.clear();
+  for (const auto& condition : conditions) conditions_[condition.upstream] = condition;
+  spared_count_ = static_cast<std::size_t>(std::count_if(
+      conditions.begin(), conditions.end(), [](const auto& one) { return one.spared; }));
+  taken_at_ = now;
+}
+
+void SharedConditions::CopyTo(std::vector<Condition>& list, base::MonotonicTime now) const {
+  if (now - taken_at_ > kValid) return;
+  for (const auto& [upstream, condition] : conditions_) list.push_back(condition);
+}
+
+const Condition* SharedConditions::Find(const std::string& upstream,
+                                        base::MonotonicTime now) const {
+  if (conditions_.empty() || now - taken_at_ > kValid) return nullptr;
+  const auto found = conditions_.find(upstream);
+  return found == conditions_.end() ? nullptr : &found->second;
+}
+
+bool SharedConditions::IsSpared(const std::string& upstream, base::MonotonicTime now) const {
+  const auto* condition = Find(upstream, now);
+  return condition != nullptr && condition->spared;
+}
+
+std::uint32_t SharedConditions::WaitingAt(const std::string& upstream,
+                                          base::MonotonicTime now) const {
+  const auto* condition = Find(upstream, now);
+  return condition == nullptr ? 0 : condition->waiting;
+}
+
+}  // namespace wagtailpick::observation
--- /dev/null
+++ b/src/libs/observation/shared_conditions.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "observation/observation.h"
+
+namespace wagtailpick::observation {
+
+/// What a replica has told of upstreams last. It counts for a short time only: an
+/// entry that hears no more relies on what it sees itself.
+class SharedConditions {
+ public:
+  void Take(const std::vector<Condition>& conditions, base::MonotonicTime now);
+
+  bool empty() const { return conditions_.empty(); }
+  /// Appends what still counts.
+  void CopyTo(std::vector<Condition>& list, base::MonotonicTime now) const;
+
+  bool IsSpared(const std::string& upstream, base::MonotonicTime now) const;
+  /// Requests that wait at an upstream.
+  std::uint32_t WaitingAt(const std::string& upstream, base::MonotonicTime now) const;
+
+  std::size_t spared_count() const { return spared_count_; }
+
+ private:
+  const Condition* Find(const std::string& upstream, base::MonotonicTime now) const;
+
+  std::map<std::string, Condition> conditions_;
+  std::size_t spared_count_ = 0;
+  base::MonotonicTime taken_at_;
+};
+
+}  // namespace wagtailpick::observation
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -26,6 +26,8 @@
 constexpr double kWarmOther = 0.2;
 constexpr double kWarmKnown = 0.95;
 constexpr double kWarmEnough = 0.5;
+/// Requests for one that goes to a spared upstream.
+constexpr std::uint64_t kProbeInterval = 8;
 /// Load below the slots still costs something, as what others have sent is known late.
 constexpr double kCollisionWeight = 0.2;
 /// More urgent requests may wait this much longer before they are turned away.
@@ -50,6 +52,21 @@
   return std::max<double>(report.slots, 1);
 }
 
+// An upstream that can't be reached is found by the silence of its announcements.
+observation::Ending EndingOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kServed:
+      return observation::Ending::kAnswered;
+    case Outcome::kFailed:
+    case Outcome::kShed:
+      return observation::Ending::kFailed;
+    case Outcome::kUnreachable:
+    case Outcome::kUnknown:
+      break;
+  }
+  return observation::Ending::kUnknown;
+}
+
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -60,6 +77,10 @@
   const upstreams::KnownUpstream* known = nullptr;
   UpstreamCondition* condition = nullptr;
   bool cold_start = false;
+  /// Whether the entries together have seen that it is slow or fails.
+  bool spared = false;
+  /// Requests that wait at it, as the entries together have seen.
+  std::uint32_t waiting = 0;
   /// Whether it was neither tried for this request nor is left out for its failures.
   bool usable = true;
   /// Position in the object's order.
@@ -95,13 +116,30 @@
     candidate.cold_start = now < known->cold_until;
     candidate.usable = !Contains(demand.tried, known->report.id) &&
                        candidate.condition->Usable(known->heard_at, now);
+    if (beliefs.shared != nullptr) {
+      candidate.spared = beliefs.shared->IsSpared(known->report.id, now);
+      candidate.waiting = beliefs.shared->WaitingAt(known->report.id, now);
+    }
     candidates.push_back(candidate);
   }
+  LeaveOutSpared(demand, candidates);
   KeepObjectsUpstreams(demand, candidates);
   std::erase_if(candidates, [](const Candidate& candidate) { return !candidate.usable; });
   return candidates;
 }
 
+// Some requests that may run again still go to a spared upstream, to see whether it is well again.
+void Chooser::LeaveOutSpared(const Demand& demand, std::vector<Candidate>& candidates) {
+  const auto is_spared = [](const Candidate& candidate) { return candidate.spared; };
+  if (std::none_of(candidates.begin(), candidates.end(), is_spared)) return;
+  const bool others = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) {
+    return candidate.usable && !candidate.spared;
+  });
+  if (!others) return;
+  if (++choices_with_spared_ % kProbeInterval == 0 && demand.route->idempotent) return;
+  for (auto& candidate : candidates) candidate.usable = candidate.usable && !candidate.spared;
+}
+
 void Chooser::KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const {
   if (!demand.route->sticky || demand.object == 0) return;
   std::map<std::string, double> slots;
@@ -144,7 +182,8 @@
   candidate.warm_chance = !sticky ? 0 : known ? kWarmKnown : by_rank;
   const auto mixed = Scale(estimate.warm(), candidate.warm_chance) +
                      Scale(estimate.cold(), 1.0 - candidate.warm_chance);
-  const double load = candidate.condition->Load(now);
+  double load = candidate.condition->Load(now);
+  if (candidate.waiting > 0) load = std::max(load, slots + candidate.waiting);
   const double slowness = candidate.condition->slowness();
   candidate.work = Scale(mixed, slowness);
   const auto turn = Scale((estimate.warm() + estimate.cold()) / 2, slowness);
@@ -217,15 +256,17 @@
   return choice;
 }
 
-void Chooser::NoteSent(const Choice& choice, base::MonotonicTime now) {
+std::uint64_t Chooser::NoteSent(const Choice& choice, base::MonotonicTime now) {
   conditions_[choice.upstream].NoteSent();
   if (choice.cold_start) pacer_.Count(choice.upstream, now);
+  return recorder_.Begin(choice.upstream, choice.expected, now);
 }
 
-void Chooser::NoteEnd(const Choice& choice, const Demand& demand, Outcome outcome,
-                      base::Duration took, base::MonotonicTime now) {
+void Chooser::NoteEnd(std::uint64_t sending, const Choice& choice, const Demand& demand,
+                      Outcome outcome, base::Duration took, base::MonotonicTime now) {
   auto& condition = conditions_[choice.upstream];
   condition.NoteEnd(outcome, now);
+  recorder_.End(sending, EndingOf(outcome), now);
   if (outcome != Outcome::kServed) return;
   const auto work = took - network_.RoundTrip(choice.data_centre);
   auto& estimate = work_.At(demand.route->name, demand.route->objective);
@@ -242,6 +283,7 @@
 void Chooser::NoteLoad(const std::string& upstream, const LoadReport& load,
                        base::MonotonicTime now) {
   conditions_[upstream].NoteLoad(load, now);
+  recorder_.NoteWaiting(upstream, load.waiting);
 }
 
 void Chooser::NoteConnect(const std::string& data_centre, base::Duration took) {
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "catalog/catalog.h"
+#include "observation/recorder.h"
+#include "observation/shared_conditions.h"
 #include "placement/choice.h"
 #include "placement/cold_pacer.h"
 #include "placement/network_distance.h"
@@ -22,6 +24,8 @@
   const catalog::Catalog* catalog = nullptr;
   /// Data centres that get no requests.
   const std::set<std::string>* evacuated = nullptr;
+  /// What all entries have seen; null for nothing.
+  const observation::SharedConditions* shared = nullptr;
 };
 
 /// Chooses the upstream from which the answer is expected first: network, queue and work, where the
@@ -39,13 +43,18 @@
   /// Chooses for `demand`; counts nothing, as the choice may not be followed.
   Choice Choose(const Demand& demand, const Beliefs& beliefs, base::MonotonicTime now);
 
-  /// The request is sent to the chosen upstream; a cold one's bound counts it.
-  void NoteSent(const Choice& choice, base::MonotonicTime now);
-  /// It ended there, `took` after it was sent.
-  void NoteEnd(const Choice& choice, const Demand& demand, Outcome outcome, base::Duration took,
-               base::MonotonicTime now);
+  /// The request is sent to the chosen upstream; a cold one's bound counts it. Returns the number
+  /// of the sending.
+  std::uint64_t NoteSent(const Choice& choice, base::MonotonicTime now);
+  /// The sending ended, `took` after it began.
+  void NoteEnd(std::uint64_t sending, const Choice& choice, const Demand& demand, Outcome outcome,
+               base::Duration took, base::MonotonicTime now);
   void NoteLoad(const std::string& upstream, const LoadReport& load, base::MonotonicTime now);
   void NoteConnect(const std::string& data_centre, base::Duration took);
+  /// What was seen of upstreams since the last call, for the other entries.
+  std::vector<observation::Observation> TakeObservations(base::MonotonicTime now) {
+    return recorder_.Take(now);
+  }
   /// The upstream has started again or is gone.
   void Forget(const std::string& upstream) { conditions_.erase(upstream); }
 
@@ -62,6 +71,7 @@
                    const Beliefs& beliefs) const;
   std::vector<Candidate> Candidates(const Demand& demand, const Beliefs& beliefs,
                                     base::MonotonicTime now);
+  void LeaveOutSpared(const Demand& demand, std::vector<Candidate>& candidates);
   void KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const;
   void Estimate(const Demand& demand, double slots_per_object, Candidate& candidate,
                 base::MonotonicTime now);
@@ -74,6 +84,9 @@
   ObjectCensus census_;
   std::size_t entry_count_ = 1;
   std::map<std::string, UpstreamCondition> conditions_;
+  observation::Recorder recorder_;
+  /// Requests that were chosen for while an upstream was spared.
+  std::uint64_t choices_with_spared_ = 0;
 };
 
 }  // namespace wagtailpick::placement
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -28,6 +28,8 @@
   std::shared_ptr<const catalog::Catalog> catalog;
   upstreams::UpstreamTable upstreams;
   std::set<std::string> evacuated;
+  /// What all entries together have seen of upstreams.
+  observation::SharedConditions shared;
 };
 
 struct RelayOptions {
@@ -51,6 +53,10 @@
   void SetEntries(const std::vector<std::string>& entries);
   /// An upstream at `address` has started again, drains or is gone.
   void ForgetUpstream(const std::string& id, const std::string& address, bool restarted);
+  /// What was seen of upstreams since the last call.
+  std::vector<observation::Observation> TakeObservations(base::MonotonicTime now) {
+    return chooser_.TakeObservations(now);
+  }
   /// New requests are refused from now on.
   void RefuseNew() { refusing_ = true; }
   std::size_t running() const { return running_; }
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -102,7 +102,7 @@
   demand_.time_left = deadline_ - now;
   demand_.waited = now - inbound_->received_at;
   const placement::Beliefs beliefs{&relay_.beliefs_.upstreams, catalog_.get(),
-                                   &relay_.beliefs_.evacuated};
+                                   &relay_.beliefs_.evacuated, &relay_.beliefs_.shared};
   return relay_.chooser_.Choose(demand_, beliefs, now);
 }
 
@@ -122,10 +122,11 @@
   if (!endpoint) return Refuse("bad_address");
   const auto now = base::MonotonicNow();
   demand_.tried.push_back(choice.upstream);
-  relay_.chooser_.NoteSent(choice, now);
+  const auto sending = relay_.chooser_.NoteSent(choice, now);
   ++sends_;
   const auto max_idle = demand_.route->idempotent ? Duration::max() : kMaxIdleOnce;
-  auto leg = std::make_shared<Leg>(Leg{choice, relay_.pool_.Take(endpoint.value(), max_idle), now});
+  auto leg = std::make_shared<Leg>(
+      Leg{choice, relay_.pool_.Take(endpoint.value(), max_idle), now, sending});
   legs_.push_back(leg);
   LogSent(choice, now);
   const auto request = relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - now);
@@ -259,7 +260,7 @@
 
 void RequestRun::EndExchange(const Leg& leg, Outcome outcome, std::string_view result) {
   const auto now = base::MonotonicNow();
-  relay_.chooser_.NoteEnd(leg.choice, demand_, outcome, now - leg.sent_at, now);
+  relay_.chooser_.NoteEnd(leg.sending, leg.choice, demand_, outcome, now - leg.sent_at, now);
   relay_.metrics_.NoteExchange(result, now - leg.sent_at);
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -28,6 +28,8 @@
     placement::Choice choice;
     std::shared_ptr<net::UpstreamConnection> connection;
     base::MonotonicTime sent_at;
+    /// Number of the sending, for the chooser.
+    std::uint64_t sending = 0;
   };
 
   bool FindRoute();
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -88,6 +88,14 @@
   cr_expect(heard.silent.at(0).silence == std::chrono::seconds(4));
 }
 
+// Guards against what entries saw that arrives as something else.
+Test(message_codec, carries_observations_whole) {
+  const observation::Observation seen{"i-1", 1, 2, 3, 4, 5};
+  cr_expect((RoundTrip(Observations{{seen}}).observations.at(0) == seen));
+  const observation::Condition condition{"i-1", true, 5};
+  cr_expect((RoundTrip(Conditions{{condition}}).conditions.at(0) == condition));
+}
+
 // Guards against lists that cross regions at their full length, and compressed ones that are lost.
 Test(message_codec, compresses_long_messages) {
   Reports reports;
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -99,8 +99,8 @@
 Test(chooser, uses_a_lost_upstream_again_after_its_next_announcement) {
   World world;
   const auto choice = world.Choose(world.Ask());
-  world.chooser.NoteSent(choice, kStart);
-  world.chooser.NoteEnd(choice, world.Ask(), placement::Outcome::kUnreachable, {}, kStart);
+  const auto sending = world.chooser.NoteSent(choice, kStart);
+  world.chooser.NoteEnd(sending, choice, world.Ask(), placement::Outcome::kUnreachable, {}, kStart);
   cr_expect(world.Choose(world.Ask()).upstream == "near2");
   world.Announce("near1", "a1", {}, upstreams::State::kReady, kStart + seconds(1));
   cr_expect(world.Choose(world.Ask(), kStart + seconds(1)).upstream == "near1");
@@ -114,8 +114,8 @@
   for (int i = 0; i < 5; ++i) {
     const auto choice = world.Choose(world.Ask());
     cr_assert(choice.upstream == "near1");
-    world.chooser.NoteSent(choice, kStart);
-    world.chooser.NoteEnd(choice, world.Ask(), placement::Outcome::kShed, {}, kStart);
+    const auto sending = world.chooser.NoteSent(choice, kStart);
+    world.chooser.NoteEnd(sending, choice, world.Ask(), placement::Outcome::kShed, {}, kStart);
   }
   world.evacuated.clear();
   cr_expect(world.Choose(world.Ask()).upstream == "near2");
@@ -226,6 +226,45 @@
   cr_expect(world.Choose(demand).refusal == Refusal::kNoUpstream);
 }
 
+// Guards against slow upstreams that keep receiving requests: an entry of a large system meets each
+// of them once in many seconds, and knows nothing of what the others have seen. Without shared
+// observations the same load has to fail, or the replay would show nothing.
+Test(chooser, spares_slow_upstreams_that_no_entry_meets_often) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    placement_test::LoadPattern pattern;
+    pattern.upstreams_per_region = 20;
+    pattern.entries_per_region = 40;
+    pattern.objects_per_region = 80;
+    pattern.requests_per_second = 400;
+    pattern.slow_share = 0.15;
+    const auto alone = placement_test::Replay(pattern, seed);
+    pattern.shares_observations = true;
+    const auto shared = placement_test::Replay(pattern, seed);
+    cr_expect(alone.slow_share > 0.08, "%f", alone.slow_share);
+    cr_expect(shared.slow_share < alone.slow_share / 2, "%f of %f", shared.slow_share,
+              alone.slow_share);
+    cr_expect(shared.in_time_share > alone.in_time_share + 0.04, "%f against %f",
+              shared.in_time_share, alone.in_time_share);
+  }
+}
+
+// Guards against sound upstreams that are spared, and their objects that run cold elsewhere, when
+// nothing is wrong.
+Test(chooser, shared_observations_do_no_harm_in_calm) {
+  for (const unsigned seed : {1U, 2U, 3U}) {
+    placement_test::LoadPattern pattern;
+    pattern.upstreams_per_region = 20;
+    pattern.entries_per_region = 40;
+    pattern.objects_per_region = 80;
+    pattern.requests_per_second = 400;
+    const auto alone = placement_test::Replay(pattern, seed);
+    pattern.shares_observations = true;
+    const auto shared = placement_test::Replay(pattern, seed);
+    cr_expect(shared.in_time_share > alone.in_time_share - 0.01, "%f against %f",
+              shared.in_time_share, alone.in_time_share);
+  }
+}
+
 // Guards against goodput that falls when more is asked than the upstreams can do.
 Test(chooser, keeps_serving_at_twice_the_capacity) {
   placement_test::LoadPattern pattern;
--- a/tests/auto/placement/load_replay.cpp
+++ b/tests/auto/placement/load_replay.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "observation/merger.h"
 #include "placement/chooser.h"
 
 namespace wagtailpick::placement_test {
@@ -23,8 +24,13 @@
 constexpr Duration kLength = std::chrono::seconds(24);
 constexpr Duration kMeasuredFrom = std::chrono::seconds(16);
 constexpr Duration kBetweenRegions = milliseconds(70);
+constexpr Duration kSlowFrom = kMeasuredFrom - std::chrono::seconds(2);
+constexpr int kSlowFactor = 4;
+/// Entries tell what they saw, and learn of it, at this interval.
+constexpr Duration kShareInterval = milliseconds(400);
 
 struct Job {
+  std::uint64_t sending = 0;
   MonotonicTime sent_at;
   std::size_t entry = 0;
   placement::Choice choice;
@@ -78,14 +84,27 @@
     while (now < MonotonicTime() + kLength) {
       now += Duration(static_cast<std::int64_t>(gap(random_) * 1e6) + 1);
       FinishUntil(now);
+      if (pattern_.shares_observations) ShareObservations(now);
       Request(now);
     }
     FinishUntil(now + std::chrono::seconds(10));
     const double asked = std::max(1.0, asked_);
-    return {served_ / asked, warm_ / std::max(1.0, served_), in_time_ / asked};
+    return {served_ / asked, warm_ / std::max(1.0, served_), in_time_ / asked, to_slow_ / asked};
   }
 
  private:
+  void ShareObservations(MonotonicTime now) {
+    if (now < share_due_) return;
+    share_due_ = now + kShareInterval;
+    for (auto& entry : entries_) merger_.Take(entry.TakeObservations(now), now);
+    shared_.Take(merger_.Conditions(now, [](const std::string&) { return std::string("s"); }), now);
+  }
+
+  bool IsSlow(std::size_t upstream, MonotonicTime now) const {
+    const auto slow = pattern_.slow_share * static_cast<double>(upstreams_.size());
+    return now >= MonotonicTime() + kSlowFrom && static_cast<double>(upstream) < slow;
+  }
+
   static catalog::Catalog MakeCatalog(const LoadPattern& pattern) {
     catalog::Route route;
     route.name = "r";
@@ -121,10 +140,12 @@
     asked_ += measured ? 1 : 0;
     const std::set<std::string> evacuated;
     entries_[entry].NoteRequest(job.demand, now);
-    job.choice = entries_[entry].Choose(job.demand, {&table_, &catalog_, &evacuated}, now);
+    job.choice =
+        entries_[entry].Choose(job.demand, {&table_, &catalog_, &evacuated, &shared_}, now);
     if (job.choice.refusal != placement::Refusal::kNone) return;
-    entries_[entry].NoteSent(job.choice, now);
+    job.sending = entries_[entry].NoteSent(job.choice, now);
     const std::size_t at = std::stoul(job.choice.upstream);
+    to_slow_ += measured && IsSlow(at, now) ? 1 : 0;
     auto& upstream = upstreams_[at];
     if (upstream.running < pattern_.slots) {
       Begin(at, std::move(job), now);
@@ -142,7 +163,8 @@
     if (warm) upstream.objects.erase(found);
     upstream.objects.push_front(job.demand.object);
     if (upstream.objects.size() > pattern_.kept_objects) upstream.objects.pop_back();
-    finishes_.push({now + (warm ? kWarmWork : kColdWork), at, std::move(job), warm});
+    const auto work = (warm ? kWarmWork : kColdWork) * (IsSlow(at, now) ? kSlowFactor : 1);
+    finishes_.push({now + work, at, std::move(job), warm});
   }
 
   void FinishUntil(MonotonicTime now) {
@@ -160,7 +182,8 @@
     const bool near = finish.upstream % pattern_.regions == job.entry % pattern_.regions;
     const auto took = finish.at - job.sent_at + (near ? Duration(0) : kBetweenRegions);
     auto& entry = entries_[job.entry];
-    entry.NoteEnd(job.choice, job.demand, placement::Outcome::kServed, took, finish.at);
+    entry.NoteEnd(job.sending, job.choice, job.demand, placement::Outcome::kServed, took,
+                  finish.at);
     entry.NoteLoad(job.choice.upstream,
                    {static_cast<std::uint32_t>(upstream.running),
                     static_cast<std::uint32_t>(upstream.queue.size()),
@@ -190,6 +213,10 @@
   double served_ = 0;
   double warm_ = 0;
   double in_time_ = 0;
+  double to_slow_ = 0;
+  observation::Merger merger_;
+  observation::SharedConditions shared_;
+  MonotonicTime share_due_;
 };
 
 }  // namespace
--- a/tests/auto/placement/load_replay.h
+++ b/tests/auto/placement/load_replay.h
@@ -16,6 +16,10 @@
   double requests_per_second = 280;
   /// Whether requests name their object; without it upstreams are chosen by load alone.
   bool sticky = true;
+  /// Part of the upstreams that work slowly from a second before the measured time on.
+  double slow_share = 0;
+  /// Whether the entries tell each other what they see.
+  bool shares_observations = false;
 };
 
 struct LoadResult {
@@ -23,6 +27,8 @@
   double served_share = 0;
   double warm_share = 0;
   double in_time_share = 0;
+  /// Sent to slow upstreams.
+  double slow_share = 0;
 };
 
 /// Replays 24 s of the pattern against upstreams that run, queue and remember objects.
