Use no connection again after a refusal; end a planned stop in quiet; bound endless answers

Found while looking for what operators of similar systems were hit by.

Cause 1: a late copy of a refusal ("not run", or another upstream's) on a connection that was in use again was taken for the next request's, whatever id it bore: a request that ran was sent again, or refused as not run.

Cause 2: at a planned stop the process ended as soon as no request ran: a request whose bytes were coming in, a connection that had just been accepted, and an answer that was still on its way out were cut off. It now ends when no connection is busy and nobody has connected for 0.4 s, or when the time is up.

Cause 3: interim answers (1xx) without end kept a request until its time was up. More than 16 end it. Heads, chunk extensions and trailers without end were bounded already; a test shows it.

Ruled out by reading, with the tests that exist: final answers of another request (id checked), bytes after an answer (connection closed), a resend of what may have run.

--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "net/http_listener.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,7 @@
     };
     const auto connection = std::make_shared<ServerConnection>(std::move(socket), std::move(hooks));
     connections_.insert(connection);
+    last_accepted_ = base::MonotonicNow();
     connection->Start();
     Accept();
   });
@@ -77,6 +79,11 @@
   });
 }
 
+std::size_t HttpListener::busy_count() const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& one) { return one->busy(); }));
+}
+
 void HttpListener::CloseIdle() {
   const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
                                                             connections_.end());
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -29,6 +29,11 @@
   /// Ends the connections that wait for a request; the others end with their answer.
   void CloseIdle();
 
+  /// Connections with a request under way, or with an answer that its client hasn't taken yet.
+  std::size_t busy_count() const;
+  /// When the last connection was accepted.
+  base::MonotonicTime last_accepted() const { return last_accepted_; }
+
  private:
   HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                std::function<ServerPolicy()> policy);
@@ -41,6 +46,7 @@
   std::function<ServerPolicy()> policy_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   bool stopped_ = false;
+  base::MonotonicTime last_accepted_;
 };
 
 }  // namespace wagtailpick::net
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -172,6 +172,11 @@
   if (phase_ == Phase::kReading && !parser_.started()) Linger();
 }
 
+bool ServerConnection::busy() const {
+  if (phase_ == Phase::kReading) return parser_.started();
+  return phase_ != Phase::kClosed;
+}
+
 void ServerConnection::Close() {
   if (phase_ == Phase::kClosed) return;
   phase_ = Phase::kClosed;
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -39,6 +39,8 @@
   void CheckTimeouts(base::MonotonicTime now);
   /// Closes the connection if no request is under way.
   void CloseIfIdle();
+  /// Whether a request is under way, from its first byte until its answer has left.
+  bool busy() const;
   void Close();
 
  private:
--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -23,6 +23,8 @@
 /// Kept idle for this long when the upstream names no time.
 constexpr base::Duration kDefaultKeepAlive = std::chrono::seconds(5);
 constexpr int kFirstFinalStatus = 200;
+/// An upstream sends one or two at most.
+constexpr int kMaxInterimAnswers = 16;
 
 }  // namespace
 
@@ -42,6 +44,7 @@
   head_ = head;
   done_ = std::move(done);
   reused_ = connected_;
+  interim_answers_ = 0;
   parser_.Reset(head);
   if (connected_) return Send();
   Connect();
@@ -100,6 +103,9 @@
     }
     if (!parser_.complete()) return;
     if (parser_.response().status >= kFirstFinalStatus) break;
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      return Fail(ExchangeEnd::kBroken, "interim answers without end");
+    }
     parser_.Reset(head_);
   }
   if (!parser_.complete()) return;
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -85,6 +85,7 @@
   bool reading_ = false;
   bool reused_ = false;
   bool head_ = false;
+  int interim_answers_ = 0;
   base::MonotonicTime connect_started_;
   base::Duration connect_time_{};
   base::MonotonicTime idle_since_;
--- a/src/libs/net/upstream_pool.h
+++ b/src/libs/net/upstream_pool.h
@@ -25,8 +25,6 @@
   /// Closes connections that the upstream would soon close itself. Call it about once a second.
   void CloseStale(base::MonotonicTime now);
 
-  /// Connections made since the start.
-
  private:
   using Idle = std::vector<std::shared_ptr<UpstreamConnection>>;
 
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -20,6 +20,8 @@
 constexpr base::Duration kForgetUpstream = std::chrono::seconds(60);
 /// Callers hold directory answers for some seconds; until then they are still served.
 constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
+/// No caller has connected for this long before the process ends.
+constexpr base::Duration kQuietBeforeEnd = std::chrono::milliseconds(400);
 /// Left of the grace time for the process to end.
 constexpr base::Duration kGraceMargin = std::chrono::milliseconds(300);
 
@@ -306,7 +308,11 @@
   relay_->RefuseNew();
   callers_listener_->CloseIdle();
   const bool out_of_time = since > options_.grace - kGraceMargin;
-  if (relay_->running() > 0 && !out_of_time) return;
+  // A request that was just accepted, and an answer that is still on its way out, end before the
+  // process does.
+  const bool quiet = relay_->running() == 0 && callers_listener_->busy_count() == 0 &&
+                     now - callers_listener_->last_accepted() > kQuietBeforeEnd;
+  if (!quiet && !out_of_time) return;
   logging::Write(Level::kInfo, "drain_ended", out_of_time ? "out of time" : "no request is left",
                  {{"running", std::to_string(relay_->running())}});
   const auto done = std::exchange(drained_, nullptr);
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -215,6 +215,10 @@
       may_have_run_ = true;
       break;
   }
+  // Another copy of the answer may follow, and would be taken for the next request's: a refusal
+  // without an id can't be told apart.
+  const bool own = judged.kind == AnswerKind::kFinal || judged.kind == AnswerKind::kServerFailure;
+  if (!own) leg.connection->Close();
   if (judged.load) {
     relay_.chooser_.NoteLoad(leg.choice.upstream, *judged.load, base::MonotonicNow());
   }
--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -97,6 +97,10 @@
   cr_expect(KindOf(Answer(500, {id, seal})) == AnswerKind::kServerFailure);
   cr_expect(KindOf(Answer(503, {{"Not-Run", "1"}})) == AnswerKind::kNotRun);
   cr_expect(KindOf(Answer(503, {id})) == AnswerKind::kServerFailure);
+  // Late copies of refusals of another request: this one may be running.
+  const http::Header other{"Request-Id", "id-2"};
+  cr_expect(KindOf(Answer(503, {other, {"Not-Run", "1"}})) == AnswerKind::kForeign);
+  cr_expect(KindOf(Answer(421, {other})) == AnswerKind::kForeign);
   cr_expect(KindOf(Answer(421, {})) == AnswerKind::kOtherUpstream);
 }
 
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -68,6 +68,62 @@
   cr_expect(host.Exchange(Request("2"), kWait).ends_with("\r\n\r\nEND"));
 }
 
+// Guards against a late copy of a refusal on a connection that is in use again: the next request,
+// which the upstream runs, was taken for one that hasn't run, and was sent again.
+Test(relay, does_not_use_a_connection_again_after_a_refusal) {
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> runs = 0;
+  StandinUpstream upstream([&](const std::string& head, int number) -> RawAnswer {
+    if (number == 1) return {refusal, false};
+    // The copy comes before the answer where the connection is the one of the refusal.
+    const bool reused = head.find("Id: 2") != std::string::npos && number == 2;
+    ++runs;
+    return {(reused ? refusal : "") + Whole("2"), false};
+  });
+  const RelayHost host({upstream.address()}, false);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+  const int connections = upstream.connections();
+  host.Exchange(Request("2"), kWait);
+  cr_expect(upstream.connections() == connections + 1);
+}
+
+// Guards against a connection that goes back to the pool while its own answer is still to come:
+// each later request on it gets the one before.
+Test(relay, does_not_use_a_connection_again_after_a_foreign_answer) {
+  StandinUpstream upstream([](const std::string& head, int) -> RawAnswer {
+    const bool first = head.find("Id: 1") != std::string::npos;
+    return {Whole(first ? "0" : "2"), false};
+  });
+  const RelayHost host({upstream.address()});
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 502);
+  const int connections = upstream.connections();
+  cr_expect(StatusOf(host.Exchange(Request("2"), kWait)) == 200);
+  cr_expect(upstream.connections() == connections + 1);
+}
+
+// Guards against an upstream that sends bytes without end: the caller gets its answer in time, and
+// the memory that they take is bounded.
+Test(relay, bounds_bytes_without_end) {
+  const std::string filler(1'000'000, 'x');
+  const std::vector<std::string> endless{
+      "HTTP/1.1 200 OK\r\nId: 1\r\nX: " + filler,
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + filler,
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + filler,
+  };
+  for (const auto& text : endless) {
+    StandinUpstream upstream([&](const std::string&, int) { return RawAnswer{text, false}; });
+    const RelayHost host({upstream.address()}, false);
+    const auto start = std::chrono::steady_clock::now();
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) >= 500);
+    cr_expect(std::chrono::steady_clock::now() - start < kRouteTimeout + milliseconds(400));
+  }
+  std::string interim;
+  for (int i = 0; i < 1'000; ++i) interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  StandinUpstream upstream([&](const std::string&, int) { return RawAnswer{interim, false}; });
+  const RelayHost host({upstream.address()}, false);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 502);
+}
+
 // Guards against a failure that reaches the caller although another upstream could serve it.
 Test(relay, sends_an_idempotent_request_to_another_upstream) {
   StandinUpstream broken([](const std::string&, int) { return RawAnswer{"", true}; });
--- a/tests/auto/relay/standin.cpp
+++ b/tests/auto/relay/standin.cpp
@@ -109,6 +109,7 @@
 void StandinUpstream::Accept() {
   acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
     if (error) return;
+    ++connections_;
     Read(std::make_shared<Peer>(std::move(socket)));
     Accept();
   });
--- a/tests/auto/relay/standin.h
+++ b/tests/auto/relay/standin.h
@@ -34,6 +34,8 @@
   std::string address() const;
   /// Requests that have come.
   int requests() const { return requests_; }
+  /// Connections that were made.
+  int connections() const { return connections_; }
   /// Connections whose peer has closed them while a request was running.
   int abandoned() const { return abandoned_; }
 
@@ -46,6 +48,7 @@
   asio::io_context loop_;
   asio::ip::tcp::acceptor acceptor_;
   std::atomic<int> requests_ = 0;
+  std::atomic<int> connections_ = 0;
   std::atomic<int> abandoned_ = 0;
   std::thread thread_;
 };
