--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -39,6 +39,7 @@
       self_(base::ToString({options.node.ip, options.node.cluster_port})),
       started_at_(base::MonotonicNow()),
       cache_(options.data_folder + "/cache"),
+      departures_(options.data_folder + "/departures"),
       timer_(loop),
       alive_(std::make_shared<bool>(true)) {}
 
@@ -157,6 +158,7 @@
   SaveCache(now);
   for (const auto& id : upstreams_.Expire(kForgetUpstream, now)) {
     logging::Write(Level::kInfo, "upstream_forgotten", id);
+    stored_departures_.erase(id);
   }
   timer_.expires_after(kTick);
   timer_.async_wait([this](asio::error_code error) {
@@ -166,17 +168,25 @@
 
 void ControlNode::LoadCache() {
   const auto cached = cache_.Load();
-  if (!cached) return;
-  state_ = cached->orders;
+  if (cached) TakeCached(*cached);
+  // Younger than the cache.
+  const auto now = base::MonotonicNow();
+  for (const auto& report : departures_.Load()) {
+    upstreams_.Apply(report, base::Duration::zero(), now);
+  }
+}
+
+void ControlNode::TakeCached(const CachedState& cached) {
+  state_ = cached.orders;
   catalogs_.Put(state_.catalog_version(), state_.catalog_bytes());
   const auto now = base::MonotonicNow();
   // How long the process was away is unknown; entries find out which upstreams have gone.
-  for (const auto& aged : cached->reports) {
+  for (const auto& aged : cached.reports) {
     upstreams_.Apply(aged.report, base::Duration::zero(), now);
   }
   logging::Write(Level::kInfo, "cache_loaded", "orders and upstreams of the last run",
                  {{"catalog_version", std::to_string(state_.catalog_version())},
-                  {"upstreams", std::to_string(cached->reports.size())}});
+                  {"upstreams", std::to_string(cached.reports.size())}});
 }
 
 void ControlNode::SaveCache(base::MonotonicTime now) {
@@ -222,8 +232,7 @@
   }
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
     TakeReports(*reports);
-    if (reports->ticket == 0) return;
-    return acceptor_->Send(session.id, cluster::ReportsTaken{reports->ticket});
+    return AnswerTicket(session.id, *reports);
   }
   if (const auto* beats = std::get_if<cluster::Beats>(&message)) {
     const auto now = base::MonotonicNow();
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/result.h"
@@ -14,6 +15,7 @@
 #include "distribution/catalog_source.h"
 #include "metrics/registry.h"
 #include "net/http_listener.h"
+#include "node/departure_log.h"
 #include "node/lookup.h"
 #include "node/mesh.h"
 #include "node/node_options.h"
@@ -70,7 +72,8 @@
 
  private:
   struct PendingDrain {
-    std::size_t taken = 1;
+    /// Replicas that have stored it and passed it on, this one included.
+    std::size_t taken = 0;
     base::MonotonicTime due;
     std::function<void(bool)> done;
   };
@@ -88,9 +91,14 @@
   void TakeReports(const cluster::Reports& reports);
   void TakeFromReplica(const std::string& replica, const cluster::Message& message);
   void LoadCache();
+  void TakeCached(const CachedState& cached);
+  void AnswerTicket(std::uint64_t session, const cluster::Reports& reports);
   void SaveCache(base::MonotonicTime now);
   void TakeState(const orders::OrderState& state);
   void TakeMembers(const consensus::Membership& members);
+  /// Calls `stored` once the report of an upstream that leaves is on disk; not when that fails.
+  void StoreDeparture(const upstreams::UpstreamReport& report, std::function<void()> stored);
+  void CountTaken(std::uint64_t ticket);
   void Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done);
   void ExpireDrains(base::MonotonicTime now);
   void SendBeats();
@@ -136,6 +144,9 @@
   bool told_conditions_ = false;
   base::MonotonicTime conditions_due_;
   StateCache cache_;
+  DepartureLog departures_;
+  /// Run and state of each upstream whose departure is on disk.
+  std::map<std::string, std::pair<std::int64_t, upstreams::State>> stored_departures_;
   bool cache_outdated_ = false;
   base::MonotonicTime cache_due_;
   std::unique_ptr<cluster::Acceptor> acceptor_;
--- a/src/libs/node/control_node_announcements.cpp
+++ b/src/libs/node/control_node_announcements.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 
 #include "logging/log.h"
@@ -33,14 +34,44 @@
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) return TakeReports(*reports);
   const auto* taken = std::get_if<cluster::ReportsTaken>(&message);
   if (taken == nullptr) return;
-  const auto found = drains_.find(taken->ticket);
-  if (found == drains_.end() || !members_.FindName(replica)) return;
-  if (++found->second.taken < Majority()) return;
+  if (members_.FindName(replica)) CountTaken(taken->ticket);
+}
+
+void ControlNode::CountTaken(std::uint64_t ticket) {
+  const auto found = drains_.find(ticket);
+  if (found == drains_.end() || ++found->second.taken < Majority()) return;
   const auto done = std::move(found->second.done);
   drains_.erase(found);
   done(true);
 }
 
+// Confirms a drain once it has been passed on to this replica's entries and is on its disk.
+void ControlNode::AnswerTicket(std::uint64_t session, const cluster::Reports& reports) {
+  if (reports.ticket == 0) return;
+  for (const auto& aged : reports.reports) {
+    StoreDeparture(aged.report, [this, session, ticket = reports.ticket] {
+      acceptor_->Send(session, cluster::ReportsTaken{ticket});
+    });
+  }
+}
+
+void ControlNode::StoreDeparture(const upstreams::UpstreamReport& report,
+                                 std::function<void()> stored) {
+  // An upstream repeats its drain with each announcement.
+  const auto departure = std::make_pair(report.started_unix_ms, report.state);
+  const auto known = stored_departures_.find(report.id);
+  if (known != stored_departures_.end() && known->second == departure) return stored();
+  departures_.Append(report, [this, alive = alive_, id = report.id, departure,
+                              stored = std::move(stored)](bool done) {
+    if (!done) return;
+    asio::post(loop_, [this, alive, id, departure, stored] {
+      if (!*alive) return;
+      stored_departures_[id] = departure;
+      stored();
+    });
+  });
+}
+
 void ControlNode::Announce(const upstreams::UpstreamReport& report,
                            std::function<void(bool)> done) {
   const auto now = base::MonotonicNow();
@@ -74,15 +105,15 @@
 }
 
 // An acknowledged drain binds all entries, so it is acknowledged only when a majority of the group
-// passes it on: an entry that is in touch reaches one of those.
+// passes it on, and has it on disk: an entry that is in touch reaches one of those.
 void ControlNode::Spread(const upstreams::UpstreamReport& report, std::function<void(bool)> done) {
   if (members_.voter_count() == 0) return done(false);
   const std::uint64_t ticket = next_ticket_++;
   const cluster::Reports message{ticket, {{report, base::Duration::zero()}}, {}};
   acceptor_->Broadcast(cluster::NodeRole::kEntry, cluster::Reports{0, message.reports, {}});
-  if (Majority() <= 1) return done(true);
-  drains_[ticket] = {1, base::MonotonicNow() + kDrainTimeout, std::move(done)};
+  drains_[ticket] = {0, base::MonotonicNow() + kDrainTimeout, std::move(done)};
   mesh_->Broadcast(message);
+  StoreDeparture(report, [this, ticket] { CountTaken(ticket); });
 }
 
 void ControlNode::ExpireDrains(base::MonotonicTime now) {
