End a process in time when nobody reads its standard output

The background writer is blocked in write(2) and holds the lock of the log library's appender; at exit the library's destructor waits for that lock, and only SIGKILL ended the process.

Change: where the writer hasn't ended in its 200 ms, an exit handler ends the process with its status before the destructors run. Nothing changes where the output takes the lines.

Ruled out: ending each process with _Exit, which would skip the flush of files in the usual case.

--- a/src/libs/logging/background_writer.cpp
+++ b/src/libs/logging/background_writer.cpp
@@ -52,13 +52,14 @@
   if (!state_->ring.TryPush(std::move(line))) ++state_->dropped;
 }
 
-void BackgroundWriter::Stop() {
+bool BackgroundWriter::Stop() {
   state_->stopping = true;
   state_->ring.Close();
   const auto end = std::chrono::steady_clock::now() + kStopWait;
   while (!state_->done && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
+  return state_->done;
 }
 
 }  // namespace wagtailpick::logging
--- a/src/libs/logging/background_writer.h
+++ b/src/libs/logging/background_writer.h
@@ -30,8 +30,9 @@
   /// Queues a line without waiting.
   void Add(Line line);
 
-  /// Writes what is queued, for a short time at most.
-  void Stop();
+  /// Writes what is queued, for a short time at most. Returns whether the writer has ended; if not,
+  /// its output doesn't take any more.
+  bool Stop();
 
  private:
   struct State;
--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -7,6 +7,7 @@
 #include <log4cxx/mdc.h>
 
 #include <atomic>
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <utility>
@@ -98,7 +99,10 @@
 
 void Stop() {
   const auto writer = std::exchange(Background(), nullptr);
-  if (writer != nullptr) writer->Stop();
+  if (writer == nullptr || writer->Stop()) return;
+  // The writer holds a lock of the log library for which the library's destructors would wait.
+  // Handlers run last to first, so that this one ends the process before them.
+  on_exit([](int status, void* /*unused*/) { std::_Exit(status); }, nullptr);
 }
 
 }  // namespace wagtailpick::logging
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -37,7 +37,7 @@
            const std::vector<Field>& fields = {});
 
 /// Writes what is queued and ends the background thread, if there is one. Waits for a short time
-/// only, as the output may be blocked.
+/// only: when the output is blocked, the process then ends without destructors of static objects.
 void Stop();
 
 }  // namespace wagtailpick::logging
