Tell the end of an upstream from a lost connection, and name the request

The incident's hypotheses can't be told apart by today's logs: exchange_lost names the caller's attempt, which differs each time, and says nothing about the upstream's process.

An exchange that is lost after it was sent is followed by one connection attempt to the upstream's address. loss_examined tells the verdict (ended, listens, unknown), the upstream's start and the request's fingerprint, which is the same in all attempts; wagtailpick_lost_exchanges_total counts verdicts. No decision depends on them yet.

Ruled out: the next announcement of the upstream as evidence. It comes up to two seconds after the loss, and one that was sent before a crash may come after it.

test_net: end_probe::tells_an_ended_process_from_one_that_listens; seen red with the verdict of a refused connection changed.

--- /dev/null
+++ b/src/libs/net/end_probe.cpp
@@ -0,0 +1,65 @@
+#include "net/end_probe.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+#include "base/enum_names.h"
+#include "net/socket_options.h"
+
+namespace wagtailpick::net {
+namespace {
+
+constexpr std::array<base::EnumName<ProbeVerdict>, 3> kVerdictNames{{
+    {ProbeVerdict::kEnded, "ended"},
+    {ProbeVerdict::kListens, "listens"},
+    {ProbeVerdict::kUnknown, "unknown"},
+}};
+
+/// Several round trips between regions.
+constexpr std::chrono::milliseconds kTimeout{500};
+
+ProbeVerdict VerdictOf(asio::error_code error) {
+  if (!error) return ProbeVerdict::kListens;
+  return error == asio::error::connection_refused ? ProbeVerdict::kEnded : ProbeVerdict::kUnknown;
+}
+
+}  // namespace
+
+std::string_view ToString(ProbeVerdict verdict) { return base::NameOf(kVerdictNames, verdict); }
+
+struct EndProbe::Attempt {
+  explicit Attempt(asio::io_context& loop) : socket(loop), timer(loop) {}
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+};
+
+EndProbe::EndProbe(asio::io_context& loop) : loop_(loop), waiting_(std::make_shared<Waiting>()) {}
+
+void EndProbe::Ask(const base::Endpoint& endpoint, Done done) {
+  const auto key = base::ToString(endpoint);
+  auto& waiting = (*waiting_)[key];
+  waiting.push_back(std::move(done));
+  if (waiting.size() > 1) return;
+  auto attempt = std::make_shared<Attempt>(loop_);
+  attempt->timer.expires_after(kTimeout);
+  attempt->timer.async_wait([attempt](asio::error_code error) {
+    asio::error_code ignored;
+    if (!error) attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      ToAsio(endpoint),
+      [attempt, key, weak = std::weak_ptr<Waiting>(waiting_)](asio::error_code error) {
+        attempt->timer.cancel();
+        asio::error_code ignored;
+        attempt->socket.close(ignored);
+        const auto all = weak.lock();
+        if (all == nullptr) return;
+        const auto asked = std::exchange((*all)[key], {});
+        all->erase(key);
+        for (const auto& tell : asked) tell(VerdictOf(error));
+      });
+}
+
+}  // namespace wagtailpick::net
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -26,7 +26,8 @@
       allowance_(options.retry_bound),
       splits_(std::hash<std::string>()(options.vm)),
       log_(kLogLinesPerSecond),
-      metrics_(registry) {}
+      metrics_(registry),
+      crashes_(loop, log_, registry) {}
 
 void Relay::Handle(std::shared_ptr<net::InboundRequest> inbound) {
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -15,6 +15,7 @@
 #include "net/upstream_pool.h"
 #include "placement/chooser.h"
 #include "placement/retry_allowance.h"
+#include "relay/crash_guard.h"
 #include "relay/decision_log.h"
 #include "relay/dialect.h"
 #include "relay/relay_metrics.h"
@@ -75,6 +76,7 @@
   catalog::SplitPicker splits_;
   DecisionLog log_;
   RelayMetrics metrics_;
+  CrashGuard crashes_;
   std::size_t running_ = 0;
   bool refusing_ = false;
 };
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -126,7 +126,7 @@
   ++sends_;
   const auto max_idle = demand_.route->idempotent ? Duration::max() : kMaxIdleOnce;
   auto leg = std::make_shared<Leg>(
-      Leg{choice, relay_.pool_.Take(endpoint.value(), max_idle), now, sending});
+      Leg{choice, RunOf(choice), relay_.pool_.Take(endpoint.value(), max_idle), now, sending});
   legs_.push_back(leg);
   LogSent(choice, now);
   const auto request = relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - now);
@@ -249,7 +249,10 @@
        {"end", std::string(net::ToString(result.end))},
        {"reused", result.reused ? "true" : "false"},
        {"answer_started", result.answer_started ? "true" : "false"}});
-  if (connected) may_have_run_ = true;
+  if (connected) {
+    may_have_run_ = true;
+    relay_.crashes_.NoteLoss({terms_.request_id, fingerprint(), leg.choice.upstream, leg.run});
+  }
   if (!connected) --sends_;
   if (!legs_.empty()) return;
   if (connected) {
@@ -262,6 +265,21 @@
   Refuse("upstreams_unreachable");
 }
 
+// Without the service, as a route may send the same request to several.
+const safety::Fingerprint& RequestRun::fingerprint() {
+  if (!fingerprint_) {
+    const auto& request = inbound_->request;
+    fingerprint_ = safety::FingerprintOf(terms_.host, request.method, request.target, request.body);
+  }
+  return *fingerprint_;
+}
+
+safety::UpstreamRun RequestRun::RunOf(const placement::Choice& choice) const {
+  const auto* known = relay_.beliefs_.upstreams.Find(choice.upstream);
+  const auto started = known == nullptr ? 0 : known->report.started_unix_ms;
+  return {choice.address, static_cast<std::uint64_t>(started)};
+}
+
 void RequestRun::EndExchange(const Leg& leg, Outcome outcome, std::string_view result) {
   const auto now = base::MonotonicNow();
   relay_.chooser_.NoteEnd(leg.sending, leg.choice, demand_, outcome, now - leg.sent_at, now);
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -2,6 +2,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
   /// One sending of the request. A late answer lets a second one run beside the first.
   struct Leg {
     placement::Choice choice;
+    /// The start of the upstream that the request was sent to.
+    safety::UpstreamRun run;
     std::shared_ptr<net::UpstreamConnection> connection;
     base::MonotonicTime sent_at;
     /// Number of the sending, for the chooser.
@@ -39,6 +42,8 @@
   void TakeResult(const std::shared_ptr<Leg>& leg, net::ExchangeResult result);
   void TakeAnswer(const Leg& leg, http::Response response);
   void TakeLoss(const Leg& leg, const net::ExchangeResult& result);
+  const safety::Fingerprint& fingerprint();
+  safety::UpstreamRun RunOf(const placement::Choice& choice) const;
   void EndExchange(const Leg& leg, placement::Outcome outcome, std::string_view result);
   void EndAllLegs(std::string_view result);
   void WaitForHedge(const placement::Choice& choice);
@@ -65,6 +70,8 @@
   asio::steady_timer timer_;
   asio::steady_timer hedge_timer_;
   base::MonotonicTime deadline_;
+  /// What upstreams see of the request; computed when it is first needed.
+  std::optional<safety::Fingerprint> fingerprint_;
   /// Requests that reached an upstream, or may have.
   std::uint32_t sends_ = 0;
   std::uint32_t failed_connects_ = 0;
