--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "standin.h"
 
 namespace {
@@ -20,11 +22,21 @@
   return "GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nConnection: close\r\n\r\n";
 }
 
+std::string RequestTo(const std::string& target, const std::string& id) {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nConnection: close\r\n\r\n";
+}
+
 std::string Whole(const std::string& id, const std::string& body = "END") {
   return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
 }
 
+/// Ends on a request to /deadly, and serves all others.
+RawAnswer EndsOnDeadly(const std::string& head, int /*number*/) {
+  if (head.starts_with("GET /deadly")) return {"", true, true};
+  return {Whole("1"), false};
+}
+
 RawAnswer Served(const std::string& /*head*/, int /*number*/) { return {Whole("1"), false}; }
 
 int StatusOf(const std::string& answer) {
@@ -210,3 +222,41 @@
   }
   cr_expect(silent.abandoned() == 1);
 }
+
+// Guards against a request that ends each upstream that runs it, and is sent to the next one in
+// each of its attempts.
+Test(relay, stops_a_request_after_three_upstreams_have_ended_under_it) {
+  std::vector<std::unique_ptr<StandinUpstream>> upstreams;
+  std::vector<std::string> addresses;
+  for (int i = 0; i < 8; ++i) {
+    upstreams.push_back(std::make_unique<StandinUpstream>(EndsOnDeadly));
+    addresses.push_back(upstreams.back()->address());
+  }
+  const RelayHost host(addresses);
+  std::string last;
+  for (int i = 0; i < 8; ++i) last = host.Exchange(RequestTo("/deadly", "1"), kWait);
+  const auto ended = std::count_if(upstreams.begin(), upstreams.end(),
+                                   [](const auto& upstream) { return upstream->ended(); });
+  cr_expect(ended == 3, "%d upstreams ended", static_cast<int>(ended));
+  cr_expect(StatusOf(last) == 503);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+}
+
+// Guards against a sound request that is stopped because its connections were lost, although their
+// upstreams live.
+Test(relay, goes_on_with_a_request_whose_connections_are_lost) {
+  std::vector<std::unique_ptr<StandinUpstream>> upstreams;
+  std::vector<std::string> addresses;
+  for (int i = 0; i < 6; ++i) {
+    upstreams.push_back(std::make_unique<StandinUpstream>([](const std::string&, int number) {
+      return number == 1 ? RawAnswer{"", true} : RawAnswer{Whole("1"), false};
+    }));
+    addresses.push_back(upstreams.back()->address());
+  }
+  const RelayHost host(addresses);
+  int status = 0;
+  for (int i = 0; i < 8 && status != 200; ++i) {
+    status = StatusOf(host.Exchange(Request("1"), kWait));
+  }
+  cr_expect(status == 200);
+}
--- a/tests/auto/relay/standin.cpp
+++ b/tests/auto/relay/standin.cpp
@@ -93,6 +93,7 @@
 
 StandinUpstream::StandinUpstream(Script script)
     : script_(std::move(script)), acceptor_(loop_, {asio::ip::make_address(kLoopback), 0}) {
+  address_ = std::string(kLoopback) + ":" + std::to_string(acceptor_.local_endpoint().port());
   Accept();
   thread_ = std::thread([this] { loop_.run(); });
 }
@@ -102,15 +103,24 @@
   thread_.join();
 }
 
-std::string StandinUpstream::address() const {
-  return std::string(kLoopback) + ":" + std::to_string(acceptor_.local_endpoint().port());
+std::string StandinUpstream::address() const { return address_; }
+
+void StandinUpstream::End() {
+  ended_ = true;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& weak : peers_) {
+    if (const auto peer = weak.lock()) peer->socket.close(ignored);
+  }
 }
 
 void StandinUpstream::Accept() {
   acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
     if (error) return;
     ++connections_;
-    Read(std::make_shared<Peer>(std::move(socket)));
+    const auto peer = std::make_shared<Peer>(std::move(socket));
+    peers_.push_back(peer);
+    Read(peer);
     Accept();
   });
 }
@@ -127,6 +137,7 @@
                            peer->input.erase(0, length);
                            peer->running = true;
                            const auto answer = script_(head, ++requests_);
+                           if (answer.end) return End();
                            if (answer.text.empty() && answer.close) {
                              asio::error_code ignored;
                              peer->socket.close(ignored);
--- a/tests/auto/relay/standin.h
+++ b/tests/auto/relay/standin.h
@@ -19,6 +19,8 @@
 struct RawAnswer {
   std::string text;
   bool close = false;
+  /// The upstream's process ends: all its connections are lost and nobody listens any more.
+  bool end = false;
 };
 
 /// An upstream that answers each request with the next bytes of its script.
@@ -36,6 +38,8 @@
   int requests() const { return requests_; }
   /// Connections that were made.
   int connections() const { return connections_; }
+  /// Whether its process has ended.
+  bool ended() const { return ended_; }
   /// Connections whose peer has closed them while a request was running.
   int abandoned() const { return abandoned_; }
 
@@ -43,10 +47,14 @@
   struct Peer;
   void Accept();
   void Read(const std::shared_ptr<Peer>& peer);
+  void End();
 
   Script script_;
   asio::io_context loop_;
   asio::ip::tcp::acceptor acceptor_;
+  std::string address_;
+  std::vector<std::weak_ptr<Peer>> peers_;
+  std::atomic<bool> ended_ = false;
   std::atomic<int> requests_ = 0;
   std::atomic<int> connections_ = 0;
   std::atomic<int> abandoned_ = 0;
