Don't let children of the test harness inherit the stand-ins' sockets

The entries that the soak starts later held those listeners as inherited descriptors: the kernel went on accepting connections that nobody served (ss showed wagtailpick_edge as the owner).

--- a/tests/auto/processes/harness/child.cpp
+++ b/tests/auto/processes/harness/child.cpp
@@ -35,6 +35,9 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(out, STDOUT_FILENO);
     dup2(err, STDERR_FILENO);
+    // A child that holds a stand-in's sockets keeps their connections alive after the stand-in has
+    // closed them.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments.data());
     _exit(kCannotExecute);
   }
