Ignore completions of a listener that has ended

A completion that is queued when HttpListener ends has no error and used its members. The programs keep their listeners to their end; the soak's upstreams now end theirs while connections come in.

--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -42,13 +42,14 @@
 }
 
 void HttpListener::Accept() {
-  acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
+  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](asio::error_code error,
+                                                               asio::ip::tcp::socket socket) {
+    if (alive.expired() || error == asio::error::operation_aborted) return;
     if (error) {
       logging::Write(logging::Level::kWarning, "accept_failed", error.message());
       sweep_timer_.expires_after(kAcceptPause);
-      return sweep_timer_.async_wait([this](asio::error_code aborted) {
-        if (aborted) return;
+      return sweep_timer_.async_wait([this, alive](asio::error_code aborted) {
+        if (aborted || alive.expired()) return;
         Accept();
         Sweep();
       });
@@ -69,8 +70,8 @@
 
 void HttpListener::Sweep() {
   sweep_timer_.expires_after(kSweepInterval);
-  sweep_timer_.async_wait([this](asio::error_code error) {
-    if (error) return;
+  sweep_timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
     const auto now = base::MonotonicNow();
     const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
                                                               connections_.end());
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -46,6 +46,8 @@
   std::function<ServerPolicy()> policy_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   bool stopped_ = false;
+  /// Ends with the listener: a completion may be queued then, without an error.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::MonotonicTime last_accepted_;
 };
 
