Stop a request after three upstreams have ended under it, over attempts, entries and starts

What callers saw: a request that ends each upstream that runs it was sent to two upstreams in each of its attempts, without a bound. All else that ran on those upstreams was lost with them.

Why this works: a request is known by its fingerprint (host, method, target, body), which all its attempts share. A lost exchange counts once a connection attempt shows that the upstream has ended, or its next run announces itself. Entries tell the replica that they follow; replicas tell each other all, and their followers what is blocked; replicas keep it in their cache file, and a process that connects is told all. safety::SuspectTable, so far of wagtailpickd alone, serves both, with the bound as a setting. Where one more end would block the request, its second sending waits for the verdict.

A sound request isn't stopped: a success withdraws its losses; so does an answer of an upstream that was taken for ended; a suspect goes to an upstream that has no other suspect, if there is one.

--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "cluster/consensus_codec.h"
 #include "cluster/report_codec.h"
+#include "cluster/suspect_codec.h"
 #include "compress/zstd_codec.h"
 
 namespace wagtailpick::cluster {
@@ -108,6 +109,12 @@
   return json::array({list});
 }
 
+json Fields(const Suspects& message) {
+  json list = json::array();
+  for (const auto& report : message.reports) list.push_back(ToFields(report));
+  return json::array({list});
+}
+
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
   out.vm = fields.at(1).get<std::string>();
@@ -208,6 +215,10 @@
   }
 }
 
+void Read(const json& fields, Suspects& out) {
+  for (const auto& one : fields.at(0)) out.reports.push_back(SuspectFrom(one));
+}
+
 /// Decodes the alternative of `Message` at position `kind`.
 template <std::size_t Position = 0>
 base::Result<Message> DecodeAs(std::size_t kind, const json& fields) {
--- a/src/libs/cluster/messages.h
+++ b/src/libs/cluster/messages.h
@@ -10,6 +10,7 @@
 #include "consensus/message.h"
 #include "distribution/catalog_transfer.h"
 #include "observation/observation.h"
+#include "safety/suspect_record.h"
 #include "upstreams/upstream_report.h"
 
 namespace wagtailpick::cluster {
@@ -124,6 +125,12 @@
   std::vector<observation::Condition> conditions;
 };
 
+/// Requests under which upstreams were lost: from an entry what it saw, from a replica to the
+/// others all that has changed, and to the entries that follow it the requests that are blocked.
+struct Suspects {
+  std::vector<safety::SuspectReport> reports;
+};
+
 /// Keeps a link alive; answered by one.
 struct Ping {
   /// Whether an entry takes callers.
@@ -141,6 +148,6 @@
 
 using Message = std::variant<Hello, Replicas, Consensus, Reports, ReportsTaken, Beats, OrderSummary,
                              EntryNames, CatalogRequest, CatalogPiece, Ping, ReportsRequest,
-                             UpstreamsHeard, Observations, Conditions>;
+                             UpstreamsHeard, Observations, Conditions, Suspects>;
 
 }  // namespace wagtailpick::cluster
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -8,6 +8,7 @@
 #include "logging/log.h"
 #include "node/metrics_page.h"
 #include "node/upstream_sync.h"
+#include "relay/crash_guard.h"
 
 namespace wagtailpick::node {
 namespace {
@@ -38,6 +39,7 @@
       hooks_(std::move(hooks)),
       self_(base::ToString({options.node.ip, options.node.cluster_port})),
       started_at_(base::MonotonicNow()),
+      suspects_(relay::CrashLimits()),
       cache_(options.data_folder + "/cache"),
       departures_(options.data_folder + "/departures"),
       timer_(loop),
@@ -115,6 +117,8 @@
   hooks.followed = [this](const cluster::Session& session) {
     acceptor_->Send(session.id,
                     cluster::EntryNames{true, {told_entries_.begin(), told_entries_.end()}, {}});
+    const auto blocked = BlockedSuspects();
+    if (!blocked.reports.empty()) acceptor_->Send(session.id, blocked);
   };
   hooks.ready_changed = [](const cluster::Session& session) {
     logging::Write(Level::kInfo, "entry_ready_changed", session.hello.vm,
@@ -134,6 +138,8 @@
   // Either side may have just started; the other one asks for its part by its own link.
   hooks.up = [this](const std::string& replica) {
     mesh_->Send(replica, RequestReports(upstreams_));
+    const cluster::Suspects suspects{suspects_.reports(base::WallNowMillis())};
+    if (!suspects.reports.empty()) mesh_->Send(replica, suspects);
   };
   hooks.down = [](const std::string&) {};
   hooks.message = [this](const std::string& replica, const cluster::Message& message) {
@@ -184,16 +190,18 @@
   for (const auto& aged : cached.reports) {
     upstreams_.Apply(aged.report, base::Duration::zero(), now);
   }
+  for (const auto& report : cached.suspects) suspects_.Adopt(report, base::WallNowMillis());
   logging::Write(Level::kInfo, "cache_loaded", "orders and upstreams of the last run",
                  {{"catalog_version", std::to_string(state_.catalog_version())},
-                  {"upstreams", std::to_string(cached.reports.size())}});
+                  {"upstreams", std::to_string(cached.reports.size())},
+                  {"suspects", std::to_string(cached.suspects.size())}});
 }
 
 void ControlNode::SaveCache(base::MonotonicTime now) {
   if (!cache_outdated_ || now < cache_due_) return;
   cache_outdated_ = false;
   cache_due_ = now + kCacheInterval;
-  cache_.Save({state_, AllReports().reports});
+  cache_.Save({state_, AllReports().reports, suspects_.reports(base::WallNowMillis())});
 }
 
 void ControlNode::ReportPeers(base::MonotonicTime now) {
@@ -249,6 +257,9 @@
   if (const auto* observations = std::get_if<cluster::Observations>(&message)) {
     return TakeObservations(session, *observations);
   }
+  if (const auto* suspects = std::get_if<cluster::Suspects>(&message)) {
+    return TakeSuspects(session, *suspects);
+  }
   if (const auto* conditions = std::get_if<cluster::Conditions>(&message)) {
     return conditions_[session.hello.cluster_address].Take(conditions->conditions,
                                                            base::MonotonicNow());
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -25,6 +25,7 @@
 #include "node/state_cache.h"
 #include "observation/merger.h"
 #include "observation/shared_conditions.h"
+#include "safety/suspect_table.h"
 #include "upstreams/upstream_table.h"
 
 namespace wagtailpick::node {
@@ -108,6 +109,11 @@
   std::string MergingReplica(const std::string& upstream) const;
   void SendObservations(base::MonotonicTime now);
   void SendConditions(base::MonotonicTime now);
+  void TakeSuspects(const cluster::Session& session, const cluster::Suspects& message);
+  /// Tells followers which of `changes` block requests, or did.
+  void TellBlocked(const std::vector<safety::SuspectReport>& changes);
+  /// The requests that are blocked, for a follower that is told of them now.
+  cluster::Suspects BlockedSuspects();
   std::set<std::string> ConnectedEntries() const;
   void ReportPeers(base::MonotonicTime now);
   void Reply(const OrderDone& done, OrderReply reply);
@@ -145,6 +151,10 @@
   /// The last conditions that followers were told weren't empty.
   bool told_conditions_ = false;
   base::MonotonicTime conditions_due_;
+  /// Requests under which upstreams were lost, as all entries have seen them.
+  safety::SuspectTable suspects_;
+  /// Requests that followers were told are blocked.
+  std::set<safety::Fingerprint> told_blocked_;
   StateCache cache_;
   DepartureLog departures_;
   /// Run and state of each upstream whose departure is on disk.
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -96,8 +96,10 @@
     return cluster::Ping{ready(), replica == followed_, orders_index_, catalog_fetch_.version()};
   };
   // After a start each tick counts; a nearer replica is followed once it is reached.
-  hooks.up = [this](const std::string&) {
-    if (followed_.empty()) ChooseFollowed();
+  hooks.up = [this](const std::string& replica) {
+    if (followed_.empty()) return ChooseFollowed();
+    // What was sent while the link was down is lost.
+    if (replica == followed_) SendSuspects(relay_->crashes().reports());
   };
   hooks.down = [this](const std::string& replica) {
     catalog_fetch_.Lost(replica);
@@ -115,6 +117,7 @@
   ChooseFollowed();
   RequestCatalog(now);
   if (now >= observations_due_) SendObservations(now);
+  SendSuspects(relay_->crashes().TakeChanges());
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
     relay_->Tick(now);
@@ -142,6 +145,7 @@
   followed_ = nearest;
   mesh_->PingAll();
   mesh_->Send(followed_, upstream_sync_.Restart());
+  SendSuspects(relay_->crashes().reports());
 }
 
 void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
@@ -153,6 +157,8 @@
       .Set(static_cast<std::int64_t>(beliefs_.upstreams.all().size()));
   metrics_.GaugeAt("wagtailpick_upstreams_spared")
       .Set(static_cast<std::int64_t>(beliefs_.shared.spared_count()));
+  metrics_.GaugeAt("wagtailpick_requests_suspect")
+      .Set(static_cast<std::int64_t>(relay_->crashes().size()));
   metrics_.GaugeAt("wagtailpick_requests_running")
       .Set(static_cast<std::int64_t>(relay_->running()));
 }
@@ -168,6 +174,9 @@
   if (const auto* piece = std::get_if<cluster::CatalogPiece>(&message)) {
     return TakePiece(replica, *piece);
   }
+  if (const auto* suspects = std::get_if<cluster::Suspects>(&message)) {
+    return relay_->crashes().Merge(suspects->reports);
+  }
   if (const auto* names = std::get_if<cluster::EntryNames>(&message)) {
     if (replica == followed_) TakeEntries(*names);
     return;
@@ -193,6 +202,7 @@
                     {"sequence", std::to_string(report.sequence)},
                     {"age_ms", std::to_string(aged.age.count() / 1'000)},
                     {"cold_left_ms", std::to_string(report.cold_left.count() / 1'000)}});
+    relay_->crashes().NoteStart(report.address, report.started_unix_ms);
     const bool gone = report.state == upstreams::State::kLeft;
     if (gone || restarted) relay_->ForgetUpstream(report.id, report.address, restarted);
   }
@@ -246,6 +256,10 @@
   if (!message.observations.empty()) mesh_->Send(followed_, message);
 }
 
+void EntryNode::SendSuspects(const std::vector<safety::SuspectReport>& reports) {
+  if (!reports.empty()) mesh_->Send(followed_, cluster::Suspects{reports});
+}
+
 void EntryNode::TakeConditions(const cluster::Conditions& message) {
   const auto now = base::MonotonicNow();
   for (const auto& condition : message.conditions) {
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -66,6 +66,7 @@
   void TakeEntries(const cluster::EntryNames& names);
   void TakeConditions(const cluster::Conditions& message);
   void SendObservations(base::MonotonicTime now);
+  void SendSuspects(const std::vector<safety::SuspectReport>& reports);
   void RequestCatalog(base::MonotonicTime now);
   void ChooseFollowed();
   void UpdateGauges(base::MonotonicTime now);
--- a/src/libs/node/state_cache.cpp
+++ b/src/libs/node/state_cache.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cluster/report_codec.h"
+#include "cluster/suspect_codec.h"
 #include "logging/log.h"
 #include "storage/file_ops.h"
 #include "storage/record_log.h"
@@ -20,8 +21,10 @@
 std::string Encode(const CachedState& state) {
   json reports = json::array();
   for (const auto& report : state.reports) reports.push_back(cluster::ToFields(report));
+  json suspects = json::array();
+  for (const auto& report : state.suspects) suspects.push_back(cluster::ToFields(report));
   const std::string orders = state.orders.EncodeSnapshot();
-  const json fields = {json::binary({orders.begin(), orders.end()}), reports};
+  const json fields = {json::binary({orders.begin(), orders.end()}), reports, suspects};
   std::string bytes;
   json::to_msgpack(fields, bytes);
   return bytes;
@@ -33,8 +36,11 @@
     const auto& packed = fields.at(0).get_binary();
     auto orders = orders::OrderState::DecodeSnapshot({packed.begin(), packed.end()});
     if (!orders) return std::nullopt;
-    CachedState state{std::move(orders.value()), {}};
+    CachedState state{std::move(orders.value()), {}, {}};
     for (const auto& one : fields.at(1)) state.reports.push_back(cluster::ReportFrom(one));
+    // A file of an earlier version has no suspects.
+    if (fields.size() < 3) return state;
+    for (const auto& one : fields.at(2)) state.suspects.push_back(cluster::SuspectFrom(one));
     return state;
   } catch (const json::exception& error) {
     logging::Write(logging::Level::kWarning, "cache_unreadable", error.what());
--- a/src/libs/node/state_cache.h
+++ b/src/libs/node/state_cache.h
@@ -15,12 +15,13 @@
 struct CachedState {
   orders::OrderState orders;
   std::vector<cluster::AgedReport> reports;
+  std::vector<safety::SuspectReport> suspects;
 };
 
-/// Keeps the committed orders and the known upstreams in a file beside the log, so that a replica
-/// that starts again can tell entries at once, before a leader is elected and upstreams have
-/// announced themselves. Only a cache: no acknowledgement waits for it, and a damaged file is
-/// ignored.
+/// Keeps the committed orders, the known upstreams and the requests that end them in a file beside
+/// the log, so that a replica that starts again can tell entries at once, before a leader is
+/// elected and upstreams have announced themselves. Only a cache: no acknowledgement waits for it,
+/// and a damaged file is ignored.
 class StateCache {
  public:
   explicit StateCache(std::string path);
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -58,6 +58,8 @@
   std::vector<observation::Observation> TakeObservations(base::MonotonicTime now) {
     return chooser_.TakeObservations(now);
   }
+  /// What is known of requests that end upstreams.
+  CrashGuard& crashes() { return crashes_; }
   /// New requests are refused from now on.
   void RefuseNew() { refusing_ = true; }
   std::size_t running() const { return running_; }
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -31,6 +31,7 @@
 constexpr int kReturnShare = 4;
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
 constexpr Duration kLatestReturn = std::chrono::seconds(2);
+constexpr std::string_view kCrashesUpstreams = "crashes_upstreams";
 
 std::string Millis(Duration duration) { return std::to_string(duration.count() / 1'000); }
 
@@ -103,10 +104,19 @@
   demand_.waited = now - inbound_->received_at;
   const placement::Beliefs beliefs{&relay_.beliefs_.upstreams, catalog_.get(),
                                    &relay_.beliefs_.evacuated, &relay_.beliefs_.shared};
+  if (!IsSuspect()) return relay_.chooser_.Choose(demand_, beliefs, now);
+  // Alone on its upstream, where there is another one: an end under two suspects says nothing of
+  // which of them caused it.
+  auto apart = demand_;
+  const auto& carrying = relay_.crashes_.carrying();
+  apart.tried.insert(apart.tried.end(), carrying.begin(), carrying.end());
+  const auto choice = relay_.chooser_.Choose(apart, beliefs, now);
+  if (choice.refusal == Refusal::kNone) return choice;
   return relay_.chooser_.Choose(demand_, beliefs, now);
 }
 
 void RequestRun::Try() {
+  if (IsBlocked()) return StopForCrashes();
   const auto choice = Choose();
   if (choice.refusal != Refusal::kNone) {
     choice_ = choice;
@@ -125,9 +135,11 @@
   const auto sending = relay_.chooser_.NoteSent(choice, now);
   ++sends_;
   const auto max_idle = demand_.route->idempotent ? Duration::max() : kMaxIdleOnce;
-  auto leg = std::make_shared<Leg>(
-      Leg{choice, RunOf(choice), relay_.pool_.Take(endpoint.value(), max_idle), now, sending});
+  auto leg =
+      std::make_shared<Leg>(Leg{choice, RunOf(choice), IsSuspect(),
+                                relay_.pool_.Take(endpoint.value(), max_idle), now, sending});
   legs_.push_back(leg);
+  if (leg->suspect) relay_.crashes_.NoteSent(choice.upstream);
   LogSent(choice, now);
   const auto request = relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - now);
   WaitForHedge(choice);
@@ -171,7 +183,7 @@
 
 void RequestRun::Hedge() {
   if (finished_ || legs_.size() != 1) return;
-  if (sends_ >= demand_.route->attempts) return;
+  if (sends_ >= demand_.route->attempts || IsSuspect()) return;
   if (deadline_ - base::MonotonicNow() < demand_.route->objective / 2) return;
   if (!relay_.allowance_.MayResend(demand_.service, base::MonotonicNow())) return;
   const auto choice = Choose();
@@ -196,6 +208,9 @@
 
 void RequestRun::TakeAnswer(const Leg& leg, http::Response response) {
   const auto judged = relay_.dialect_.judge(response, terms_);
+  const bool from_run =
+      judged.kind != AnswerKind::kForeign && judged.kind != AnswerKind::kOtherUpstream;
+  if (from_run) relay_.crashes_.NoteAlive(leg.run, leg.sent_at);
   switch (judged.kind) {
     case AnswerKind::kFinal:
       EndExchange(leg, Outcome::kServed, "served");
@@ -222,6 +237,9 @@
   if (judged.load) {
     relay_.chooser_.NoteLoad(leg.choice.upstream, *judged.load, base::MonotonicNow());
   }
+  if (judged.kind == AnswerKind::kFinal && relay_.crashes_.watches()) {
+    relay_.crashes_.NoteServed(fingerprint(), leg.choice.address);
+  }
   if (judged.kind == AnswerKind::kFinal) return Finish(std::move(response), "served", "");
   // The other sending may still be answered.
   if (!legs_.empty()) return;
@@ -251,20 +269,48 @@
        {"answer_started", result.answer_started ? "true" : "false"}});
   if (connected) {
     may_have_run_ = true;
-    relay_.crashes_.NoteLoss({terms_.request_id, fingerprint(), leg.choice.upstream, leg.run});
+    return ExamineLoss(leg);
   }
-  if (!connected) --sends_;
+  --sends_;
   if (!legs_.empty()) return;
-  if (connected) {
-    if (MayTryAgain(false)) return Try();
-    return GiveUp();
-  }
   const bool time_left = deadline_ - base::MonotonicNow() > kLeastTimeToTry;
   if (++failed_connects_ < kMaxFailedConnects && time_left) return Try();
   if (may_have_run_) return GiveUp();
   Refuse("upstreams_unreachable");
 }
 
+// Where one more end would block the request, it isn't sent again before the verdict.
+void RequestRun::ExamineLoss(const Leg& leg) {
+  auto& crashes = relay_.crashes_;
+  const bool may_go_on = demand_.route->idempotent && sends_ < demand_.route->attempts;
+  const bool waits = may_go_on && crashes.IsLastTry(fingerprint());
+  crashes.NoteLoss({terms_.request_id, fingerprint(), leg.choice.upstream, leg.run},
+                   [waits, self = shared_from_this()] {
+                     if (waits) self->TryAfterLoss();
+                   });
+  if (!waits) TryAfterLoss();
+}
+
+void RequestRun::TryAfterLoss() {
+  if (finished_ || !legs_.empty()) return;
+  if (IsBlocked()) return StopForCrashes();
+  if (MayTryAgain(false)) return Try();
+  GiveUp();
+}
+
+bool RequestRun::IsBlocked() {
+  return relay_.crashes_.watches() && relay_.crashes_.Blocks(fingerprint());
+}
+
+bool RequestRun::IsSuspect() {
+  return relay_.crashes_.watches() && relay_.crashes_.IsSuspect(fingerprint());
+}
+
+void RequestRun::StopForCrashes() {
+  if (may_have_run_) return Finish(Plain(502), "failed", kCrashesUpstreams);
+  Refuse(kCrashesUpstreams);
+}
+
 // Without the service, as a route may send the same request to several.
 const safety::Fingerprint& RequestRun::fingerprint() {
   if (!fingerprint_) {
@@ -283,6 +329,7 @@
 void RequestRun::EndExchange(const Leg& leg, Outcome outcome, std::string_view result) {
   const auto now = base::MonotonicNow();
   relay_.chooser_.NoteEnd(leg.sending, leg.choice, demand_, outcome, now - leg.sent_at, now);
+  if (leg.suspect) relay_.crashes_.NoteEnd(leg.choice.upstream);
   relay_.metrics_.NoteExchange(result, now - leg.sent_at);
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -29,6 +29,8 @@
     placement::Choice choice;
     /// The start of the upstream that the request was sent to.
     safety::UpstreamRun run;
+    /// An upstream had ended under the request before.
+    bool suspect = false;
     std::shared_ptr<net::UpstreamConnection> connection;
     base::MonotonicTime sent_at;
     /// Number of the sending, for the chooser.
@@ -42,6 +44,11 @@
   void TakeResult(const std::shared_ptr<Leg>& leg, net::ExchangeResult result);
   void TakeAnswer(const Leg& leg, http::Response response);
   void TakeLoss(const Leg& leg, const net::ExchangeResult& result);
+  void ExamineLoss(const Leg& leg);
+  void TryAfterLoss();
+  void StopForCrashes();
+  bool IsBlocked();
+  bool IsSuspect();
   const safety::Fingerprint& fingerprint();
   safety::UpstreamRun RunOf(const placement::Choice& choice) const;
   void EndExchange(const Leg& leg, placement::Outcome outcome, std::string_view result);
--- a/src/libs/safety/suspect_table.cpp
+++ b/src/libs/safety/suspect_table.cpp
@@ -9,8 +9,6 @@
 namespace wagtailpick::safety {
 namespace {
 
-constexpr std::size_t kStrikesToBlock = 2;
-
 // An announcement sent just before the crash can arrive after the loss of the connection was seen.
 constexpr std::uint64_t kAnnouncementsInFlight = 1;
 
@@ -41,15 +39,26 @@
   const bool is_recent = SucceededElsewhere(*report, now - limits_.recent_success_ms);
   const std::size_t lost = UpstreamsLost(*report, !is_recent);
   if (lost == 0) return {};
-  if (lost >= kStrikesToBlock) {
-    report->renewed_at = std::max(report->renewed_at, now);
-    changed_.insert(fingerprint);
+  if (lost >= limits_.strikes_to_block) {
+    if (now - report->renewed_at >= limits_.renewal_step_ms) {
+      report->renewed_at = std::max(report->renewed_at, now);
+      changed_.insert(fingerprint);
+    }
     return {Action::kBlocked, {}};
   }
   if (is_recent) return {};
   return {Action::kTrial, TrialKeyOf(*report)};
 }
 
+std::size_t SuspectTable::UpstreamsLostUnder(const Fingerprint& fingerprint, WallMillis now) {
+  const SuspectReport* report = Find(fingerprint, now);
+  return report == nullptr ? 0 : UpstreamsLost(*report, true);
+}
+
+bool SuspectTable::IsBlocking(const SuspectReport& report) const {
+  return UpstreamsLost(report, true) >= limits_.strikes_to_block;
+}
+
 SuspectReport SuspectTable::AddStrike(const Fingerprint& fingerprint, const LostConnection& lost,
                                       WallMillis now) {
   SuspectReport& report = FindOrAdd(fingerprint, now);
@@ -105,6 +114,12 @@
   return known;
 }
 
+void SuspectTable::Adopt(const SuspectReport& report, WallMillis now) {
+  const bool was_changed = changed_.contains(report.fingerprint);
+  Merge(report, now);
+  if (!was_changed) changed_.erase(report.fingerprint);
+}
+
 std::vector<SuspectReport> SuspectTable::TakeChanges(WallMillis now) {
   std::vector<SuspectReport> changes;
   for (const Fingerprint& fingerprint : changed_) {
@@ -146,8 +161,7 @@
 WallMillis SuspectTable::ExpiresAt(const SuspectReport& report) const {
   WallMillis last = report.renewed_at;
   for (const Strike& strike : report.strikes) last = std::max(last, strike.at);
-  const bool is_blocked = UpstreamsLost(report, true) >= kStrikesToBlock;
-  return last + (is_blocked ? limits_.block_ms : limits_.suspect_ms);
+  return last + (IsBlocking(report) ? limits_.block_ms : limits_.suspect_ms);
 }
 
 // Drops what has expired, else the suspect that expires first, else the block that does.
@@ -157,8 +171,7 @@
   });
   if (suspects_.size() < limits_.max_fingerprints || suspects_.empty()) return;
   const auto order = [&](const auto& item) {
-    return std::make_pair(UpstreamsLost(item.second, true) >= kStrikesToBlock,
-                          ExpiresAt(item.second));
+    return std::make_pair(IsBlocking(item.second), ExpiresAt(item.second));
   };
   const auto victim =
       std::min_element(suspects_.begin(), suspects_.end(),
--- a/src/libs/safety/suspect_table.h
+++ b/src/libs/safety/suspect_table.h
@@ -23,6 +23,10 @@
   /// and gets a second trial.
   WallMillis suspect_ms = 590'000;
   WallMillis recent_success_ms = 60'000;
+  /// Upstreams that may be lost under a request before it is blocked.
+  std::size_t strikes_to_block = 2;
+  /// A refused attempt renews a block that was renewed at least this long ago.
+  WallMillis renewal_step_ms = 0;
 };
 
 enum class Action : std::uint8_t {
@@ -64,6 +68,12 @@
   /// Says how a request may run now. To be asked by the entry that is about to send it.
   Ruling Check(const Fingerprint& fingerprint, WallMillis now);
 
+  /// Returns how many upstreams were lost under a request.
+  std::size_t UpstreamsLostUnder(const Fingerprint& fingerprint, WallMillis now);
+
+  /// Whether what `report` says blocks its request.
+  bool IsBlocking(const SuspectReport& report) const;
+
   /// Adds a strike for one request that was running when the connection was lost. The report goes
   /// to all entries before the caller gets its answer.
   SuspectReport AddStrike(const Fingerprint& fingerprint, const LostConnection& lost,
@@ -88,6 +98,9 @@
   /// it, so that the sender learns it in the reply.
   std::optional<SuspectReport> Merge(const SuspectReport& report, WallMillis now);
 
+  /// Takes in what another process tells all others as well: it isn't a change of this table.
+  void Adopt(const SuspectReport& report, WallMillis now);
+
   /// Returns and forgets what changed since the last call, for the regular exchange among entries
   /// that makes up for lost messages.
   std::vector<SuspectReport> TakeChanges(WallMillis now);
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -96,6 +96,19 @@
   cr_expect((RoundTrip(Conditions{{condition}}).conditions.at(0) == condition));
 }
 
+// Guards against an end of an upstream that counts twice, or that isn't withdrawn, at a receiver.
+Test(message_codec, carries_suspects_whole) {
+  safety::SuspectReport report;
+  report.fingerprint = safety::FingerprintOf("h", "GET", "/x", "body");
+  safety::AddStrike(report, {"b", {"10.0.0.2:80", 7}, {}, 0, 11, true});
+  safety::AddStrike(report, {"a", {"10.0.0.1:80", 8}, {}, 0, 12, false});
+  safety::AddSuccess(report.successes, {"10.0.0.3:80", 13});
+  report.renewed_at = 14;
+  const auto received = RoundTrip(Suspects{{report}});
+  cr_assert(received.reports.size() == 1);
+  cr_expect((received.reports.at(0) == report));
+}
+
 // Guards against lists that cross regions at their full length, and compressed ones that are lost.
 Test(message_codec, compresses_long_messages) {
   Reports reports;
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -129,6 +129,8 @@
   state.orders.Apply(3, orders::PutCatalog{7, "bytes"});
   state.reports.resize(1);
   state.reports[0].report.id = "i-1";
+  state.suspects.resize(1);
+  state.suspects[0].renewed_at = 5;
   {
     node::StateCache cache(path);
     cr_expect(!cache.Load().has_value());
@@ -139,6 +141,7 @@
   cr_expect(loaded->orders.catalog_version() == 7);
   cr_expect(loaded->orders.changed_index() == 3);
   cr_expect(loaded->reports.at(0).report.id == "i-1");
+  cr_expect((loaded->suspects == state.suspects));
   std::filesystem::resize_file(path, std::filesystem::file_size(path) - 3);
   cr_expect(!node::StateCache(path).Load().has_value());
   std::filesystem::remove_all(folder);
--- a/tests/auto/safety/suspect_table_test.cpp
+++ b/tests/auto/safety/suspect_table_test.cpp
@@ -235,6 +235,54 @@
   cr_assert(table.Check(Numbered(5), kStart + 100).action == Action::kServe);
 }
 
+// Guards against a bound of three lost upstreams that blocks after two, and against losses that
+// several entries saw and that aren't counted together.
+Test(suspect_table, losses_of_several_entries_block_at_the_limit) {
+  SuspectLimits limits;
+  limits.strikes_to_block = 3;
+  SuspectTable merged(limits);
+  for (int i = 1; i <= 3; ++i) {
+    cr_expect(merged.Check(Numbered(1), kStart).action != Action::kBlocked);
+    SuspectTable entry(limits);
+    merged.Merge(entry.AddStrike(Numbered(1), Lost(i, i), kStart), kStart);
+    // A second entry saw the same end.
+    SuspectTable other(limits);
+    merged.Merge(other.AddStrike(Numbered(1), Lost(i, 10 + i), kStart), kStart);
+    cr_expect(merged.UpstreamsLostUnder(Numbered(1), kStart) == static_cast<std::size_t>(i));
+  }
+  cr_expect(merged.Check(Numbered(1), kStart).action == Action::kBlocked);
+  cr_expect(merged.IsBlocking(merged.reports(kStart).at(0)));
+}
+
+// Guards against a message to all processes for each attempt of a blocked request, and against a
+// block that ends while attempts still come.
+Test(suspect_table, blocks_are_renewed_in_steps) {
+  SuspectLimits limits;
+  limits.renewal_step_ms = 30'000;
+  SuspectTable table(limits);
+  table.AddStrike(Numbered(1), Lost(1, 1), kStart);
+  table.AddStrike(Numbered(1), Lost(2, 2), kStart);
+  table.Check(Numbered(1), kStart);
+  cr_expect(table.TakeChanges(kStart).size() == 1);
+  table.Check(Numbered(1), kStart + 29'000);
+  cr_expect(table.TakeChanges(kStart).empty());
+  table.Check(Numbered(1), kStart + 31'000);
+  cr_expect(table.TakeChanges(kStart).size() == 1);
+  cr_expect(table.Check(Numbered(1), kStart + 620'000).action == Action::kBlocked);
+}
+
+// Guards against two processes that tell each other the same for ever.
+Test(suspect_table, what_is_adopted_is_not_told_again) {
+  SuspectTable source({});
+  SuspectTable table({});
+  table.Adopt(source.AddStrike(Numbered(1), Lost(1, 1), kStart), kStart);
+  cr_expect(table.TakeChanges(kStart).empty());
+  cr_expect(table.UpstreamsLostUnder(Numbered(1), kStart) == 1);
+  table.AddStrike(Numbered(2), Lost(1, 1), kStart);
+  table.Adopt(source.AddStrike(Numbered(2), Lost(2, 2), kStart), kStart);
+  cr_expect(table.TakeChanges(kStart).size() == 1);
+}
+
 // Guards against an old report that brings an ended block back.
 Test(suspect_table, expired_reports_are_ignored) {
   SuspectTable table({});
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -6,6 +6,11 @@
 namespace {
 
 constexpr int kOk = 200;
+/// The users' bound: upstreams that end under one request until all VMs have to know it, how long
+/// that may take, and how many more may end later.
+constexpr int kEndsToKnow = 3;
+constexpr base::Duration kTimeToKnow = std::chrono::seconds(3);
+constexpr int kMaxLateEnds = 3;
 
 /// Statuses that promise that a request has not run and never will.
 bool PromisesNotRun(int status) {
@@ -51,6 +56,16 @@
   if (now - std::max(drain->second, last_fault_) > bound) Break("work after a drain: " + upstream);
 }
 
+void Ledger::NoteEnd() {
+  const std::lock_guard lock(mutex_);
+  const auto now = base::MonotonicNow();
+  if (++ends_ == kEndsToKnow) third_end_ = now;
+  if (ends_ <= kEndsToKnow || now - third_end_ <= kTimeToKnow) return;
+  if (++late_ends_ > kMaxLateEnds) {
+    Break("upstream " + std::to_string(ends_) + " ended under one request");
+  }
+}
+
 void Ledger::NoteFault() {
   const std::lock_guard lock(mutex_);
   last_fault_ = base::MonotonicNow();
@@ -94,7 +109,8 @@
   for (const auto& [status, count] : statuses_) {
     text += std::to_string(status) + ": " + std::to_string(count) + "  ";
   }
-  return text + "catalog " + std::to_string(acknowledged_catalog_);
+  return text + "ends " + std::to_string(ends_) + " (" + std::to_string(late_ends_) +
+         " late)  catalog " + std::to_string(acknowledged_catalog_);
 }
 
 }  // namespace wagtailpick::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -23,6 +23,9 @@
   /// A request came to `upstream`; counted as broken when its drain was acknowledged longer ago
   /// than `bound` and no fault has struck since then.
   void NoteArrival(const std::string& upstream, base::Duration bound);
+  /// An upstream ended under the one request that ends upstreams. Counted as broken when more than
+  /// three follow later than some seconds after the third.
+  void NoteEnd();
   void NoteFault();
   void NoteCatalogAcknowledged(std::uint64_t version);
   /// A catalog was read; the read was sent when `acknowledged` was the newest acknowledged one.
@@ -45,6 +48,9 @@
   std::map<std::string, int> refused_;
   std::map<std::string, base::MonotonicTime> drains_;
   base::MonotonicTime last_fault_;
+  int ends_ = 0;
+  int late_ends_ = 0;
+  base::MonotonicTime third_end_;
   std::uint64_t acknowledged_catalog_ = 0;
   std::map<int, int> statuses_;
   int measured_ = 0;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -26,6 +26,7 @@
 constexpr int kMaxRedirects = 2;
 constexpr int kDeadlineMs = 1'800;
 constexpr int kObjects = 20;
+constexpr milliseconds kDeadlyInterval{300};
 
 /// One run's processes, stand-ins and threads.
 class Run {
@@ -49,6 +50,7 @@
     for (std::size_t i = 0; i < options_.callers; ++i) {
       calling.emplace_back([this, i] { CallLoop(i); });
     }
+    calling.emplace_back([this] { DeadlyLoop(); });
     StrikeUntil(base::MonotonicNow() + options_.length, service);
     Recover(service);
     stopping_ = true;
@@ -117,6 +119,17 @@
     }
   }
 
+  /// One request that ends each upstream that runs it, sent again and again to any entry.
+  void DeadlyLoop() {
+    std::mt19937_64 random(options_.seed * 100 + options_.callers);
+    for (int i = 0; !stopping_; ++i) {
+      const auto request = platform::ClientRequest(
+          "GET", kDeadlyTarget, "deadly-" + std::to_string(i), kDeadlineMs, "deadly");
+      Call(deployment_.CallersAddress(random() % options_.entries), request, kCallerTimeout);
+      std::this_thread::sleep_for(kDeadlyInterval);
+    }
+  }
+
   void StrikeUntil(base::MonotonicTime end, StandinService& service) {
     while (base::MonotonicNow() < end) {
       ledger_.NoteFault();
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -13,6 +13,8 @@
 
 constexpr int kPort = 17'730;
 constexpr const char* kService = "s";
+/// How long an upstream is down after a request has ended it.
+constexpr milliseconds kDownTime{1'500};
 constexpr milliseconds kAnnounceInterval{300};
 constexpr base::Duration kCallTimeout = milliseconds(1'000);
 /// How long a draining upstream goes on after the acknowledgement.
@@ -30,13 +32,7 @@
     auto& upstream = upstreams_[i];
     upstream.ip = "127." + std::to_string(network) + ".1." + std::to_string(10 + i);
     Restart(upstream);
-    auto listener = net::HttpListener::Start(
-        loop_, {upstream.ip, kPort},
-        [this, &upstream](const std::shared_ptr<net::InboundRequest>& inbound) {
-          Serve(upstream, inbound);
-        },
-        [] { return net::ServerPolicy(); });
-    if (listener) upstream.listener = std::move(listener.value());
+    Listen(upstream);
   }
   serving_ = std::thread([this] { loop_.run(); });
   announcing_ = std::thread([this] { AnnounceLoop(); });
@@ -49,11 +45,38 @@
   serving_.join();
 }
 
+void StandinService::Listen(Upstream& upstream) {
+  auto listener = net::HttpListener::Start(
+      loop_, {upstream.ip, kPort},
+      [this, &upstream](const std::shared_ptr<net::InboundRequest>& inbound) {
+        Serve(upstream, inbound);
+      },
+      [] { return net::ServerPolicy(); });
+  if (listener) upstream.listener = std::move(listener.value());
+}
+
+// All connections are lost and nobody listens, as when a process has crashed.
+void StandinService::End(Upstream& upstream) {
+  upstream.listener.reset();
+  {
+    const std::lock_guard lock(mutex_);
+    upstream.down = true;
+  }
+  auto timer = std::make_shared<asio::steady_timer>(loop_, kDownTime);
+  timer->async_wait([this, &upstream, timer](asio::error_code error) {
+    if (error) return;
+    const std::lock_guard lock(mutex_);
+    Restart(upstream);
+    Listen(upstream);
+  });
+}
+
 void StandinService::Restart(Upstream& upstream) {
   upstream.id = "i-" + std::to_string(next_id_++);
   upstream.sequence = 0;
   upstream.started_unix_ms = base::WallNowMillis();
   upstream.draining = false;
+  upstream.down = false;
   upstream.drain_acknowledged = false;
 }
 
@@ -75,6 +98,10 @@
     return inbound->Answer(std::move(other));
   }
   ledger_.NoteArrival(id, kDrainBound);
+  if (inbound->request.target == kDeadlyTarget) {
+    ledger_.NoteEnd();
+    return asio::post(loop_, [this, &upstream] { End(upstream); });
+  }
   Run(inbound);
 }
 
@@ -102,6 +129,7 @@
   {
     const std::lock_guard lock(mutex_);
     auto& upstream = upstreams_[position];
+    if (upstream.down) return;
     if (upstream.drain_acknowledged && base::MonotonicNow() > upstream.replace_due) {
       Restart(upstream);
     }
--- a/tests/soak/standin_service.h
+++ b/tests/soak/standin_service.h
@@ -14,6 +14,9 @@
 
 namespace wagtailpick::soak {
 
+/// A request to this target ends the upstream that runs it.
+inline constexpr const char* kDeadlyTarget = "/read/deadly";
+
 /// Upstreams of one service that announce themselves, run requests, lose some answers, drain and
 /// come back under new ids.
 class StandinService {
@@ -37,6 +40,8 @@
     std::uint64_t sequence = 0;
     std::int64_t started_unix_ms = 0;
     bool draining = false;
+    /// Its process has ended and comes back later.
+    bool down = false;
     bool drain_acknowledged = false;
     base::MonotonicTime replace_due;
     std::unique_ptr<net::HttpListener> listener;
@@ -46,6 +51,8 @@
   void Run(const std::shared_ptr<net::InboundRequest>& inbound);
   void Announce(std::size_t upstream);
   void AnnounceLoop();
+  void Listen(Upstream& upstream);
+  void End(Upstream& upstream);
   void Restart(Upstream& upstream);
 
   std::vector<std::string> replicas_;
