Send nothing to upstreams that say that they leave, or that they want nothing for a time

Leaving: the run that answered is marked as left in the entry's table, whatever the answer's status, and its idle connections are closed. The table's own rules do the rest: no later announcement of the run brings it back, a new run does. The entry tells the replica that it follows, which tells the others; an entry whose replica still reports the run tells it again. A request that was chosen but whose connection isn't made yet is chosen anew. Wanting nothing: the entry leaves the upstream out until the time is over, and sends one request at a time for a second then; entries come back spread over a quarter of the pause, at most 0.5 s. It counts neither as a failure nor among the shared observations. Where all of a service want nothing, callers are told when the first wants work again, urgent ones first.

A Retry-After that isn't a number of seconds, a date too, is ignored with a log line; of several the longest counts.

Weighed for leaving: a separate list of runs beside the table. It would have needed its own expiry, its own messages, and a second place that decides whether a run may be used.

Tests seen red with the mechanism off: relay::sends_nothing_to_an_upstream_that_leaves, relay::sends_nothing_to_an_upstream_that_wants_nothing, chooser::returns_one_request_at_a_time_to_an_upstream_that_wanted_nothing.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -46,7 +46,10 @@
   reused_ = connected_;
   interim_answers_ = 0;
   parser_.Reset(head);
-  if (connected_) return Send();
+  if (connected_) {
+    may_send = nullptr;
+    return Send();
+  }
   Connect();
 }
 
@@ -64,6 +67,10 @@
     self->connected_ = true;
     self->connect_time_ = base::MonotonicNow() - self->connect_started_;
     DetectDeadPeer(self->socket_, kDeadUpstreamTimeout);
+    const auto still_wanted = std::exchange(self->may_send, nullptr);
+    if (still_wanted && !still_wanted()) {
+      return self->Fail(ExchangeEnd::kNotConnected, "no longer wanted");
+    }
     self->Send();
   });
 }
@@ -168,6 +175,7 @@
   if (closed_) return;
   closed_ = true;
   done_ = nullptr;
+  may_send = nullptr;
   connect_timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -53,6 +53,10 @@
   /// Called with this connection once it can take another exchange.
   std::function<void(const std::shared_ptr<UpstreamConnection>&)> on_idle;
 
+  /// Asked when a new connection is made and before a byte of the request leaves; without it, or
+  /// when it returns true, the request is sent.
+  std::function<bool()> may_send;
+
   /// Ends the connection; a running exchange gets no result. Most upstreams then drop its request.
   void Close();
 
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -244,7 +244,7 @@
     return log_->Step(consensus->messages);
   }
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
-    TakeReports(*reports);
+    TakeReports(*reports, session.hello.role);
     return AnswerTicket(session.id, *reports);
   }
   if (const auto* beats = std::get_if<cluster::Beats>(&message)) {
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -90,7 +90,7 @@
   void Welcome(const cluster::Session& session);
   void TakeFromSession(const cluster::Session& session, const cluster::Message& message);
   void TakePing(const cluster::Session& session);
-  void TakeReports(const cluster::Reports& reports);
+  void TakeReports(const cluster::Reports& reports, cluster::NodeRole from);
   void TakeFromReplica(const std::string& replica, const cluster::Message& message);
   void LoadCache();
   void TakeCached(const CachedState& cached);
--- a/src/libs/node/control_node_announcements.cpp
+++ b/src/libs/node/control_node_announcements.cpp
@@ -18,7 +18,7 @@
 
 // Another replica has taken an announcement: it is passed on to this replica's entries, as some of
 // them may not reach the other.
-void ControlNode::TakeReports(const cluster::Reports& reports) {
+void ControlNode::TakeReports(const cluster::Reports& reports, cluster::NodeRole from) {
   const auto now = base::MonotonicNow();
   cluster::Reports changed;
   for (const auto& aged : reports.reports) {
@@ -28,10 +28,14 @@
   if (changed.reports.empty()) return;
   cache_outdated_ = true;
   acceptor_->BroadcastToFollowers(changed);
+  // A replica has told all the others; an entry tells the one that it follows of a run that leaves.
+  if (from == cluster::NodeRole::kEntry) mesh_->Broadcast(changed);
 }
 
 void ControlNode::TakeFromReplica(const std::string& replica, const cluster::Message& message) {
-  if (const auto* reports = std::get_if<cluster::Reports>(&message)) return TakeReports(*reports);
+  if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
+    return TakeReports(*reports, cluster::NodeRole::kReplica);
+  }
   const auto* taken = std::get_if<cluster::ReportsTaken>(&message);
   if (taken == nullptr) return;
   if (members_.FindName(replica)) CountTaken(taken->ticket);
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -118,6 +118,7 @@
   RequestCatalog(now);
   if (now >= observations_due_) SendObservations(now);
   SendSuspects(relay_->crashes().TakeChanges());
+  SendLeaving(relay_->TakeLeaving());
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
     relay_->Tick(now);
@@ -188,12 +189,19 @@
 
 void EntryNode::TakeReports(const cluster::Reports& reports) {
   const auto now = base::MonotonicNow();
+  std::vector<upstreams::UpstreamReport> unheard;
   for (const auto& aged : reports.reports) {
     const auto& report = aged.report;
     const auto* known = beliefs_.upstreams.Find(report.id);
     const bool restarted =
         known != nullptr && known->report.started_unix_ms < report.started_unix_ms;
     const auto change = beliefs_.upstreams.Apply(report, aged.age, now);
+    // The replica hasn't heard that this run leaves, as its answer said.
+    if (change == upstreams::Change::kStale && known != nullptr &&
+        known->report.started_unix_ms == report.started_unix_ms &&
+        known->report.state == upstreams::State::kLeft && report.state != upstreams::State::kLeft) {
+      unheard.push_back(known->report);
+    }
     if (change != upstreams::Change::kChanged) continue;
     logging::Write(Level::kInfo, "upstream_changed", report.id,
                    {{"state", std::string(upstreams::ToString(report.state))},
@@ -206,6 +214,7 @@
     const bool gone = report.state == upstreams::State::kLeft;
     if (gone || restarted) relay_->ForgetUpstream(report.id, report.address, restarted);
   }
+  SendLeaving(unheard);
   upstream_sync_.TakeAnswer(reports);
 }
 
@@ -260,6 +269,13 @@
   if (!reports.empty()) mesh_->Send(followed_, cluster::Suspects{reports});
 }
 
+void EntryNode::SendLeaving(const std::vector<upstreams::UpstreamReport>& leaving) {
+  if (leaving.empty()) return;
+  cluster::Reports message;
+  for (const auto& report : leaving) message.reports.push_back({report, base::Duration::zero()});
+  mesh_->Send(followed_, message);
+}
+
 void EntryNode::TakeConditions(const cluster::Conditions& message) {
   const auto now = base::MonotonicNow();
   for (const auto& condition : message.conditions) {
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -66,6 +66,8 @@
   void TakeEntries(const cluster::EntryNames& names);
   void TakeConditions(const cluster::Conditions& message);
   void SendObservations(base::MonotonicTime now);
+  /// Tells the followed replica of runs that have said in an answer that they leave.
+  void SendLeaving(const std::vector<upstreams::UpstreamReport>& leaving);
   void SendSuspects(const std::vector<safety::SuspectReport>& reports);
   void RequestCatalog(base::MonotonicTime now);
   void ChooseFollowed();
--- a/src/libs/placement/choice.cpp
+++ b/src/libs/placement/choice.cpp
@@ -7,11 +7,12 @@
 namespace wagtailpick::placement {
 namespace {
 
-constexpr std::array<base::EnumName<Refusal>, 4> kRefusalNames{{
+constexpr std::array<base::EnumName<Refusal>, 5> kRefusalNames{{
     {Refusal::kNone, "none"},
     {Refusal::kNoUpstream, "no_upstream"},
     {Refusal::kNoRoom, "no_room"},
     {Refusal::kColdLimit, "cold_limit"},
+    {Refusal::kUnwanted, "unwanted"},
 }};
 
 }  // namespace
--- a/src/libs/placement/choice.h
+++ b/src/libs/placement/choice.h
@@ -32,6 +32,8 @@
   kNoRoom,
   /// Cold upstreams only, and their rate is used up.
   kColdLimit,
+  /// All upstreams have said that they want nothing for a time.
+  kUnwanted,
 };
 
 std::string_view ToString(Refusal refusal);
@@ -57,6 +59,8 @@
   /// The upstream's load as it was believed, and its slots.
   double load = 0;
   std::uint32_t slots = 0;
+  /// With `kUnwanted`: when the first upstream wants work again, from now.
+  base::Duration back_in{};
   /// Upstreams that were considered.
   std::size_t candidates = 0;
 };
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -61,6 +61,7 @@
     case Outcome::kShed:
       return observation::Ending::kFailed;
     case Outcome::kUnreachable:
+    case Outcome::kUnwanted:
     case Outcome::kUnknown:
       break;
   }
@@ -228,6 +229,7 @@
   auto candidates = Candidates(demand, *service, beliefs, now);
   const bool cold_limited = std::any_of(candidates.begin(), candidates.end(),
                                         [](const auto& one) { return one.cold_limited; });
+  NoteReturn(candidates, now, choice);
   KeepObjectsUpstreams(demand, candidates);
   std::erase_if(candidates, [](const Candidate& candidate) { return !candidate.usable; });
   choice.candidates = candidates.size();
@@ -255,6 +257,24 @@
   return choice;
 }
 
+// Where nothing can be used, callers are told when the first upstream wants work again.
+void Chooser::NoteReturn(const std::vector<Candidate>& candidates, base::MonotonicTime now,
+                         Choice& choice) {
+  auto first = base::MonotonicTime::max();
+  for (const auto& candidate : candidates) {
+    const auto until = candidate.condition->unwanted_until();
+    if (until > now) first = std::min(first, until);
+  }
+  if (first == base::MonotonicTime::max()) return;
+  choice.refusal = Refusal::kUnwanted;
+  choice.back_in = first - now;
+}
+
+bool Chooser::IsUnwanted(const std::string& upstream, base::MonotonicTime now) const {
+  const auto found = conditions_.find(upstream);
+  return found != conditions_.end() && now < found->second.unwanted_until();
+}
+
 std::uint64_t Chooser::NoteSent(const Choice& choice, base::MonotonicTime now) {
   conditions_[choice.upstream].NoteSent();
   if (choice.cold_start) pacer_.Count(choice.upstream, now);
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -50,6 +50,12 @@
   void NoteEnd(std::uint64_t sending, const Choice& choice, const Demand& demand, Outcome outcome,
                base::Duration took, base::MonotonicTime now);
   void NoteLoad(const std::string& upstream, const LoadReport& load, base::MonotonicTime now);
+  /// The upstream wants nothing until `until`.
+  void NoteUnwanted(const std::string& upstream, base::MonotonicTime until) {
+    conditions_[upstream].NoteUnwanted(until);
+  }
+  /// Whether the upstream has said that it wants nothing now.
+  bool IsUnwanted(const std::string& upstream, base::MonotonicTime now) const;
   void NoteConnect(const std::string& data_centre, base::Duration took);
   /// What was seen of upstreams since the last call, for the other entries.
   std::vector<observation::Observation> TakeObservations(base::MonotonicTime now) {
@@ -71,6 +77,8 @@
                    const Beliefs& beliefs) const;
   std::vector<Candidate> Candidates(const Demand& demand, const catalog::Service& service,
                                     const Beliefs& beliefs, base::MonotonicTime now);
+  static void NoteReturn(const std::vector<Candidate>& candidates, base::MonotonicTime now,
+                         Choice& choice);
   void LeaveOutSpared(const Demand& demand, std::vector<Candidate>& candidates);
   void KeepObjectsUpstreams(const Demand& demand, std::vector<Candidate>& candidates) const;
   void Estimate(const Demand& demand, double slots_per_object, Candidate& candidate,
--- a/src/libs/placement/upstream_condition.cpp
+++ b/src/libs/placement/upstream_condition.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t kMaxDoublings = 4;
 /// An upstream that couldn't be reached is tried again without an announcement after this time.
 constexpr base::Duration kUnheardRetry = std::chrono::seconds(5);
+/// For this long after an upstream wanted nothing, an entry sends it one request at a time.
+constexpr base::Duration kReturnTime = std::chrono::seconds(1);
 constexpr double kSpeedWeight = 0.2;
 constexpr double kMinSlowness = 0.8;
 constexpr double kMaxSlowness = 8.0;
@@ -46,11 +48,16 @@
       failure_share_ += kFailureWeight * (1.0 - failure_share_);
       CountFailure(now);
       break;
+    case Outcome::kUnwanted:
     case Outcome::kUnknown:
       break;
   }
 }
 
+void UpstreamCondition::NoteUnwanted(base::MonotonicTime until) {
+  unwanted_until_ = std::max(unwanted_until_, until);
+}
+
 void UpstreamCondition::CountFailure(base::MonotonicTime now) {
   if (++failures_in_row_ < kFailuresToRest) return;
   const auto doublings = std::min(failures_in_row_ - kFailuresToRest, kMaxDoublings);
@@ -90,7 +97,9 @@
 }
 
 bool UpstreamCondition::Usable(base::MonotonicTime heard_at, base::MonotonicTime now) const {
-  if (now < rest_until_) return false;
+  if (now < rest_until_ || now < unwanted_until_) return false;
+  // One request at a time shows whether it wants work again.
+  if (now - kReturnTime < unwanted_until_ && in_flight_ > 0) return false;
   if (!unreachable_at_) return true;
   return heard_at > *unreachable_at_ || now - *unreachable_at_ > kUnheardRetry;
 }
--- a/src/libs/placement/upstream_condition.h
+++ b/src/libs/placement/upstream_condition.h
@@ -21,6 +21,8 @@
   kServed,
   /// It answered that it has no room.
   kShed,
+  /// It answered that it wants nothing for a time, for which it is left out.
+  kUnwanted,
   /// It answered with an error, lost its connection, or sent bytes that are no answer.
   kFailed,
   kUnreachable,
@@ -50,6 +52,11 @@
   /// Share of its recent answers that were refusals or failures.
   double failure_share() const { return failure_share_; }
 
+  /// It wants nothing until `until`; then little at first.
+  void NoteUnwanted(base::MonotonicTime until);
+  /// When it wants work again; in the past when it does.
+  base::MonotonicTime unwanted_until() const { return unwanted_until_; }
+
   /// Whether new work may be sent after its failures; `heard_at` is its last announcement.
   bool Usable(base::MonotonicTime heard_at, base::MonotonicTime now) const;
 
@@ -65,6 +72,7 @@
   std::uint32_t failures_in_row_ = 0;
   base::MonotonicTime rest_until_ = base::MonotonicTime::min();
   std::optional<base::MonotonicTime> unreachable_at_;
+  base::MonotonicTime unwanted_until_ = base::MonotonicTime::min();
   std::unordered_map<std::uint64_t, base::MonotonicTime> objects_;
 };
 
--- a/src/libs/relay/dialect.h
+++ b/src/libs/relay/dialect.h
@@ -39,6 +39,13 @@
 struct JudgedAnswer {
   AnswerKind kind = AnswerKind::kForeign;
   std::optional<placement::LoadReport> load;
+  /// The run that answered leaves and wants no new work.
+  bool leaving = false;
+  /// The upstream turned the request away and wants nothing from this VM for so long.
+  std::optional<base::Duration> wants_nothing_for;
+  /// It gave a time that can't be read, which is the text below.
+  bool has_unreadable_time = false;
+  std::string unreadable_time;
 };
 
 /// The words that callers and upstreams use, decoded at the boundary.
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "catalog/catalog.h"
@@ -58,6 +59,8 @@
   std::vector<observation::Observation> TakeObservations(base::MonotonicTime now) {
     return chooser_.TakeObservations(now);
   }
+  /// The reports of upstreams that have said in an answer, since the last call, that they leave.
+  std::vector<upstreams::UpstreamReport> TakeLeaving() { return std::exchange(leaving_, {}); }
   /// What is known of requests that end upstreams.
   CrashGuard& crashes() { return crashes_; }
   /// New requests are refused from now on.
@@ -69,6 +72,13 @@
  private:
   friend class RequestRun;
 
+  void NoteLeaving(const std::string& id, std::int64_t started_unix_ms,
+                   const std::string& request_id);
+  void NoteUnwanted(const placement::Choice& choice, base::Duration time,
+                    const std::string& request_id);
+  /// Whether a request that was chosen for this run of an upstream may still be sent to it.
+  bool MaySend(const std::string& id, std::int64_t started_unix_ms) const;
+
   asio::io_context& loop_;
   Dialect dialect_;
   Beliefs& beliefs_;
@@ -79,6 +89,8 @@
   DecisionLog log_;
   RelayMetrics metrics_;
   CrashGuard crashes_;
+  std::string vm_;
+  std::vector<upstreams::UpstreamReport> leaving_;
   std::size_t running_ = 0;
   bool refusing_ = false;
 };
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -26,4 +26,9 @@
   upstream_.Observe(Seconds(took));
 }
 
+void RelayMetrics::NoteUpstreamAnswer(std::string_view says) {
+  registry_.CounterAt("wagtailpick_upstream_words_total", "says=\"" + std::string(says) + "\"")
+      .Add();
+}
+
 }  // namespace wagtailpick::relay
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -16,6 +16,8 @@
   void NoteAnswer(std::string_view result, base::Duration total);
   /// An upstream's exchange ended.
   void NoteExchange(std::string_view result, base::Duration took);
+  /// An upstream said of itself in an answer that it leaves, or that it wants nothing for a time.
+  void NoteUpstreamAnswer(std::string_view says);
 
  private:
   metrics::Registry& registry_;
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -29,6 +29,12 @@
 constexpr int kHedgeFactor = 3;
 /// Callers come back within a third of the time that they have left.
 constexpr int kReturnShare = 4;
+constexpr int kLongestReturnShare = 3;
+/// Callers that are refused because no upstream wants work come back over this span.
+constexpr Duration kReturnSpread = std::chrono::milliseconds(200);
+constexpr std::int64_t kSpreadSteps = 1'000;
+/// Of text that an upstream sent.
+constexpr std::size_t kMaxLoggedText = 64;
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
 constexpr Duration kLatestReturn = std::chrono::seconds(2);
 constexpr std::string_view kCrashesUpstreams = "crashes_upstreams";
@@ -121,7 +127,7 @@
   if (choice.refusal != Refusal::kNone) {
     choice_ = choice;
     if (may_have_run_) return GiveUp();
-    return Refuse(placement::ToString(choice.refusal));
+    return Refuse(placement::ToString(choice.refusal), ReturnAfter(choice));
   }
   Send(choice);
 }
@@ -141,6 +147,9 @@
   legs_.push_back(leg);
   if (leg->suspect) relay_.crashes_.NoteSent(choice.upstream);
   LogSent(choice, now);
+  leg->connection->may_send = [this, id = choice.upstream, run = leg->run] {
+    return relay_.MaySend(id, static_cast<std::int64_t>(run.incarnation));
+  };
   const auto request = relay_.dialect_.prepare(inbound_->request, choice.upstream, deadline_ - now);
   WaitForHedge(choice);
   leg->connection->Exchange(net::RenderRequest(request), request.method == "HEAD",
@@ -208,9 +217,7 @@
 
 void RequestRun::TakeAnswer(const Leg& leg, http::Response response) {
   const auto judged = relay_.dialect_.judge(response, terms_);
-  const bool from_run =
-      judged.kind != AnswerKind::kForeign && judged.kind != AnswerKind::kOtherUpstream;
-  if (from_run) relay_.crashes_.NoteAlive(leg.run, leg.sent_at);
+  NoteUpstream(leg, judged);
   switch (judged.kind) {
     case AnswerKind::kFinal:
       EndExchange(leg, Outcome::kServed, "served");
@@ -220,7 +227,7 @@
       may_have_run_ = true;
       break;
     case AnswerKind::kNotRun:
-      EndExchange(leg, Outcome::kShed, "not_run");
+      EndExchange(leg, judged.wants_nothing_for ? Outcome::kUnwanted : Outcome::kShed, "not_run");
       break;
     case AnswerKind::kOtherUpstream:
       EndExchange(leg, Outcome::kUnreachable, "other_upstream");
@@ -234,9 +241,6 @@
   // without an id can't be told apart.
   const bool own = judged.kind == AnswerKind::kFinal || judged.kind == AnswerKind::kServerFailure;
   if (!own) leg.connection->Close();
-  if (judged.load) {
-    relay_.chooser_.NoteLoad(leg.choice.upstream, *judged.load, base::MonotonicNow());
-  }
   if (judged.kind == AnswerKind::kFinal && relay_.crashes_.watches()) {
     relay_.crashes_.NoteServed(fingerprint(), leg.choice.address);
   }
@@ -259,6 +263,23 @@
   GiveUp();
 }
 
+void RequestRun::NoteUpstream(const Leg& leg, const JudgedAnswer& judged) {
+  const auto& upstream = leg.choice.upstream;
+  const bool from_run =
+      judged.kind != AnswerKind::kForeign && judged.kind != AnswerKind::kOtherUpstream;
+  if (from_run) relay_.crashes_.NoteAlive(leg.run, leg.sent_at);
+  if (judged.load) relay_.chooser_.NoteLoad(upstream, *judged.load, base::MonotonicNow());
+  if (judged.leaving) {
+    relay_.NoteLeaving(upstream, static_cast<std::int64_t>(leg.run.incarnation), terms_.request_id);
+  }
+  if (judged.wants_nothing_for) {
+    relay_.NoteUnwanted(leg.choice, *judged.wants_nothing_for, terms_.request_id);
+  }
+  if (!judged.has_unreadable_time) return;
+  Log(Level::kWarning, "pause_unreadable", judged.unreadable_time.substr(0, kMaxLoggedText),
+      {{"upstream", upstream}});
+}
+
 void RequestRun::TakeLoss(const Leg& leg, const net::ExchangeResult& result) {
   const bool connected = result.end != net::ExchangeEnd::kNotConnected;
   EndExchange(leg, connected ? Outcome::kFailed : Outcome::kUnreachable, net::ToString(result.end));
@@ -367,13 +388,25 @@
   Log(Level::kInfo, "client_left", "the caller closed its connection", {});
 }
 
+// Callers come back when the first upstream wants work again, the urgent ones first and the others
+// spread behind them.
+std::optional<base::Duration> RequestRun::ReturnAfter(const placement::Choice& choice) const {
+  if (choice.refusal != Refusal::kUnwanted) return std::nullopt;
+  const auto share = std::hash<std::string>()(terms_.request_id) % kSpreadSteps;
+  const auto spread = kReturnSpread * static_cast<std::int64_t>(share) / kSpreadSteps;
+  const bool urgent = demand_.route->priority <= 1;
+  return choice.back_in + (urgent ? spread : kReturnSpread + spread);
+}
+
 // The caller is told to come back while it still has time for an answer.
-void RequestRun::Refuse(std::string_view reason) {
+void RequestRun::Refuse(std::string_view reason, std::optional<base::Duration> back) {
   auto response = Plain(503);
   const auto left = terms_.deadline.value_or(std::chrono::seconds(3)) -
                     (base::MonotonicNow() - inbound_->received_at);
-  const auto back = std::clamp(left / kReturnShare, kSoonestReturn, kLatestReturn);
-  response.headers.push_back({"Retry-After", RetryAfter(back)});
+  const auto usual = std::clamp(left / kReturnShare, kSoonestReturn, kLatestReturn);
+  const auto latest = std::max(left / kLongestReturnShare, kSoonestReturn);
+  const auto after = back ? std::clamp(*back, kSoonestReturn, latest) : usual;
+  response.headers.push_back({"Retry-After", RetryAfter(after)});
   Finish(std::move(response), "refused", reason);
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -43,6 +43,8 @@
   void Send(const placement::Choice& choice);
   void TakeResult(const std::shared_ptr<Leg>& leg, net::ExchangeResult result);
   void TakeAnswer(const Leg& leg, http::Response response);
+  /// What the answer says of its upstream, whatever it means for the request.
+  void NoteUpstream(const Leg& leg, const JudgedAnswer& judged);
   void TakeLoss(const Leg& leg, const net::ExchangeResult& result);
   void ExamineLoss(const Leg& leg);
   void TryAfterLoss();
@@ -59,7 +61,9 @@
   void GiveUp();
   void Expire();
   void ClientLeft();
-  void Refuse(std::string_view reason);
+  /// `back` is when the caller may come back; left out, it is worked out from the time left.
+  void Refuse(std::string_view reason, std::optional<base::Duration> back = std::nullopt);
+  std::optional<base::Duration> ReturnAfter(const placement::Choice& choice) const;
   void Finish(http::Response response, std::string_view outcome, std::string_view reason);
   void LogSent(const placement::Choice& choice, base::MonotonicTime now);
   void Log(logging::Level level, const std::string& event, const std::string& message,
--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -115,6 +115,20 @@
   return Change::kChanged;
 }
 
+std::optional<UpstreamReport> UpstreamTable::MarkLeft(const std::string& id,
+                                                      std::int64_t started_unix_ms) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return std::nullopt;
+  auto& report = found->second.report;
+  if (report.started_unix_ms != started_unix_ms || report.state == State::kLeft) {
+    return std::nullopt;
+  }
+  digests_.Toggle(report);
+  report.state = State::kLeft;
+  digests_.Toggle(report);
+  return report;
+}
+
 Change UpstreamTable::NoteHeard(const std::string& id, std::int64_t started_unix_ms,
                                 std::uint64_t sequence, base::MonotonicTime now) {
   const auto found = upstreams_.find(id);
--- a/src/libs/upstreams/upstream_table.h
+++ b/src/libs/upstreams/upstream_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,10 @@
   /// Takes a report that is `age` old.
   Change Apply(const UpstreamReport& report, base::Duration age, base::MonotonicTime now);
 
+  /// The run of an upstream that began at `started_unix_ms` has said in an answer that it leaves.
+  /// Returns what is to be told of it; nothing when that run isn't known or has left already.
+  std::optional<UpstreamReport> MarkLeft(const std::string& id, std::int64_t started_unix_ms);
+
   /// Marks an announcement without a change, named by run and sequence.
   Change NoteHeard(const std::string& id, std::int64_t started_unix_ms, std::uint64_t sequence,
                    base::MonotonicTime now);
--- a/src/tools/wagtailpick/explain_command.cpp
+++ b/src/tools/wagtailpick/explain_command.cpp
@@ -21,7 +21,8 @@
 constexpr std::array kBeliefs{kStart, "catalog_in_force", "evacuations_changed",
                               "followed_replica_changed", "replica_lost"};
 /// Events whose message names the upstream that they are about.
-constexpr std::array kUpstreamBeliefs{"upstream_changed", "upstream_forgotten"};
+constexpr std::array kUpstreamBeliefs{"upstream_changed", "upstream_forgotten", "upstream_leaving",
+                                      "upstream_wants_nothing"};
 
 /// A line of a log.
 struct LogLine {
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -339,3 +339,30 @@
   cr_expect(rate > 18 && rate < 22);
   cr_expect(census.RatePerObject("other", 30, 3) == 0);
 }
+
+// Guards against all entries' work at once on an upstream that has just wanted nothing, and against
+// an upstream that is taken for failing because it asked for a pause.
+Test(chooser, returns_one_request_at_a_time_to_an_upstream_that_wanted_nothing) {
+  World world;
+  const auto demand = world.Ask();
+  const auto first = world.Choose(demand);
+  const auto sending = world.chooser.NoteSent(first, kStart);
+  world.chooser.NoteEnd(sending, first, demand, placement::Outcome::kUnwanted, {}, kStart);
+  world.chooser.NoteUnwanted(first.upstream, kStart + seconds(2));
+  cr_expect(world.Choose(demand).upstream != first.upstream);
+  cr_expect(world.chooser.TakeObservations(kStart).empty());
+  cr_expect(world.chooser.IsUnwanted(first.upstream, kStart + milliseconds(1'999)));
+  const auto back = kStart + seconds(2);
+  cr_expect(world.Choose(demand, back).upstream == first.upstream);
+  world.chooser.NoteSent(first, back);
+  cr_expect(world.Choose(demand, back).upstream != first.upstream);
+  // An upstream that wants nothing isn't tried although all others were.
+  auto tried = world.Ask();
+  world.chooser.NoteUnwanted(first.upstream, back + seconds(3));
+  for (const auto* id : {"near1", "near2", "far"}) {
+    if (id != first.upstream) tried.tried.emplace_back(id);
+  }
+  const auto none = world.Choose(tried, back);
+  cr_expect(none.refusal == Refusal::kUnwanted);
+  cr_expect(none.back_in == seconds(3));
+}
--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -26,12 +26,14 @@
 
 http::Response Answer(int status, const http::Headers& headers) { return {status, headers, ""}; }
 
-AnswerKind KindOf(const http::Response& response) {
+relay::JudgedAnswer Judged(const http::Response& response) {
   relay::CallerTerms terms;
   terms.request_id = "id-1";
-  return platform::CallerDialect().judge(response, terms).kind;
+  return platform::CallerDialect().judge(response, terms);
 }
 
+AnswerKind KindOf(const http::Response& response) { return Judged(response).kind; }
+
 }  // namespace
 
 // Guards against a field of a config that is read as something else.
@@ -104,6 +106,61 @@
   cr_expect(KindOf(Answer(421, {})) == AnswerKind::kOtherUpstream);
 }
 
+// Guards against an upstream that leaves and isn't seen to, and against the word of another
+// upstream, or of bytes that belong to no request, that is taken for it.
+Test(caller_dialect, reads_that_an_upstream_leaves) {
+  const http::Header id{"Request-Id", "id-1"};
+  const http::Header seal{"Server-Seal", "x"};
+  const http::Header leaving{"Server-Leaving", "1"};
+  cr_expect(Judged(Answer(200, {id, seal, leaving})).leaving);
+  cr_expect(Judged(Answer(500, {id, seal, leaving})).leaving);
+  cr_expect(Judged(Answer(503, {{"Not-Run", "1"}, leaving})).leaving);
+  cr_expect(!Judged(Answer(200, {id, seal})).leaving);
+  cr_expect(!Judged(Answer(200, {id, seal, {"Server-Leaving", "0"}})).leaving);
+  cr_expect(!Judged(Answer(421, {id, leaving})).leaving);
+  cr_expect(!Judged(Answer(200, {{"Request-Id", "id-2"}, seal, leaving})).leaving);
+}
+
+// Guards against a pause that isn't kept or that never ends because of what can't be read.
+Test(caller_dialect, reads_for_how_long_an_upstream_wants_nothing) {
+  using std::chrono::milliseconds;
+  struct Case {
+    std::vector<std::string> values;
+    std::optional<base::Duration> time;
+    bool readable;
+  };
+  const std::vector<Case> cases{
+      {{"2"}, milliseconds(2'000), true},
+      {{"0.25"}, milliseconds(250), true},
+      {{"0"}, milliseconds(0), true},
+      {{"90000"}, std::chrono::seconds(90'000), true},
+      {{"1e30"}, std::chrono::hours(24 * 365), true},
+      {{"1", "3", "2"}, milliseconds(3'000), true},
+      {{"1", "soon"}, milliseconds(1'000), false},
+      {{"-1"}, std::nullopt, false},
+      {{"1e309"}, std::nullopt, false},
+      {{"inf"}, std::nullopt, false},
+      {{"nan"}, std::nullopt, false},
+      {{"2s"}, std::nullopt, false},
+      {{""}, std::nullopt, false},
+      {{"Fri, 04 Dec 2026 12:00:00 GMT"}, std::nullopt, false},
+      {{}, std::nullopt, true},
+  };
+  for (const auto& one : cases) {
+    http::Headers headers{{"Not-Run", "1"}};
+    for (const auto& value : one.values) headers.push_back({"Retry-After", value});
+    const auto judged = Judged(Answer(503, headers));
+    const auto* name = one.values.empty() ? "none" : one.values.back().c_str();
+    cr_expect((judged.wants_nothing_for == one.time), "%s", name);
+    cr_expect(judged.has_unreadable_time == !one.readable, "%s", name);
+  }
+  const http::Header id{"Request-Id", "id-1"};
+  const http::Header after{"Retry-After", "2"};
+  cr_expect(!Judged(Answer(200, {id, {"Server-Seal", "x"}, after})).wants_nothing_for);
+  cr_expect(!Judged(Answer(503, {{"Request-Id", "id-2"}, after})).wants_nothing_for);
+  cr_expect(!Judged(Answer(421, {after})).wants_nothing_for);
+}
+
 // Guards against a request that any upstream would run, or that gets more time than its caller has.
 Test(caller_dialect, names_the_upstream_and_the_time_left) {
   const auto dialect = platform::CallerDialect();
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -260,3 +260,65 @@
   }
   cr_expect(status == 200);
 }
+
+// Guards against work that reaches an upstream after it has said in an answer that it leaves, on
+// kept connections or new ones, whatever the answer's status.
+Test(relay, sends_nothing_to_an_upstream_that_leaves) {
+  const std::vector<std::string> heads{
+      "HTTP/1.1 200 OK\r\nId: 1\r\nLeaving: 1\r\nContent-Length: 3\r\n\r\nEND",
+      "HTTP/1.1 500 Error\r\nId: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+  };
+  for (const auto& head : heads) {
+    StandinUpstream leaving([head](const std::string&, int) { return RawAnswer{head, false}; });
+    const RelayHost host({leaving.address()});
+    host.Exchange(Request("1"), kWait);
+    cr_expect(leaving.requests() == 1);
+    for (int i = 0; i < 5; ++i) cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+    cr_expect(leaving.requests() == 1, "%d requests", leaving.requests());
+  }
+}
+
+// Guards against work for an upstream that wants nothing for a time, and against one that gets
+// nothing any more afterwards.
+Test(relay, sends_nothing_to_an_upstream_that_wants_nothing) {
+  constexpr milliseconds kPause{600};
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nPause-Ms: 600\r\nContent-Length: 0\r\n\r\n";
+  StandinUpstream busy([refusal](const std::string&, int number) {
+    return number == 1 ? RawAnswer{refusal, false} : RawAnswer{Whole("1"), false};
+  });
+  const RelayHost host({busy.address()});
+  host.Exchange(Request("1"), kWait);
+  const auto refused_at = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - refused_at < kPause - milliseconds(100)) {
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+    cr_expect(busy.requests() == 1);
+  }
+  int status = 503;
+  while (status == 503 && std::chrono::steady_clock::now() - refused_at < kWait) {
+    status = StatusOf(host.Exchange(Request("1"), kWait));
+  }
+  cr_expect(status == 200);
+  cr_expect(std::chrono::steady_clock::now() - refused_at < kPause * 3 / 2);
+}
+
+// Guards against callers that wait, or come back too early or all at once, while no upstream wants
+// anything.
+Test(relay, tells_callers_when_the_first_upstream_wants_work_again) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nPause-Ms: 300\r\nContent-Length: 0\r\n\r\n";
+  StandinUpstream busy([refusal](const std::string&, int) { return RawAnswer{refusal, false}; });
+  const RelayHost host({busy.address()});
+  host.Exchange(Request("1"), kWait);
+  const auto start = std::chrono::steady_clock::now();
+  const auto answer = host.Exchange(Request("2"), kWait);
+  cr_expect(std::chrono::steady_clock::now() - start < milliseconds(200));
+  cr_expect(StatusOf(answer) == 503);
+  cr_expect(busy.requests() == 1);
+  const auto at = answer.find("Retry-After: ");
+  cr_assert(at != std::string::npos);
+  const double seconds = std::stod(answer.substr(at + 13));
+  // The callers of this test wait for 1.5 s; they come back within a third of that.
+  cr_expect(seconds >= 0.2 && seconds <= 0.5, "%f s", seconds);
+}
--- a/tests/auto/relay/standin.cpp
+++ b/tests/auto/relay/standin.cpp
@@ -48,6 +48,9 @@
     } else {
       judged.kind = relay::AnswerKind::kFinal;
     }
+    judged.leaving = http::FindHeader(response.headers, "Leaving") != nullptr;
+    const auto pause = HeaderOf(response.headers, "Pause-Ms");
+    if (!pause.empty()) judged.wants_nothing_for = std::chrono::milliseconds(std::stoi(pause));
     return judged;
   };
   return dialect;
--- a/tests/auto/upstreams/upstream_table_test.cpp
+++ b/tests/auto/upstreams/upstream_table_test.cpp
@@ -118,3 +118,24 @@
   cr_expect(table.OfService("menu").empty());
   cr_expect(table.OfService("deposits").empty());
 }
+
+// Guards against a run that has said in an answer that it leaves and is used again because of a
+// later announcement, and against the end of the next run by a late word on the one before.
+Test(upstream_table, a_run_that_left_by_its_answer_stays_out) {
+  UpstreamTable table;
+  Apply(table, Report("a", 5, 1));
+  const auto before = table.digests().total();
+  cr_expect(!table.MarkLeft("a", 4).has_value());
+  cr_expect(!table.MarkLeft("b", 5).has_value());
+  const auto told = table.MarkLeft("a", 5);
+  cr_assert(told.has_value());
+  cr_expect(told->state == State::kLeft);
+  cr_expect(table.digests().total() != before);
+  cr_expect(!table.MarkLeft("a", 5).has_value());
+  cr_expect(Apply(table, Report("a", 5, 9)) == Change::kStale);
+  cr_expect(table.Find("a")->report.state == State::kLeft);
+  cr_expect(Apply(table, Report("a", 6, 1)) == Change::kChanged);
+  cr_expect(!table.MarkLeft("a", 5).has_value());
+  cr_expect(Apply(table, *told) == Change::kStale);
+  cr_expect(table.Find("a")->report.state == State::kReady);
+}
