Soak: upstreams that leave or pause by their answers alone

An upstream says in its answers, and not in its announcements, that it leaves, or turns all requests away with a time for which it wants nothing; both come during the faults and in the calm after them. The time of a drain counts from its first acknowledgement, which each repeated one had moved.

--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -61,7 +61,7 @@
   ForgetUpstream(id, report->address, false);
   leaving_.push_back(*report);
   metrics_.NoteUpstreamAnswer("leaving");
-  log_.Write(logging::Level::kInfo, "upstream_leaving", "an answer says that it leaves",
+  log_.Write(logging::Level::kInfo, "upstream_leaving", id,
              {{"request_id", request_id},
               {"upstream", id},
               {"incarnation", std::to_string(started_unix_ms)},
@@ -78,7 +78,7 @@
       static_cast<std::int64_t>(static_cast<double>(spread.count()) * share / 1'000.0));
   chooser_.NoteUnwanted(choice.upstream, base::MonotonicNow() + time + later);
   metrics_.NoteUpstreamAnswer("unwanted");
-  log_.Write(logging::Level::kInfo, "upstream_wants_nothing", "an answer asks for a pause",
+  log_.Write(logging::Level::kInfo, "upstream_wants_nothing", choice.upstream,
              {{"request_id", request_id},
               {"upstream", choice.upstream},
               {"for_ms", std::to_string(time.count() / 1'000)},
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -8,6 +8,8 @@
 constexpr int kOk = 200;
 /// The users' bound: upstreams that end under one request until all VMs have to know it, how long
 /// that may take, and how many more may end later.
+constexpr base::Duration kTimeToPause = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxPauseArrivals = 2;
 constexpr int kEndsToKnow = 3;
 constexpr base::Duration kTimeToKnow = std::chrono::seconds(3);
 constexpr int kMaxLateEnds = 3;
@@ -44,7 +46,7 @@
 
 void Ledger::NoteDrainAcknowledged(const std::string& upstream) {
   const std::lock_guard lock(mutex_);
-  drains_[upstream] = base::MonotonicNow();
+  drains_.try_emplace(upstream, base::MonotonicNow());
 }
 
 void Ledger::NoteArrival(const std::string& upstream, base::Duration bound) {
@@ -56,6 +58,16 @@
   if (now - std::max(drain->second, last_fault_) > bound) Break("work after a drain: " + upstream);
 }
 
+void Ledger::NotePauseArrival(const std::string& upstream, base::MonotonicTime now) {
+  const std::lock_guard lock(mutex_);
+  auto& pause = pauses_.try_emplace(upstream, Pause{now, 0}).first->second;
+  // A process that was stopped or restarted meanwhile need not know of the pause.
+  if (now - std::max(pause.began, last_fault_) <= kTimeToPause) return;
+  if (++pause.late_arrivals > kMaxPauseArrivals * entries_) {
+    Break("work for an upstream that wants nothing: " + upstream);
+  }
+}
+
 void Ledger::NoteEnd() {
   const std::lock_guard lock(mutex_);
   const auto now = base::MonotonicNow();
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -26,6 +26,10 @@
   /// An upstream ended under the one request that ends upstreams. Counted as broken when more than
   /// three follow later than some seconds after the third.
   void NoteEnd();
+  /// A request came to an upstream that wants nothing. Counted as broken when more than two for
+  /// each entry come later than half a second after the first.
+  void NotePauseArrival(const std::string& upstream, base::MonotonicTime now);
+  void set_entries(std::size_t entries) { entries_ = entries; }
   void NoteFault();
   void NoteCatalogAcknowledged(std::uint64_t version);
   /// A catalog was read; the read was sent when `acknowledged` was the newest acknowledged one.
@@ -48,6 +52,12 @@
   std::map<std::string, int> refused_;
   std::map<std::string, base::MonotonicTime> drains_;
   base::MonotonicTime last_fault_;
+  struct Pause {
+    base::MonotonicTime began;
+    std::size_t late_arrivals = 0;
+  };
+  std::size_t entries_ = 1;
+  std::map<std::string, Pause> pauses_;
   int ends_ = 0;
   int late_ends_ = 0;
   base::MonotonicTime third_end_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -34,10 +34,12 @@
   explicit Run(const SoakOptions& options)
       : options_(options),
         random_(options.seed),
+        announcements_random_(options.seed + 2),
         network_(kFirstNetwork + static_cast<int>(options.seed % kNetworks)),
         deployment_(options.program, network_, options.replicas, options.entries) {}
 
   std::vector<std::string> Execute() {
+    ledger_.set_entries(options_.entries);
     deployment_.StartAll();
     std::vector<std::string> replicas;
     for (std::size_t i = 0; i < options_.replicas; ++i) {
@@ -134,11 +136,26 @@
     while (base::MonotonicNow() < end) {
       ledger_.NoteFault();
       Strike(service);
+      Announce(service);
       ledger_.NoteFault();
       std::this_thread::sleep_for(milliseconds(200 + random_() % 1'500));
     }
   }
 
+  /// An upstream says in its answers that it leaves, or that it wants nothing. Drawn apart, so that
+  /// a seed keeps its faults.
+  void Announce(StandinService& service) {
+    const std::size_t upstream = announcements_random_() % service.size();
+    switch (announcements_random_() % 4) {
+      case 0:
+        return service.LeaveQuietly(upstream);
+      case 1:
+        return service.Pause(upstream);
+      default:
+        return;
+    }
+  }
+
   void Strike(StandinService& service) {
     const std::size_t node = random_() % deployment_.size();
     const auto kind = random_() % 8;
@@ -199,6 +216,8 @@
 
   void Recover(StandinService& service) {
     service.set_lost_share(0);
+    service.LeaveQuietly(0);
+    service.Pause(1);
     std::this_thread::sleep_for(kRecovery);
     ledger_.BeginMeasuring();
     std::this_thread::sleep_for(kMeasured);
@@ -231,6 +250,7 @@
 
   SoakOptions options_;
   std::mt19937_64 random_;
+  std::mt19937_64 announcements_random_;
   int network_;
   Ledger ledger_;
   Deployment deployment_;
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -12,6 +12,9 @@
 using std::chrono::milliseconds;
 
 constexpr int kPort = 17'730;
+/// How long an upstream goes on that says in its answers alone that it leaves.
+constexpr base::Duration kAfterLeaving = std::chrono::seconds(6);
+constexpr base::Duration kPause = std::chrono::seconds(3);
 constexpr const char* kService = "s";
 /// How long an upstream is down after a request has ended it.
 constexpr milliseconds kDownTime{1'500};
@@ -77,6 +80,8 @@
   upstream.started_unix_ms = base::WallNowMillis();
   upstream.draining = false;
   upstream.down = false;
+  upstream.leaving = false;
+  upstream.paused_until = {};
   upstream.drain_acknowledged = false;
 }
 
@@ -85,12 +90,27 @@
   upstreams_[upstream].draining = true;
 }
 
+void StandinService::LeaveQuietly(std::size_t upstream) {
+  const std::lock_guard lock(mutex_);
+  upstreams_[upstream].leaving = true;
+  upstreams_[upstream].replace_due = base::MonotonicNow() + kAfterLeaving;
+}
+
+void StandinService::Pause(std::size_t upstream) {
+  const std::lock_guard lock(mutex_);
+  upstreams_[upstream].paused_until = base::MonotonicNow() + kPause;
+}
+
 void StandinService::Serve(Upstream& upstream,
                            const std::shared_ptr<net::InboundRequest>& inbound) {
   std::string id;
+  bool leaving = false;
+  base::MonotonicTime paused_until;
   {
     const std::lock_guard lock(mutex_);
     id = upstream.id;
+    leaving = upstream.leaving;
+    paused_until = upstream.paused_until;
   }
   if (platform::ExpectedServer(inbound->request) != id) {
     http::Response other;
@@ -102,18 +122,27 @@
     ledger_.NoteEnd();
     return asio::post(loop_, [this, &upstream] { End(upstream); });
   }
-  Run(inbound);
+  const auto now = base::MonotonicNow();
+  if (now < paused_until) {
+    ledger_.NotePauseArrival(id, now);
+    const auto request_id = platform::RequestIdOf(inbound->request);
+    return inbound->Answer(platform::PauseAnswer(request_id, paused_until - now));
+  }
+  if (leaving) ledger_.NoteDrainAcknowledged(id);
+  Run(inbound, leaving);
 }
 
-void StandinService::Run(const std::shared_ptr<net::InboundRequest>& inbound) {
+void StandinService::Run(const std::shared_ptr<net::InboundRequest>& inbound, bool leaving) {
   const std::string request = platform::RequestIdOf(inbound->request);
   ledger_.NoteRun(request, inbound->request.method == "GET");
   auto timer = std::make_shared<asio::steady_timer>(loop_, milliseconds(5 + random_() % 40));
   const bool lost = static_cast<double>(random_() % 1'000) < lost_share_ * 1'000;
-  timer->async_wait([inbound, request, timer, lost](asio::error_code error) {
+  timer->async_wait([inbound, request, timer, lost, leaving](asio::error_code error) {
     if (error) return;
     if (lost) return inbound->Abort();
-    inbound->Answer(platform::ServerAnswer(request, "answer to " + request));
+    auto answer = platform::ServerAnswer(request, "answer to " + request);
+    if (leaving) platform::SayLeaving(answer);
+    inbound->Answer(std::move(answer));
   });
 }
 
@@ -130,7 +159,8 @@
     const std::lock_guard lock(mutex_);
     auto& upstream = upstreams_[position];
     if (upstream.down) return;
-    if (upstream.drain_acknowledged && base::MonotonicNow() > upstream.replace_due) {
+    const bool ends = upstream.drain_acknowledged || upstream.leaving;
+    if (ends && base::MonotonicNow() > upstream.replace_due) {
       Restart(upstream);
     }
     report.id = upstream.id;
--- a/tests/soak/standin_service.h
+++ b/tests/soak/standin_service.h
@@ -29,6 +29,10 @@
 
   /// One upstream drains and is replaced at its address a little later.
   void Replace(std::size_t upstream);
+  /// One upstream says in its answers alone that it leaves, and is replaced some seconds later.
+  void LeaveQuietly(std::size_t upstream);
+  /// One upstream turns all requests away for a while and wants nothing for the rest of it.
+  void Pause(std::size_t upstream);
   /// Share of the answers that are lost after their requests have run.
   void set_lost_share(double share) { lost_share_ = share; }
   std::size_t size() const { return upstreams_.size(); }
@@ -42,13 +46,16 @@
     bool draining = false;
     /// Its process has ended and comes back later.
     bool down = false;
+    /// It says in its answers that it leaves, but not in its announcements.
+    bool leaving = false;
+    base::MonotonicTime paused_until;
     bool drain_acknowledged = false;
     base::MonotonicTime replace_due;
     std::unique_ptr<net::HttpListener> listener;
   };
 
   void Serve(Upstream& upstream, const std::shared_ptr<net::InboundRequest>& inbound);
-  void Run(const std::shared_ptr<net::InboundRequest>& inbound);
+  void Run(const std::shared_ptr<net::InboundRequest>& inbound, bool leaving);
   void Announce(std::size_t upstream);
   void AnnounceLoop();
   void Listen(Upstream& upstream);
