--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -95,6 +95,10 @@
   if (found != upstreams_.end()) {
     const auto& known = found->second;
     const bool same_run = known.report.started_unix_ms == report.started_unix_ms;
+    // Whoever saw the run leave by an answer may have heard fewer announcements than this table.
+    if (same_run && report.state == State::kLeft && MarkLeft(report.id, report.started_unix_ms)) {
+      return Change::kChanged;
+    }
     if (OrderOf(report) <= OrderOf(known.report)) return Change::kStale;
     // A run that has said that it leaves never takes new work again.
     if (same_run && known.report.state == State::kLeft && report.state != State::kLeft) {
