--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -19,7 +19,6 @@
 
 /// Used when neither the caller nor its route sets a time.
 constexpr Duration kLongestWait = std::chrono::seconds(600);
-constexpr std::uint32_t kMaxFailedConnects = 3;
 /// Less time than this isn't worth another try.
 constexpr Duration kLeastTimeToTry = std::chrono::milliseconds(60);
 /// An upstream may close an idle connection at any time; a request that must not run twice then has
@@ -33,11 +32,8 @@
 /// Callers that are refused because no upstream wants work come back over this span.
 constexpr Duration kReturnSpread = std::chrono::milliseconds(200);
 constexpr std::int64_t kSpreadSteps = 1'000;
-/// Of text that an upstream sent.
-constexpr std::size_t kMaxLoggedText = 64;
 constexpr Duration kSoonestReturn = std::chrono::milliseconds(100);
 constexpr Duration kLatestReturn = std::chrono::seconds(2);
-constexpr std::string_view kCrashesUpstreams = "crashes_upstreams";
 
 std::string Millis(Duration duration) { return std::to_string(duration.count() / 1'000); }
 
@@ -263,90 +259,6 @@
   GiveUp();
 }
 
-void RequestRun::NoteUpstream(const Leg& leg, const JudgedAnswer& judged) {
-  const auto& upstream = leg.choice.upstream;
-  const bool from_run =
-      judged.kind != AnswerKind::kForeign && judged.kind != AnswerKind::kOtherUpstream;
-  if (from_run) relay_.crashes_.NoteAlive(leg.run, leg.sent_at);
-  if (judged.load) relay_.chooser_.NoteLoad(upstream, *judged.load, base::MonotonicNow());
-  if (judged.leaving) {
-    relay_.NoteLeaving(upstream, static_cast<std::int64_t>(leg.run.incarnation), terms_.request_id);
-  }
-  if (judged.wants_nothing_for) {
-    relay_.NoteUnwanted(leg.choice, *judged.wants_nothing_for, terms_.request_id);
-  }
-  if (!judged.has_unreadable_time) return;
-  Log(Level::kWarning, "pause_unreadable", judged.unreadable_time.substr(0, kMaxLoggedText),
-      {{"upstream", upstream}});
-}
-
-void RequestRun::TakeLoss(const Leg& leg, const net::ExchangeResult& result) {
-  const bool connected = result.end != net::ExchangeEnd::kNotConnected;
-  EndExchange(leg, connected ? Outcome::kFailed : Outcome::kUnreachable, net::ToString(result.end));
-  Log(Level::kWarning, "exchange_lost", result.detail,
-      {{"upstream", leg.choice.upstream},
-       {"end", std::string(net::ToString(result.end))},
-       {"reused", result.reused ? "true" : "false"},
-       {"answer_started", result.answer_started ? "true" : "false"}});
-  if (connected) {
-    may_have_run_ = true;
-    return ExamineLoss(leg);
-  }
-  --sends_;
-  if (!legs_.empty()) return;
-  const bool time_left = deadline_ - base::MonotonicNow() > kLeastTimeToTry;
-  if (++failed_connects_ < kMaxFailedConnects && time_left) return Try();
-  if (may_have_run_) return GiveUp();
-  Refuse("upstreams_unreachable");
-}
-
-// Where one more end would block the request, it isn't sent again before the verdict.
-void RequestRun::ExamineLoss(const Leg& leg) {
-  auto& crashes = relay_.crashes_;
-  const bool may_go_on = demand_.route->idempotent && sends_ < demand_.route->attempts;
-  const bool waits = may_go_on && crashes.IsLastTry(fingerprint());
-  crashes.NoteLoss({terms_.request_id, fingerprint(), leg.choice.upstream, leg.run},
-                   [waits, self = shared_from_this()] {
-                     if (waits) self->TryAfterLoss();
-                   });
-  if (!waits) TryAfterLoss();
-}
-
-void RequestRun::TryAfterLoss() {
-  if (finished_ || !legs_.empty()) return;
-  if (IsBlocked()) return StopForCrashes();
-  if (MayTryAgain(false)) return Try();
-  GiveUp();
-}
-
-bool RequestRun::IsBlocked() {
-  return relay_.crashes_.watches() && relay_.crashes_.Blocks(fingerprint());
-}
-
-bool RequestRun::IsSuspect() {
-  return relay_.crashes_.watches() && relay_.crashes_.IsSuspect(fingerprint());
-}
-
-void RequestRun::StopForCrashes() {
-  if (may_have_run_) return Finish(Plain(502), "failed", kCrashesUpstreams);
-  Refuse(kCrashesUpstreams);
-}
-
-// Without the service, as a route may send the same request to several.
-const safety::Fingerprint& RequestRun::fingerprint() {
-  if (!fingerprint_) {
-    const auto& request = inbound_->request;
-    fingerprint_ = safety::FingerprintOf(terms_.host, request.method, request.target, request.body);
-  }
-  return *fingerprint_;
-}
-
-safety::UpstreamRun RequestRun::RunOf(const placement::Choice& choice) const {
-  const auto* known = relay_.beliefs_.upstreams.Find(choice.upstream);
-  const auto started = known == nullptr ? 0 : known->report.started_unix_ms;
-  return {choice.address, static_cast<std::uint64_t>(started)};
-}
-
 void RequestRun::EndExchange(const Leg& leg, Outcome outcome, std::string_view result) {
   const auto now = base::MonotonicNow();
   relay_.chooser_.NoteEnd(leg.sending, leg.choice, demand_, outcome, now - leg.sent_at, now);
@@ -366,11 +278,15 @@
   const auto now = base::MonotonicNow();
   if (!demand_.route->idempotent && (may_have_run_ || !known_not_run)) return false;
   if (sends_ >= demand_.route->attempts) return false;
-  if (deadline_ - now < kLeastTimeToTry) return false;
+  if (!HasTimeToTry()) return false;
   return relay_.allowance_.TryResend(demand_.service, now);
 }
 
-void RequestRun::GiveUp() { Finish(Plain(502), "failed", "may_have_run"); }
+bool RequestRun::HasTimeToTry() const {
+  return deadline_ - base::MonotonicNow() >= kLeastTimeToTry;
+}
+
+void RequestRun::GiveUp(std::string_view reason) { Finish(Plain(502), "failed", reason); }
 
 void RequestRun::Expire() {
   if (finished_) return;
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -58,7 +58,9 @@
   void WaitForHedge(const placement::Choice& choice);
   void Hedge();
   bool MayTryAgain(bool known_not_run);
-  void GiveUp();
+  bool HasTimeToTry() const;
+  /// An upstream may have run it.
+  void GiveUp(std::string_view reason = "may_have_run");
   void Expire();
   void ClientLeft();
   /// `back` is when the caller may come back; left out, it is worked out from the time left.
