--- a/tests/auto/upstreams/upstream_table_test.cpp
+++ b/tests/auto/upstreams/upstream_table_test.cpp
@@ -140,8 +140,8 @@
   cr_expect(table.Find("a")->report.state == State::kReady);
 }
 
-// Guards against the word that a run leaves, from one who has heard fewer of its announcements, being
-// taken for an old one: others went on using the upstream (soak seed 7110).
+// Guards against the word that a run leaves, from one who has heard fewer of its announcements,
+// being taken for an old one: others went on using the upstream (soak seed 7110).
 Test(upstream_table, takes_that_a_run_left_with_an_older_sequence) {
   UpstreamTable table;
   Apply(table, Report("a", 5, 9));
