--- a/tests/auto/relay/crash_guard_test.cpp
+++ b/tests/auto/relay/crash_guard_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr const char* kLoopback = "127.0.0.1";
 
-const safety::Fingerprint kRequest = safety::FingerprintOf("h", "GET", "/x", "");
+safety::Fingerprint Request() { return safety::FingerprintOf("h", "GET", "/x", ""); }
 
 /// A guard with its loop, and an address at which nobody listens.
 class Host {
@@ -24,7 +24,7 @@
 
   /// A run of the upstream at `address` is lost under the request.
   void Lose(const std::string& address, std::uint64_t incarnation) {
-    guard_.NoteLoss({"1", kRequest, "i-1", {address, incarnation}}, [] {});
+    guard_.NoteLoss({"1", Request(), "i-1", {address, incarnation}}, [] {});
     loop_.restart();
     loop_.run();
   }
@@ -47,11 +47,11 @@
   host.Lose(host.ended(), 1);
   host.Lose(host.ended(), 1);
   host.Lose(host.ended(), 2);
-  cr_expect(host.guard().IsSuspect(kRequest));
-  cr_expect(host.guard().IsLastTry(kRequest));
-  cr_expect(!host.guard().Blocks(kRequest));
+  cr_expect(host.guard().IsSuspect(Request()));
+  cr_expect(host.guard().IsLastTry(Request()));
+  cr_expect(!host.guard().Blocks(Request()));
   host.Lose(host.ended(), 3);
-  cr_expect(host.guard().Blocks(kRequest));
+  cr_expect(host.guard().Blocks(Request()));
 }
 
 // Guards against an upstream that refuses connections beyond its limit and is taken for ended.
@@ -60,18 +60,18 @@
   for (std::uint64_t run = 1; run <= 3; ++run) host.Lose(host.ended(), run);
   // An answer to a request that was sent before says nothing.
   host.guard().NoteAlive({host.ended(), 2}, base::MonotonicTime());
-  cr_expect(host.guard().Blocks(kRequest));
+  cr_expect(host.guard().Blocks(Request()));
   host.guard().NoteAlive({host.ended(), 2}, base::MonotonicNow() + std::chrono::seconds(1));
-  cr_expect(!host.guard().Blocks(kRequest));
+  cr_expect(!host.guard().Blocks(Request()));
 }
 
 // Guards against a sound request that stays stopped, or suspect, after it has been served.
 Test(crash_guard, clears_a_request_that_is_served) {
   Host host;
   for (std::uint64_t run = 1; run <= 3; ++run) host.Lose(host.ended(), run);
-  host.guard().NoteServed(kRequest, "127.0.0.1:1");
-  cr_expect(!host.guard().Blocks(kRequest));
-  cr_expect(!host.guard().IsSuspect(kRequest));
+  host.guard().NoteServed(Request(), "127.0.0.1:1");
+  cr_expect(!host.guard().Blocks(Request()));
+  cr_expect(!host.guard().IsSuspect(Request()));
 }
 
 // Guards against an end that isn't counted because the connection attempt got no answer: the next
@@ -92,11 +92,11 @@
   loop.poll();
   const auto address = std::string(kLoopback) + ":" + std::to_string(full.local_endpoint().port());
   host.Lose(address, 5);
-  cr_expect(!host.guard().IsSuspect(kRequest));
+  cr_expect(!host.guard().IsSuspect(Request()));
   host.guard().NoteStart(address, 5);
-  cr_expect(!host.guard().IsSuspect(kRequest));
+  cr_expect(!host.guard().IsSuspect(Request()));
   host.guard().NoteStart(address, 6);
-  cr_expect(host.guard().IsSuspect(kRequest));
+  cr_expect(host.guard().IsSuspect(Request()));
 }
 
 // Guards against an entry that starts again, or meets the request for the first time, and doesn't
@@ -108,7 +108,7 @@
   cr_expect(first.guard().TakeChanges().empty());
   Host second;
   second.guard().Merge(first.guard().reports());
-  cr_expect(second.guard().Blocks(kRequest));
+  cr_expect(second.guard().Blocks(Request()));
 }
 
 }  // namespace wagtailpick::relay
