--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -112,7 +112,7 @@
   auto apart = demand_;
   const auto& carrying = relay_.crashes_.carrying();
   apart.tried.insert(apart.tried.end(), carrying.begin(), carrying.end());
-  const auto choice = relay_.chooser_.Choose(apart, beliefs, now);
+  auto choice = relay_.chooser_.Choose(apart, beliefs, now);
   if (choice.refusal == Refusal::kNone) return choice;
   return relay_.chooser_.Choose(demand_, beliefs, now);
 }
