Log the rate limits that upstreams name in their answers

Cause: neither logs nor metrics showed whether an entry knew the limit of an upstream, so the three hypotheses of the incident couldn't be told apart. Change: the provider's header is decoded into a typed field of the answer; LimitTable keeps the newest statement of each run. request_sent carries the limit that the sending entry knew and its age, upstream_limit_changed tells when one starts, changes and ends, limit_unreadable a value that is none. No decision reads the limit yet. Conclusion: a sending with limit_per_s at an unchanged rate speaks for hypothesis 1, a capped rate of each entry for 2, sendings without it long after the first for 3.

--- /dev/null
+++ b/src/libs/limits/limit_table.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "limits/limit_report.h"
+
+namespace wagtailpick::limits {
+
+/// The rate limit that a run of an upstream named last.
+struct RateLimit {
+  std::int64_t started_unix_ms = 0;
+  double requests_per_second = 0;
+  /// The upstream has stopped naming a limit; `requests_per_second` is the last one.
+  bool ended = false;
+  /// When the upstream stated this.
+  base::MonotonicTime stated_at;
+};
+
+/// How a statement changed the limit of an upstream.
+enum class LimitChange : std::uint8_t { kNone, kStarted, kChanged, kEnded };
+
+/// Returns the value as it appears in logs.
+std::string_view ToString(LimitChange change);
+
+/// The rate limits of all upstreams, merged from answers and from reports of other processes. The
+/// newest statement of the newest run counts, in whichever order statements arrive. An ended limit
+/// is kept, so that an older statement cannot restore it.
+class LimitTable {
+ public:
+  /// Merges a report that arrives at `now`.
+  LimitChange Apply(const LimitReport& report, base::MonotonicTime now);
+
+  /// Records an answer of a run that names a limit, or none. The request of the answer was sent at
+  /// `sent_at`. An answer without a limit ends one only if its request was sent after the limit was
+  /// stated: the upstream may have written an earlier answer before it set the limit.
+  LimitChange RecordAnswer(const std::string& upstream, std::int64_t started_unix_ms,
+                           std::optional<double> requests_per_second, base::MonotonicTime sent_at,
+                           base::MonotonicTime now);
+
+  /// Returns what the run stated last; null if it never named a limit.
+  const RateLimit* Find(const std::string& upstream, std::int64_t started_unix_ms) const;
+  /// Returns the report of an upstream that `Find` knows.
+  static LimitReport MakeReport(const std::string& upstream, const RateLimit& limit,
+                                base::MonotonicTime now);
+  /// Returns reports of all limits, ended ones included.
+  std::vector<LimitReport> reports(base::MonotonicTime now) const;
+  /// Returns the reports of the limits that have changed since the last call.
+  std::vector<LimitReport> ConsumeChanges(base::MonotonicTime now);
+
+  /// Removes the limits of runs for which `is_over` returns true.
+  void RemoveIf(const std::function<bool(const std::string& upstream, const RateLimit&)>& is_over);
+
+  bool empty() const { return limits_.empty(); }
+  /// Number of upstreams whose limit is in force.
+  std::size_t in_force() const;
+
+ private:
+  std::map<std::string, RateLimit> limits_;
+  /// Upstreams whose limits have changed since `ConsumeChanges`.
+  std::map<std::string, LimitChange> changes_;
+};
+
+}  // namespace wagtailpick::limits
--- a/src/libs/relay/dialect.h
+++ b/src/libs/relay/dialect.h
@@ -47,6 +47,11 @@
   /// The back-off time in the answer could not be parsed; `invalid_back_off` is its text.
   bool has_invalid_back_off = false;
   std::string invalid_back_off;
+  /// Requests per second that the upstream accepts from all entries together; empty if it names no
+  /// limit.
+  std::optional<double> requests_per_second;
+  /// Text of a limit that could not be parsed. The answer then neither sets nor ends a limit.
+  std::optional<std::string> invalid_limit;
 };
 
 /// Callbacks that translate between HTTP messages, with the header names of callers and upstreams,
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay.h"
 
+#include <array>
+#include <cstdio>
 #include <functional>
 #include <utility>
 
@@ -17,6 +19,15 @@
 /// Limits of an answer's headers and body, in bytes. An answer is buffered until it is complete.
 constexpr net::MessageLimits kAnswerLimits{64UL * 1024, 64UL * 1024 * 1024};
 
+/// Characters of an upstream's text that are logged.
+constexpr std::size_t kMaxLoggedText = 64;
+
+std::string Hundredths(double value) {
+  std::array<char, 32> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.2f", value);
+  return {text.data(), static_cast<std::size_t>(length)};
+}
+
 }  // namespace
 
 Relay::Relay(asio::io_context& loop, const RelayOptions& options, Dialect dialect,
@@ -88,6 +99,38 @@
              base::MonotonicNow());
 }
 
+void Relay::HandleLimit(const std::string& id, std::int64_t started_unix_ms,
+                        const ClassifiedAnswer& answer, base::MonotonicTime sent_at,
+                        const std::string& request_id) {
+  const auto now = base::MonotonicNow();
+  if (answer.requests_per_second) metrics_.CountUpstreamStatus("limited");
+  if (answer.invalid_limit) {
+    log_.Write(logging::Level::kWarning, "limit_unreadable",
+               answer.invalid_limit->substr(0, kMaxLoggedText),
+               {{"request_id", request_id}, {"upstream", id}}, now);
+    if (!answer.requests_per_second) return;
+  }
+  const auto change =
+      limits_.RecordAnswer(id, started_unix_ms, answer.requests_per_second, sent_at, now);
+  if (change == limits::LimitChange::kNone) return;
+  const auto* limit = limits_.Find(id, started_unix_ms);
+  log_.Write(logging::Level::kInfo, "upstream_limit_changed", id,
+             {{"request_id", request_id},
+              {"upstream", id},
+              {"incarnation", std::to_string(started_unix_ms)},
+              {"change", std::string(limits::ToString(change))},
+              {"limit_per_s", Hundredths(limit->requests_per_second)}},
+             now);
+}
+
+std::vector<logging::Field> Relay::LimitFields(const std::string& id, std::int64_t started_unix_ms,
+                                               base::MonotonicTime now) const {
+  const auto* limit = limits_.Find(id, started_unix_ms);
+  if (limit == nullptr || limit->ended) return {};
+  return {{"limit_per_s", Hundredths(limit->requests_per_second)},
+          {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}};
+}
+
 bool Relay::MaySend(const std::string& id, std::int64_t started_unix_ms) const {
   const auto* known = routing_state_.upstreams.Find(id);
   if (known == nullptr || known->report.state != upstreams::State::kReady) return false;
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -11,6 +11,7 @@
 
 #include "catalog/catalog.h"
 #include "catalog/split_picker.h"
+#include "limits/limit_table.h"
 #include "metrics/registry.h"
 #include "net/inbound_request.h"
 #include "net/upstream_pool.h"
@@ -86,6 +87,13 @@
   /// that differs between entries.
   void HandleBackOff(const placement::Choice& choice, base::Duration back_off,
                      const std::string& request_id);
+  /// Records the rate limit that an answer of a run states, or that it states none.
+  void HandleLimit(const std::string& id, std::int64_t started_unix_ms,
+                   const ClassifiedAnswer& answer, base::MonotonicTime sent_at,
+                   const std::string& request_id);
+  /// Returns log fields with the limit that the run of an upstream has in force; none without one.
+  std::vector<logging::Field> LimitFields(const std::string& id, std::int64_t started_unix_ms,
+                                          base::MonotonicTime now) const;
   /// Whether a request may still be sent to the run of an upstream that was chosen for it.
   bool MaySend(const std::string& id, std::int64_t started_unix_ms) const;
 
@@ -96,6 +104,7 @@
   placement::Chooser chooser_;
   placement::RetryBudget retry_budget_;
   catalog::SplitPicker splits_;
+  limits::LimitTable limits_;
   DecisionLog log_;
   RelayMetrics metrics_;
   CrashGuard crash_guard_;
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -160,20 +160,24 @@
 }
 
 void RequestRun::LogSent(const placement::Choice& choice, base::MonotonicTime now) {
-  Log(Level::kInfo, "request_sent", "to " + choice.address,
-      {{"upstream", choice.upstream},
-       {"service", placement_request_.service},
-       {"catalog_version", std::to_string(catalog_->version())},
-       {"expected_ms", Millis(choice.expected_total)},
-       {"expected_wait_ms", Millis(choice.expected_wait)},
-       {"object", std::to_string(placement_request_.object)},
-       {"warm", choice.warm ? "true" : "false"},
-       {"load", Tenths(choice.load)},
-       {"slots", std::to_string(choice.slots)},
-       {"heard_age_ms", Millis(choice.last_seen_age)},
-       {"candidates", std::to_string(choice.candidates)},
-       {"attempt", std::to_string(sends_)},
-       {"time_left_ms", Millis(deadline_ - now)}});
+  std::vector<logging::Field> fields{{"upstream", choice.upstream},
+                                     {"service", placement_request_.service},
+                                     {"catalog_version", std::to_string(catalog_->version())},
+                                     {"expected_ms", Millis(choice.expected_total)},
+                                     {"expected_wait_ms", Millis(choice.expected_wait)},
+                                     {"object", std::to_string(placement_request_.object)},
+                                     {"warm", choice.warm ? "true" : "false"},
+                                     {"load", Tenths(choice.load)},
+                                     {"slots", std::to_string(choice.slots)},
+                                     {"heard_age_ms", Millis(choice.last_seen_age)},
+                                     {"candidates", std::to_string(choice.candidates)},
+                                     {"attempt", std::to_string(sends_)},
+                                     {"time_left_ms", Millis(deadline_ - now)}};
+  const auto started_unix_ms = static_cast<std::int64_t>(RunOf(choice).incarnation);
+  for (auto& field : relay_.LimitFields(choice.upstream, started_unix_ms, now)) {
+    fields.push_back(std::move(field));
+  }
+  Log(Level::kInfo, "request_sent", "to " + choice.address, std::move(fields));
 }
 
 // An answer can be lost without a connection error, and an upstream that lost power sends nothing.
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -23,11 +23,15 @@
   const auto& upstream = attempt.choice.upstream;
   const bool is_from_run =
       classified.kind != AnswerKind::kForeign && classified.kind != AnswerKind::kOtherUpstream;
-  if (is_from_run) relay_.crash_guard_.HandleAnswer(attempt.run, attempt.sent_at);
+  const auto started_unix_ms = static_cast<std::int64_t>(attempt.run.incarnation);
+  if (is_from_run) {
+    relay_.crash_guard_.HandleAnswer(attempt.run, attempt.sent_at);
+    relay_.HandleLimit(upstream, started_unix_ms, classified, attempt.sent_at,
+                       attributes_.request_id);
+  }
   if (classified.load) relay_.chooser_.RecordLoad(upstream, *classified.load, base::MonotonicNow());
   if (classified.leaving) {
-    relay_.HandleLeaving(upstream, static_cast<std::int64_t>(attempt.run.incarnation),
-                         attributes_.request_id);
+    relay_.HandleLeaving(upstream, started_unix_ms, attributes_.request_id);
   }
   if (classified.back_off_for) {
     relay_.HandleBackOff(attempt.choice, *classified.back_off_for, attributes_.request_id);
--- a/src/tools/wagtailpick/explain_command.cpp
+++ b/src/tools/wagtailpick/explain_command.cpp
@@ -23,7 +23,8 @@
                                          "followed_replica_changed", "replica_lost"};
 /// Events that change the state of one upstream, whose id is the message.
 constexpr std::array kUpstreamStateEvents{"upstream_changed", "upstream_forgotten",
-                                          "upstream_leaving", "upstream_wants_nothing"};
+                                          "upstream_leaving", "upstream_wants_nothing",
+                                          "upstream_limit_changed"};
 
 /// One line of a log. `object` is its whole JSON object; the other members are taken from it.
 struct LogLine {
--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -164,6 +164,46 @@
   cr_expect(!Classify(MakeAnswer(421, {after})).back_off_for);
 }
 
+// Guards against a rate limit that is ignored or invented, and against an unreadable one that ends
+// the limit in force.
+Test(caller_dialect, reads_rate_limit) {
+  struct Case {
+    std::vector<std::string> values;
+    std::optional<double> limit;
+    bool is_valid;
+  };
+  const std::vector<Case> cases{
+      {{"2.4"}, 2.4, true},
+      {{"0.25"}, 0.25, true},
+      {{"0"}, 0.0, true},
+      {{"5", "3", "4"}, 3.0, true},
+      {{"3", "lots"}, 3.0, false},
+      {{"1e300"}, std::nullopt, true},
+      {{"1e309"}, std::nullopt, false},
+      {{"-1"}, std::nullopt, false},
+      {{"inf"}, std::nullopt, false},
+      {{"nan"}, std::nullopt, false},
+      {{"3/s"}, std::nullopt, false},
+      {{""}, std::nullopt, false},
+      {{}, std::nullopt, true},
+  };
+  const http::Header id{"Request-Id", "id-1"};
+  const http::Header seal{"Server-Seal", "x"};
+  for (const auto& test_case : cases) {
+    http::Headers headers{id, seal};
+    for (const auto& value : test_case.values) headers.push_back({"Server-Limit", value});
+    const auto answer = Classify(MakeAnswer(200, headers));
+    const auto* name = test_case.values.empty() ? "none" : test_case.values.back().c_str();
+    cr_expect((answer.requests_per_second == test_case.limit), "%s", name);
+    cr_expect(answer.invalid_limit.has_value() == !test_case.is_valid, "%s", name);
+  }
+  const http::Header limit{"Server-Limit", "2"};
+  const http::Headers refusal{id, {"Not-Run", "1"}, {"Retry-After", "1"}, limit};
+  cr_expect((Classify(MakeAnswer(503, refusal)).requests_per_second == 2.0));
+  cr_expect(!Classify(MakeAnswer(421, {id, limit})).requests_per_second);
+  cr_expect(!Classify(MakeAnswer(200, {{"Request-Id", "id-2"}, seal, limit})).requests_per_second);
+}
+
 // Guards against a request that an upstream runs though it was meant for another one, and against
 // one that gets more time than its caller has left.
 Test(caller_dialect, sets_expected_upstream_and_remaining_time) {
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -53,6 +53,8 @@
     classified.leaving = http::FindHeader(response.headers, "Leaving") != nullptr;
     const auto back_off = HeaderOf(response.headers, "Pause-Ms");
     if (!back_off.empty()) classified.back_off_for = std::chrono::milliseconds(std::stoi(back_off));
+    const auto limit = HeaderOf(response.headers, "Limit");
+    if (!limit.empty()) classified.requests_per_second = std::stod(limit);
     return classified;
   };
   return dialect;
