Add a failing test for an upstream that names a limit

Cause: an upstream that names a limit of 1 request a second gets all 40 of 40 requests, although another upstream is free; 11 are allowed in any 4 s.

--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <atomic>
 
 #include "relay_fixture.h"
 
@@ -43,6 +44,13 @@
   return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
 }
 
+/// Serves all requests and names a limit of `requests_per_second`.
+RawAnswer ServeWithLimit(const std::string& requests_per_second) {
+  return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: " + requests_per_second +
+              "\r\nContent-Length: 3\r\n\r\nEND",
+          false};
+}
+
 }  // namespace
 
 // Guards against an answer that is changed on its way to the caller.
@@ -324,3 +332,29 @@
   // The callers of this test wait for 1.5 s. Retry-After is at most a third of that.
   cr_expect(seconds >= 0.2 && seconds <= 0.5, "%f s", seconds);
 }
+
+// Guards against an upstream that gets more requests than the limit that it names allows while
+// another one can serve them.
+Test(relay, keeps_the_request_rate_that_an_upstream_names) {
+  constexpr int kRequests = 40;
+  // 1.5 times 1 request per second for 4 s, and 5 more. The test takes less than 4 s.
+  constexpr int kAllowed = 11;
+  // The upstream that gets the first request names the limit.
+  std::atomic<int> limited = -1;
+  const auto script = [&limited](int self) {
+    return [&limited, self](const std::string&, int) {
+      int none = -1;
+      limited.compare_exchange_strong(none, self);
+      return limited == self ? ServeWithLimit("1") : RawAnswer{Whole("1"), false};
+    };
+  };
+  FakeUpstream first(script(0));
+  FakeUpstream second(script(1));
+  const RelayHost host({first.address(), second.address()});
+  for (int i = 0; i < kRequests; ++i) {
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  }
+  const int sent = limited == 0 ? first.requests() : second.requests();
+  cr_expect(sent <= kAllowed, "%d requests", sent);
+  cr_expect(first.requests() + second.requests() == kRequests);
+}
