Carry limits and tokens between processes, and let the chooser hold requests back

Change: messages LimitReports, TokenRequest, TokenAnswer, TokensIssued (after all older kinds, so that their numbers stay). The chooser passes over an upstream whose limit holds requests back, tells whether the chosen one needs a token, and refuses with rate_limited where nothing else is usable. Nothing sends the messages yet.

--- a/src/libs/catalog/route.h
+++ b/src/libs/catalog/route.h
@@ -17,6 +17,9 @@
   friend bool operator==(const RouteTarget&, const RouteTarget&) = default;
 };
 
+/// Routes of this priority and of smaller numbers are urgent.
+inline constexpr std::uint32_t kLeastUrgentPriority = 1;
+
 /// Where requests for a host and path prefix are sent, and under which rules.
 struct Route {
   std::string name;
@@ -39,6 +42,9 @@
   /// Regions whose upstreams may serve the route; empty for all.
   std::vector<std::string> home_regions;
 
+  /// Whether the route's requests go before others where there is not room for all.
+  bool is_urgent() const { return priority <= kLeastUrgentPriority; }
+
   friend bool operator==(const Route&, const Route&) = default;
 };
 
--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cluster/consensus_codec.h"
+#include "cluster/limit_codec.h"
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
 #include "compress/zstd_codec.h"
@@ -20,6 +21,14 @@
 constexpr std::size_t kMinBytesToCompress = 512;
 constexpr std::size_t kMaxMessageBytes = 64UL * 1024 * 1024;
 
+/// Encodes a list of values that have a codec of their own.
+template <typename T>
+json ListOf(const std::vector<T>& values) {
+  json list = json::array();
+  for (const auto& value : values) list.push_back(ToFields(value));
+  return json::array({list});
+}
+
 json Fields(const Hello& hello) {
   return {static_cast<std::uint8_t>(hello.role),
           hello.vm,
@@ -38,11 +47,7 @@
   return json::array({list});
 }
 
-json Fields(const Consensus& message) {
-  json list = json::array();
-  for (const auto& one : message.messages) list.push_back(ToFields(one));
-  return json::array({list});
-}
+json Fields(const Consensus& message) { return ListOf(message.messages); }
 
 json Fields(const Reports& message) {
   json list = json::array();
@@ -110,11 +115,15 @@
   return json::array({list});
 }
 
-json Fields(const Suspects& message) {
-  json list = json::array();
-  for (const auto& report : message.reports) list.push_back(ToFields(report));
-  return json::array({list});
-}
+json Fields(const Suspects& message) { return ListOf(message.reports); }
+
+json Fields(const LimitReports& message) { return ListOf(message.reports); }
+
+json Fields(const TokenRequest& message) { return ToFields(message); }
+
+json Fields(const TokenAnswer& message) { return ToFields(message); }
+
+json Fields(const TokensIssued& message) { return ListOf(message.tokens); }
 
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
@@ -220,6 +229,18 @@
   for (const auto& one : fields.at(0)) out.reports.push_back(SuspectFromFields(one));
 }
 
+void Read(const json& fields, LimitReports& out) {
+  for (const auto& one : fields.at(0)) out.reports.push_back(LimitReportFromFields(one));
+}
+
+void Read(const json& fields, TokenRequest& out) { out = TokenRequestFromFields(fields); }
+
+void Read(const json& fields, TokenAnswer& out) { out = TokenAnswerFromFields(fields); }
+
+void Read(const json& fields, TokensIssued& out) {
+  for (const auto& one : fields.at(0)) out.tokens.push_back(IssuedTokensFromFields(one));
+}
+
 /// Decodes the alternative of `Message` at position `kind`.
 template <std::size_t Position = 0>
 base::Result<Message> DecodeAs(std::size_t kind, const json& fields) {
--- a/src/libs/cluster/messages.h
+++ b/src/libs/cluster/messages.h
@@ -9,6 +9,8 @@
 #include "base/monotonic_time.h"
 #include "consensus/message.h"
 #include "distribution/catalog_transfer.h"
+#include "limits/limit_report.h"
+#include "limits/token_issuer.h"
 #include "observation/observation.h"
 #include "safety/suspect_record.h"
 #include "upstreams/upstream_report.h"
@@ -142,6 +144,17 @@
   std::vector<safety::SuspectReport> reports;
 };
 
+/// Rate limits that upstreams name, or have stopped naming. An entry sends what it has observed; a
+/// replica sends all changes to the other replicas and to the entries that follow it.
+struct LimitReports {
+  std::vector<limits::LimitReport> reports;
+};
+
+/// Tokens that a replica has issued since its last message; sent to the other replicas.
+struct TokensIssued {
+  std::vector<limits::IssuedTokens> tokens;
+};
+
 /// Keeps a link alive. The receiver answers it with an empty ping.
 struct Ping {
   /// Whether the entry serves callers.
@@ -158,10 +171,13 @@
 
 using distribution::CatalogPiece;
 using distribution::CatalogRequest;
+using limits::TokenAnswer;
+using limits::TokenRequest;
 
 /// The position of a type is its kind on the wire, so new types go to the end.
 using Message = std::variant<Hello, Replicas, Consensus, Reports, ReportsAck, Heartbeats,
                              OrderSummary, EntryNames, CatalogRequest, CatalogPiece, Ping,
-                             ReportsRequest, UpstreamLiveness, Observations, Conditions, Suspects>;
+                             ReportsRequest, UpstreamLiveness, Observations, Conditions, Suspects,
+                             LimitReports, TokenRequest, TokenAnswer, TokensIssued>;
 
 }  // namespace wagtailpick::cluster
--- a/src/libs/placement/choice.cpp
+++ b/src/libs/placement/choice.cpp
@@ -7,12 +7,13 @@
 namespace wagtailpick::placement {
 namespace {
 
-constexpr std::array<base::EnumName<Refusal>, 5> kRefusalNames{{
+constexpr std::array<base::EnumName<Refusal>, 6> kRefusalNames{{
     {Refusal::kNone, "none"},
     {Refusal::kNoUpstream, "no_upstream"},
     {Refusal::kNoCapacity, "no_room"},
     {Refusal::kColdLimit, "cold_limit"},
     {Refusal::kBackingOff, "unwanted"},
+    {Refusal::kRateLimited, "rate_limited"},
 }};
 
 }  // namespace
--- a/src/libs/placement/choice.h
+++ b/src/libs/placement/choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,9 @@
   base::Duration waited{};
   /// IDs of the upstreams that are not to be chosen, as earlier attempts went to them.
   std::vector<std::string> tried;
+  /// Whether upstreams with a rate limit are not to be chosen, as there is no time to ask for a
+  /// token.
+  bool skip_limited = false;
 };
 
 /// Why no upstream was chosen.
@@ -36,11 +40,22 @@
   kColdLimit,
   /// No upstream is usable, and at least one is backing off.
   kBackingOff,
+  /// No upstream is usable, and the rate limit of at least one holds the request back.
+  kRateLimited,
 };
 
 /// Returns the value as it appears in logs and metrics.
 std::string_view ToString(Refusal refusal);
 
+/// An upstream whose rate limit held a request back.
+struct HeldBackBy {
+  std::string upstream;
+  /// The limit, in requests per second from all entries together.
+  double requests_per_second = 0;
+  /// Time since the upstream stated the limit.
+  base::Duration age{};
+};
+
 /// The upstream for a request, or why there is none. With `kNoCapacity`, the fields describe the
 /// best upstream that was rejected.
 struct Choice {
@@ -60,13 +75,17 @@
   bool warm = false;
   /// Whether the chosen upstream is cold, so that its rate limit counts the request.
   bool cold_start = false;
+  /// Whether the upstream has a rate limit, so that the request may be sent only with a token.
+  bool needs_token = false;
+  /// An upstream that would have been considered but for its rate limit; empty if there is none.
+  std::optional<HeldBackBy> held_back_by;
   /// Age of the upstream's last announcement.
   base::Duration last_seen_age{};
   /// Estimated requests at the upstream, running and queued.
   double load = 0;
   /// Requests that the upstream runs at the same time.
   std::uint32_t slots = 0;
-  /// With `kBackingOff`: time from now until the first back-off ends.
+  /// With `kBackingOff` and `kRateLimited`: time from now until the first upstream may be usable.
   base::Duration retry_after{};
   /// Number of usable upstreams among which the choice was made.
   std::size_t candidates = 0;
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -33,7 +33,7 @@
 /// Cost of load that still leaves slots free, as part of the time of a request: the load from other
 /// entries is known late, so a slot that seems free may be taken.
 constexpr double kLoadWeight = 0.2;
-/// Factor on the time that urgent requests (priority 0 and 1) may queue before they are refused.
+/// Factor on the time that urgent requests may queue before they are refused.
 constexpr double kUrgentWaitFactor = 1.5;
 /// Share of the objective that a request may always queue, even if its work alone takes longer than
 /// the objective: a cold upstream gets warm only by use.
@@ -87,8 +87,14 @@
   bool ejected = false;
   /// Whether it is cold and this entry's share of its rate limit is used up.
   bool cold_limited = false;
+  /// The rate limit of the upstream's run; null if it has none.
+  const limits::RateLimit* limit = nullptr;
+  /// Until when the rate limit holds requests back; in the past if it does not.
+  base::MonotonicTime held_back_until = base::MonotonicTime::min();
+  /// Whether the rate limit holds the request back.
+  bool held_back = false;
   /// Whether the request may be sent to it; false if an earlier attempt went to it, or if it is
-  /// excluded after failures, backing off, cold limited or ejected.
+  /// excluded after failures, backing off, cold limited, held back or ejected.
   bool usable = true;
   /// Position in the object's rank order.
   std::size_t rank = 0;
@@ -128,8 +134,9 @@
     candidate.cold_start = now < known->cold_until;
     candidate.cold_limited =
         candidate.cold_start && !cold_limiter_.Allows(known->report.id, service, now);
+    if (routing.limits != nullptr) ApplyLimit(request, *routing.limits, candidate, now);
     candidate.usable = !Contains(request.tried, known->report.id) && !candidate.cold_limited &&
-                       candidate.condition->IsUsable(known->last_seen, now);
+                       !candidate.held_back && candidate.condition->IsUsable(known->last_seen, now);
     candidate.ejected =
         routing.shared != nullptr && routing.shared->IsEjected(known->report.id, now);
     candidates.push_back(candidate);
@@ -138,6 +145,15 @@
   return candidates;
 }
 
+void Chooser::ApplyLimit(const PlacementRequest& request, const limits::EntryLimits& limits,
+                         Candidate& candidate, base::MonotonicTime now) {
+  const auto& report = candidate.known->report;
+  candidate.limit = limits.FindBinding(report.id, report.started_unix_ms, now);
+  if (candidate.limit == nullptr) return;
+  candidate.held_back_until = limits.held_back_until(report.id, request.route->is_urgent());
+  candidate.held_back = request.skip_limited || now < candidate.held_back_until;
+}
+
 // Some idempotent requests still go to an ejected upstream, to probe whether it has recovered.
 void Chooser::ExcludeEjected(const PlacementRequest& request, std::vector<Candidate>& candidates) {
   const auto is_ejected = [](const Candidate& candidate) { return candidate.ejected; };
@@ -150,9 +166,21 @@
   for (auto& candidate : candidates) candidate.usable = candidate.usable && !candidate.ejected;
 }
 
+void Chooser::SetHeldBackBy(const Candidate& candidate, base::MonotonicTime now, Choice& choice) {
+  if (!candidate.held_back || choice.held_back_by) return;
+  choice.held_back_by = {candidate.known->report.id, candidate.limit->requests_per_second,
+                         now - candidate.limit->stated_at};
+}
+
+void Chooser::KeepUsable(std::vector<Candidate>& candidates, base::MonotonicTime now,
+                         Choice& choice) {
+  for (const auto& candidate : candidates) SetHeldBackBy(candidate, now, choice);
+  std::erase_if(candidates, [](const Candidate& candidate) { return !candidate.usable; });
+}
+
 void Chooser::KeepUpstreamsOfObject(const PlacementRequest& request,
-                                    std::vector<Candidate>& candidates) const {
-  if (!request.route->sticky || request.object == 0) return;
+                                    std::vector<Candidate>& candidates, base::MonotonicTime now,
+                                    Choice& choice) const {
   std::map<std::string, double> slots;
   for (const auto& candidate : candidates) {
     const auto& report = candidate.known->report;
@@ -175,6 +203,7 @@
   // An unusable upstream is replaced by the next in rank, so that the failure of a few does not
   // lead to a refusal.
   for (std::size_t i = 0; i < ranked.size() && candidates.size() < count; ++i) {
+    SetHeldBackBy(ranked[i].second, now, choice);
     if (!ranked[i].second.usable) continue;
     candidates.push_back(ranked[i].second);
     candidates.back().rank = i;
@@ -228,7 +257,7 @@
   const auto objective = request.route->objective;
   const auto& estimate = work_estimates_.ForRoute(request.route->name, objective);
   const auto slack = objective - (best.total - best.wait - best.work) - estimate.warm();
-  const double wait_factor = request.route->priority <= 1 ? kUrgentWaitFactor : 1.0;
+  const double wait_factor = request.route->is_urgent() ? kUrgentWaitFactor : 1.0;
   return best.wait + request.waited <=
          Scale(std::max(slack, Scale(objective, kMinWaitShare)), wait_factor);
 }
@@ -243,8 +272,12 @@
   const bool cold_limited = std::any_of(candidates.begin(), candidates.end(),
                                         [](const auto& one) { return one.cold_limited; });
   SetRetryAfter(candidates, now, choice);
-  KeepUpstreamsOfObject(request, candidates);
-  std::erase_if(candidates, [](const Candidate& candidate) { return !candidate.usable; });
+  const bool by_object = request.route->sticky && request.object != 0;
+  if (by_object) {
+    KeepUpstreamsOfObject(request, candidates, now, choice);
+  } else {
+    KeepUsable(candidates, now, choice);
+  }
   choice.candidates = candidates.size();
   if (cold_limited) choice.refusal = Refusal::kColdLimit;
   if (candidates.empty()) return choice;
@@ -266,20 +299,25 @@
   choice.refusal = Refusal::kNoCapacity;
   if (!Accepts(request, best)) return choice;
   choice.cold_start = best.cold_start;
+  choice.needs_token = best.limit != nullptr;
   choice.refusal = Refusal::kNone;
   return choice;
 }
 
-// If nothing is usable, callers may retry when the first back-off ends.
+// If nothing is usable, callers may retry when the first back-off ends or the first token may be
+// issued.
 void Chooser::SetRetryAfter(const std::vector<Candidate>& candidates, base::MonotonicTime now,
                             Choice& choice) {
   auto first = base::MonotonicTime::max();
+  bool held_back = false;
   for (const auto& candidate : candidates) {
-    const auto until = candidate.condition->back_off_until();
+    const auto until = std::max(candidate.condition->back_off_until(), candidate.held_back_until);
     if (until > now) first = std::min(first, until);
+    if (candidate.held_back) first = std::min(first, std::max(until, now));
+    held_back = held_back || candidate.held_back;
   }
   if (first == base::MonotonicTime::max()) return;
-  choice.refusal = Refusal::kBackingOff;
+  choice.refusal = held_back ? Refusal::kRateLimited : Refusal::kBackingOff;
   choice.retry_after = first - now;
 }
 
--- a/src/libs/placement/chooser.h
+++ b/src/libs/placement/chooser.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "catalog/catalog.h"
+#include "limits/entry_limits.h"
 #include "observation/recorder.h"
 #include "observation/shared_conditions.h"
 #include "placement/choice.h"
@@ -19,7 +20,7 @@
 namespace wagtailpick::placement {
 
 /// The entry's routing state, as the chooser reads it. Nothing is owned; all pointers but `shared`
-/// must be set.
+/// and `limits` must be set.
 struct RoutingView {
   const upstreams::UpstreamTable* upstreams = nullptr;
   const catalog::Catalog* catalog = nullptr;
@@ -27,6 +28,8 @@
   const std::set<std::string>* evacuated = nullptr;
   /// Upstream conditions observed by all entries together; null if there are none.
   const observation::SharedConditions* shared = nullptr;
+  /// Rate limits of upstreams; null if there are none.
+  const limits::EntryLimits* limits = nullptr;
 };
 
 /// Chooses the upstream with the lowest expected cost: the time for network, queue and work, plus
@@ -89,14 +92,24 @@
   std::vector<Candidate> FindCandidates(const PlacementRequest& request,
                                         const catalog::Service& service, const RoutingView& routing,
                                         base::MonotonicTime now);
-  /// Refuses with `kBackingOff` if any candidate is backing off; later steps override it.
+  /// Sets the candidate's rate limit, and whether it holds the request back.
+  static void ApplyLimit(const PlacementRequest& request, const limits::EntryLimits& limits,
+                         Candidate& candidate, base::MonotonicTime now);
+  /// Stores the candidate in `choice` if its rate limit holds the request back and no other one is
+  /// stored.
+  static void SetHeldBackBy(const Candidate& candidate, base::MonotonicTime now, Choice& choice);
+  /// Keeps the usable candidates.
+  static void KeepUsable(std::vector<Candidate>& candidates, base::MonotonicTime now,
+                         Choice& choice);
+  /// Refuses with `kBackingOff` or `kRateLimited` if any candidate is backing off or held back;
+  /// later steps override it.
   static void SetRetryAfter(const std::vector<Candidate>& candidates, base::MonotonicTime now,
                             Choice& choice);
   /// Marks ejected upstreams as not usable while another one is usable.
   void ExcludeEjected(const PlacementRequest& request, std::vector<Candidate>& candidates);
-  /// On sticky routes, keeps the usable upstreams that rank first for the request's object.
-  void KeepUpstreamsOfObject(const PlacementRequest& request,
-                             std::vector<Candidate>& candidates) const;
+  /// Keeps the usable upstreams that rank first for the request's object.
+  void KeepUpstreamsOfObject(const PlacementRequest& request, std::vector<Candidate>& candidates,
+                             base::MonotonicTime now, Choice& choice) const;
   /// Fills in the candidate's times and cost.
   void Estimate(const PlacementRequest& request, double slots_per_object, Candidate& candidate,
                 base::MonotonicTime now);
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <limits>
+
 namespace {
 
 using namespace wagtailpick;           // NOLINT(google-build-using-namespace)
@@ -136,3 +138,24 @@
   const std::string frame = Encode(Hello{});
   for (std::size_t size = 1; size < frame.size(); ++size) cr_expect(!Decode(frame.substr(0, size)));
 }
+
+// Guards against a limit or a token that another process reads differently, and against a rate that
+// is no number.
+Test(message_codec, preserves_limits_and_tokens) {
+  const limits::LimitReport report{"i-1", 17, 2.4, true, std::chrono::milliseconds(30)};
+  const auto same = [&report](const limits::LimitReport& other) {
+    return other.upstream == report.upstream && other.started_unix_ms == report.started_unix_ms &&
+           other.requests_per_second == report.requests_per_second && other.ended == report.ended &&
+           other.age == report.age;
+  };
+  cr_expect(same(RoundTrip(LimitReports{{report}}).reports.at(0)));
+  const auto request = RoundTrip(TokenRequest{7, report, true});
+  cr_expect(request.id == 7 && same(request.limit) && request.urgent);
+  const auto answer = RoundTrip(TokenAnswer{7, true, std::chrono::seconds(2)});
+  cr_expect(answer.id == 7 && answer.granted && answer.retry_in == std::chrono::seconds(2));
+  const auto issued = RoundTrip(TokensIssued{{{"i-1", 17, 3}}}).tokens.at(0);
+  cr_expect(issued.upstream == "i-1" && issued.started_unix_ms == 17 && issued.count == 3);
+  for (const double rate : {-1.0, std::numeric_limits<double>::infinity()}) {
+    cr_expect(!Decode(Encode(LimitReports{{{"i-1", 17, rate, false, {}}}})));
+  }
+}
