Send requests to an upstream with a limit only with a token

What callers saw: nothing at first. The upstream got up to twelve requests a second where it had named 2.4, which it names when it is in need. Change: a limit that an answer names goes from the entry to the replica that it follows, to the other replicas and to all entries; from then on an entry asks one replica for a token before it sends. Without one, the request goes to another upstream at once, and the entry doesn't ask again before a token can be there. If nothing else is usable, the caller is refused with a Retry-After that tells when one is. Hedges don't go to limited upstreams. Conclusion: why it works: the sum is counted in one place.

--- a/src/libs/limits/limit_table.cpp
+++ b/src/libs/limits/limit_table.cpp
@@ -16,6 +16,9 @@
     {LimitChange::kEnded, "ended"},
 }};
 
+/// How long the limit of an unknown upstream is kept.
+constexpr base::Duration kKeepUnknown = std::chrono::seconds(60);
+
 LimitChange ChangeBetween(const RateLimit* before, const RateLimit& after) {
   const bool was_in_force = before != nullptr && !before->ended;
   if (after.ended) return was_in_force ? LimitChange::kEnded : LimitChange::kNone;
@@ -26,6 +29,12 @@
 
 }  // namespace
 
+bool IsOver(const RateLimit& limit, std::optional<std::int64_t> known_run,
+            base::MonotonicTime now) {
+  if (!known_run) return now - limit.stated_at > kKeepUnknown;
+  return *known_run > limit.started_unix_ms;
+}
+
 std::string_view ToString(LimitChange change) { return base::NameOf(kChangeNames, change); }
 
 LimitChange LimitTable::Apply(const LimitReport& report, base::MonotonicTime now) {
--- a/src/libs/limits/limit_table.h
+++ b/src/libs/limits/limit_table.h
@@ -24,6 +24,11 @@
   base::MonotonicTime stated_at;
 };
 
+/// Returns whether a limit can be dropped at `now`. `known_run` is the start of the upstream's
+/// newest known run; empty if the upstream is unknown, whose limit is kept for a while, as it may
+/// arrive before the upstream's announcement.
+bool IsOver(const RateLimit& limit, std::optional<std::int64_t> known_run, base::MonotonicTime now);
+
 /// How a statement changed the limit of an upstream.
 enum class LimitChange : std::uint8_t { kNone, kStarted, kChanged, kEnded };
 
@@ -47,6 +52,8 @@
 
   /// Returns what the run stated last; null if it never named a limit.
   const RateLimit* Find(const std::string& upstream, std::int64_t started_unix_ms) const;
+  /// Whether any run of the upstream has named a limit.
+  bool Contains(const std::string& upstream) const { return limits_.contains(upstream); }
   /// Returns the report of an upstream that `Find` knows.
   static LimitReport MakeReport(const std::string& upstream, const RateLimit& limit,
                                 base::MonotonicTime now);
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -119,6 +119,8 @@
     replica_links_->Send(replica, MakeReportsRequest(upstreams_));
     const cluster::Suspects suspects{suspects_.reports(base::WallNowMillis())};
     if (!suspects.reports.empty()) replica_links_->Send(replica, suspects);
+    const cluster::LimitReports limits{limits_.reports(base::MonotonicNow())};
+    if (!limits.reports.empty()) replica_links_->Send(replica, limits);
   };
   hooks.down = [](const std::string&) {};
   hooks.message = [this](const std::string& replica, const cluster::Message& message) {
@@ -137,8 +139,10 @@
   if (now >= liveness_due_) {
     liveness_due_ = now + kLivenessInterval;
     acceptor_->BroadcastToFollowers(MakeLiveness(upstreams_, now));
+    RemoveOldLimits(now);
   }
   SendConditions(now);
+  SendTokensIssued();
   UpdateLogPeers(now);
   SaveCache(now);
   for (const auto& id : upstreams_.Expire(kForgetUpstreamAfter, now)) {
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -13,6 +13,8 @@
 #include "base/result.h"
 #include "cluster/acceptor.h"
 #include "distribution/catalog_source.h"
+#include "limits/limit_table.h"
+#include "limits/token_issuer.h"
 #include "metrics/registry.h"
 #include "net/http_listener.h"
 #include "node/departure_log.h"
@@ -127,6 +129,12 @@
   /// Returns all blocked requests, for an entry that has just begun to follow this replica, and
   /// records them as published.
   cluster::Suspects BlockedSuspects();
+  void HandleLimits(const cluster::LimitReports& message, cluster::NodeRole from);
+  void HandleTokenRequest(const cluster::Session& session, const cluster::TokenRequest& request);
+  void HandleTokensIssued(const cluster::TokensIssued& message);
+  void SendTokensIssued();
+  /// Removes the limits and tokens of runs that are over.
+  void RemoveOldLimits(base::MonotonicTime now);
   std::set<std::string> ConnectedEntries() const;
   void UpdateLogPeers(base::MonotonicTime now);
   void Reply(const OrderCallback& done, OrderReply reply);
@@ -168,6 +176,8 @@
   safety::SuspectTable suspects_;
   /// Fingerprints of the requests last published to the followers as blocked.
   std::set<safety::Fingerprint> published_blocked_;
+  limits::LimitTable limits_;
+  limits::TokenIssuer token_issuer_;
   StateCache cache_;
   DepartureLog departures_;
   /// Start time (Unix ms) and state of each upstream whose departure is on disk, by upstream id.
--- a/src/libs/node/control_node_sessions.cpp
+++ b/src/libs/node/control_node_sessions.cpp
@@ -27,6 +27,8 @@
         cluster::EntryNames{true, {published_entries_.begin(), published_entries_.end()}, {}});
     const auto blocked = BlockedSuspects();
     if (!blocked.reports.empty()) acceptor_->Send(session.id, blocked);
+    const cluster::LimitReports limits{limits_.reports(base::MonotonicNow())};
+    if (!limits.reports.empty()) acceptor_->Send(session.id, limits);
   };
   hooks.ready_changed = [](const cluster::Session& session) {
     logging::Write(Level::kInfo, "entry_ready_changed", session.hello.vm,
@@ -80,6 +82,15 @@
   if (const auto* suspects = std::get_if<cluster::Suspects>(&message)) {
     return HandleSuspects(session, *suspects);
   }
+  if (const auto* limits = std::get_if<cluster::LimitReports>(&message)) {
+    return HandleLimits(*limits, session.hello.role);
+  }
+  if (const auto* request = std::get_if<cluster::TokenRequest>(&message)) {
+    return HandleTokenRequest(session, *request);
+  }
+  if (const auto* issued = std::get_if<cluster::TokensIssued>(&message)) {
+    return HandleTokensIssued(*issued);
+  }
   if (const auto* conditions = std::get_if<cluster::Conditions>(&message)) {
     return conditions_[session.hello.cluster_address].Apply(conditions->conditions,
                                                             base::MonotonicNow());
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -57,6 +57,8 @@
   relay_ = std::make_unique<relay::Relay>(loop_, relay_options, hooks_.dialect, routing_state_,
                                           metrics_);
   replica_links_ = std::make_unique<ReplicaLinks>(loop_, options_.node, std::string(), LinkHooks());
+  relay_->token_requests().set_sender(
+      [this](const limits::TokenRequest& request) { return SendTokenRequest(request); });
 }
 
 base::Result<void> EntryNode::Listen() {
@@ -102,7 +104,7 @@
   hooks.up = [this](const std::string& replica) {
     if (followed_.empty()) return ChooseFollowedReplica();
     // Messages that were sent while the link was down are lost.
-    if (replica == followed_) SendSuspects(relay_->crash_guard().reports());
+    if (replica == followed_) SendSharedState();
   };
   hooks.down = [this](const std::string& replica) {
     catalog_fetcher_.HandleReplicaLost(replica);
@@ -122,6 +124,7 @@
   if (now >= observations_due_) SendObservations(now);
   SendSuspects(relay_->crash_guard().ConsumeChanges());
   SendLeaving(relay_->ConsumeLeavingReports());
+  SendLimits(relay_->ConsumeLimitChanges());
   if (now >= slow_tick_due_) {
     slow_tick_due_ = now + kSlowTick;
     relay_->Tick(now);
@@ -150,7 +153,14 @@
   followed_ = nearest;
   replica_links_->PingAll();
   replica_links_->Send(followed_, upstream_sync_.StartFollowing());
+  SendSharedState();
+}
+
+// The followed replica, and through it the others, may lack what this entry reported while it was
+// not connected.
+void EntryNode::SendSharedState() {
   SendSuspects(relay_->crash_guard().reports());
+  SendLimits(relay_->limits().table().reports(base::MonotonicNow()));
 }
 
 void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
@@ -164,6 +174,8 @@
       .Set(static_cast<std::int64_t>(routing_state_.shared.ejected_count()));
   metrics_.GaugeAt("wagtailpick_requests_suspect")
       .Set(static_cast<std::int64_t>(relay_->crash_guard().size()));
+  metrics_.GaugeAt("wagtailpick_upstreams_limited")
+      .Set(static_cast<std::int64_t>(relay_->limits().table().in_force()));
   metrics_.GaugeAt("wagtailpick_requests_running")
       .Set(static_cast<std::int64_t>(relay_->running()));
 }
@@ -182,6 +194,12 @@
   if (const auto* suspects = std::get_if<cluster::Suspects>(&message)) {
     return relay_->crash_guard().Merge(suspects->reports);
   }
+  if (const auto* limits = std::get_if<cluster::LimitReports>(&message)) {
+    return relay_->MergeLimits(limits->reports);
+  }
+  if (const auto* answer = std::get_if<cluster::TokenAnswer>(&message)) {
+    return relay_->token_requests().HandleAnswer(*answer);
+  }
   if (const auto* names = std::get_if<cluster::EntryNames>(&message)) {
     if (replica == followed_) ApplyEntryNames(*names);
     return;
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -72,7 +72,15 @@
   /// Sends to the followed replica the reports of upstreams that announced their leaving in an
   /// answer.
   void SendLeaving(const std::vector<upstreams::UpstreamReport>& leaving);
+  /// Sends all suspects and rate limits to the followed replica.
+  void SendSharedState();
   void SendSuspects(const std::vector<safety::SuspectReport>& reports);
+  /// Cluster address of the replica that issues the tokens of an upstream; empty while no replica
+  /// is connected.
+  std::string IssuerFor(const std::string& upstream) const;
+  /// Returns false while no replica is connected.
+  bool SendTokenRequest(const limits::TokenRequest& request);
+  void SendLimits(const std::vector<limits::LimitReport>& reports);
   void RequestCatalog(base::MonotonicTime now);
   void ChooseFollowedReplica();
   void UpdateGauges(base::MonotonicTime now);
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -40,6 +40,8 @@
                placement::ColdRateLimiter(options.vm, options.cold_bound)),
       retry_budget_(options.retry_bound),
       splits_(std::hash<std::string>()(options.vm)),
+      limits_(options.vm),
+      token_requests_(loop),
       log_(kLogLinesPerSecond),
       metrics_(registry),
       crash_guard_(loop, log_, registry),
@@ -52,6 +54,16 @@
 void Relay::SetEntries(const std::vector<std::string>& entries) {
   chooser_.SetEntries(entries);
   retry_budget_.SetEntries(entries.size());
+  limits_.SetEntryCount(entries.size());
+}
+
+void Relay::Tick(base::MonotonicTime now) {
+  pool_.CloseStale(now);
+  limits_.RemoveIf(
+      [this, now](const std::string& id, const limits::RateLimit& limit) {
+        return limits::IsOver(limit, routing_state_.upstreams.RunOf(id), now);
+      },
+      now);
 }
 
 void Relay::DropUpstreamState(const std::string& id, const std::string& address, bool restarted) {
@@ -111,21 +123,36 @@
     if (!answer.requests_per_second) return;
   }
   const auto change =
-      limits_.RecordAnswer(id, started_unix_ms, answer.requests_per_second, sent_at, now);
+      limits_.table().RecordAnswer(id, started_unix_ms, answer.requests_per_second, sent_at, now);
+  LogLimitChange(id, started_unix_ms, change, request_id);
+}
+
+void Relay::MergeLimits(const std::vector<limits::LimitReport>& reports) {
+  const auto now = base::MonotonicNow();
+  for (const auto& report : reports) {
+    const auto change = limits_.table().Apply(report, now);
+    LogLimitChange(report.upstream, report.started_unix_ms, change, {});
+  }
+}
+
+void Relay::LogLimitChange(const std::string& id, std::int64_t started_unix_ms,
+                           limits::LimitChange change, const std::string& request_id) {
   if (change == limits::LimitChange::kNone) return;
-  const auto* limit = limits_.Find(id, started_unix_ms);
+  const auto now = base::MonotonicNow();
+  const auto* limit = limits_.table().Find(id, started_unix_ms);
   log_.Write(logging::Level::kInfo, "upstream_limit_changed", id,
              {{"request_id", request_id},
               {"upstream", id},
               {"incarnation", std::to_string(started_unix_ms)},
               {"change", std::string(limits::ToString(change))},
-              {"limit_per_s", Hundredths(limit->requests_per_second)}},
+              {"limit_per_s", Hundredths(limit->requests_per_second)},
+              {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}},
              now);
 }
 
 std::vector<logging::Field> Relay::LimitFields(const std::string& id, std::int64_t started_unix_ms,
                                                base::MonotonicTime now) const {
-  const auto* limit = limits_.Find(id, started_unix_ms);
+  const auto* limit = limits_.table().Find(id, started_unix_ms);
   if (limit == nullptr || limit->ended) return {};
   return {{"limit_per_s", Hundredths(limit->requests_per_second)},
           {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}};
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -11,7 +11,7 @@
 
 #include "catalog/catalog.h"
 #include "catalog/split_picker.h"
-#include "limits/limit_table.h"
+#include "limits/entry_limits.h"
 #include "metrics/registry.h"
 #include "net/inbound_request.h"
 #include "net/upstream_pool.h"
@@ -21,6 +21,7 @@
 #include "relay/decision_log.h"
 #include "relay/dialect.h"
 #include "relay/relay_metrics.h"
+#include "relay/token_requests.h"
 #include "upstreams/upstream_table.h"
 
 namespace wagtailpick::relay {
@@ -70,12 +71,23 @@
   }
   /// State about requests that crash upstreams.
   CrashGuard& crash_guard() { return crash_guard_; }
+  /// Merges rate limits that were received from a replica.
+  void MergeLimits(const std::vector<limits::LimitReport>& reports);
+  /// Returns and clears the reports of rate limits that have changed since the last call.
+  std::vector<limits::LimitReport> ConsumeLimitChanges() {
+    return limits_.table().ConsumeChanges(base::MonotonicNow());
+  }
+  /// Rate limits of upstreams.
+  const limits::EntryLimits& limits() const { return limits_; }
+  /// Requests for tokens, which the node sends to the replicas.
+  TokenRequests& token_requests() { return token_requests_; }
   /// Makes the relay refuse new requests. Running ones continue.
   void RefuseNewRequests() { refusing_new_requests_ = true; }
   /// Number of requests that have not ended.
   std::size_t running() const { return running_; }
-  /// Closes idle connections that are too old. To be called about once a second.
-  void Tick(base::MonotonicTime now) { pool_.CloseStale(now); }
+  /// Closes idle connections that are too old, and drops the limits of upstreams that are gone. To
+  /// be called about once a second.
+  void Tick(base::MonotonicTime now);
 
  private:
   friend class RequestRun;
@@ -94,6 +106,12 @@
   /// Returns log fields with the limit that the run of an upstream has in force; none without one.
   std::vector<logging::Field> LimitFields(const std::string& id, std::int64_t started_unix_ms,
                                           base::MonotonicTime now) const;
+  void LogLimitChange(const std::string& id, std::int64_t started_unix_ms,
+                      limits::LimitChange change, const std::string& request_id);
+  /// Whether a request to the run of an upstream needs a token.
+  bool IsLimited(const std::string& id, std::int64_t started_unix_ms) const {
+    return limits_.FindBinding(id, started_unix_ms, base::MonotonicNow()) != nullptr;
+  }
   /// Whether a request may still be sent to the run of an upstream that was chosen for it.
   bool MaySend(const std::string& id, std::int64_t started_unix_ms) const;
 
@@ -104,7 +122,8 @@
   placement::Chooser chooser_;
   placement::RetryBudget retry_budget_;
   catalog::SplitPicker splits_;
-  limits::LimitTable limits_;
+  limits::EntryLimits limits_;
+  TokenRequests token_requests_;
   DecisionLog log_;
   RelayMetrics metrics_;
   CrashGuard crash_guard_;
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -31,4 +31,8 @@
       .Add();
 }
 
+void RelayMetrics::CountToken(std::string_view outcome) {
+  registry_.CounterAt("wagtailpick_limit_tokens_total", Label(outcome)).Add();
+}
+
 }  // namespace wagtailpick::relay
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -20,6 +20,8 @@
   /// Counts an answer that announced a status of its upstream: "leaving" or "unwanted" (it backs
   /// off).
   void CountUpstreamStatus(std::string_view status);
+  /// Counts a request for a token of a limited upstream by its outcome.
+  void CountToken(std::string_view outcome);
 
  private:
   metrics::Registry& registry_;
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -108,7 +108,7 @@
   placement_request_.waited = now - inbound_->received_at;
   const placement::RoutingView routing_state{&relay_.routing_state_.upstreams, catalog_.get(),
                                              &relay_.routing_state_.evacuated,
-                                             &relay_.routing_state_.shared};
+                                             &relay_.routing_state_.shared, &relay_.limits_};
   if (!IsSuspect()) return relay_.chooser_.Choose(placement_request_, routing_state, now);
   // A suspect gets an upstream without another suspect if there is one. When an upstream that runs
   // two suspects crashes, the cause is unknown.
@@ -128,6 +128,7 @@
     if (may_have_run_) return Fail();
     return Refuse(placement::ToString(choice.refusal), RetryAfterFor(choice));
   }
+  if (choice.needs_token) return RequestToken(choice);
   Send(choice);
 }
 
@@ -147,8 +148,12 @@
   attempts_.push_back(attempt);
   if (attempt->suspect) relay_.crash_guard_.AddRunningSuspect(choice.upstream);
   LogSent(choice, now);
-  attempt->connection->may_send = [this, id = choice.upstream, run = attempt->run] {
-    return relay_.MaySend(id, static_cast<std::int64_t>(run.incarnation));
+  attempt->connection->may_send = [this, choice, run = attempt->run] {
+    const auto started_unix_ms = static_cast<std::int64_t>(run.incarnation);
+    // The upstream may have named a limit while the connection was being opened.
+    const bool lacks_token =
+        !choice.needs_token && relay_.IsLimited(choice.upstream, started_unix_ms);
+    return !lacks_token && relay_.MaySend(choice.upstream, started_unix_ms);
   };
   const auto request =
       relay_.dialect_.build_upstream_request(inbound_->request, choice.upstream, deadline_ - now);
@@ -177,6 +182,11 @@
   for (auto& field : relay_.LimitFields(choice.upstream, started_unix_ms, now)) {
     fields.push_back(std::move(field));
   }
+  if (choice.held_back_by) {
+    fields.push_back({"held_back_by", choice.held_back_by->upstream});
+    fields.push_back({"held_back_limit_per_s", Tenths(choice.held_back_by->requests_per_second)});
+    fields.push_back({"held_back_limit_age_ms", Millis(choice.held_back_by->age)});
+  }
   Log(Level::kInfo, "request_sent", "to " + choice.address, std::move(fields));
 }
 
@@ -200,7 +210,10 @@
   if (sends_ >= placement_request_.route->attempts || IsSuspect()) return;
   if (deadline_ - base::MonotonicNow() < placement_request_.route->objective / 2) return;
   if (!relay_.retry_budget_.MayRetry(placement_request_.service, base::MonotonicNow())) return;
+  // The first attempt may be answered at any moment, so a token could be requested in vain.
+  placement_request_.skip_limited = true;
   const auto choice = Choose();
+  placement_request_.skip_limited = false;
   // A hedge that has to queue would delay the first attempt of another request.
   if (choice.refusal != Refusal::kNone || choice.expected_wait > Duration::zero()) return;
   if (!relay_.retry_budget_.TryRetry(placement_request_.service, base::MonotonicNow())) return;
@@ -315,13 +328,15 @@
   Log(Level::kInfo, "client_left", "the caller closed its connection", {});
 }
 
-// Callers retry when the first back-off ends: urgent requests first, the others after them, each
-// group spread over `kRetryAfterSpread`.
+// Callers retry when the first back-off ends or the first token may be issued: urgent requests
+// first, the others after them, each group spread over `kRetryAfterSpread`.
 std::optional<base::Duration> RequestRun::RetryAfterFor(const placement::Choice& choice) const {
-  if (choice.refusal != Refusal::kBackingOff) return std::nullopt;
+  const bool has_time =
+      choice.refusal == Refusal::kBackingOff || choice.refusal == Refusal::kRateLimited;
+  if (!has_time) return std::nullopt;
   const auto share = std::hash<std::string>()(attributes_.request_id) % kSpreadSteps;
   const auto spread = kRetryAfterSpread * static_cast<std::int64_t>(share) / kSpreadSteps;
-  const bool urgent = placement_request_.route->priority <= 1;
+  const bool urgent = placement_request_.route->is_urgent();
   return choice.retry_after + (urgent ? spread : kRetryAfterSpread + spread);
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -42,6 +42,14 @@
   void StartAttempt();
   placement::Choice Choose();
   void Send(const placement::Choice& choice);
+  /// Requests a token for the chosen upstream, which has a rate limit. Then sends the request or
+  /// chooses again.
+  void RequestToken(const placement::Choice& choice);
+  /// `run` is the run for which the token was requested.
+  void HandleToken(const placement::Choice& choice, const safety::UpstreamRun& run,
+                   TokenOutcome outcome, base::Duration retry_in);
+  void LogHeldBack(const placement::Choice& choice, std::int64_t started_unix_ms,
+                   std::string_view token, base::Duration delay);
   void HandleResult(const std::shared_ptr<Attempt>& attempt, net::ExchangeResult result);
   void HandleAnswer(const Attempt& attempt, http::Response response);
   /// Applies what the answer states about its upstream: load, leaving and back-off.
@@ -71,7 +79,8 @@
   /// Answers 503: the request did not run. Without `retry_after`, the Retry-After header is derived
   /// from the time that the caller has left.
   void Refuse(std::string_view reason, std::optional<base::Duration> retry_after = std::nullopt);
-  /// Returns when the caller may retry if all upstreams are backing off; otherwise nothing.
+  /// Returns when the caller may retry if all upstreams are backing off or hold requests back by
+  /// their rate limits; otherwise nothing.
   std::optional<base::Duration> RetryAfterFor(const placement::Choice& choice) const;
   void Finish(http::Response response, std::string_view outcome, std::string_view reason);
   void LogSent(const placement::Choice& choice, base::MonotonicTime now);
@@ -95,6 +104,7 @@
   /// Attempts that reached an upstream, or may have.
   std::uint32_t sends_ = 0;
   std::uint32_t failed_connects_ = 0;
+  int token_requests_ = 0;
   /// An upstream may have run the request.
   bool may_have_run_ = false;
   bool finished_ = false;
--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -178,6 +178,12 @@
   }
 }
 
+std::optional<std::int64_t> UpstreamTable::RunOf(const std::string& id) const {
+  const auto* known = Find(id);
+  if (known == nullptr) return std::nullopt;
+  return known->report.started_unix_ms;
+}
+
 const KnownUpstream* UpstreamTable::Find(const std::string& id) const {
   const auto found = upstreams_.find(id);
   return found == upstreams_.end() ? nullptr : &found->second;
--- a/src/libs/upstreams/upstream_table.h
+++ b/src/libs/upstreams/upstream_table.h
@@ -78,6 +78,9 @@
 
   /// Returns the upstream with this id, or null.
   const KnownUpstream* Find(const std::string& id) const;
+  /// Returns the start time (Unix ms) of the newest known run of an upstream; empty if it is
+  /// unknown.
+  std::optional<std::int64_t> RunOf(const std::string& id) const;
 
   const TableDigests& digests() const { return digests_; }
 
