Let the soak's upstreams name limits, and count what all entries send them

Cause: no stand-in named a limit, so no soak could find the fault of the incident. Change: upstreams name limits and end them while processes are killed, paused and restarted; the checker counts all arrivals in sliding 4 s, and after the faults at least half of a limit has to be used. Only faults of entries restart the time that is allowed, not those of replicas.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -17,6 +17,19 @@
 constexpr base::Duration kBlockTimeLimit = std::chrono::seconds(3);
 constexpr int kMaxLateCrashes = 3;
 
+/// The users' rule for an upstream that names a limit: the window, the factor and the slack in
+/// which its requests are counted, and the time after which all entries have to keep the limit.
+constexpr base::Duration kLimitWindow = std::chrono::seconds(4);
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+constexpr base::Duration kLimitTimeLimit = std::chrono::seconds(3);
+/// Part of a limit that entries have to use when callers want more.
+constexpr double kMinUsedPartOfLimit = 0.5;
+
+double SecondsOf(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 /// Whether `status` guarantees that the request has not run and never will.
 bool GuaranteesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -74,6 +87,55 @@
   }
 }
 
+void PromiseChecker::RecordLimit(const std::string& upstream, double requests_per_second) {
+  const std::lock_guard lock(mutex_);
+  auto& limit = limits_[upstream];
+  if (limit.requests_per_second == 0) limit.named_at = base::MonotonicNow();
+  limit.requests_per_second = requests_per_second;
+}
+
+void PromiseChecker::RecordLimitEnded(const std::string& upstream) {
+  const std::lock_guard lock(mutex_);
+  limits_.erase(upstream);
+}
+
+void PromiseChecker::RecordLimitedArrival(const std::string& upstream, base::MonotonicTime now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = limits_.find(upstream);
+  if (found == limits_.end()) return;
+  auto& limit = found->second;
+  limit.arrivals.push_back(now);
+  const auto counted_from = std::max(limit.named_at, last_entry_fault_) + kLimitTimeLimit;
+  const auto in_window = static_cast<std::size_t>(
+      std::count_if(limit.arrivals.begin(), limit.arrivals.end(),
+                    [&](auto at) { return at > now - kLimitWindow && at >= counted_from; }));
+  most_limited_arrivals_ = std::max(most_limited_arrivals_, in_window);
+  const double allowed =
+      kLimitFactor * limit.requests_per_second * SecondsOf(kLimitWindow) + kLimitSlack;
+  if (static_cast<double>(in_window) <= allowed) return;
+  AddViolation(upstream + " limits its requests to " + std::to_string(limit.requests_per_second) +
+               " a second and got " + std::to_string(in_window) + " in 4 s");
+}
+
+void PromiseChecker::CheckLimitUsed(const std::string& upstream, base::MonotonicTime since) {
+  const std::lock_guard lock(mutex_);
+  const auto found = limits_.find(upstream);
+  if (found == limits_.end()) return AddViolation("no answer named the limit of " + upstream);
+  const auto& limit = found->second;
+  const auto used = std::count_if(limit.arrivals.begin(), limit.arrivals.end(),
+                                  [since](auto at) { return at >= since; });
+  const double allowed = limit.requests_per_second * SecondsOf(base::MonotonicNow() - since);
+  limit_used_ = static_cast<double>(used) / allowed;
+  if (limit_used_ < kMinUsedPartOfLimit) {
+    AddViolation("only " + std::to_string(limit_used_) + " of a limit was used");
+  }
+}
+
+void PromiseChecker::RecordEntryFault() {
+  const std::lock_guard lock(mutex_);
+  last_entry_fault_ = base::MonotonicNow();
+}
+
 void PromiseChecker::RecordCrash() {
   const std::lock_guard lock(mutex_);
   const auto now = base::MonotonicNow();
@@ -128,7 +190,8 @@
     text += std::to_string(status) + ": " + std::to_string(count) + "  ";
   }
   return text + "crashes " + std::to_string(crashes_) + " (" + std::to_string(late_crashes_) +
-         " late)  catalog " + std::to_string(acknowledged_catalog_);
+         " late)  limited " + std::to_string(most_limited_arrivals_) + " in 4 s, used " +
+         std::to_string(limit_used_) + "  catalog " + std::to_string(acknowledged_catalog_);
 }
 
 }  // namespace wagtailpick::soak
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -31,6 +31,19 @@
   /// `upstream` received a request while it was backing off. Violated if more than two for each
   /// entry arrive later than half a second after the first and after the last fault.
   void RecordBackOffArrival(const std::string& upstream, base::MonotonicTime now);
+  /// A run of an upstream named a limit in an answer.
+  void RecordLimit(const std::string& upstream, double requests_per_second);
+  /// A run of an upstream stops naming its limit.
+  void RecordLimitEnded(const std::string& upstream);
+  /// `upstream`, which named a limit, received a request. Violated if it gets more than one and a
+  /// half times its limit and 5 requests in 4 s, counted from 3 s after it first named the limit
+  /// and after the last fault of an entry.
+  void RecordLimitedArrival(const std::string& upstream, base::MonotonicTime now);
+  /// Checks that `upstream` received at least half of the requests that its limit allows since
+  /// `since`.
+  void CheckLimitUsed(const std::string& upstream, base::MonotonicTime since);
+  /// A fault was injected into an entry; the time for limits starts again.
+  void RecordEntryFault();
   /// Number of entries; scales the limit of `RecordBackOffArrival`.
   void set_entries(std::size_t entries) { entries_ = entries; }
   /// A fault was injected; the time limits for drains and back-off start again.
@@ -67,6 +80,16 @@
   };
   std::size_t entries_ = 1;
   std::map<std::string, BackOff> back_offs_;
+  struct Limit {
+    double requests_per_second = 0;
+    base::MonotonicTime named_at;
+    std::vector<base::MonotonicTime> arrivals;
+  };
+  std::map<std::string, Limit> limits_;
+  std::size_t most_limited_arrivals_ = 0;
+  /// Part of the limit that `CheckLimitUsed` found used.
+  double limit_used_ = 0;
+  base::MonotonicTime last_entry_fault_;
   int crashes_ = 0;
   int late_crashes_ = 0;
   base::MonotonicTime third_crash_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_run.h"
 
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -27,6 +28,11 @@
 constexpr int kDeadlineMs = 1'800;
 constexpr int kObjects = 20;
 constexpr milliseconds kCrashRequestInterval{300};
+/// Requests per second that upstreams name as their limits.
+constexpr std::array kLimits{0.5, 2.0, 5.0};
+/// The limited upstream after the faults, and its limit.
+constexpr std::size_t kLimitedUpstream = 2;
+constexpr double kLimitAfterFaults = 2.5;
 
 /// The processes, stand-ins and threads of one seed.
 class Run {
@@ -137,13 +143,15 @@
     while (base::MonotonicNow() < end) {
       checker_.RecordFault();
       InjectFault(service);
+      if (fault_hits_entry_) checker_.RecordEntryFault();
       InjectAnnouncement(service);
       checker_.RecordFault();
       std::this_thread::sleep_for(milliseconds(200 + random_() % 1'500));
     }
   }
 
-  /// Makes an upstream announce in its answers that it leaves or is backing off. Uses a separate
+  /// Makes an upstream announce in its answers that it leaves, is backing off or limits its
+  /// requests, or that its limit has ended. Uses a separate
   /// random generator, so that a seed keeps its sequence of faults.
   void InjectAnnouncement(StandinService& service) {
     const std::size_t upstream = announcements_random_() % service.size();
@@ -152,14 +160,19 @@
         return service.LeaveWithoutAnnouncement(upstream);
       case 1:
         return service.StartBackOff(upstream);
-      default:
+      case 2:
+        service.StartLimit(upstream, kLimits.at(upstream % kLimits.size()));
         return;
+      default:
+        return service.EndLimit(upstream);
     }
   }
 
   void InjectFault(StandinService& service) {
     const std::size_t node = random_() % deployment_.size();
     const auto kind = random_() % 8;
+    fault_hits_entry_ = kind <= 2 && node >= deployment_.replica_count();
+    if (fault_hits_entry_) checker_.RecordEntryFault();
     fault_log_.push_back(std::to_string(base::WallNowMillis()) + " fault " + std::to_string(kind) +
                          " at process " + std::to_string(node));
     switch (kind) {
@@ -220,9 +233,12 @@
     service.set_lost_share(0);
     service.LeaveWithoutAnnouncement(0);
     service.StartBackOff(1);
+    const auto limited = service.StartLimit(kLimitedUpstream, kLimitAfterFaults);
     std::this_thread::sleep_for(kRecoveryTime);
     checker_.BeginMeasuring();
+    const auto since = base::MonotonicNow() - kMeasuringTime;
     std::this_thread::sleep_for(kMeasuringTime);
+    checker_.CheckLimitUsed(limited, since);
   }
 
   std::vector<std::string> Finish() {
@@ -259,6 +275,8 @@
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> valid_catalog_refused_ = false;
   bool stop_timed_out_ = false;
+  /// Whether the latest fault killed, paused or restarted an entry.
+  bool fault_hits_entry_ = false;
   /// Answer of the last catalog read that failed.
   std::string last_read_;
   base::MonotonicTime disk_loss_due_;
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -82,6 +82,7 @@
   upstream.down = false;
   upstream.leaving = false;
   upstream.back_off_until = {};
+  upstream.limit.reset();
   upstream.drain_acknowledged = false;
 }
 
@@ -101,16 +102,30 @@
   upstreams_[upstream].back_off_until = base::MonotonicNow() + kBackOffTime;
 }
 
+std::string StandinService::StartLimit(std::size_t upstream, double requests_per_second) {
+  const std::lock_guard lock(mutex_);
+  upstreams_[upstream].limit = requests_per_second;
+  return upstreams_[upstream].id;
+}
+
+void StandinService::EndLimit(std::size_t upstream) {
+  const std::lock_guard lock(mutex_);
+  upstreams_[upstream].limit.reset();
+  checker_.RecordLimitEnded(upstreams_[upstream].id);
+}
+
 void StandinService::Serve(Upstream& upstream,
                            const std::shared_ptr<net::InboundRequest>& inbound) {
   std::string id;
   bool leaving = false;
   base::MonotonicTime back_off_until;
+  std::optional<double> limit;
   {
     const std::lock_guard lock(mutex_);
     id = upstream.id;
     leaving = upstream.leaving;
     back_off_until = upstream.back_off_until;
+    limit = upstream.limit;
   }
   if (platform::ExpectedServer(inbound->request) != id) {
     http::Response other;
@@ -123,27 +138,34 @@
     return asio::post(loop_, [this, &upstream] { Crash(upstream); });
   }
   const auto now = base::MonotonicNow();
+  if (limit) checker_.RecordLimitedArrival(id, now);
   if (now < back_off_until) {
     checker_.RecordBackOffArrival(id, now);
     const auto request_id = platform::RequestIdOf(inbound->request);
     return inbound->Answer(platform::BackOffAnswer(request_id, back_off_until - now));
   }
   if (leaving) checker_.RecordDrainAcknowledged(id);
-  Run(inbound, leaving);
+  Run(inbound, id, leaving, limit);
 }
 
-void StandinService::Run(const std::shared_ptr<net::InboundRequest>& inbound, bool leaving) {
+void StandinService::Run(const std::shared_ptr<net::InboundRequest>& inbound, const std::string& id,
+                         bool leaving, std::optional<double> limit) {
   const std::string request = platform::RequestIdOf(inbound->request);
   checker_.RecordRun(request, inbound->request.method == "GET");
   auto timer = std::make_shared<asio::steady_timer>(loop_, milliseconds(5 + random_() % 40));
   const bool lost = static_cast<double>(random_() % 1'000) < lost_share_ * 1'000;
-  timer->async_wait([inbound, request, timer, lost, leaving](asio::error_code error) {
-    if (error) return;
-    if (lost) return inbound->Abort();
-    auto answer = platform::ServerAnswer(request, "answer to " + request);
-    if (leaving) platform::AddLeavingHeader(answer);
-    inbound->Answer(std::move(answer));
-  });
+  timer->async_wait(
+      [this, inbound, request, timer, lost, id, leaving, limit](asio::error_code error) {
+        if (error) return;
+        if (lost) return inbound->Abort();
+        auto answer = platform::ServerAnswer(request, "answer to " + request);
+        if (leaving) platform::AddLeavingHeader(answer);
+        if (limit) {
+          platform::AddLimitHeader(answer, *limit);
+          checker_.RecordLimit(id, *limit);
+        }
+        inbound->Answer(std::move(answer));
+      });
 }
 
 void StandinService::AnnounceLoop() {
--- a/tests/soak/standin_service.h
+++ b/tests/soak/standin_service.h
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -34,6 +35,10 @@
   void LeaveWithoutAnnouncement(std::size_t upstream);
   /// Makes an upstream refuse all requests for 3 s, with the remaining time as its back-off time.
   void StartBackOff(std::size_t upstream);
+  /// Makes an upstream name a limit in its answers, until `EndLimit` or its next start. Returns its
+  /// id.
+  std::string StartLimit(std::size_t upstream, double requests_per_second);
+  void EndLimit(std::size_t upstream);
   /// Sets the fraction (0 to 1) of the answers that are lost after their requests have run.
   void set_lost_share(double share) { lost_share_ = share; }
   std::size_t size() const { return upstreams_.size(); }
@@ -50,13 +55,16 @@
     /// Its answers, but not its announcements, say that it leaves.
     bool leaving = false;
     base::MonotonicTime back_off_until;
+    /// Requests per second that its answers name as the limit; empty for none.
+    std::optional<double> limit;
     bool drain_acknowledged = false;
     base::MonotonicTime replace_due;
     std::unique_ptr<net::HttpListener> listener;
   };
 
   void Serve(Upstream& upstream, const std::shared_ptr<net::InboundRequest>& inbound);
-  void Run(const std::shared_ptr<net::InboundRequest>& inbound, bool leaving);
+  void Run(const std::shared_ptr<net::InboundRequest>& inbound, const std::string& id, bool leaving,
+           std::optional<double> limit);
   void Announce(std::size_t upstream);
   void AnnounceLoop();
   void Listen(Upstream& upstream);
