Tell a withdrawn request from a failed connect

What callers saw: while an upstream backed off, left or limited its requests, one that was chosen just before counted as a failed connect, and the upstream got nothing until its next announcement or for 5 s. Cause: one outcome, not_connected, stood for both. A limit or a back-off would take its upstream for unreachable. Change: the outcome not_sent, which says nothing about the upstream. Result: upstream_connection::tells_a_withdrawn_request_from_a_failed_connect failed before (the outcome was not_connected) and passes. Conclusion: a limit doesn't mark its upstream as dead.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -10,9 +10,10 @@
 namespace wagtailpick::net {
 namespace {
 
-constexpr std::array<base::EnumName<ExchangeOutcome>, 3> kOutcomeNames{{
+constexpr std::array<base::EnumName<ExchangeOutcome>, 4> kOutcomeNames{{
     {ExchangeOutcome::kAnswered, "answered"},
     {ExchangeOutcome::kNotConnected, "not_connected"},
+    {ExchangeOutcome::kNotSent, "not_sent"},
     {ExchangeOutcome::kBroken, "broken"},
 }};
 
@@ -69,7 +70,7 @@
     DetectDeadPeer(self->socket_, kDeadUpstreamTimeout);
     const auto should_send = std::exchange(self->may_send, nullptr);
     if (should_send && !should_send()) {
-      return self->Fail(ExchangeOutcome::kNotConnected, "cancelled before the request was sent");
+      return self->Fail(ExchangeOutcome::kNotSent, "cancelled before the request was sent");
     }
     self->Send();
   });
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -18,8 +18,10 @@
 enum class ExchangeOutcome : std::uint8_t {
   /// A complete answer was received.
   kAnswered,
-  /// No byte of the request was sent: connecting failed, or `may_send` returned false.
+  /// Connecting failed, so no byte of the request was sent.
   kNotConnected,
+  /// The connection was opened, but `may_send` returned false, so no byte of the request was sent.
+  kNotSent,
   /// The connection was lost before a complete answer, or the answer was malformed or exceeded a
   /// limit. The upstream may have run the request.
   kBroken,
@@ -58,7 +60,7 @@
   std::function<void(const std::shared_ptr<UpstreamConnection>&)> on_idle;
 
   /// Called once after a new connection is established, before the request is sent. If it returns
-  /// false, the exchange ends with `kNotConnected`. Not called on a reused connection.
+  /// false, the exchange ends with `kNotSent`. Not called on a reused connection.
   std::function<bool()> may_send;
 
   /// Closes the connection without calling `done` for a running exchange. Most upstreams then
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -10,13 +10,27 @@
 using logging::Level;
 using placement::Outcome;
 
-/// Connection failures of one request after which it is refused.
+/// Connection failures and withdrawn attempts of one request after which it is refused.
 constexpr std::uint32_t kMaxFailedConnects = 3;
 /// Characters of an upstream's text that are logged.
 constexpr std::size_t kMaxLoggedText = 64;
 /// Reason in logs and metrics.
 constexpr std::string_view kBlockedReason = "crashes_upstreams";
 
+/// Returns what an exchange without an answer says about its upstream.
+Outcome OutcomeOf(net::ExchangeOutcome outcome) {
+  switch (outcome) {
+    case net::ExchangeOutcome::kBroken:
+      return Outcome::kFailed;
+    case net::ExchangeOutcome::kNotConnected:
+      return Outcome::kUnreachable;
+    case net::ExchangeOutcome::kNotSent:
+    case net::ExchangeOutcome::kAnswered:
+      break;
+  }
+  return Outcome::kUnknown;
+}
+
 }  // namespace
 
 void RequestRun::ApplyUpstreamStatus(const Attempt& attempt, const ClassifiedAnswer& classified) {
@@ -42,15 +56,13 @@
 }
 
 void RequestRun::HandleLoss(const Attempt& attempt, const net::ExchangeResult& result) {
-  const bool connected = result.outcome != net::ExchangeOutcome::kNotConnected;
-  EndAttempt(attempt, connected ? Outcome::kFailed : Outcome::kUnreachable,
-             net::ToString(result.outcome));
+  EndAttempt(attempt, OutcomeOf(result.outcome), net::ToString(result.outcome));
   Log(Level::kWarning, "exchange_lost", result.detail,
       {{"upstream", attempt.choice.upstream},
        {"end", std::string(net::ToString(result.outcome))},
        {"reused", result.reused ? "true" : "false"},
        {"answer_started", result.answer_started ? "true" : "false"}});
-  if (connected) {
+  if (result.outcome == net::ExchangeOutcome::kBroken) {
     may_have_run_ = true;
     return ExamineLoss(attempt);
   }
