--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -236,7 +236,10 @@
                                                              : kOtherRegionTrafficCost;
   // A failure costs another attempt, on an upstream that is likely to be cold.
   const auto failures = Scale(estimate.cold(), candidate.condition->failure_share());
-  candidate.cost = candidate.total + traffic + failures +
+  // The replica that issues the tokens of an upstream is in its region.
+  const auto token =
+      candidate.limit == nullptr ? base::Duration::zero() : network_.RoundTrip(report.data_centre);
+  candidate.cost = candidate.total + traffic + failures + token +
                    Scale(slot_time, kLoadWeight * std::min(1.0, load / slots));
 }
 
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -35,9 +35,10 @@
 
   void Announce(const std::string& id, const std::string& data_centre, Duration cold = {},
                 upstreams::State state = upstreams::State::kReady,
-                const MonotonicTime& now = kStart) {
+                const MonotonicTime& now = kStart, std::int64_t started_unix_ms = 0) {
     upstreams::UpstreamReport report;
     report.id = id;
+    report.started_unix_ms = started_unix_ms;
     report.sequence = ++sequence;
     report.service = "s";
     report.address =
@@ -50,7 +51,7 @@
   }
 
   placement::Choice Choose(const placement::PlacementRequest& request, MonotonicTime now = kStart) {
-    return chooser.Choose(request, {&table, &catalog, &evacuated}, now);
+    return chooser.Choose(request, {&table, &catalog, &evacuated, nullptr, &limits}, now);
   }
 
   placement::PlacementRequest MakeRequest() const {
@@ -64,6 +65,7 @@
   upstreams::UpstreamTable table;
   catalog::Catalog catalog;
   std::set<std::string> evacuated;
+  limits::EntryLimits limits{"e1"};
   placement::Chooser chooser;
   std::uint64_t sequence = 0;
   /// Port of each upstream.
@@ -374,3 +376,50 @@
   cr_expect(none.refusal == Refusal::kBackingOff);
   cr_expect(none.retry_after == seconds(3));
 }
+
+// Guards against requests to an upstream whose limit holds them back, against callers that are not
+// told when it has room, and against a limit that takes an upstream for failing.
+Test(chooser, passes_over_an_upstream_whose_limit_holds_requests_back) {
+  World world;
+  const auto request = world.MakeRequest();
+  world.limits.table().Apply({"near1", 0, 2.5, false, seconds(1)}, kStart);
+  const auto limited = world.Choose(request);
+  cr_expect(limited.upstream == "near1" && limited.needs_token);
+  world.limits.HoldBack("near1", true, kStart + seconds(1));
+  const auto other = world.Choose(request);
+  cr_expect(other.upstream == "near2" && !other.needs_token);
+  cr_assert(other.held_back_by.has_value());
+  cr_expect(other.held_back_by->upstream == "near1");
+  cr_expect(other.held_back_by->requests_per_second == 2.5);
+  cr_expect(other.held_back_by->age == seconds(1));
+  cr_expect(world.Choose(request, kStart + seconds(1)).upstream == "near1");
+  cr_expect(world.chooser.ConsumeObservations(kStart).empty());
+  auto last = world.MakeRequest();
+  last.tried = {"near2", "far"};
+  const auto none = world.Choose(last);
+  cr_expect(none.refusal == Refusal::kRateLimited);
+  cr_expect(none.retry_after == seconds(1));
+}
+
+// Guards against urgent requests that wait for the tokens of others, hedges that need one, and a
+// new run that inherits the limit of the old one.
+Test(chooser, applies_a_limit_by_urgency_and_run) {
+  World world;
+  world.limits.table().Apply({"near1", 0, 2.5, false, {}}, kStart);
+  world.limits.HoldBack("near1", false, kStart + seconds(1));
+  auto urgent_route = world.catalog.routes().front();
+  urgent_route.priority = catalog::kLeastUrgentPriority;
+  auto ordinary_route = urgent_route;
+  ordinary_route.priority = catalog::kLeastUrgentPriority + 1;
+  auto request = world.MakeRequest();
+  request.route = &ordinary_route;
+  cr_expect(world.Choose(request).upstream == "near2");
+  request.route = &urgent_route;
+  cr_expect(world.Choose(request).upstream == "near1");
+  request.skip_limited = true;
+  cr_expect(world.Choose(request).upstream == "near2");
+  request.skip_limited = false;
+  world.Announce("near1", "a1", {}, upstreams::State::kReady, kStart, 9);
+  const auto choice = world.Choose(request);
+  cr_expect(choice.upstream == "near1" && !choice.needs_token);
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -8,7 +8,9 @@
 #include <array>
 #include <asio/connect.hpp>
 #include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 namespace wagtailpick::relay_test {
@@ -199,6 +201,22 @@
   thread_.join();
 }
 
+void RelayHost::AnswerTokenRequests(TokenScript script, base::Duration delay) {
+  asio::post(loop_, [this, script = std::move(script), delay] {
+    relay_->token_requests().set_sender([this, script, delay](const limits::TokenRequest& request) {
+      ++token_requests_;
+      auto answer = script(request);
+      if (!answer) return true;
+      answer->id = request.id;
+      const auto timer = std::make_shared<asio::steady_timer>(loop_, delay);
+      timer->async_wait([this, answer, timer](asio::error_code error) {
+        if (!error) relay_->token_requests().HandleAnswer(*answer);
+      });
+      return true;
+    });
+  });
+}
+
 std::string RelayHost::Exchange(const std::string& bytes, base::Duration wait) const {
   const int socket = ConnectTo(endpoint_);
   if (socket < 0) return "not connected";
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -71,6 +72,15 @@
   RelayHost(const RelayHost&) = delete;
   RelayHost& operator=(const RelayHost&) = delete;
 
+  /// Answers a request for a token; nothing for no answer. `id` of the answer is not used.
+  using TokenScript =
+      std::function<std::optional<limits::TokenAnswer>(const limits::TokenRequest& request)>;
+  /// Simulates a replica that answers requests for tokens after `delay`. Without it, no replica can
+  /// be reached.
+  void AnswerTokenRequests(TokenScript script, base::Duration delay = {});
+  /// Number of requests for tokens.
+  int token_requests() const { return token_requests_; }
+
   /// Sends raw bytes to the relay. Returns all bytes received until they end with "END", the relay
   /// closes the connection, or `wait` has passed.
   std::string Exchange(const std::string& bytes, base::Duration wait) const;
@@ -84,6 +94,7 @@
   std::unique_ptr<relay::Relay> relay_;
   std::unique_ptr<net::HttpListener> listener_;
   base::Endpoint endpoint_;
+  std::atomic<int> token_requests_ = 0;
   std::thread thread_;
 };
 
