Explain which limit sent a request elsewhere

Change: request_sent, and request_ended of a refusal, name the upstream passed over, its limit and the limit's age; explain shows the last change of that limit beside the other state of the upstream.

--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -22,14 +22,14 @@
 /// Characters of an upstream's text that are logged.
 constexpr std::size_t kMaxLoggedText = 64;
 
-std::string Hundredths(double value) {
+}  // namespace
+
+std::string FormatLimit(double requests_per_second) {
   std::array<char, 32> text{};
-  const int length = std::snprintf(text.data(), text.size(), "%.2f", value);
+  const int length = std::snprintf(text.data(), text.size(), "%.2f", requests_per_second);
   return {text.data(), static_cast<std::size_t>(length)};
 }
 
-}  // namespace
-
 Relay::Relay(asio::io_context& loop, const RelayOptions& options, Dialect dialect,
              RoutingState& routing_state, metrics::Registry& registry)
     : loop_(loop),
@@ -145,7 +145,7 @@
               {"upstream", id},
               {"incarnation", std::to_string(started_unix_ms)},
               {"change", std::string(limits::ToString(change))},
-              {"limit_per_s", Hundredths(limit->requests_per_second)},
+              {"limit_per_s", FormatLimit(limit->requests_per_second)},
               {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}},
              now);
 }
@@ -154,7 +154,7 @@
                                                base::MonotonicTime now) const {
   const auto* limit = limits_.table().Find(id, started_unix_ms);
   if (limit == nullptr || limit->ended) return {};
-  return {{"limit_per_s", Hundredths(limit->requests_per_second)},
+  return {{"limit_per_s", FormatLimit(limit->requests_per_second)},
           {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}};
 }
 
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -26,6 +26,9 @@
 
 namespace wagtailpick::relay {
 
+/// Returns a rate limit, in requests per second, as text for logs.
+std::string FormatLimit(double requests_per_second);
+
 /// What an entry currently knows and routes requests by.
 struct RoutingState {
   /// Null until the first catalog has arrived.
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -182,11 +182,7 @@
   for (auto& field : relay_.LimitFields(choice.upstream, started_unix_ms, now)) {
     fields.push_back(std::move(field));
   }
-  if (choice.held_back_by) {
-    fields.push_back({"held_back_by", choice.held_back_by->upstream});
-    fields.push_back({"held_back_limit_per_s", Tenths(choice.held_back_by->requests_per_second)});
-    fields.push_back({"held_back_limit_age_ms", Millis(choice.held_back_by->age)});
-  }
+  AddHeldBackFields(choice, fields);
   Log(Level::kInfo, "request_sent", "to " + choice.address, std::move(fields));
 }
 
@@ -361,15 +357,17 @@
   EndAllAttempts("overtaken");
   const auto total = base::MonotonicNow() - inbound_->received_at;
   relay_.metrics_.RecordAnswer(reason.empty() ? outcome : reason, total);
+  std::vector<logging::Field> fields{{"reason", std::string(reason)},
+                                     {"status", std::to_string(response.status)},
+                                     {"upstream", choice_.upstream},
+                                     {"sends", std::to_string(sends_)},
+                                     {"total_ms", Millis(total)},
+                                     {"expected_ms", Millis(choice_.expected_total)},
+                                     {"heard_age_ms", Millis(choice_.last_seen_age)},
+                                     {"candidates", std::to_string(choice_.candidates)}};
+  if (choice_.refusal != Refusal::kNone) AddHeldBackFields(choice_, fields);
   Log(outcome == "served" ? Level::kInfo : Level::kWarning, "request_ended", std::string(outcome),
-      {{"reason", std::string(reason)},
-       {"status", std::to_string(response.status)},
-       {"upstream", choice_.upstream},
-       {"sends", std::to_string(sends_)},
-       {"total_ms", Millis(total)},
-       {"expected_ms", Millis(choice_.expected_total)},
-       {"heard_age_ms", Millis(choice_.last_seen_age)},
-       {"candidates", std::to_string(choice_.candidates)}});
+      std::move(fields));
   inbound_->Answer(std::move(response));
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -83,6 +83,9 @@
   /// their rate limits; otherwise nothing.
   std::optional<base::Duration> RetryAfterFor(const placement::Choice& choice) const;
   void Finish(http::Response response, std::string_view outcome, std::string_view reason);
+  /// Adds the upstream that the choice passed over for its rate limit, if there is one.
+  static void AddHeldBackFields(const placement::Choice& choice,
+                                std::vector<logging::Field>& fields);
   void LogSent(const placement::Choice& choice, base::MonotonicTime now);
   void Log(logging::Level level, const std::string& event, const std::string& message,
            std::vector<logging::Field> fields);
--- a/src/libs/relay/request_run_tokens.cpp
+++ b/src/libs/relay/request_run_tokens.cpp
@@ -64,6 +64,15 @@
   StartAttempt();
 }
 
+void RequestRun::AddHeldBackFields(const placement::Choice& choice,
+                                   std::vector<logging::Field>& fields) {
+  if (!choice.held_back_by) return;
+  const auto& by = *choice.held_back_by;
+  fields.push_back({"held_back_by", by.upstream});
+  fields.push_back({"held_back_limit_per_s", FormatLimit(by.requests_per_second)});
+  fields.push_back({"held_back_limit_age_ms", std::to_string(by.age.count() / 1'000)});
+}
+
 void RequestRun::LogHeldBack(const placement::Choice& choice, std::int64_t started_unix_ms,
                              std::string_view token, base::Duration delay) {
   std::vector<logging::Field> fields{{"upstream", choice.upstream},
--- a/src/tools/wagtailpick/explain_command.cpp
+++ b/src/tools/wagtailpick/explain_command.cpp
@@ -17,6 +17,10 @@
 using nlohmann::json;
 
 constexpr const char* kProcessStarted = "process_started";
+/// Changes the rate limit of an upstream, which holds beside its other state.
+constexpr const char* kLimitChanged = "upstream_limit_changed";
+/// Fields of a line that name an upstream: where the request went, or why it went elsewhere.
+constexpr std::array kUpstreamFields{"upstream", "held_back_by"};
 /// Events that change the routing state of a process for all requests. The last event of each kind
 /// gives the current state.
 constexpr std::array kRoutingStateEvents{kProcessStarted, "catalog_in_force", "evacuations_changed",
@@ -24,7 +28,7 @@
 /// Events that change the state of one upstream, whose id is the message.
 constexpr std::array kUpstreamStateEvents{"upstream_changed", "upstream_forgotten",
                                           "upstream_leaving", "upstream_wants_nothing",
-                                          "upstream_limit_changed"};
+                                          kLimitChanged};
 
 /// One line of a log. `object` is its whole JSON object; the other members are taken from it.
 struct LogLine {
@@ -73,7 +77,7 @@
     if (line.event == kProcessStarted) last.clear();
     if (IsOneOf(line.event, kRoutingStateEvents)) last[line.event] = i;
     if (IsOneOf(line.event, kUpstreamStateEvents) && upstreams.contains(line.Message())) {
-      last[line.Message()] = i;
+      last[line.event == kLimitChanged ? kLimitChanged + line.Message() : line.Message()] = i;
     }
   }
   std::set<std::size_t> positions;
@@ -115,7 +119,7 @@
   for (std::size_t i = 0; i < lines.size(); ++i) {
     if (lines[i].Field("request_id") != id) continue;
     selected.insert(i);
-    upstreams.insert(lines[i].Field("upstream"));
+    for (const auto* field : kUpstreamFields) upstreams.insert(lines[i].Field(field));
     first_of_vm.try_emplace(lines[i].vm, i);
   }
   if (selected.empty()) {
--- a/tests/auto/processes/explain_test.cpp
+++ b/tests/auto/processes/explain_test.cpp
@@ -69,3 +69,27 @@
     Expect(explain({"r1", folder.Path("none")}) == kExitInvalidInput, "a missing file was read");
   });
 }
+
+// Guards against an explanation that omits why a request went to another upstream than the one that
+// its object prefers: the limit of that upstream, and when the entry learned of it.
+Test(explain, shows_the_limit_that_held_a_request_back) {
+  RunTest([] {
+    const WorkFolder folder;
+    const std::string limit = R"(, "limit_per_s": "2.40", "change": "started")";
+    const std::string held_back = R"(, "held_back_by": "i-2", "held_back_limit_per_s": "2.40")";
+    const std::string entry = folder.Write(
+        "e.log",
+        Line("01,000", "e", "upstream_changed", "i-2", R"(, "state": "ready")") +
+            Line("02,000", "e", "upstream_limit_changed", "i-2", limit) +
+            Line("04,000", "e", "request_sent", "to a", RequestFields("r1", "i-1") + held_back));
+    Child tool({WAGTAILPICK_TOOL, "explain", "r1", entry}, folder.Path("out"), folder.Path("err"));
+    Expect(tool.Wait() == 0, folder.Read("err"));
+    Expect(folder.Read("out") ==
+               "2026-12-04 07:00:01,000 e upstream_changed: i-2 state=ready\n"
+               "2026-12-04 07:00:02,000 e upstream_limit_changed: i-2 change=started "
+               "limit_per_s=2.40\n"
+               "2026-12-04 07:00:04,000 e request_sent: to a held_back_by=i-2 "
+               "held_back_limit_per_s=2.40 upstream=i-1\n",
+           folder.Read("out"));
+  });
+}
