Keep spent shares of cold upstreams however many upstreams there are

What callers saw: nothing; a cold upstream could get a second share of requests from an entry. Cause: beyond 1,024 recorded upstreams all records were dropped, so each share was fresh at once. Records also never left otherwise, so a daemon reached that number by starts of upstreams alone. Change: beyond that number only records are removed whose window is over; the next check comes at twice what is left, so its cost doesn't grow with the number of upstreams. Conclusion: memory follows the requests of the last 1.15 s, and nothing that binds is dropped.

--- a/src/libs/placement/cold_rate_limiter.cpp
+++ b/src/libs/placement/cold_rate_limiter.cpp
@@ -12,9 +12,6 @@
 constexpr base::Duration kWindow = std::chrono::milliseconds(1'150);
 /// Share of the limit that is used. The rest is left for an entry that the others do not know yet.
 constexpr double kUsedShareOfLimit = 0.75;
-/// Upstreams that are kept; beyond it, all are dropped to bound the memory.
-constexpr std::size_t kMaxUpstreams = 1'024;
-
 std::uint64_t RendezvousScore(const std::string& entry, const std::string& upstream) {
   return XXH3_64bits_withSeed(entry.data(), entry.size(),
                               XXH3_64bits(upstream.data(), upstream.size()));
@@ -32,7 +29,7 @@
   const auto key = std::make_pair(upstream, allowed);
   const auto known = shares_.find(key);
   if (known != shares_.end()) return known->second;
-  if (shares_.size() > kMaxUpstreams) shares_.clear();
+  if (shares_.size() >= kMaxUpstreams) shares_.clear();
   return shares_[key] = ComputeShare(upstream, allowed);
 }
 
@@ -59,9 +56,14 @@
 }
 
 void ColdRateLimiter::RecordRequest(const std::string& upstream, base::MonotonicTime now) {
-  if (recent_times_.size() > kMaxUpstreams) recent_times_.clear();
+  const auto is_over = [now](auto at) { return now - at >= kWindow; };
+  // Records within the window still bind, however many there are.
+  if (recent_times_.size() >= cleanup_size_) {
+    std::erase_if(recent_times_, [&](const auto& item) { return is_over(item.second.back()); });
+    cleanup_size_ = std::max(kMaxUpstreams, 2 * recent_times_.size());
+  }
   auto& times = recent_times_[upstream];
-  std::erase_if(times, [now](auto at) { return now - at >= kWindow; });
+  std::erase_if(times, is_over);
   times.push_back(now);
 }
 
--- a/src/libs/placement/cold_rate_limiter.h
+++ b/src/libs/placement/cold_rate_limiter.h
@@ -40,7 +40,13 @@
   /// Records a request that is sent to the cold upstream.
   void RecordRequest(const std::string& upstream, base::MonotonicTime now);
 
+  /// Number of upstreams whose requests are recorded.
+  std::size_t recorded_upstreams() const { return recent_times_.size(); }
+
  private:
+  /// Upstreams that are kept without a check whether their records have expired.
+  static constexpr std::size_t kMaxUpstreams = 1'024;
+
   /// Returns the number of requests that this entry may send to the upstream in a window.
   std::uint32_t RequestsPerWindow(const std::string& upstream,
                                   const catalog::Service& service) const;
@@ -51,6 +57,8 @@
   std::vector<std::string> entries_;
   /// Times of this entry's recent requests by upstream.
   std::map<std::string, std::vector<base::MonotonicTime>> recent_times_;
+  /// Number of upstreams in `recent_times_` at which those without recent requests are removed.
+  std::size_t cleanup_size_ = kMaxUpstreams;
   /// Cache of computed shares, by upstream and by the requests that all entries may send: ranking
   /// all entries for each cold upstream of a service takes longer than the rest of a choice.
   mutable std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> shares_;
--- a/tests/auto/placement/cold_rate_limiter_test.cpp
+++ b/tests/auto/placement/cold_rate_limiter_test.cpp
@@ -53,3 +53,28 @@
   }
   cr_expect(MaxRequestsPerSecond(11, {1.5, 5}, 7.4) <= 16);
 }
+
+// Guards against a cold upstream whose spent shares are granted again because many other upstreams
+// got requests meanwhile.
+Test(cold_rate_limiter, keeps_spent_shares_beside_many_upstreams) {
+  placement::ColdRateLimiter limiter("e1", {1.5, 5});
+  limiter.SetEntries({"e1"});
+  catalog::Service service;
+  service.cold_rate = 2.6;
+  const MonotonicTime start{std::chrono::seconds(1)};
+  while (limiter.Allows("i-1", service, start)) limiter.RecordRequest("i-1", start);
+  for (int i = 0; i < 1'100; ++i) {
+    limiter.RecordRequest("other-" + std::to_string(i), start + milliseconds(1));
+  }
+  cr_expect(!limiter.Allows("i-1", service, start + milliseconds(2)));
+}
+
+// Guards against memory that grows with each cold upstream there ever was.
+Test(cold_rate_limiter, forgets_upstreams_after_their_window) {
+  placement::ColdRateLimiter limiter("e1", {1.5, 5});
+  limiter.SetEntries({"e1"});
+  for (int i = 0; i < 20'000; ++i) {
+    limiter.RecordRequest("i-" + std::to_string(i), MonotonicTime() + milliseconds(10 * i));
+  }
+  cr_expect(limiter.recorded_upstreams() <= 1'100);
+}
