Give an entry no share of common limits before it knows the other entries

What callers saw: nothing; a service could get more retries, a cold upstream more requests than all entries together may send, in the moments after entries start. Change: until the list comes, an entry has no share of a cold upstream's limit and none of the slack of the retry limit; what its own requests earn stays. An entry that is alone gets a list with its own name. The fixtures now set the list, as a replica does. Conclusion: unknown counts are safe.

--- a/src/libs/placement/cold_rate_limiter.cpp
+++ b/src/libs/placement/cold_rate_limiter.cpp
@@ -20,10 +20,11 @@
 }  // namespace
 
 ColdRateLimiter::ColdRateLimiter(std::string self, const ColdRateLimit& limit)
-    : self_(std::move(self)), limit_(limit), entries_{self_} {}
+    : self_(std::move(self)), limit_(limit) {}
 
 std::uint32_t ColdRateLimiter::RequestsPerWindow(const std::string& upstream,
                                                  const catalog::Service& service) const {
+  if (entries_.empty()) return 0;
   const double total = (service.cold_rate * limit_.factor + limit_.slack) * kUsedShareOfLimit;
   const auto allowed = static_cast<std::uint32_t>(std::max(total, 1.0));
   const auto key = std::make_pair(upstream, allowed);
@@ -35,7 +36,7 @@
 
 std::uint32_t ColdRateLimiter::ComputeShare(const std::string& upstream,
                                             std::uint32_t allowed) const {
-  const auto entries = static_cast<std::uint32_t>(std::max<std::size_t>(entries_.size(), 1));
+  const auto entries = static_cast<std::uint32_t>(entries_.size());
   const std::uint32_t each = allowed / entries;
   const std::uint32_t rest = allowed % entries;
   const auto own_score = RendezvousScore(self_, upstream);
--- a/src/libs/placement/cold_rate_limiter.h
+++ b/src/libs/placement/cold_rate_limiter.h
@@ -24,7 +24,8 @@
 /// entries than requests, rendezvous hashing picks the entries that may send one.
 class ColdRateLimiter {
  public:
-  /// `self` is the name of this entry.
+  /// `self` is the name of this entry. Until `SetEntries` is called, the other entries are unknown
+  /// and it has no share.
   ColdRateLimiter(std::string self, const ColdRateLimit& limit);
 
   /// Sets the names of all entries of the system, this one included.
--- a/src/libs/placement/retry_budget.cpp
+++ b/src/libs/placement/retry_budget.cpp
@@ -37,8 +37,8 @@
   const auto& counts = Advance(service, now);
   const auto requests = std::accumulate(counts.requests.begin(), counts.requests.end(), 0U);
   const auto retries = std::accumulate(counts.retries.begin(), counts.retries.end(), 0U);
-  const double earned = limit_.ratio * static_cast<double>(requests) +
-                        limit_.slack / static_cast<double>(entry_count_);
+  const double slack = entry_count_ == 0 ? 0 : limit_.slack / static_cast<double>(entry_count_);
+  const double earned = limit_.ratio * static_cast<double>(requests) + slack;
   return static_cast<double>(retries) + 1.0 <= earned * kUsedShareOfLimit;
 }
 
--- a/src/libs/placement/retry_budget.h
+++ b/src/libs/placement/retry_budget.h
@@ -25,8 +25,9 @@
  public:
   explicit RetryBudget(const RetryLimit& limit) : limit_(limit) {}
 
-  /// Sets the number of all entries, this one included; 0 counts as 1.
-  void SetEntries(std::size_t entries) { entry_count_ = entries == 0 ? 1 : entries; }
+  /// Sets the number of all entries, this one included; 0 while it is unknown. An entry then has no
+  /// share of the slack, as it may be one of many.
+  void SetEntries(std::size_t entries) { entry_count_ = entries; }
 
   /// Counts a request on its arrival, which adds to the budget.
   void RecordRequest(const std::string& service, base::MonotonicTime now);
@@ -52,7 +53,7 @@
   Counts& Advance(const std::string& service, base::MonotonicTime now);
 
   RetryLimit limit_;
-  std::size_t entry_count_ = 1;
+  std::size_t entry_count_ = 0;
   std::map<std::string, Counts> services_;
 };
 
--- a/tests/auto/placement/chooser_test.cpp
+++ b/tests/auto/placement/chooser_test.cpp
@@ -20,6 +20,7 @@
 struct World {
   World()
       : chooser(placement::NetworkDistance("a1", Regions()), placement::ColdRateLimiter("e1", {})) {
+    chooser.SetEntries({"e1"});
     catalog::Route route;
     route.name = "r";
     route.objective = milliseconds(300);
--- a/tests/auto/placement/cold_rate_limiter_test.cpp
+++ b/tests/auto/placement/cold_rate_limiter_test.cpp
@@ -78,3 +78,14 @@
   }
   cr_expect(limiter.recorded_upstreams() <= 1'100);
 }
+
+// Guards against entries that start together and each take the whole limit before they know the
+// others, and against an entry that is alone and never gets any.
+Test(cold_rate_limiter, has_no_share_while_the_entries_are_unknown) {
+  catalog::Service service;
+  service.cold_rate = 2.6;
+  placement::ColdRateLimiter limiter("e1", {1.5, 5});
+  cr_expect(!limiter.Allows("i-1", service, MonotonicTime()));
+  limiter.SetEntries({"e1"});
+  cr_expect(limiter.Allows("i-1", service, MonotonicTime()));
+}
--- a/tests/auto/placement/retry_budget_test.cpp
+++ b/tests/auto/placement/retry_budget_test.cpp
@@ -41,3 +41,20 @@
   }
   cr_expect(retries.size() > 500);
 }
+
+// Guards against entries that start together and each take the whole slack of the retry limit before
+// they know the others.
+Test(retry_budget, has_no_slack_while_the_entries_are_unknown) {
+  constexpr std::size_t kEntries = 185;
+  const placement::RetryLimit limit{0.2, 58, std::chrono::seconds(10)};
+  std::vector<placement::RetryBudget> entries(kEntries, placement::RetryBudget(limit));
+  int requests = 0;
+  int retries = 0;
+  for (auto& entry : entries) {
+    for (int i = 0; i < 20; ++i, ++requests) entry.RecordRequest("s", MonotonicTime());
+    while (entry.TryRetry("s", MonotonicTime())) ++retries;
+  }
+  cr_expect(retries <= 0.2 * requests + 58, "%d retries", retries);
+  // The part that a request earns is there from the beginning.
+  cr_expect(retries > 0);
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -178,6 +178,7 @@
   options.regions = {{"dc", "region"}};
   options.retry_bound.slack = 100;
   relay_ = std::make_unique<relay::Relay>(loop_, options, TestDialect(), routing_state_, metrics_);
+  relay_->SetEntries({options.vm});
   // Another process may take the free port before the listener binds it. Another port is tried
   // then.
   for (int attempt = 0; listener_ == nullptr && attempt < 20; ++attempt) {
