Limit an upstream in the soak that doesn't end before the check

Change: the first upstream that neither drains, leaves nor is down names the limit. Conclusion: a fault of the harness, not of the system.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -30,8 +30,9 @@
 constexpr milliseconds kCrashRequestInterval{300};
 /// Requests per second that upstreams name as their limits.
 constexpr std::array kLimits{0.5, 2.0, 5.0};
-/// The limited upstream after the faults, and its limit.
-constexpr std::size_t kLimitedUpstream = 2;
+/// The first upstream that may be limited after the faults, and its limit. The ones before it leave
+/// and back off.
+constexpr std::size_t kFirstLimited = 2;
 constexpr double kLimitAfterFaults = 2.5;
 
 /// The processes, stand-ins and threads of one seed.
@@ -161,8 +162,7 @@
       case 1:
         return service.StartBackOff(upstream);
       case 2:
-        service.StartLimit(upstream, kLimits.at(upstream % kLimits.size()));
-        return;
+        return service.StartLimit(upstream, kLimits.at(upstream % kLimits.size()));
       default:
         return service.EndLimit(upstream);
     }
@@ -233,7 +233,7 @@
     service.set_lost_share(0);
     service.LeaveWithoutAnnouncement(0);
     service.StartBackOff(1);
-    const auto limited = service.StartLimit(kLimitedUpstream, kLimitAfterFaults);
+    const auto limited = service.StartLimitOfLasting(kFirstLimited, kLimitAfterFaults);
     std::this_thread::sleep_for(kRecoveryTime);
     checker_.BeginMeasuring();
     const auto since = base::MonotonicNow() - kMeasuringTime;
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -102,10 +102,20 @@
   upstreams_[upstream].back_off_until = base::MonotonicNow() + kBackOffTime;
 }
 
-std::string StandinService::StartLimit(std::size_t upstream, double requests_per_second) {
+void StandinService::StartLimit(std::size_t upstream, double requests_per_second) {
   const std::lock_guard lock(mutex_);
   upstreams_[upstream].limit = requests_per_second;
-  return upstreams_[upstream].id;
+}
+
+std::string StandinService::StartLimitOfLasting(std::size_t first, double requests_per_second) {
+  const std::lock_guard lock(mutex_);
+  for (std::size_t i = first; i < upstreams_.size(); ++i) {
+    auto& upstream = upstreams_[i];
+    if (upstream.draining || upstream.leaving || upstream.down) continue;
+    upstream.limit = requests_per_second;
+    return upstream.id;
+  }
+  return {};
 }
 
 void StandinService::EndLimit(std::size_t upstream) {
--- a/tests/soak/standin_service.h
+++ b/tests/soak/standin_service.h
@@ -35,9 +35,11 @@
   void LeaveWithoutAnnouncement(std::size_t upstream);
   /// Makes an upstream refuse all requests for 3 s, with the remaining time as its back-off time.
   void StartBackOff(std::size_t upstream);
-  /// Makes an upstream name a limit in its answers, until `EndLimit` or its next start. Returns its
-  /// id.
-  std::string StartLimit(std::size_t upstream, double requests_per_second);
+  /// Makes an upstream name a limit in its answers, until `EndLimit` or its next start.
+  void StartLimit(std::size_t upstream, double requests_per_second);
+  /// Does the same with the first upstream from position `first` on that stays, and returns its id;
+  /// empty if all are about to end.
+  std::string StartLimitOfLasting(std::size_t first, double requests_per_second);
   void EndLimit(std::size_t upstream);
   /// Sets the fraction (0 to 1) of the answers that are lost after their requests have run.
   void set_lost_share(double share) { lost_share_ = share; }
