Report to replicas only the limits that an entry's own answers changed

Cause: an entry sent back to its replica each limit that the replica had told it: at 185 entries 185 messages for each change, and each made the statement look newer by the time that it travelled. Change: only RecordAnswer notes a change for the others. Conclusion: one change costs one report, its relay to the replicas and one message to each entry.

--- a/src/libs/limits/limit_table.cpp
+++ b/src/libs/limits/limit_table.cpp
@@ -49,19 +49,23 @@
   if (same_run && found->second.stated_at >= next.stated_at) return LimitChange::kNone;
   const auto change = ChangeBetween(same_run ? &found->second : nullptr, next);
   limits_[report.upstream] = next;
-  if (change != LimitChange::kNone) changes_[report.upstream] = change;
   return change;
 }
 
 LimitChange LimitTable::RecordAnswer(const std::string& upstream, std::int64_t started_unix_ms,
                                      std::optional<double> requests_per_second,
                                      base::MonotonicTime sent_at, base::MonotonicTime now) {
-  if (requests_per_second) {
-    return Apply({upstream, started_unix_ms, *requests_per_second, false, {}}, now);
+  LimitReport report{upstream, started_unix_ms, requests_per_second.value_or(0), false, {}};
+  if (!requests_per_second) {
+    const auto* known = Find(upstream, started_unix_ms);
+    if (known == nullptr || known->ended || sent_at <= known->stated_at) return LimitChange::kNone;
+    report.requests_per_second = known->requests_per_second;
+    report.ended = true;
+    report.age = now - sent_at;
   }
-  const auto* known = Find(upstream, started_unix_ms);
-  if (known == nullptr || known->ended || sent_at <= known->stated_at) return LimitChange::kNone;
-  return Apply({upstream, started_unix_ms, known->requests_per_second, true, now - sent_at}, now);
+  const auto change = Apply(report, now);
+  if (change != LimitChange::kNone) changed_by_answers_.insert(upstream);
+  return change;
 }
 
 const RateLimit* LimitTable::Find(const std::string& upstream, std::int64_t started_unix_ms) const {
@@ -84,7 +88,7 @@
 
 std::vector<LimitReport> LimitTable::ConsumeChanges(base::MonotonicTime now) {
   std::vector<LimitReport> list;
-  for (const auto& [upstream, change] : std::exchange(changes_, {})) {
+  for (const auto& upstream : std::exchange(changed_by_answers_, {})) {
     const auto found = limits_.find(upstream);
     if (found != limits_.end()) list.push_back(MakeReport(upstream, found->second, now));
   }
--- a/src/libs/limits/limit_table.h
+++ b/src/libs/limits/limit_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,7 +60,8 @@
                                 base::MonotonicTime now);
   /// Returns reports of all limits, ended ones included.
   std::vector<LimitReport> reports(base::MonotonicTime now) const;
-  /// Returns the reports of the limits that have changed since the last call.
+  /// Returns the reports of the limits that `RecordAnswer` has changed since the last call. Merged
+  /// reports are not returned: their senders tell the others.
   std::vector<LimitReport> ConsumeChanges(base::MonotonicTime now);
 
   /// Removes the limits of runs for which `is_over` returns true.
@@ -71,8 +73,8 @@
 
  private:
   std::map<std::string, RateLimit> limits_;
-  /// Upstreams whose limits have changed since `ConsumeChanges`.
-  std::map<std::string, LimitChange> changes_;
+  /// Upstreams whose limits `RecordAnswer` has changed since `ConsumeChanges`.
+  std::set<std::string> changed_by_answers_;
 };
 
 }  // namespace wagtailpick::limits
--- a/tests/auto/limits/limit_table_test.cpp
+++ b/tests/auto/limits/limit_table_test.cpp
@@ -60,18 +60,21 @@
   cr_expect(table.Find("u", kRun + 1)->requests_per_second == 7);
 }
 
-// Guards against changes that other processes never hear of, and against repeats that they do.
-Test(limit_table, returns_each_change_once) {
+// Guards against limits that other processes never hear of, and against entries that each send back
+// what a replica has told them, which also makes an old statement look newer.
+Test(limit_table, returns_each_change_of_its_own_answers_once) {
   LimitTable table;
-  table.Apply(Report(2, {}), kStart);
+  table.RecordAnswer("u", kRun, 2, kStart, kStart);
   cr_expect(table.ConsumeChanges(kStart).size() == 1);
-  table.Apply(Report(2, {}), kStart + seconds(1));
+  table.RecordAnswer("u", kRun, 2, kStart, kStart + seconds(1));
   cr_expect(table.ConsumeChanges(kStart + seconds(1)).empty());
   table.RecordAnswer("u", kRun, {}, kStart + seconds(2), kStart + seconds(3));
   const auto changes = table.ConsumeChanges(kStart + seconds(3));
   cr_assert(changes.size() == 1);
   cr_expect(changes[0].ended);
   cr_expect(changes[0].age == seconds(1));
+  table.Apply({"u", kRun, 4, false, {}}, kStart + seconds(4));
+  cr_expect(table.ConsumeChanges(kStart + seconds(4)).empty());
 }
 
 // Guards against memory that grows with each upstream that ever named a limit.
