--- a/tests/auto/placement/retry_budget_test.cpp
+++ b/tests/auto/placement/retry_budget_test.cpp
@@ -42,8 +42,8 @@
   cr_expect(retries.size() > 500);
 }
 
-// Guards against entries that start together and each take the whole slack of the retry limit before
-// they know the others.
+// Guards against entries that start together and each take the whole slack of the retry limit
+// before they know the others.
 Test(retry_budget, has_no_slack_while_the_entries_are_unknown) {
   constexpr std::size_t kEntries = 185;
   const placement::RetryLimit limit{0.2, 58, std::chrono::seconds(10)};
