Never answer 503 while an attempt of the request may have run

What callers saw: 503, which says that a charge or a read has not run, though an earlier attempt of the same request may have run it. Cause: one of the ends of a request, an upstream address that can't be parsed, refused without looking at earlier attempts. Each end had to check this itself. Change: Refuse checks it for all ends and answers 502; a hedge that can't be sent leaves the first attempt running. Result: relay::never_claims_not_run_after_an_attempt_that_may_have_run failed before (503) and passes; test_relay 30 passed. The reverse half, 502 where nothing can have run, stays open.

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -125,7 +125,6 @@
   const auto choice = Choose();
   if (choice.refusal != Refusal::kNone) {
     choice_ = choice;
-    if (may_have_run_) return Fail();
     return Refuse(placement::ToString(choice.refusal), RetryAfterFor(choice));
   }
   if (choice.needs_token) return RequestToken(choice);
@@ -135,7 +134,11 @@
 void RequestRun::Send(const placement::Choice& choice) {
   choice_ = choice;
   const auto endpoint = base::ParseEndpoint(choice.address);
-  if (!endpoint) return Refuse("bad_address");
+  if (!endpoint) {
+    // A hedge that cannot be sent leaves the first attempt running.
+    if (attempts_.empty()) Refuse("bad_address");
+    return;
+  }
   const auto now = base::MonotonicNow();
   placement_request_.tried.push_back(choice.upstream);
   const auto attempt_number = relay_.chooser_.RecordAttemptStart(choice, now);
@@ -274,7 +277,7 @@
   if (classified.kind == AnswerKind::kServerFailure) {
     return Finish(std::move(response), "failed", "server_failure");
   }
-  if (not_run && !may_have_run_) return Refuse("upstream_refused");
+  if (not_run) return Refuse("upstream_refused");
   Fail();
 }
 
@@ -338,6 +341,7 @@
 
 // Retry-After is chosen so that the caller still has time for an answer after its retry.
 void RequestRun::Refuse(std::string_view reason, std::optional<base::Duration> retry_after) {
+  if (may_have_run_ || !attempts_.empty()) return Fail();
   auto response = Plain(503);
   const auto time_left = attributes_.deadline.value_or(std::chrono::seconds(3)) -
                          (base::MonotonicNow() - inbound_->received_at);
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -76,7 +76,7 @@
   void Fail(std::string_view reason = "may_have_run");
   void HandleTimeout();
   void HandleClientLeft();
-  /// Answers 503: the request did not run. Without `retry_after`, the Retry-After header is derived
+  /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs. Without `retry_after`, the Retry-After header is derived
   /// from the time that the caller has left.
   void Refuse(std::string_view reason, std::optional<base::Duration> retry_after = std::nullopt);
   /// Returns when the caller may retry if all upstreams are backing off or hold requests back by
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -69,7 +69,6 @@
   --sends_;
   if (!attempts_.empty()) return;
   if (++failed_connects_ < kMaxFailedConnects && HasTimeForAttempt()) return StartAttempt();
-  if (may_have_run_) return Fail();
   Refuse("upstreams_unreachable");
 }
 
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -456,3 +456,14 @@
   cr_expect(host.token_requests() == 1);
   cr_expect(limited.requests() == 1);
 }
+
+// Guards against an answer that claims that a request did not run (503) after an earlier attempt may
+// have run it, because the next upstream's address is invalid.
+Test(relay, never_claims_not_run_after_an_attempt_that_may_have_run) {
+  FakeUpstream losing([](const std::string&, int) { return RawAnswer{"", true}; });
+  const RelayHost host({losing.address(), "not-an-address"});
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 502);
+  cr_expect(losing.requests() == 1);
+  const RelayHost other({"not-an-address"});
+  cr_expect(StatusOf(other.Exchange(Request("1"), kWait)) == 503);
+}
