Count a test program that crashes as failed beside a known red test

Cause: run-tests.sh set the exit code of a program to 0 when one of its failed tests was listed in KNOWN-RED.txt, so a crash of the program after that test went unnoticed. Change: only exit code 1 may be explained by listed tests; any other code counts as one more failure. Result: a stand-in program that prints a listed failure and then ends by SIGSEGV: exit code 0 before, 1 now; with exit code 1 the listed failure still passes.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -16,6 +16,7 @@
   status=$?
   ok=0
   bad=0
+  known_red=0
   while IFS= read -r line; do
     case "$line" in
       "ok "*) ok=$((ok + 1)) ;;
@@ -23,13 +24,19 @@
         test_name=$(printf '%s\n' "$line" | sed -E 's/^not ok - ([A-Za-z0-9_]+::[A-Za-z0-9_]+).*/\1/')
         if grep -qx "red: $test_name" KNOWN-RED.txt 2>/dev/null; then
           echo "known red: $test_name"
-          status=0
+          known_red=$((known_red + 1))
         else
           bad=$((bad + 1))
         fi ;;
     esac
   done < "$log"
-  if [ $status -ne 0 ] && [ $bad -eq 0 ]; then bad=1; fi
+  # Exit code 1 only says that tests failed. With any other code the program itself has ended early.
+  if [ $status -gt 1 ]; then
+    echo "$name: ended with exit code $status"
+    bad=$((bad + 1))
+  elif [ $status -ne 0 ] && [ $((bad + known_red)) -eq 0 ]; then
+    bad=1
+  fi
   if [ $ok -eq 0 ] && [ $bad -eq 0 ]; then
     echo "$name: ran no test"
     bad=1
