State once how spreads, unreadable values and rates are computed

Cause: a spread by a hash stood in the relay, in the request's way and in the limits; an unreadable back-off was two fields where its limit is one; two files each had the lowest rate of a limited upstream. Change: base::HashFraction, Scale, FromSeconds and ToSeconds; one optional text for each unreadable value, logged in one place; limits::RequestRate. Two tests of the relay share their script.

--- a/src/libs/limits/entry_limits.cpp
+++ b/src/libs/limits/entry_limits.cpp
@@ -1,10 +1,10 @@
 #include "limits/entry_limits.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash_fraction.h"
+
 namespace wagtailpick::limits {
 namespace {
 
@@ -13,32 +13,23 @@
 /// Part of a limit that entries share while no replica can be reached. Entries that still reach one
 /// may use the whole limit meanwhile, and an upstream tolerates one and a half times its limit.
 constexpr double kSharedPartOfLimit = 0.5;
-/// An upstream with a lower limit, such as 0, gets this many requests per second from all shares.
-constexpr double kProbeRequestsPerSecond = 0.25;
 /// An entry that does not use its share within this time loses it, so that unused shares cannot add
 /// up to a burst.
 constexpr base::Duration kShareLifetime = std::chrono::seconds(2);
 /// Requests are held back for this long if the number of entries is unknown.
 constexpr base::Duration kUnknownShareDelay = std::chrono::seconds(1);
 
-base::Duration Seconds(double seconds) {
-  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 double EntryLimits::PhaseOf(const std::string& upstream) const {
-  const auto hash = XXH3_64bits_withSeed(self_.data(), self_.size(),
-                                         XXH3_64bits(upstream.data(), upstream.size()));
-  return static_cast<double>(hash >> 11U) / static_cast<double>(std::uint64_t{1} << 53U);
+  return base::HashFraction(self_ + upstream);
 }
 
 const RateLimit* EntryLimits::FindBinding(const std::string& upstream, std::int64_t started_unix_ms,
                                           base::MonotonicTime now) const {
   const auto* limit = table_.Find(upstream, started_unix_ms);
   if (limit == nullptr || !limit->ended) return limit;
-  const auto delay = std::chrono::duration<double>(kResumeTime).count() * PhaseOf(upstream);
-  return now < limit->stated_at + Seconds(delay) ? limit : nullptr;
+  return now < limit->stated_at + base::Scale(kResumeTime, PhaseOf(upstream)) ? limit : nullptr;
 }
 
 void EntryLimits::HoldBack(const std::string& upstream, bool urgent, base::MonotonicTime until) {
@@ -57,14 +48,13 @@
 TokenAnswer EntryLimits::TakeShare(const std::string& upstream, const RateLimit& limit,
                                    base::MonotonicTime now) {
   if (entry_count_ == 0) return {0, false, kUnknownShareDelay};
-  const double rate =
-      kSharedPartOfLimit * std::max(limit.requests_per_second, kProbeRequestsPerSecond);
+  const double rate = kSharedPartOfLimit * RequestRate(limit);
   const double interval = static_cast<double>(entry_count_) / rate;
-  const double seconds = std::chrono::duration<double>(now.time_since_epoch()).count();
+  const double seconds = base::ToSeconds(now.time_since_epoch());
   const double since_start = std::fmod(seconds + PhaseOf(upstream) * interval, interval);
-  const auto until_next = Seconds(interval - since_start);
-  const auto lifetime = std::min(kShareLifetime, Seconds(interval));
-  if (Seconds(since_start) > lifetime) return {0, false, until_next};
+  const auto until_next = base::FromSeconds(interval - since_start);
+  const auto lifetime = std::min(kShareLifetime, base::FromSeconds(interval));
+  if (base::FromSeconds(since_start) > lifetime) return {0, false, until_next};
   const auto taken = share_taken_at_.find(upstream);
   if (taken != share_taken_at_.end() && now - taken->second < lifetime) {
     return {0, false, until_next};
--- a/src/libs/limits/limit_table.cpp
+++ b/src/libs/limits/limit_table.cpp
@@ -16,6 +16,8 @@
     {LimitChange::kEnded, "ended"},
 }};
 
+/// Lowest rate of requests to a limited upstream.
+constexpr double kProbeRequestsPerSecond = 0.25;
 /// How long the limit of an unknown upstream is kept.
 constexpr base::Duration kKeepUnknown = std::chrono::seconds(60);
 
@@ -29,6 +31,10 @@
 
 }  // namespace
 
+double RequestRate(const RateLimit& limit) {
+  return std::max(limit.requests_per_second, kProbeRequestsPerSecond);
+}
+
 bool IsOver(const RateLimit& limit, std::optional<std::int64_t> known_run,
             base::MonotonicTime now) {
   if (!known_run) return now - limit.stated_at > kKeepUnknown;
--- a/src/libs/limits/limit_table.h
+++ b/src/libs/limits/limit_table.h
@@ -25,6 +25,10 @@
   base::MonotonicTime stated_at;
 };
 
+/// Returns the requests per second that are sent under a limit. An upstream with a very low limit,
+/// such as 0, still gets some, as only an answer shows when its limit ends.
+double RequestRate(const RateLimit& limit);
+
 /// Returns whether a limit can be dropped at `now`. `known_run` is the start of the upstream's
 /// newest known run; empty if the upstream is unknown, whose limit is kept for a while, as it may
 /// arrive before the upstream's announcement.
--- a/src/libs/limits/token_issuer.cpp
+++ b/src/libs/limits/token_issuer.cpp
@@ -15,23 +15,15 @@
 /// A bucket's level after many charges from other replicas; a lower one would stop the upstream's
 /// work for longer than the charges justify.
 constexpr double kMinTokens = -10;
-/// An upstream with a lower limit, such as 0, gets this many requests per second, as only an answer
-/// shows when its limit ends.
-constexpr double kProbeRequestsPerSecond = 0.25;
 /// After a limit has ended, the entries that still ask for tokens get this many times its rate.
 constexpr double kRateFactorAfterEnd = 4;
 
 double RateOf(const RateLimit& limit) {
-  const double rate = std::max(limit.requests_per_second, kProbeRequestsPerSecond);
-  return limit.ended ? rate * kRateFactorAfterEnd : rate;
+  return limit.ended ? RequestRate(limit) * kRateFactorAfterEnd : RequestRate(limit);
 }
 
 double CapacityOf(double rate) { return std::max(rate * kCapacitySeconds, kMinCapacity); }
 
-base::Duration Seconds(double seconds) {
-  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 TokenIssuer::Bucket& TokenIssuer::Refill(const std::string& upstream, std::int64_t started_unix_ms,
@@ -39,7 +31,7 @@
   auto [found, is_new] = buckets_.try_emplace(upstream);
   auto& bucket = found->second;
   if (is_new || bucket.started_unix_ms < started_unix_ms) bucket = {started_unix_ms, 0, 0, now};
-  const auto elapsed = std::chrono::duration<double>(now - bucket.refilled_at).count();
+  const auto elapsed = base::ToSeconds(now - bucket.refilled_at);
   bucket.level =
       std::min(bucket.level + bucket.rate * std::max(elapsed, 0.0), CapacityOf(bucket.rate));
   bucket.refilled_at = now;
@@ -52,7 +44,7 @@
   auto& bucket = Refill(upstream, limit.started_unix_ms, &limit, now);
   const double needed = urgent ? 1 : 1 + kUrgentReserve;
   if (bucket.level < needed) {
-    return {0, false, Seconds((needed - bucket.level) / bucket.rate)};
+    return {0, false, base::FromSeconds((needed - bucket.level) / bucket.rate)};
   }
   bucket.level -= 1;
   auto& issued = issued_[upstream];
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -39,9 +39,7 @@
 /// the objective: a cold upstream gets warm only by use.
 constexpr double kMinWaitShare = 0.33;
 
-base::Duration Scale(base::Duration duration, double factor) {
-  return base::Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
-}
+using base::Scale;
 
 /// Returns the score of an upstream in weighted rendezvous hashing, highest first: an upstream with
 /// twice the weight ranks first for twice as many objects.
--- a/src/libs/relay/dialect.h
+++ b/src/libs/relay/dialect.h
@@ -44,9 +44,8 @@
   bool leaving = false;
   /// The upstream refused the request and wants no requests from this VM for this long.
   std::optional<base::Duration> back_off_for;
-  /// The back-off time in the answer could not be parsed; `invalid_back_off` is its text.
-  bool has_invalid_back_off = false;
-  std::string invalid_back_off;
+  /// Text of a back-off time that could not be parsed.
+  std::optional<std::string> invalid_back_off;
   /// Requests per second that the upstream accepts from all entries together; empty if it names no
   /// limit.
   std::optional<double> requests_per_second;
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/endpoint.h"
+#include "base/hash_fraction.h"
 #include "relay/request_run.h"
 
 namespace wagtailpick::relay {
@@ -19,9 +20,6 @@
 /// Limits of an answer's headers and body, in bytes. An answer is buffered until it is complete.
 constexpr net::MessageLimits kAnswerLimits{64UL * 1024, 64UL * 1024 * 1024};
 
-/// Characters of an upstream's text that are logged.
-constexpr std::size_t kMaxLoggedText = 64;
-
 }  // namespace
 
 std::string FormatLimit(double requests_per_second) {
@@ -97,9 +95,7 @@
 void Relay::HandleBackOff(const placement::Choice& choice, base::Duration back_off,
                           const std::string& request_id) {
   const auto spread = std::min(back_off / kBackOffSpreadDivisor, kMaxBackOffSpread);
-  const auto share = static_cast<double>(std::hash<std::string>()(vm_ + choice.upstream) % 1'000);
-  const auto delay = base::Duration(
-      static_cast<std::int64_t>(static_cast<double>(spread.count()) * share / 1'000.0));
+  const auto delay = base::Scale(spread, base::HashFraction(vm_ + choice.upstream));
   chooser_.SetBackOff(choice.upstream, base::MonotonicNow() + back_off + delay);
   metrics_.CountUpstreamStatus("unwanted");
   log_.Write(logging::Level::kInfo, "upstream_wants_nothing", choice.upstream,
@@ -116,12 +112,8 @@
                         const std::string& request_id) {
   const auto now = base::MonotonicNow();
   if (answer.requests_per_second) metrics_.CountUpstreamStatus("limited");
-  if (answer.invalid_limit) {
-    log_.Write(logging::Level::kWarning, "limit_unreadable",
-               answer.invalid_limit->substr(0, kMaxLoggedText),
-               {{"request_id", request_id}, {"upstream", id}}, now);
-    if (!answer.requests_per_second) return;
-  }
+  // An unreadable limit neither sets nor ends one.
+  if (answer.invalid_limit && !answer.requests_per_second) return;
   const auto change =
       limits_.table().RecordAnswer(id, started_unix_ms, answer.requests_per_second, sent_at, now);
   LogLimitChange(id, started_unix_ms, change, request_id);
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -5,8 +5,6 @@
 namespace wagtailpick::relay {
 namespace {
 
-double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 std::string Label(std::string_view result) { return "result=\"" + std::string(result) + "\""; }
 
 }  // namespace
@@ -18,12 +16,12 @@
 
 void RelayMetrics::RecordAnswer(std::string_view result, base::Duration total) {
   registry_.CounterAt("wagtailpick_requests_total", Label(result)).Add();
-  total_.Observe(Seconds(total));
+  total_.Observe(base::ToSeconds(total));
 }
 
 void RelayMetrics::RecordExchange(std::string_view result, base::Duration took) {
   registry_.CounterAt("wagtailpick_exchanges_total", Label(result)).Add();
-  upstream_.Observe(Seconds(took));
+  upstream_.Observe(base::ToSeconds(took));
 }
 
 void RelayMetrics::CountUpstreamStatus(std::string_view status) {
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/endpoint.h"
+#include "base/hash_fraction.h"
 #include "net/http_text.h"
 #include "placement/object_tracker.h"
 
@@ -32,8 +33,6 @@
 constexpr int kMaxRetryAfterDivisor = 3;
 /// Retries of callers that are refused while all upstreams back off are spread over this time.
 constexpr Duration kRetryAfterSpread = std::chrono::milliseconds(200);
-/// Number of steps into which a spread is divided.
-constexpr std::int64_t kSpreadSteps = 1'000;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
@@ -333,8 +332,7 @@
   const bool has_time =
       choice.refusal == Refusal::kBackingOff || choice.refusal == Refusal::kRateLimited;
   if (!has_time) return std::nullopt;
-  const auto share = std::hash<std::string>()(attributes_.request_id) % kSpreadSteps;
-  const auto spread = kRetryAfterSpread * static_cast<std::int64_t>(share) / kSpreadSteps;
+  const auto spread = base::Scale(kRetryAfterSpread, base::HashFraction(attributes_.request_id));
   const bool urgent = placement_request_.route->is_urgent();
   return choice.retry_after + (urgent ? spread : kRetryAfterSpread + spread);
 }
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -54,6 +54,9 @@
   void HandleAnswer(const Attempt& attempt, http::Response response);
   /// Applies what the answer states about its upstream: load, leaving and back-off.
   void ApplyUpstreamStatus(const Attempt& attempt, const ClassifiedAnswer& classified);
+  /// Logs the text of a value in an answer that could not be parsed, if there is one.
+  void LogUnreadable(const std::string& event, const std::optional<std::string>& text,
+                     const std::string& upstream);
   /// Handles an attempt that ended without an answer.
   void HandleLoss(const Attempt& attempt, const net::ExchangeResult& result);
   /// Finds out whether the upstream crashed, and retries if that is allowed.
@@ -76,8 +79,9 @@
   void Fail(std::string_view reason = "may_have_run");
   void HandleTimeout();
   void HandleClientLeft();
-  /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs. Without `retry_after`, the Retry-After header is derived
-  /// from the time that the caller has left.
+  /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs.
+  /// Without `retry_after`, the Retry-After header is derived from the time that the caller has
+  /// left.
   void Refuse(std::string_view reason, std::optional<base::Duration> retry_after = std::nullopt);
   /// Returns when the caller may retry if all upstreams are backing off or hold requests back by
   /// their rate limits; otherwise nothing.
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -50,9 +50,14 @@
   if (classified.back_off_for) {
     relay_.HandleBackOff(attempt.choice, *classified.back_off_for, attributes_.request_id);
   }
-  if (!classified.has_invalid_back_off) return;
-  Log(Level::kWarning, "pause_unreadable", classified.invalid_back_off.substr(0, kMaxLoggedText),
-      {{"upstream", upstream}});
+  LogUnreadable("pause_unreadable", classified.invalid_back_off, upstream);
+  LogUnreadable("limit_unreadable", classified.invalid_limit, upstream);
+}
+
+void RequestRun::LogUnreadable(const std::string& event, const std::optional<std::string>& text,
+                               const std::string& upstream) {
+  if (!text) return;
+  Log(Level::kWarning, event, text->substr(0, kMaxLoggedText), {{"upstream", upstream}});
 }
 
 void RequestRun::HandleLoss(const Attempt& attempt, const net::ExchangeResult& result) {
--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -155,7 +155,7 @@
     const auto answer = Classify(MakeAnswer(503, headers));
     const auto* name = test_case.values.empty() ? "none" : test_case.values.back().c_str();
     cr_expect((answer.back_off_for == test_case.back_off), "%s", name);
-    cr_expect(answer.has_invalid_back_off == !test_case.is_valid, "%s", name);
+    cr_expect(answer.invalid_back_off.has_value() == !test_case.is_valid, "%s", name);
   }
   const http::Header id{"Request-Id", "id-1"};
   const http::Header after{"Retry-After", "2"};
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -52,6 +52,16 @@
           false};
 }
 
+/// Returns the script of upstream `self`, which names a limit of 1 if it gets the first request.
+/// Stores its number in `limited` then, which is -1 before.
+FakeUpstream::Script LimitedIfFirst(int self, std::atomic<int>& limited) {
+  return [self, &limited](const std::string&, int) {
+    int none = -1;
+    limited.compare_exchange_strong(none, self);
+    return limited == self ? ServeWithLimit("1") : RawAnswer{Whole("1"), false};
+  };
+}
+
 }  // namespace
 
 // Guards against an answer that is changed on its way to the caller.
@@ -340,17 +350,9 @@
   constexpr int kRequests = 40;
   // 1.5 times 1 request per second for 4 s, and 5 more. The test takes less than 4 s.
   constexpr int kAllowed = 11;
-  // The upstream that gets the first request names the limit.
   std::atomic<int> limited = -1;
-  const auto script = [&limited](int self) {
-    return [&limited, self](const std::string&, int) {
-      int none = -1;
-      limited.compare_exchange_strong(none, self);
-      return limited == self ? ServeWithLimit("1") : RawAnswer{Whole("1"), false};
-    };
-  };
-  FakeUpstream first(script(0));
-  FakeUpstream second(script(1));
+  FakeUpstream first(LimitedIfFirst(0, limited));
+  FakeUpstream second(LimitedIfFirst(1, limited));
   const RelayHost host({first.address(), second.address()});
   for (int i = 0; i < kRequests; ++i) {
     cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
@@ -403,15 +405,8 @@
 // Guards against callers that wait again and again for a replica that does not answer.
 Test(relay, goes_elsewhere_while_no_token_request_is_answered) {
   std::atomic<int> limited = -1;
-  const auto script = [&limited](int self) {
-    return [&limited, self](const std::string&, int) {
-      int none = -1;
-      limited.compare_exchange_strong(none, self);
-      return limited == self ? ServeWithLimit("1") : RawAnswer{Whole("1"), false};
-    };
-  };
-  FakeUpstream first(script(0));
-  FakeUpstream second(script(1));
+  FakeUpstream first(LimitedIfFirst(0, limited));
+  FakeUpstream second(LimitedIfFirst(1, limited));
   RelayHost host({first.address(), second.address()});
   host.AnswerTokenRequests([](const limits::TokenRequest&) { return std::nullopt; });
   host.Exchange(Request("1"), kWait);
@@ -457,8 +452,8 @@
   cr_expect(limited.requests() == 1);
 }
 
-// Guards against an answer that claims that a request did not run (503) after an earlier attempt may
-// have run it, because the next upstream's address is invalid.
+// Guards against an answer that claims that a request did not run (503) after an earlier attempt
+// may have run it, because the next upstream's address is invalid.
 Test(relay, never_claims_not_run_after_an_attempt_that_may_have_run) {
   FakeUpstream losing([](const std::string&, int) { return RawAnswer{"", true}; });
   const RelayHost host({losing.address(), "not-an-address"});
