Count requests to an upstream that lowers its limit from the lower limit on

The logs show that the upstream named 5.0 until 17:22:35.861 and 2.5 from then on; the requests before came under 5.0, which allows 35, and all entries had taken the new limit 31 ms later. Change: the check counts from 3 s after a limit is lowered, as it does after it is first named. Conclusion: the check is narrowed for the case that the trace shows, and no further.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -90,7 +90,9 @@
 void PromiseChecker::RecordLimit(const std::string& upstream, double requests_per_second) {
   const std::lock_guard lock(mutex_);
   auto& limit = limits_[upstream];
-  if (limit.requests_per_second == 0) limit.named_at = base::MonotonicNow();
+  // Requests that arrived under a higher limit were allowed by it.
+  const bool is_lower = requests_per_second < limit.requests_per_second;
+  if (limit.requests_per_second == 0 || is_lower) limit.named_at = base::MonotonicNow();
   limit.requests_per_second = requests_per_second;
 }
 
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -36,8 +36,8 @@
   /// A run of an upstream stops naming its limit.
   void RecordLimitEnded(const std::string& upstream);
   /// `upstream`, which named a limit, received a request. Violated if it gets more than one and a
-  /// half times its limit and 5 requests in 4 s, counted from 3 s after it first named the limit
-  /// and after the last fault of an entry.
+  /// half times its limit and 5 requests in 4 s, counted from 3 s after it first named the limit or
+  /// lowered it, and after the last fault of an entry.
   void RecordLimitedArrival(const std::string& upstream, base::MonotonicTime now);
   /// Checks that `upstream` received at least half of the requests that its limit allows since
   /// `since`.
