--- a/src/libs/limits/token_issuer.cpp
+++ b/src/libs/limits/token_issuer.cpp
@@ -48,8 +48,9 @@
   }
   bucket.level -= 1;
   auto& issued = issued_[upstream];
-  if (issued.started_unix_ms != limit.started_unix_ms)
+  if (issued.started_unix_ms != limit.started_unix_ms) {
     issued = {upstream, limit.started_unix_ms, 0};
+  }
   ++issued.count;
   return {0, true, {}};
 }
