--- a/tests/auto/limits/entry_limits_test.cpp
+++ b/tests/auto/limits/entry_limits_test.cpp
@@ -44,6 +44,7 @@
 Test(entry_limits, shares_half_of_a_limit_without_replicas) {
   for (const std::size_t count : {std::size_t{1}, std::size_t{11}, std::size_t{185}}) {
     std::vector<EntryLimits> entries;
+    entries.reserve(count);
     for (std::size_t i = 0; i < count; ++i) {
       entries.emplace_back("e" + std::to_string(i));
       entries.back().SetEntryCount(std::max<std::size_t>(count - i % 3, 1));
@@ -59,6 +60,7 @@
 // Guards against entries that take themselves for the only one before they know the others.
 Test(entry_limits, has_no_share_while_the_entries_are_unknown) {
   std::vector<EntryLimits> entries;
+  entries.reserve(185);
   for (int i = 0; i < 185; ++i) entries.emplace_back("e" + std::to_string(i));
   cr_expect(SendByShares(entries, {kRun, 2.4, false, kStart}, seconds(20)).empty());
 }
@@ -66,6 +68,7 @@
 // Guards against all entries that return to an upstream at the moment in which its limit ends.
 Test(entry_limits, entries_resume_one_after_another) {
   std::vector<EntryLimits> entries;
+  entries.reserve(100);
   for (int i = 0; i < 100; ++i) {
     entries.emplace_back("e" + std::to_string(i));
     entries.back().table().Apply({"u", kRun, 2, true, {}}, kStart);
--- a/tests/auto/limits/limit_simulation_test.cpp
+++ b/tests/auto/limits/limit_simulation_test.cpp
@@ -51,6 +51,7 @@
  public:
   Simulation(const Scenario& scenario, unsigned seed)
       : scenario_(scenario), random_(seed), replicas_(scenario.replicas) {
+    entries_.reserve(scenario.entries);
     for (std::size_t i = 0; i < scenario.entries; ++i) {
       entries_.emplace_back("e" + std::to_string(i));
       entries_.back().SetEntryCount(scenario.entries);
@@ -99,8 +100,9 @@
 
   std::vector<Issuer> AllIssuers() const {
     std::vector<Issuer> all;
-    for (std::size_t i = 0; i < scenario_.replicas; ++i)
+    for (std::size_t i = 0; i < scenario_.replicas; ++i) {
       all.push_back({std::to_string(i), i % 3 == 0});
+    }
     return all;
   }
 
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -100,6 +100,19 @@
   std::string output;
 };
 
+std::string Request(const std::string& id) {
+  return "GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nConnection: close\r\n\r\n";
+}
+
+std::string Whole(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+int StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
 FakeUpstream::FakeUpstream(Script script)
     : script_(std::move(script)), acceptor_(loop_, {asio::ip::make_address(kLoopback), 0}) {
   address_ = std::string(kLoopback) + ":" + std::to_string(acceptor_.local_endpoint().port());
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -25,6 +25,13 @@
   bool crash = false;
 };
 
+/// Returns a request with the id `id`.
+std::string Request(const std::string& id);
+/// Returns a complete answer to the request with the id `id`.
+std::string Whole(const std::string& id, const std::string& body = "END");
+/// Returns the status of an answer; 0 if it has none.
+int StatusOf(const std::string& answer);
+
 /// An upstream that answers each request with the bytes that its script returns.
 class FakeUpstream {
  public:
