--- a/src/app/wagtailpick_edge/edge_settings.cpp
+++ b/src/app/wagtailpick_edge/edge_settings.cpp
@@ -9,6 +9,7 @@
 namespace wagtailpick::wagtailpick_edge {
 namespace {
 
+using base::FromSeconds;
 using settings::KeyKind;
 using settings::KeyRule;
 using settings::Settings;
@@ -16,10 +17,6 @@
 constexpr std::int64_t kMaxPort = 65'535;
 constexpr double kBytesPerSecondPerMbps = 125'000;
 
-base::Duration FromSeconds(double value) {
-  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(value));
-}
-
 std::vector<KeyRule> Schema() {
   return {
       {"node", "role", KeyKind::kChoice, true, {}, 0, 0, {"entry", "control"}},
--- a/src/libs/placement/chooser.cpp
+++ b/src/libs/placement/chooser.cpp
@@ -245,7 +245,7 @@
   const auto& estimate = work_estimates_.ForRoute(request.route->name, request.route->objective);
   const double busy =
       objects_.RatePerObject(request.service, entry_count_, network_.region_count()) *
-      std::chrono::duration<double>(estimate.warm()).count();
+      base::ToSeconds(estimate.warm());
   return busy / kMaxSlotShareOfObject;
 }
 
--- a/src/libs/placement/object_tracker.cpp
+++ b/src/libs/placement/object_tracker.cpp
@@ -37,7 +37,7 @@
   ++objects.requests_in_window;
   if (now - objects.window_start >= kRateWindow) {
     objects.rate = static_cast<double>(objects.requests_in_window) /
-                   std::chrono::duration<double>(now - objects.window_start).count();
+                   base::ToSeconds(now - objects.window_start);
     objects.window_start = now;
     objects.requests_in_window = 0;
   }
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -46,7 +46,7 @@
 
 std::string FormatRetryAfter(Duration duration) {
   std::array<char, 32> text{};
-  const double seconds = std::chrono::duration<double>(duration).count();
+  const double seconds = base::ToSeconds(duration);
   const int length = std::snprintf(text.data(), text.size(), "%.2f", seconds);
   return {text.data(), static_cast<std::size_t>(length)};
 }
--- a/tests/auto/limits/limit_simulation_test.cpp
+++ b/tests/auto/limits/limit_simulation_test.cpp
@@ -109,9 +109,7 @@
   void ScheduleRequest() {
     std::exponential_distribution<double> gap(scenario_.demand);
     SendOne(random_() % entries_.size());
-    At(now_ +
-           std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(gap(random_))),
-       [this] { ScheduleRequest(); });
+    At(now_ + base::FromSeconds(gap(random_)), [this] { ScheduleRequest(); });
   }
 
   void SendOne(std::size_t index) {
@@ -186,7 +184,7 @@
 void CheckScenario(const Scenario& scenario, double min_used) {
   for (unsigned seed = 1; seed <= 5; ++seed) {
     const auto received = Simulation(scenario, seed).Run();
-    const double length = std::chrono::duration<double>(kLength).count();
+    const double length = base::ToSeconds(kLength);
     const double accepted = std::min(scenario.limit, scenario.demand) * length;
     const double used = static_cast<double>(received.requests) / accepted;
     cr_expect(static_cast<double>(received.most_in_window) <= 6 * scenario.limit + 5,
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -26,10 +26,6 @@
 /// Part of a limit that entries have to use when callers want more.
 constexpr double kMinUsedPartOfLimit = 0.5;
 
-double SecondsOf(base::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 /// Whether `status` guarantees that the request has not run and never will.
 bool GuaranteesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -113,7 +109,7 @@
                     [&](auto at) { return at > now - kLimitWindow && at >= counted_from; }));
   most_limited_arrivals_ = std::max(most_limited_arrivals_, in_window);
   const double allowed =
-      kLimitFactor * limit.requests_per_second * SecondsOf(kLimitWindow) + kLimitSlack;
+      kLimitFactor * limit.requests_per_second * base::ToSeconds(kLimitWindow) + kLimitSlack;
   if (static_cast<double>(in_window) <= allowed) return;
   AddViolation(upstream + " limits its requests to " + std::to_string(limit.requests_per_second) +
                " a second and got " + std::to_string(in_window) + " in 4 s");
@@ -126,7 +122,7 @@
   const auto& limit = found->second;
   const auto used = std::count_if(limit.arrivals.begin(), limit.arrivals.end(),
                                   [since](auto at) { return at >= since; });
-  const double allowed = limit.requests_per_second * SecondsOf(base::MonotonicNow() - since);
+  const double allowed = limit.requests_per_second * base::ToSeconds(base::MonotonicNow() - since);
   limit_used_ = static_cast<double>(used) / allowed;
   if (limit_used_ < kMinUsedPartOfLimit) {
     AddViolation("only " + std::to_string(limit_used_) + " of a limit was used");
