--- a/review/2/endless_answers.cpp
+++ b/review/2/endless_answers.cpp
@@ -3,14 +3,13 @@
 #include <iostream>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "../standins/callers.h"
 #include "../standins/deployment.h"
+#include "../standins/kept_traffic.h"
 #include "../standins/upstream.h"
 
 // Half of the servers answer one request in twenty with bytes that are no answer and have no end.
@@ -41,7 +40,7 @@
 constexpr double kPauseS = 0.7;
 constexpr double kWorkS = 0.4;
 /// Requests from kept connections that may be cut without an answer.
-constexpr int kMayBeCut = 3;
+constexpr std::size_t kMayBeCut = 3;
 
 /// Grants the bytes that all answers without end may send together.
 class Link {
@@ -67,12 +66,7 @@
     if (!Prepare()) return kCouldNotRun;
     record_.Write(HasTrouble() ? "answers without end begin" : "all servers are sound");
     faulty_ = HasTrouble();
-    std::vector<std::thread> clients;
-    for (std::size_t entry = 0; entry < deployment_.entries().size(); ++entry) {
-      for (int i = 0; i < kClientsOfEntry; ++i) {
-        clients.emplace_back([this, entry, i] { SendRequests(entry, i); });
-      }
-    }
+    traffic_.Start();
     const double end = record_.Now() + kTrafficS;
     while (record_.Now() < end) {
       Sleep(1);
@@ -81,8 +75,7 @@
                       " MB");
       }
     }
-    stop_ = true;
-    for (auto& client : clients) client.join();
+    traffic_.Stop();
     faulty_ = false;
     return Judge();
   }
@@ -152,30 +145,6 @@
     return false;
   }
 
-  void SendRequests(std::size_t entry, int client) {
-    const auto& route = client % 4 == 0 ? pay_ : browse_;
-    std::optional<Connection> connection;
-    bool kept = false;
-    Sleep(kPauseS * client / kClientsOfEntry);
-    while (!stop_) {
-      if (!connection) {
-        auto opened = Connection::Open(deployment_.Callers(entry), 1);
-        if (opened) connection.emplace(std::move(*opened));
-        kept = false;
-      }
-      if (connection) {
-        auto attempt = SendRequest(*connection, deployment_.entries()[entry], route, NewId(),
-                                   route.timeout_ms, "", record_);
-        attempt.kept_connection = kept;
-        kept = attempt.status != 0;
-        if (!kept) connection.reset();
-        const std::lock_guard lock(mutex_);
-        attempts_.push_back(attempt);
-      }
-      Sleep(kPauseS);
-    }
-  }
-
   /// Whether a sound server has begun to run the request.
   bool RanOnSoundServer(const std::string& id) {
     return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& upstream) {
@@ -186,28 +155,12 @@
   }
 
   int Judge() {
-    int served = 0;
-    int cut = 0;
-    for (const auto& attempt : attempts_) {
-      if (attempt.status == 200 && attempt.whole) ++served;
-      if (!attempt.kept_connection || !attempt.connection_ended) continue;
-      if (!RanOnSoundServer(attempt.id)) continue;
-      ++cut;
-      record_.Write(
-          "LOST: from a kept connection, passed on to a sound server, and ended without "
-          "an answer: " +
-          attempt.id + ", sent at " + std::to_string(attempt.sent_at));
-    }
-    for (const auto& name : deployment_.entries()) {
-      record_.Write("process " + name + " has ended by itself " +
-                    std::to_string(deployment_.OwnEnds(name)) + " times, most memory " +
-                    std::to_string(deployment_.PeakMemoryMb(name)) + " MB");
-    }
-    record_.Write(std::to_string(attempts_.size()) + " requests, " + std::to_string(served) +
-                  " served, " + std::to_string(cut) + " lost");
-    if (served == 0) return kCouldNotRun;
-    record_.Write(cut > kMayBeCut ? "RULE BROKEN: LOST" : "the rule held");
-    return cut > kMayBeCut ? kRuleBroken : 0;
+    const auto result =
+        traffic_.Judge([this](const std::string& id) { return RanOnSoundServer(id); });
+    if (result.served == 0) return kCouldNotRun;
+    const bool broken = result.cut > kMayBeCut;
+    record_.Write(broken ? "RULE BROKEN: LOST" : "the rule held");
+    return broken ? kRuleBroken : 0;
   }
 
   Record record_;
@@ -218,12 +171,11 @@
   std::vector<std::unique_ptr<Upstream>> upstreams_;
   std::vector<std::string> faulty_ids_;
   std::atomic<bool> faulty_ = false;
-  std::atomic<bool> stop_ = false;
   Link link_;
   std::mutex random_mutex_;
   std::mt19937 random_{std::random_device()()};
-  std::mutex mutex_;
-  std::vector<Attempt> attempts_;
+  KeptTraffic traffic_{
+      {kClientsOfEntry, kPauseS, {pay_, browse_, browse_, browse_}}, deployment_, record_};
 };
 
 }  // namespace
