Show that an answer is cut at a client that reads it slowly

An entry closes the connection in mid-answer idleTimeoutMs after it has read the request, though the client takes bytes all the time and its time budget isn't over: a write doesn't count as activity.

--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -9,11 +9,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
 
+#include "record.h"
+
 namespace wagtailpick::review {
 namespace {
 
@@ -22,6 +25,8 @@
 constexpr double kConnectTimeoutS = 1.0;
 constexpr int kBacklog = 512;
 constexpr std::size_t kReadBytes = 65'536;
+constexpr int kSmallWindowBytes = 65'536;
+constexpr std::size_t kSlowStepBytes = 16'384;
 
 int MillisLeft(Clock::time_point end) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - Clock::now());
@@ -133,10 +138,10 @@
   return true;
 }
 
-bool Connection::Fill(double timeout_s) {
+bool Connection::Fill(double timeout_s, std::size_t most) {
   if (!Wait(descriptor_, POLLIN, After(timeout_s))) return false;
   std::array<char, kReadBytes> bytes{};
-  const auto length = ::recv(descriptor_, bytes.data(), bytes.size(), 0);
+  const auto length = ::recv(descriptor_, bytes.data(), std::min(most, bytes.size()), 0);
   if (length <= 0) {
     ended_ = length == 0 || errno != EAGAIN;
     return !ended_;
@@ -145,19 +150,40 @@
   return true;
 }
 
-std::optional<Message> Connection::Read(double timeout_s) {
+std::optional<Message> Connection::Read(double timeout_s) { return ReadMessage(timeout_s, 0); }
+
+std::optional<Message> Connection::ReadSlowly(double timeout_s, double bytes_per_s) {
+  return ReadMessage(timeout_s, bytes_per_s);
+}
+
+void Connection::SetSmallWindow() {
+  const int bytes = kSmallWindowBytes;
+  ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+std::optional<Message> Connection::ReadMessage(double timeout_s, double bytes_per_s) {
   const auto end = After(timeout_s);
   ended_ = false;
-  const auto seconds_left = [&] { return MillisLeft(end) / 1'000.0; };
+  const auto start = Clock::now();
+  double taken = 0;
+  const auto fill = [&] {
+    if (bytes_per_s <= 0) return Fill(MillisLeft(end) / 1'000.0, kReadBytes);
+    const double passed = std::chrono::duration<double>(Clock::now() - start).count();
+    Sleep(std::max(taken / bytes_per_s - passed, 0.0));
+    const std::size_t before = buffer_.size();
+    const bool open = Fill(MillisLeft(end) / 1'000.0, kSlowStepBytes);
+    taken += static_cast<double>(buffer_.size() - before);
+    return open;
+  };
   std::size_t head = std::string::npos;
   while ((head = buffer_.find("\r\n\r\n")) == std::string::npos) {
-    if (!Fill(seconds_left())) return std::nullopt;
+    if (!fill()) return std::nullopt;
   }
   Message message = ParseHead(buffer_.substr(0, head));
   buffer_.erase(0, head + 4);
   const auto length = std::strtoull(message.Header("Content-Length").c_str(), nullptr, 10);
   while (buffer_.size() < length) {
-    if (!Fill(seconds_left())) return std::nullopt;
+    if (!fill()) return std::nullopt;
   }
   message.body = buffer_.substr(0, length);
   buffer_.erase(0, length);
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -50,6 +50,12 @@
   /// Reads one message whose body has a length or none. Returns nothing if the connection ends or
   /// the message is not complete within `timeout_s`.
   std::optional<Message> Read(double timeout_s);
+  /// Reads one message as `Read` does, but takes no more than `bytes_per_s`, in small steps.
+  std::optional<Message> ReadSlowly(double timeout_s, double bytes_per_s);
+  /// Limits the bytes that the kernel holds for a reader.
+  void SetSmallWindow();
+  /// Bytes of a message that were read before the connection ended.
+  std::size_t bytes_left_over() const { return buffer_.size(); }
   /// Whether the peer has closed the connection.
   bool PeerClosed() const;
   /// Whether the last `Read` ended because the connection ended, and not because time was over.
@@ -57,7 +63,8 @@
   void Close();
 
  private:
-  bool Fill(double timeout_s);
+  bool Fill(double timeout_s, std::size_t most);
+  std::optional<Message> ReadMessage(double timeout_s, double bytes_per_s);
 
   int descriptor_;
   bool ended_ = false;
--- a/review/standins/upstream.cpp
+++ b/review/standins/upstream.cpp
@@ -182,7 +182,9 @@
                         {"Server-Load", Load()},
                         {"Keep-Alive", kKeepAlive}};
   record_.Write("server " + options_.id + " answers " + id + " with " + std::to_string(status));
-  return connection.Send(AnswerText(status, headers, "answer to " + id), kSendTimeoutS);
+  const std::size_t bytes = answer_bytes ? answer_bytes(request) : 0;
+  const std::string body = bytes > 0 ? std::string(bytes, 'a') : "answer to " + id;
+  return connection.Send(AnswerText(status, headers, body), kSendTimeoutS);
 }
 
 }  // namespace wagtailpick::review
--- a/review/standins/upstream.h
+++ b/review/standins/upstream.h
@@ -46,6 +46,8 @@
   /// returns null for a sound answer.
   std::function<Fault(const Message& request)> choose_fault;
   Work work;
+  /// Bytes of the body of a sound answer; null or 0 for a short text.
+  std::function<std::size_t(const Message& request)> answer_bytes;
 
   /// Starts to listen and to announce itself. Returns false if the address is taken.
   bool Start();
