--- a/review/2/endless_answers.cpp
+++ b/review/2/endless_answers.cpp
@@ -35,8 +35,8 @@
 constexpr double kAllBytesPerSecond = 120e6;
 constexpr std::size_t kPieceBytes = 65'536;
 /// Clients of each entry, each with a connection of its own. With the pause and the work, an entry
-/// gets about 40 requests a second.
-constexpr int kClientsOfEntry = 48;
+/// gets about 50 requests a second.
+constexpr int kClientsOfEntry = 60;
 constexpr double kPauseS = 0.7;
 constexpr double kWorkS = 0.4;
 /// Requests from kept connections that may be cut without an answer.
--- a/review/standins/callers.cpp
+++ b/review/standins/callers.cpp
@@ -32,7 +32,7 @@
          R"("coldStartS":3.0,"coldPerS":2.6}},)";
 }
 
-/// Splits http://IP:PORT/path.
+/// Returns the address in the value of a Location header.
 Address HostOf(const std::string& location) {
   const std::string rest = location.substr(std::min<std::size_t>(location.size(), 7));
   const auto colon = rest.find(':');
