--- a/review/standins/callers.cpp
+++ b/review/standins/callers.cpp
@@ -91,7 +91,7 @@
 
 Attempt SendRequest(Connection& connection, const std::string& entry, const RouteOptions& route,
                     const std::string& id, int deadline_ms, const std::string& request_body,
-                    Record& record) {
+                    Record& record, double bytes_per_s) {
   const bool is_safe = route.kind == "safe" && request_body.empty();
   Attempt attempt;
   attempt.id = id;
@@ -103,7 +103,8 @@
       {"Deadline-Ms", std::to_string(deadline_ms)}};
   const double wait = deadline_ms / 1'000.0 + kExtraWaitS;
   const bool sent = connection.Send(
-      RequestText(is_safe ? "GET" : "POST", route.prefix + "2f", headers, request_body), wait);
+      RequestText(is_safe ? "GET" : "POST", route.prefix + "2f", headers, request_body), wait,
+      bytes_per_s);
   const auto answer = sent ? connection.Read(wait) : std::nullopt;
   attempt.ended_at = record.Now();
   if (answer) {
--- a/review/standins/callers.h
+++ b/review/standins/callers.h
@@ -51,10 +51,11 @@
   bool whole = false;
 };
 
-/// Sends one request over `connection` and reads its answer.
+/// Sends one request over `connection`, at `bytes_per_s` at most if it isn't 0, and reads its
+/// answer.
 Attempt SendRequest(Connection& connection, const std::string& entry, const RouteOptions& route,
                     const std::string& id, int deadline_ms, const std::string& request_body,
-                    Record& record);
+                    Record& record, double bytes_per_s = 0);
 
 /// An id that no other request of this run has.
 std::string NewId();
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t kReadBytes = 65'536;
 constexpr int kSmallWindowBytes = 65'536;
 constexpr std::size_t kSlowStepBytes = 16'384;
+constexpr std::size_t kSendStepBytes = 262'144;
 
 int MillisLeft(Clock::time_point end) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - Clock::now());
@@ -127,11 +128,18 @@
   return connection;
 }
 
-bool Connection::Send(const std::string& bytes, double timeout_s) {
+bool Connection::Send(const std::string& bytes, double timeout_s, double bytes_per_s) {
+  const auto start = Clock::now();
+  const std::size_t step = bytes_per_s > 0 ? kSendStepBytes : bytes.size();
   std::size_t sent = 0;
   while (sent < bytes.size()) {
+    if (bytes_per_s > 0) {
+      const double passed = std::chrono::duration<double>(Clock::now() - start).count();
+      Sleep(std::max(static_cast<double>(sent) / bytes_per_s - passed, 0.0));
+    }
     if (!Wait(descriptor_, POLLOUT, After(timeout_s))) return false;
-    const auto length = ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    const auto length =
+        ::send(descriptor_, bytes.data() + sent, std::min(step, bytes.size() - sent), MSG_NOSIGNAL);
     if (length < 0 && errno != EAGAIN) return false;
     if (length > 0) sent += static_cast<std::size_t>(length);
   }
@@ -175,18 +183,19 @@
     taken += static_cast<double>(buffer_.size() - before);
     return open;
   };
+  // Bytes stay in the buffer until the message is whole, so that a later call can go on with them.
   std::size_t head = std::string::npos;
   while ((head = buffer_.find("\r\n\r\n")) == std::string::npos) {
     if (!fill()) return std::nullopt;
   }
   Message message = ParseHead(buffer_.substr(0, head));
-  buffer_.erase(0, head + 4);
+  const std::size_t body = head + 4;
   const auto length = std::strtoull(message.Header("Content-Length").c_str(), nullptr, 10);
-  while (buffer_.size() < length) {
+  while (buffer_.size() < body + length) {
     if (!fill()) return std::nullopt;
   }
-  message.body = buffer_.substr(0, length);
-  buffer_.erase(0, length);
+  message.body = buffer_.substr(body, length);
+  buffer_.erase(0, body + length);
   return message;
 }
 
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -45,16 +45,17 @@
   /// Connects within `timeout_s`.
   static std::optional<Connection> Open(const Address& to, double timeout_s);
 
-  /// Sends all bytes. Returns false if the connection fails or nothing moves for `timeout_s`.
-  bool Send(const std::string& bytes, double timeout_s);
+  /// Sends all bytes, at `bytes_per_s` at most if it isn't 0. Returns false if the connection fails
+  /// or nothing moves for `timeout_s`.
+  bool Send(const std::string& bytes, double timeout_s, double bytes_per_s = 0);
   /// Reads one message whose body has a length or none. Returns nothing if the connection ends or
-  /// the message is not complete within `timeout_s`.
+  /// the message is not complete within `timeout_s`; a later call goes on with it.
   std::optional<Message> Read(double timeout_s);
   /// Reads one message as `Read` does, but takes no more than `bytes_per_s`, in small steps.
   std::optional<Message> ReadSlowly(double timeout_s, double bytes_per_s);
   /// Limits the bytes that the kernel holds for a reader.
   void SetSmallWindow();
-  /// Bytes of a message that were read before the connection ended.
+  /// Bytes that were read of a message that isn't whole yet, its head included.
   std::size_t bytes_left_over() const { return buffer_.size(); }
   /// Whether the peer has closed the connection.
   bool PeerClosed() const;
--- a/review/standins/upstream.cpp
+++ b/review/standins/upstream.cpp
@@ -89,12 +89,19 @@
   Connection accepted(descriptor);
   Connection connection(std::move(accepted));
   double idle_since = record_.Now();
+  std::size_t bytes_before = 0;
   while (!stopping_ && record_.Now() - idle_since < kIdleTimeoutS) {
     const auto request = connection.Read(kAcceptTimeoutS);
     if (!request && connection.ended()) return;
-    if (!request) continue;
+    if (!request) {
+      // A request that is still coming in isn't idle.
+      if (connection.bytes_left_over() > bytes_before) idle_since = record_.Now();
+      bytes_before = connection.bytes_left_over();
+      continue;
+    }
     if (!Serve(connection, *request)) return;
     idle_since = record_.Now();
+    bytes_before = 0;
   }
 }
 
