Bound and escape the text of log lines

Cause: a log line was as long as the text from outside that it quotes, and bytes that are not ASCII were written as question marks, so that unreadable input of different kinds looked the same in the logs.

Change: base::ToPrintable escapes what is not printable UTF-8 and cuts long text between characters. logging::Write applies it to messages (4,096 bytes) and fields (1,024 bytes).

Conclusion: the volume of a line no longer depends on who sends what.

--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -12,11 +12,16 @@
 #include <memory>
 #include <utility>
 
+#include "base/printable_text.h"
 #include "logging/background_writer.h"
 
 namespace wagtailpick::logging {
 namespace {
 
+/// Longest message and field value of a line, in bytes. Both may quote text from outside.
+constexpr std::size_t kMaxMessageBytes = 4'096;
+constexpr std::size_t kMaxFieldBytes = 1'024;
+
 std::atomic<bool> started = false;
 Options process_options;
 
@@ -56,6 +61,13 @@
 
 namespace {
 
+// The JSON layout has no limit for a line, and writes bytes that are not ASCII as question marks, so
+// that unreadable bytes from outside could not be told apart.
+void MakePrintable(std::string& text, std::size_t max_bytes) {
+  if (text.size() <= max_bytes && base::IsPrintable(text)) return;
+  text = base::ToPrintable(text, max_bytes);
+}
+
 void WriteNow(const Line& line) {
   const auto logger = ProcessLogger();
   const log4cxx::MDC event_field("event", line.event);
@@ -93,6 +105,8 @@
            const std::vector<Field>& fields) {
   if (!started || !ProcessLogger()->isEnabledFor(ToLog4cxx(level))) return;
   Line line{level, event, message, fields};
+  MakePrintable(line.message, kMaxMessageBytes);
+  for (auto& field : line.fields) MakePrintable(field.value, kMaxFieldBytes);
   if (ProcessWriter() != nullptr) return ProcessWriter()->Enqueue(std::move(line));
   WriteNow(line);
 }
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -34,8 +34,10 @@
 /// file cannot be opened.
 base::Result<void> Start(const Options& options);
 
-/// Writes one JSON line with `event`, `message` and `fields`. Thread-safe; does nothing before
-/// `Start`.
+/// Writes one JSON line with `event`, `message` and `fields`. Bytes of the message and of field
+/// values that are not printable UTF-8 are escaped; a message
+/// longer than 4,096 bytes and a value longer than 1,024 bytes are cut. Thread-safe; does nothing
+/// before `Start`.
 void Write(Level level, const std::string& event, const std::string& message,
            const std::vector<Field>& fields = {});
 
