--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -89,6 +89,61 @@
   cr_expect(refuses("\"service\":\"s\",", ""));
 }
 
+// Guards against an error text that quotes what could not be read, and against values that wrap or
+// overflow when they are converted: 2^32 slots became none, and such a server got no requests.
+Test(announcement_json, names_the_field_that_is_not_accepted) {
+  const std::string valid =
+      R"({"addr":"10.1.0.9:80","born":1700,"info":{"service":"s","version":"v1","zone":"z",)"
+      R"("slots":4},"status":{"state":"ready","seq":4,"coldLeftMs":1500}})";
+  struct Case {
+    std::string from;
+    std::string to;
+    std::string error;
+  };
+  const std::vector<Case> cases{
+      {"\"slots\":4", "\"slots\":4294967296", "slots: "},
+      {"\"slots\":4", "\"slots\":\"\\u0007secret\"", "slots: "},
+      {"1700", "18446744073709551615", "born: "},
+      {"\"zone\":\"z\"", "\"zone\":\"z\\u0007secret\"", "zone: "},
+      {"\"s\"", "\"" + std::string(300, 's') + "\"", "service: "},
+      {"10.1.0.9:80", "secret", "addr: "},
+      {"\"ready\"", "\"secret\"", "state: "},
+      {"1500", "\"secret\"", "coldLeftMs: "},
+      {"1700", "1e999", "not valid JSON"},
+  };
+  for (const auto& test_case : cases) {
+    auto text = valid;
+    text.replace(text.find(test_case.from), test_case.from.size(), test_case.to);
+    const auto report = platform::DecodeAnnouncement("i-1", text);
+    cr_assert(!report, "%s", test_case.to.c_str());
+    const auto& message = report.error().message;
+    cr_expect(message.starts_with(test_case.error), "%s", message.c_str());
+    cr_expect(message.find("secret") == std::string::npos);
+  }
+  auto cold = valid;
+  cold.replace(cold.find("1500"), 4, "1e300");
+  cr_expect(platform::DecodeAnnouncement("i-1", cold).value().cold_left ==
+            std::chrono::hours(24 * 365));
+  cold.replace(cold.find("1e300"), 5, "-5");
+  cr_expect(platform::DecodeAnnouncement("i-1", cold).value().cold_left == base::Duration::zero());
+}
+
+// Guards against config values that wrap: 2^32 + 1 attempts became one.
+Test(catalog_json, refuses_numbers_out_of_range) {
+  const std::string valid = ConfigJson(RouteJson(R"(,"service":"s")"));
+  const auto accepts = [&valid](const std::string& from, const std::string& to) {
+    auto text = valid;
+    text.replace(text.find(from), from.size(), to);
+    return platform::DecodeCatalog(text).has_value();
+  };
+  cr_expect(!accepts("\"attempts\":2", "\"attempts\":4294967297"));
+  cr_expect(!accepts("\"priority\":2", "\"priority\":-2"));
+  cr_expect(!accepts("\"maxConns\":330", "\"maxConns\":4294967296"));
+  cr_expect(!accepts("\"timeoutMs\":2000", "\"timeoutMs\":1e300"));
+  cr_expect(!accepts("\"timeoutMs\":2000", "\"timeoutMs\":-1e300"));
+  cr_expect(accepts("\"coldStartS\":3.0", "\"coldStartS\":1e300"));
+}
+
 // Guards against passing a caller an answer to another request or from another sender.
 Test(caller_dialect, classifies_answers) {
   const http::Header id{"Request-Id", "id-1"};
