Serialize JSON answers in one function that cannot throw on text

What callers saw: a heartbeat with one byte that is not UTF-8 ended the control replica that read it before it had answered.

Cause: platform/control_api.cpp put the text of the decoder's exception, which quotes the bytes, into a JSON answer, and json::dump() throws on bytes that are not UTF-8. Nothing caught it. The other daemon's function for error answers replaced such bytes; the second one was written without that care. Ruled out: the decoder itself (heartbeats with missing fields are answered 400) and the log line (the exception is type_error.316 of the serializer).

Change: http::JsonAnswer serializes all JSON answers of both daemons and replaces bytes that are not UTF-8. The two answers of wagtailpickd that called dump() without care (look-ups, announcements) use it too.

Conclusion: text from outside cannot end a process through an answer.

--- a/src/app/wagtailpickd/admin_api.cpp
+++ b/src/app/wagtailpickd/admin_api.cpp
@@ -5,6 +5,7 @@
 
 #include "entry/error_answer.h"
 #include "entry/query.h"
+#include "http/json_answer.h"
 #include "rpc/client.h"
 
 namespace wagtailpick::wagtailpickd {
@@ -45,9 +46,9 @@
   nlohmann::json events = nlohmann::json::array();
   for (const auto& event : events_.EventsAfter(after_sequence)) events.push_back(ToJson(event));
   const nlohmann::json body{{"events", events}, {"dropped", events_.dropped()}};
-  return {200,
-          {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}},
-          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+  auto answer = http::JsonAnswer(200, body);
+  answer.headers.push_back({"Cache-Control", "no-store"});
+  return answer;
 }
 
 }  // namespace wagtailpick::wagtailpickd
--- a/src/libs/entry/dispatcher_handlers.cpp
+++ b/src/libs/entry/dispatcher_handlers.cpp
@@ -3,6 +3,7 @@
 
 #include "entry/announcement_json.h"
 #include "entry/dispatcher.h"
+#include "http/json_answer.h"
 #include "rpc/stamp.h"
 
 namespace wagtailpick::entry {
@@ -17,7 +18,9 @@
                       : Unavailable(reply.error().message));
     }
     const nlohmann::json body{{"owner", reply.value().owner_vm()}, {"next_ms", 500}};
-    sink({200, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, body.dump()});
+    auto response = http::JsonAnswer(200, body);
+    response.headers.push_back({"Cache-Control", "no-store"});
+    sink(std::move(response));
   };
   const bool queued = loop_.TryPost([this, value = announcement.value(), answer] {
     announcement_router_.Announce(value, answer);
--- a/src/libs/entry/error_answer.cpp
+++ b/src/libs/entry/error_answer.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/printable_text.h"
+#include "http/json_answer.h"
+
 namespace wagtailpick::entry {
 namespace {
 
@@ -10,17 +13,15 @@
 }  // namespace
 
 http::Response ErrorAnswer(const ErrorInfo& info) {
-  const nlohmann::json body{{"error", info.message},
+  const nlohmann::json body{{"error", base::ToPrintable(info.message, http::kMaxErrorBytes)},
                             {"reason", info.reason},
                             {"verdict", base::ToString(info.verdict)},
                             {"attempt_verdict", base::ToString(info.attempt_verdict)},
                             {"request_id", info.request_id},
                             {"retry_after_ms", info.retry_after_ms}};
-  http::Response response;
-  response.status = info.status;
-  response.headers = {{"Content-Type", "application/json"},
-                      {"Cache-Control", "no-store"},
-                      {"X-Wagtailpick-Verdict", std::string(base::ToString(info.verdict))}};
+  auto response = http::JsonAnswer(info.status, body);
+  response.headers.push_back({"Cache-Control", "no-store"});
+  response.headers.push_back({"X-Wagtailpick-Verdict", std::string(base::ToString(info.verdict))});
   if (!info.request_id.empty()) {
     response.headers.push_back({"X-Wagtailpick-Request-Id", info.request_id});
   }
@@ -29,7 +30,6 @@
     response.headers.push_back(
         {"Retry-After", std::to_string((info.retry_after_ms + 999) / 1'000)});
   }
-  response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
--- a/src/libs/entry/lookup_api.cpp
+++ b/src/libs/entry/lookup_api.cpp
@@ -8,6 +8,7 @@
 
 #include "entry/error_answer.h"
 #include "entry/query.h"
+#include "http/json_answer.h"
 #include "routing/client_address.h"
 #include "routing/lookup_ranker.h"
 
@@ -84,10 +85,9 @@
                   {"seeds", Seeds(*view)},
                   {"lifetime_ms", lifetime},
                   {"bundle_version", view->bundle.version}};
-  return {200,
-          {{"Content-Type", "application/json"},
-           {"Cache-Control", "max-age=" + std::to_string(lifetime / 1'000)}},
-          body.dump()};
+  auto answer = http::JsonAnswer(200, body);
+  answer.headers.push_back({"Cache-Control", "max-age=" + std::to_string(lifetime / 1'000)});
+  return answer;
 }
 
 }  // namespace wagtailpick::entry
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "base/printable_text.h"
 #include "logging/log.h"
 #include "node/metrics_page.h"
 #include "node/upstream_sync.h"
@@ -277,7 +278,7 @@
 void ControlNode::SetEvacuation(const std::string& data_centre, bool evacuated,
                                 OrderCallback done) {
   if (!options_.node.regions.contains(data_centre)) {
-    return done({OrderStatus::kInvalid, {}, "unknown data centre " + data_centre, {}});
+    return done({OrderStatus::kInvalid, {}, "unknown data centre " + base::ToPrintable(data_centre), {}});
   }
   log_->Submit(orders::SetEvacuation{data_centre, evacuated},
                [this, done = std::move(done)](OrderReply reply) { Reply(done, std::move(reply)); });
