Let an exception cost its request and not the process

Cause: an exception that left a handler left the event loop and main, so any fault of this kind ended the process for all callers. A handler that dropped its request left the client waiting without an end.

Change: a request whose handler throws or drops it is answered 500, logged as request_handler_failed with its cause and counted in wagtailpick_request_handler_failures. A frame whose handler throws closes its link. Other work is logged as handler_failed, and the loop goes on. Timers and accepting are scheduled before anything that may throw. The thread of the replicated log is left outside on purpose: half a step of consensus must not be continued.

Measured: http_listener::a_failed_handler_costs_its_request_only and frame_link::a_failed_handler_closes_the_link end by the exception before and pass after.

Conclusion: what may be half changed are the tables of upstreams, suspects and limits, which later reports correct.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <exception>
 
 #include "logging/log.h"
 #include "wagtailpick_edge/edge_settings.h"
@@ -18,6 +19,19 @@
   hooks.reload(settings.value().node());
 }
 
+// An exception that leaves a handler ends that handler's work and not the process. Periodic work
+// and reads are scheduled before they can throw, so they go on.
+void RunLoop(asio::io_context& loop) {
+  while (true) {
+    try {
+      loop.run();
+      return;
+    } catch (const std::exception& error) {
+      logging::Write(Level::kError, "handler_failed", error.what());
+    }
+  }
+}
+
 }  // namespace
 
 int RunRole(asio::io_context& loop, const std::string& settings_path, const std::string& serving,
@@ -27,17 +41,17 @@
   const std::function<void()> wait_for_signal = [&] {
     signals.async_wait([&](asio::error_code error, int signal) {
       if (error) return;
+      wait_for_signal();
       if (signal == SIGHUP) {
         Reload(settings_path, hooks);
       } else {
         logging::Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
         hooks.stop([&loop] { loop.stop(); });
       }
-      wait_for_signal();
     });
   };
   wait_for_signal();
-  loop.run();
+  RunLoop(loop);
   logging::Write(Level::kInfo, "process_stopped", "");
   logging::Stop();
   return 0;
--- a/src/libs/net/frame_link.cpp
+++ b/src/libs/net/frame_link.cpp
@@ -1,6 +1,7 @@
 #include "net/frame_link.h"
 
 #include <asio/write.hpp>
+#include <exception>
 #include <utility>
 
 #include "net/socket_options.h"
@@ -67,7 +68,11 @@
     if (input_.size() - at - kLengthBytes < length) break;
     const std::string frame = input_.substr(at + kLengthBytes, length);
     at += kLengthBytes + length;
-    hooks_.frame(frame);
+    try {
+      hooks_.frame(frame);
+    } catch (const std::exception& error) {
+      Fail(std::string("the handler of a frame failed: ") + error.what());
+    }
     if (closed_) return false;
   }
   input_.erase(0, at);
--- a/src/libs/net/frame_link.h
+++ b/src/libs/net/frame_link.h
@@ -17,7 +17,8 @@
 class FrameLink : public std::enable_shared_from_this<FrameLink> {
  public:
   struct Hooks {
-    /// Called with the bytes of each received frame.
+    /// Called with the bytes of each received frame. An exception closes the connection with its
+    /// text as the reason.
     std::function<void(const std::string& frame)> frame;
     /// Called once with the error text when the connection fails or the peer closes it.
     std::function<void(const std::string& reason)> closed;
--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -54,9 +54,14 @@
         ScheduleTimeoutCheck();
       });
     }
+    // Before anything that may throw, as the listener would not accept any more.
+    Accept();
     ServerConnection::Hooks hooks;
     hooks.handle = handle_;
     hooks.policy = policy_;
+    hooks.failed = [this] {
+      if (!stopped_) ++handler_failures_;
+    };
     hooks.closed = [this](const std::shared_ptr<ServerConnection>& closed) {
       if (!stopped_) connections_.erase(closed);
     };
@@ -64,7 +69,6 @@
     connections_.insert(connection);
     last_accepted_ = base::MonotonicNow();
     connection->Start();
-    Accept();
   });
 }
 
@@ -72,11 +76,11 @@
   timer_.expires_after(kTimeoutCheckInterval);
   timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
+    ScheduleTimeoutCheck();
     const auto now = base::MonotonicNow();
     const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
                                                               connections_.end());
     for (const auto& connection : open) connection->CheckTimeouts(now);
-    ScheduleTimeoutCheck();
   });
 }
 
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -2,6 +2,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_set>
@@ -34,6 +35,8 @@
   /// Number of connections with a request in progress or an answer that is not yet sent in full,
   /// and of connections that are about to close after their last answer.
   std::size_t busy_count() const;
+  /// Number of requests whose handler has thrown or dropped them without an answer.
+  std::uint64_t handler_failures() const { return handler_failures_; }
   /// Time at which the last connection was accepted.
   base::MonotonicTime last_accepted() const { return last_accepted_; }
 
@@ -51,6 +54,7 @@
   std::function<ServerPolicy()> policy_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   bool stopped_ = false;
+  std::uint64_t handler_failures_ = 0;
   /// Lets handlers detect that the listener was destroyed: a completion that was queued before is
   /// still run, without an error.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -1,8 +1,10 @@
 #include "net/server_connection.h"
 
 #include <asio/write.hpp>
+#include <exception>
 #include <utility>
 
+#include "logging/log.h"
 #include "net/http_text.h"
 #include "net/socket_options.h"
 
@@ -27,6 +29,12 @@
   }
 }
 
+http::Response InternalError() {
+  http::Response response;
+  response.status = 500;
+  return response;
+}
+
 }  // namespace
 
 class ServerConnection::Inbound : public InboundRequest {
@@ -34,6 +42,14 @@
   explicit Inbound(std::shared_ptr<ServerConnection> connection)
       : connection_(std::move(connection)) {}
 
+  // A handler that dropped the request, for instance by an exception in a later callback, would
+  // leave the client waiting.
+  ~Inbound() override {
+    if (connection_ == nullptr || connection_->phase_ != Phase::kServing) return;
+    connection_->ReportFailure("the request was dropped without an answer", *this);
+    Answer(InternalError());
+  }
+
   void Answer(http::Response response) override {
     const auto connection = std::exchange(connection_, nullptr);
     on_client_left = nullptr;
@@ -108,7 +124,19 @@
   inbound->request = std::move(parser_.request());
   inbound->received_at = base::MonotonicNow();
   inbound_ = inbound;
-  hooks_.handle(std::move(inbound));
+  // An exception costs the client this request only, and not the other clients the process.
+  try {
+    hooks_.handle(inbound);
+  } catch (const std::exception& error) {
+    ReportFailure(error.what(), *inbound);
+    inbound->Answer(InternalError());
+  }
+}
+
+void ServerConnection::ReportFailure(const std::string& cause, const Inbound& inbound) {
+  logging::Write(logging::Level::kError, "request_handler_failed", cause,
+                 {{"method", inbound.request.method}, {"target", inbound.request.target}});
+  if (hooks_.failed) hooks_.failed();
 }
 
 void ServerConnection::Refuse(int status) {
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -30,6 +30,9 @@
  public:
   struct Hooks {
     InboundHandler handle;
+    /// Called when `handle` has thrown or has dropped a request without an answer. The request is
+    /// then answered with status 500.
+    std::function<void()> failed;
     std::function<ServerPolicy()> policy;
     /// Called once when the connection is closed from either side.
     std::function<void(const std::shared_ptr<ServerConnection>&)> closed;
@@ -57,6 +60,7 @@
   void HandleBytes(std::string_view bytes);
   void ParseBuffered();
   void Serve();
+  void ReportFailure(const std::string& cause, const Inbound& inbound);
   void Refuse(int status);
   void Write(const http::Response& response, bool close);
   void HandleWritten(bool close);
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -131,6 +131,10 @@
 }
 
 void ControlNode::Tick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) Tick();
+  });
   const auto now = base::MonotonicNow();
   replica_links_->Tick(now);
   acceptor_->Tick(now);
@@ -141,6 +145,7 @@
     liveness_due_ = now + kLivenessInterval;
     acceptor_->BroadcastToFollowers(MakeLiveness(upstreams_, now));
     RemoveOldLimits(now);
+    UpdateGauges();
   }
   SendConditions(now);
   SendTokensIssued();
@@ -150,10 +155,12 @@
     logging::Write(Level::kInfo, "upstream_forgotten", id);
     stored_departures_.erase(id);
   }
-  timer_.expires_after(kTick);
-  timer_.async_wait([this](asio::error_code error) {
-    if (!error) Tick();
-  });
+}
+
+void ControlNode::UpdateGauges() {
+  auto failures = orders_listener_->handler_failures();
+  if (directory_listener_ != nullptr) failures += directory_listener_->handler_failures();
+  metrics_.GaugeAt("wagtailpick_request_handler_failures").Set(static_cast<std::int64_t>(failures));
 }
 
 void ControlNode::LoadCache() {
@@ -278,7 +285,8 @@
 void ControlNode::SetEvacuation(const std::string& data_centre, bool evacuated,
                                 OrderCallback done) {
   if (!options_.node.regions.contains(data_centre)) {
-    return done({OrderStatus::kInvalid, {}, "unknown data centre " + base::ToPrintable(data_centre), {}});
+    return done(
+        {OrderStatus::kInvalid, {}, "unknown data centre " + base::ToPrintable(data_centre), {}});
   }
   log_->Submit(orders::SetEvacuation{data_centre, evacuated},
                [this, done = std::move(done)](OrderReply reply) { Reply(done, std::move(reply)); });
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -100,6 +100,7 @@
   cluster::Acceptor::Hooks SessionHooks();
   ReplicaLinks::Hooks LinkHooks();
   void Tick();
+  void UpdateGauges();
   void HandleSessionOpened(const cluster::Session& session);
   void HandleSessionMessage(const cluster::Session& session, const cluster::Message& message);
   void HandlePing(const cluster::Session& session);
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -117,6 +117,10 @@
 }
 
 void EntryNode::Tick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) Tick();
+  });
   const auto now = base::MonotonicNow();
   replica_links_->Tick(now);
   ChooseFollowedReplica();
@@ -138,10 +142,6 @@
     UpdateGauges(now);
   }
   if (draining_) CheckDrain(now);
-  timer_.expires_after(kTick);
-  timer_.async_wait([this](asio::error_code error) {
-    if (!error) Tick();
-  });
 }
 
 // Only the nearest replica sends reports of all upstreams to this entry: reports from every replica
@@ -176,6 +176,9 @@
       .Set(static_cast<std::int64_t>(relay_->crash_guard().size()));
   metrics_.GaugeAt("wagtailpick_upstreams_limited")
       .Set(static_cast<std::int64_t>(relay_->limits().table().in_force()));
+  metrics_.GaugeAt("wagtailpick_request_handler_failures")
+      .Set(static_cast<std::int64_t>(callers_listener_->handler_failures() +
+                                     readiness_listener_->handler_failures()));
   metrics_.GaugeAt("wagtailpick_requests_running")
       .Set(static_cast<std::int64_t>(relay_->running()));
 }
--- a/tests/auto/net/frame_link_test.cpp
+++ b/tests/auto/net/frame_link_test.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -22,8 +23,11 @@
     peer.connect(acceptor.local_endpoint());
     link = std::make_shared<net::FrameLink>(acceptor.accept());
     net::FrameLink::Hooks hooks;
-    hooks.frame = [this](const std::string& frame) { frames.push_back(frame); };
-    hooks.closed = [](const std::string&) {};
+    hooks.frame = [this](const std::string& frame) {
+      if (frame == "fail") throw std::runtime_error("cannot handle this");
+      frames.push_back(frame);
+    };
+    hooks.closed = [this](const std::string& reason) { closed_for = reason; };
     link->Start(std::move(hooks));
   }
 
@@ -36,6 +40,7 @@
   tcp::socket peer;
   std::shared_ptr<net::FrameLink> link;
   std::vector<std::string> frames;
+  std::string closed_for;
 };
 
 }  // namespace
@@ -56,3 +61,12 @@
   cr_expect(fixture.frames.front() == "x" + std::string(99, 'y'));
   fixture.link->Close();
 }
+
+// Guards against a frame that ends the process because its handler throws.
+Test(frame_link, a_failed_handler_closes_the_link) {
+  Fixture fixture;
+  asio::write(fixture.peer, asio::buffer(std::string("\x4\0\0\0fail", 8)));
+  fixture.Run(milliseconds(100));
+  cr_expect(!fixture.link->open());
+  cr_expect(fixture.closed_for.find("cannot handle this") != std::string::npos);
+}
--- a/tests/auto/net/http_listener_test.cpp
+++ b/tests/auto/net/http_listener_test.cpp
@@ -6,6 +6,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 namespace {
@@ -27,7 +28,10 @@
       }
       auto started = net::HttpListener::Start(
           loop, endpoint,
-          [this](std::shared_ptr<net::InboundRequest> request) { inbound = std::move(request); },
+          [this](std::shared_ptr<net::InboundRequest> request) {
+            if (throws) throw std::runtime_error("cannot handle this");
+            inbound = std::move(request);
+          },
           [] { return net::ServerPolicy(); });
       if (started) listener = std::move(started.value());
     }
@@ -44,8 +48,17 @@
     loop.run_for(milliseconds(50));
   }
 
+  /// Returns the status of the answer that has arrived.
+  int ReadStatus() {
+    std::string received(1'024, '\0');
+    received.resize(client.read_some(asio::buffer(received)));
+    return std::stoi(received.substr(received.find(' ')));
+  }
+
   asio::io_context loop;
   std::shared_ptr<net::InboundRequest> inbound;
+  /// Makes the handler of requests fail.
+  bool throws = false;
   std::unique_ptr<net::HttpListener> listener;
   tcp::socket client;
 };
@@ -80,3 +93,25 @@
   fixture.Run();
   cr_expect(fixture.listener->busy_count() == 0);
 }
+
+// Guards against an exception of one request's handler that ends the process and with it all other
+// requests, and against a request that is dropped and never answered.
+Test(http_listener, a_failed_handler_costs_its_request_only) {
+  Fixture fixture;
+  fixture.throws = true;
+  fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_expect(fixture.ReadStatus() == 500);
+  cr_expect(fixture.listener->handler_failures() == 1);
+  fixture.throws = false;
+  fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(fixture.inbound != nullptr);
+  fixture.inbound.reset();
+  fixture.Run();
+  cr_expect(fixture.ReadStatus() == 500);
+  cr_expect(fixture.listener->handler_failures() == 2);
+  fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(fixture.inbound != nullptr);
+  fixture.inbound->Answer({});
+  fixture.Run();
+  cr_expect(fixture.ReadStatus() == 200);
+}
