Check the names of processes when a frame is decoded

Cause: a name in a hello or a list of replicas was taken as it came. It is committed with the membership of the group as JSON, and the serializer throws on bytes that are not UTF-8: one such name would end each replica that reads it, at each start.

Change: a frame with a name that is not printable UTF-8 is refused, which closes its link.

Measured: message_codec::refuses_names_that_are_not_printable fails before (three frames are accepted) and passes after.

Conclusion: names are checked where they enter, also from other processes.

--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/printable_text.h"
 #include "cluster/consensus_codec.h"
 #include "cluster/limit_codec.h"
 #include "cluster/report_codec.h"
@@ -20,6 +21,8 @@
 /// Compression saves little on shorter messages.
 constexpr std::size_t kMinBytesToCompress = 512;
 constexpr std::size_t kMaxMessageBytes = 64UL * 1024 * 1024;
+/// Error id of nlohmann::json for an error of its user.
+constexpr int kUnprintableName = 501;
 
 /// Encodes a list of values that have a codec of their own.
 template <typename T>
@@ -125,19 +128,26 @@
 
 json Fields(const TokensIssued& message) { return ListOf(message.tokens); }
 
+// Names of processes are committed with the membership of the group, as JSON. A name that cannot be
+// written as JSON would end every replica that reads it.
+std::string NameFrom(const json& field) {
+  auto name = field.get<std::string>();
+  if (base::IsPrintable(name)) return name;
+  throw json::other_error::create(kUnprintableName, "a name is not printable", &field);
+}
+
 void Read(const json& fields, Hello& out) {
   out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
-  out.vm = fields.at(1).get<std::string>();
-  out.data_centre = fields.at(2).get<std::string>();
-  out.cluster_address = fields.at(3).get<std::string>();
-  out.service_address = fields.at(4).get<std::string>();
+  out.vm = NameFrom(fields.at(1));
+  out.data_centre = NameFrom(fields.at(2));
+  out.cluster_address = NameFrom(fields.at(3));
+  out.service_address = NameFrom(fields.at(4));
   out.incarnation = fields.at(5).get<std::uint64_t>();
 }
 
 void Read(const json& fields, Replicas& out) {
   for (const auto& one : fields.at(0)) {
-    out.replicas.push_back(
-        {one.at(0).get<std::string>(), one.at(1).get<std::string>(), one.at(2).get<std::string>()});
+    out.replicas.push_back({NameFrom(one.at(0)), NameFrom(one.at(1)), NameFrom(one.at(2))});
   }
 }
 
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -159,3 +159,12 @@
     cr_expect(!Decode(Encode(LimitReports{{{"i-1", 17, rate, false, {}}}})));
   }
 }
+
+// Guards against a name that is taken from a peer, committed with the group's membership, and then
+// ends every replica that writes the membership as JSON.
+Test(message_codec, refuses_names_that_are_not_printable) {
+  const std::string unreadable = "\xff:1";
+  cr_expect(!Decode(Encode(Hello{NodeRole::kReplica, "vm", "dc", unreadable, "a:2", 1})));
+  cr_expect(!Decode(Encode(Hello{NodeRole::kReplica, unreadable, "dc", "a:1", "a:2", 1})));
+  cr_expect(!Decode(Encode(Replicas{{{unreadable, "a:2", "dc"}}})));
+}
