--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -73,7 +73,8 @@
 void RequestRun::Start() {
   auto attributes = relay_.dialect_.parse_request(inbound_->request);
   if (!attributes) {
-    return Finish(Plain(400), "rejected", attributes.error().message);
+    Log(Level::kWarning, "request_unreadable", attributes.error().message, {});
+    return Finish(Plain(400), "rejected", "bad_request");
   }
   attributes_ = std::move(attributes.value());
   if (catalog_ == nullptr) return Refuse("no_catalog");
--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -259,8 +259,9 @@
   cr_expect(!Classify(MakeAnswer(200, {{"Request-Id", "id-2"}, seal, limit})).requests_per_second);
 }
 
-// Guards against a request that an upstream runs though it was meant for another one, and against
-// one that gets more time than its caller has left.
+// Guards against a request that an upstream runs though it was meant for another one, against one
+// that gets more time than its caller has left, and against a time that overflows: its request was
+// answered 504 at once.
 Test(caller_dialect, sets_expected_upstream_and_remaining_time) {
   const auto dialect = platform::CallerDialect();
   http::Request request{"GET", "/a/1", {}, "", ""};
@@ -273,6 +274,9 @@
   cr_assert(attributes.has_value());
   cr_expect(attributes.value().deadline == std::chrono::seconds(3));
   cr_expect(attributes.value().object != 0);
+  auto patient = request;
+  patient.headers[2].value = "9223372036854775807";
+  cr_expect(dialect.parse_request(patient).value().deadline == std::chrono::hours(24));
   const auto sent = dialect.build_upstream_request(request, "i-1", std::chrono::milliseconds(1200));
   cr_expect(*http::FindHeader(sent.headers, "Expect-Instance") == "i-1");
   cr_expect(*http::FindHeader(sent.headers, "Deadline-Ms") == "1200");
