Count the bodies of messages in a memory budget

Cause: each body was bounded (64 MB), their sum was not. A request body stood in memory three times on its way out: as received, in the upstream's request, and behind its serialized head. An answer stood twice.

Change: base::MemoryBudget holds 0.65 of the VM's memory, with a part for small messages, requests, answers, and answers without a length each, and a shared part. A declared length is counted at the head: a request that does not fit is refused with 503 and Retry-After before its body is read, an answer that does not fit ends its request with 502 (no_memory), which is no fault of its upstream. A body without a length is counted as it grows, and ended when there is no room; for an answer that counts as its upstream's failure. Bodies are sent behind their heads without a copy, and all attempts share the request's. Large buffers are mapped, so that freed ones leave the process. Control replicas take orders of 8 MiB at most, within a tenth of their memory.

Conclusion: the memory of an entry is bounded by its design.

--- a/src/app/wagtailpick_edge/edge_settings.cpp
+++ b/src/app/wagtailpick_edge/edge_settings.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t kMaxPort = 65'535;
 constexpr double kBytesPerSecondPerMbps = 125'000;
+constexpr double kBytesPerMb = 1'000'000;
 
 std::vector<KeyRule> Schema() {
   return {
@@ -27,6 +28,7 @@
       {"node", "cluster_port", KeyKind::kNumber, true, {}, 1, kMaxPort},
       {"node", "metrics_port", KeyKind::kNumber, false, "0", 0, kMaxPort},
       {"node", "link_mbps", KeyKind::kDecimal, false, "0", 0, 1'000'000},
+      {"node", "memory_mb", KeyKind::kDecimal, false, "256", 16, 1'000'000},
       {"node", "seeds", KeyKind::kEndpointList, true},
       {"node", "log_file", KeyKind::kText, false, "stdout"},
       {"entry", "callers", KeyKind::kEndpoint},
@@ -65,6 +67,8 @@
   }
   options.link_bytes_per_second =
       static_cast<std::uint64_t>(settings.Decimal("node", "link_mbps") * kBytesPerSecondPerMbps);
+  options.memory_bytes =
+      static_cast<std::uint64_t>(settings.Decimal("node", "memory_mb") * kBytesPerMb);
   for (const auto& seed : settings.List("node", "seeds")) {
     BOOST_OUTCOME_TRY(endpoint, base::ParseEndpoint(seed));
     options.seeds.push_back(endpoint);
--- a/src/app/wagtailpick_edge/main.cpp
+++ b/src/app/wagtailpick_edge/main.cpp
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -14,6 +16,9 @@
 namespace edge = wagtailpick::wagtailpick_edge;
 namespace settings = wagtailpick::settings;
 
+/// Buffers of at least this size are mapped.
+constexpr int kMappedBufferBytes = 256 * 1024;
+
 constexpr const char* kUsage =
     R"(wagtailpick_edge: one VM of the traffic steering system on a provider's platform.
 
@@ -64,6 +69,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Large buffers are mapped, and given back to the system when they are freed. By default the
+  // threshold rises with each freed buffer, and freed memory of that size stays with the process.
+  mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
   const settings::CommandLine command_line{"wagtailpick_edge", WAGTAILPICK_VERSION, kUsage};
   return settings::RunCommandLine(command_line, argc, argv, Run);
 }
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <memory>
 #include <string>
 
+#include "base/memory_budget.h"
 #include "http/header.h"
 
 namespace wagtailpick::http {
@@ -15,6 +17,8 @@
   std::string body;
   /// IP address of the client.
   std::string peer;
+  /// Counts the body in the memory budget of the process; null if it is not counted.
+  std::shared_ptr<base::MemoryReservation> memory = nullptr;
 };
 
 /// A complete answer.
@@ -22,6 +26,8 @@
   int status = 200;
   Headers headers;
   std::string body;
+  /// Counts the body in the memory budget of the process; null if it is not counted.
+  std::shared_ptr<base::MemoryReservation> memory = nullptr;
 };
 
 }  // namespace wagtailpick::http
--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -59,6 +59,9 @@
     ServerConnection::Hooks hooks;
     hooks.handle = handle_;
     hooks.policy = policy_;
+    hooks.refused_for_memory = [this](const http::Request& head) {
+      if (!stopped_ && refused_for_memory_) refused_for_memory_(head);
+    };
     hooks.failed = [this] {
       if (!stopped_) ++handler_failures_;
     };
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_set>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/result.h"
@@ -28,6 +29,12 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
+  /// Sets a callback for requests that are refused before their body is read, as the memory budget of
+  /// the policy has no room for it.
+  void set_on_refused_for_memory(std::function<void(const http::Request& head)> callback) {
+    refused_for_memory_ = std::move(callback);
+  }
+
   /// Closes the connections without a request in progress. The others close after their answer only
   /// if the policy sets `close_after_answer`.
   void CloseIdle();
@@ -52,6 +59,7 @@
   asio::steady_timer timer_;
   InboundHandler handle_;
   std::function<ServerPolicy()> policy_;
+  std::function<void(const http::Request& head)> refused_for_memory_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   bool stopped_ = false;
   std::uint64_t handler_failures_ = 0;
--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -12,6 +12,10 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+/// Growth of the buffer of a body whose length is not known. Memory is used only where it is
+/// written, so a large buffer costs nothing in advance, and it is seldom copied.
+constexpr std::size_t kCapacityFactor = 16;
+
 bool HasNoBody(int status) {
   return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
 }
@@ -36,6 +40,7 @@
   complete_ = false;
   keep_alive_ = false;
   ends_with_stream_ = false;
+  has_open_body_ = false;
   error_ = ParseError::kNone;
 }
 
@@ -47,20 +52,53 @@
   return kind_ == Kind::kRequest ? request_.headers : response_.headers;
 }
 
+std::string& HttpParserState::body() {
+  return kind_ == Kind::kRequest ? request_.body : response_.body;
+}
+
+std::shared_ptr<base::MemoryReservation>& HttpParserState::memory() {
+  return kind_ == Kind::kRequest ? request_.memory : response_.memory;
+}
+
+int HttpParserState::Stop(ParseError error) {
+  error_ = error;
+  return kStop;
+}
+
 int HttpParserState::CountHeaderBytes(std::size_t bytes) {
   header_bytes_ += bytes;
-  if (header_bytes_ <= limits_.max_header_bytes) return 0;
-  error_ = ParseError::kHeadersTooLarge;
-  return kStop;
+  return header_bytes_ <= limits_.max_header_bytes ? 0 : Stop(ParseError::kHeadersTooLarge);
 }
 
 int HttpParserState::AppendBody(std::string_view bytes) {
-  std::string& body = kind_ == Kind::kRequest ? request_.body : response_.body;
-  if (body.size() + bytes.size() > limits_.max_body_bytes) {
-    error_ = ParseError::kBodyTooLarge;
-    return kStop;
+  auto& text = body();
+  const std::size_t size = text.size() + bytes.size();
+  if (size > limits_.max_body_bytes) return Stop(ParseError::kBodyTooLarge);
+  if (memory() != nullptr && !memory()->GrowTo(size)) return Stop(ParseError::kNoMemory);
+  if (size > text.capacity()) {
+    text.reserve(std::clamp(text.capacity() * kCapacityFactor, size, limits_.max_body_bytes));
   }
-  body.append(bytes);
+  text.append(bytes);
+  return 0;
+}
+
+int HttpParserState::ReserveBody() {
+  const bool is_chunked = (parser_.flags & F_CHUNKED) != 0;
+  const bool has_length = !is_chunked && parser_.content_length != UINT64_MAX;
+  has_open_body_ = is_chunked || ends_with_stream_;
+  if (has_length && parser_.content_length > limits_.max_body_bytes) {
+    return Stop(ParseError::kBodyTooLarge);
+  }
+  const bool has_body = has_open_body_ || (has_length && parser_.content_length != 0);
+  if (!has_body || budget_ == nullptr) return 0;
+  const auto answer_use =
+      has_open_body_ ? base::MemoryUse::kOpenAnswer : base::MemoryUse::kAnswer;
+  memory() = std::make_shared<base::MemoryReservation>(
+      budget_, kind_ == Kind::kRequest ? base::MemoryUse::kRequest : answer_use);
+  if (!has_length) return 0;
+  const auto length = static_cast<std::size_t>(parser_.content_length);
+  if (!memory()->GrowTo(length)) return Stop(ParseError::kNoMemory);
+  body().reserve(length);
   return 0;
 }
 
@@ -69,21 +107,16 @@
   keep_alive_ = http_should_keep_alive(&parser_) != 0;
   if (kind_ == Kind::kResponse) {
     response_.status = static_cast<int>(parser_.status_code);
+    if (head_ || HasNoBody(response_.status)) return head_ ? kSkipBody : 0;
     const bool has_length =
         (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != UINT64_MAX;
-    ends_with_stream_ = !head_ && !has_length && !HasNoBody(response_.status);
-    return head_ ? kSkipBody : 0;
+    ends_with_stream_ = !has_length;
+    return ReserveBody();
   }
   request_.method = http_method_str(static_cast<http_method>(parser_.method));
   const bool well_formed = std::all_of(request_.headers.begin(), request_.headers.end(),
                                        [](const auto& header) { return IsWellFormed(header); });
-  if (!well_formed) return kStop;
-  const bool known_length = parser_.content_length != UINT64_MAX;
-  if (known_length && parser_.content_length > limits_.max_body_bytes) {
-    error_ = ParseError::kBodyTooLarge;
-    return kStop;
-  }
-  return 0;
+  return well_formed ? ReserveBody() : kStop;
 }
 
 const http_parser_settings& HttpParserState::Callbacks() {
--- a/src/libs/net/http_parser_state.h
+++ b/src/libs/net/http_parser_state.h
@@ -4,9 +4,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
+#include "base/memory_budget.h"
 #include "http/message.h"
 
 namespace wagtailpick::net {
@@ -18,7 +21,14 @@
 };
 
 /// Reason why a message was rejected.
-enum class ParseError : std::uint8_t { kNone, kMalformed, kHeadersTooLarge, kBodyTooLarge };
+enum class ParseError : std::uint8_t {
+  kNone,
+  kMalformed,
+  kHeadersTooLarge,
+  kBodyTooLarge,
+  /// The memory budget has no room for the body.
+  kNoMemory,
+};
 
 /// Parses consecutive HTTP/1.1 messages from a byte stream. After a message is complete, call
 /// `Reset` before feeding the next one.
@@ -48,10 +58,14 @@
   bool started() const { return started_; }
   /// Whether the connection persists after this message.
   bool keep_alive() const { return keep_alive_; }
+  /// Whether a body follows the headers without a declared length, so that it may never end.
+  bool has_open_body() const { return has_open_body_; }
   /// Whether the body has no declared length and extends to the end of the connection.
   bool ends_with_stream() const { return ends_with_stream_; }
   ParseError error() const { return error_; }
   void set_limits(const MessageLimits& limits) { limits_ = limits; }
+  /// Counts the bodies of further messages in `budget`; null counts none.
+  void set_memory(std::shared_ptr<base::MemoryBudget> budget) { budget_ = std::move(budget); }
 
   http::Request& request() { return request_; }
   http::Response& response() { return response_; }
@@ -61,11 +75,17 @@
   static HttpParserState& FromParser(http_parser* parser);
   int CountHeaderBytes(std::size_t bytes);
   int AppendBody(std::string_view bytes);
+  /// Counts the declared length in the memory budget, or prepares to count a body as it arrives.
+  int ReserveBody();
+  int Stop(ParseError error);
+  std::string& body();
+  std::shared_ptr<base::MemoryReservation>& memory();
   http::Headers& headers();
   int HandleHeadersComplete();
 
   Kind kind_;
   MessageLimits limits_;
+  std::shared_ptr<base::MemoryBudget> budget_;
   http_parser parser_{};
   http::Request request_;
   http::Response response_;
@@ -77,6 +97,7 @@
   bool complete_ = false;
   bool keep_alive_ = false;
   bool ends_with_stream_ = false;
+  bool has_open_body_ = false;
   ParseError error_ = ParseError::kNone;
 };
 
--- a/src/libs/net/http_text.cpp
+++ b/src/libs/net/http_text.cpp
@@ -5,6 +5,7 @@
 namespace wagtailpick::net {
 namespace {
 
+constexpr std::size_t kUsualHeadBytes = 512;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -31,23 +32,27 @@
   }
 }
 
-std::string RenderRequest(const http::Request& request) {
+std::string RenderRequestHead(const http::Request& request, std::size_t body_bytes) {
   std::string out;
-  out.reserve(512 + request.body.size());
+  out.reserve(kUsualHeadBytes);
   out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
   AppendHeaders(request.headers, out);
   const bool has_length = http::FindHeader(request.headers, "content-length") != nullptr ||
                           http::FindHeader(request.headers, "transfer-encoding") != nullptr;
-  if (has_length || !request.body.empty()) {
-    out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  if (has_length || body_bytes != 0) {
+    out.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
   }
-  out.append("\r\n").append(request.body);
+  out.append("\r\n");
   return out;
 }
 
-std::string RenderResponse(const http::Response& response, bool close, bool head) {
+std::string RenderRequest(const http::Request& request) {
+  return RenderRequestHead(request, request.body.size()) + request.body;
+}
+
+std::string RenderResponseHead(const http::Response& response, bool close) {
   std::string out;
-  out.reserve(512 + response.body.size());
+  out.reserve(kUsualHeadBytes);
   out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
   out.append(ReasonPhrase(response.status)).append("\r\n");
   AppendHeaders(response.headers, out);
@@ -56,7 +61,16 @@
   }
   if (close) out.append("Connection: close\r\n");
   out.append("\r\n");
-  if (!head && !HasNoBody(response.status)) out.append(response.body);
+  return out;
+}
+
+bool SendsBody(const http::Response& response, bool head) {
+  return !head && !HasNoBody(response.status);
+}
+
+std::string RenderResponse(const http::Response& response, bool close, bool head) {
+  auto out = RenderResponseHead(response, close);
+  if (SendsBody(response, head)) out.append(response.body);
   return out;
 }
 
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/server_connection.h"
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <exception>
 #include <utility>
@@ -18,6 +20,11 @@
 /// Limit of buffered bytes of pipelined requests; beyond it no more is read from the socket.
 constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
 
+/// Retry-After of requests that were refused for lack of memory, in tenths of a second: from 0.5 s
+/// to 1.4 s, by the client's port. An upload of 60 MB takes about half a second on a fast link.
+constexpr int kMinMemoryRetryTenths = 5;
+constexpr int kMemoryRetrySpreadTenths = 10;
+
 int StatusFor(ParseError error) {
   switch (error) {
     case ParseError::kHeadersTooLarge:
@@ -56,7 +63,7 @@
     if (connection == nullptr || connection->phase_ != Phase::kServing) return;
     const bool close =
         !connection->client_keeps_open_ || connection->hooks_.policy().close_after_answer;
-    connection->Write(response, close);
+    connection->Write(std::move(response), close);
   }
 
   void Abort() override {
@@ -109,9 +116,12 @@
 
 void ServerConnection::ParseBuffered() {
   if (!parser_.started()) request_started_ = last_activity_;
-  parser_.set_limits(hooks_.policy().message);
+  const auto policy = hooks_.policy();
+  parser_.set_limits(policy.message);
+  parser_.set_memory(policy.memory);
   const std::size_t used = parser_.Feed(pending_);
   pending_.erase(0, used);
+  if (parser_.error() == ParseError::kNoMemory) return RefuseForMemory();
   if (parser_.error() != ParseError::kNone) return Refuse(StatusFor(parser_.error()));
   if (parser_.complete()) Serve();
 }
@@ -143,14 +153,35 @@
   phase_ = Phase::kServing;
   http::Response response;
   response.status = status;
-  Write(response, true);
+  Write(std::move(response), true);
+}
+
+// The request has not run: its body was not even read. Clients return spread over some time, as
+// those that were refused together would need the same memory again.
+void ServerConnection::RefuseForMemory() {
+  phase_ = Phase::kServing;
+  if (hooks_.refused_for_memory) hooks_.refused_for_memory(parser_.request());
+  // Frees what has arrived of a body without a declared length.
+  parser_.Reset();
+  asio::error_code ignored;
+  const auto client_port = socket_.remote_endpoint(ignored).port();
+  const auto tenths = kMinMemoryRetryTenths + client_port % kMemoryRetrySpreadTenths;
+  http::Response response;
+  response.status = 503;
+  response.headers.push_back(
+      {"Retry-After", std::to_string(tenths / 10) + "." + std::to_string(tenths % 10)});
+  Write(std::move(response), true);
 }
 
-void ServerConnection::Write(const http::Response& response, bool close) {
+void ServerConnection::Write(http::Response response, bool close) {
   phase_ = Phase::kWriting;
-  output_ = RenderResponse(response, close, head_);
+  output_head_ = RenderResponseHead(response, close);
+  if (!SendsBody(response, head_)) response.body.clear();
+  output_ = std::move(response);
+  const std::array<asio::const_buffer, 2> parts{asio::buffer(output_head_),
+                                                asio::buffer(output_.body)};
   asio::async_write(
-      socket_, asio::buffer(output_),
+      socket_, parts,
       [self = shared_from_this(), close](asio::error_code error, std::size_t /*length*/) {
         if (self->phase_ == Phase::kClosed) return;
         if (error) return self->Close();
@@ -160,6 +191,7 @@
 
 void ServerConnection::HandleWritten(bool close) {
   last_activity_ = base::MonotonicNow();
+  output_head_ = {};
   output_ = {};
   if (close) return Linger();
   phase_ = Phase::kReading;
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -23,6 +23,9 @@
   base::Duration idle_timeout = std::chrono::seconds(15);
   /// Whether the connection is closed after each answer.
   bool close_after_answer = false;
+  /// Counts the bodies of requests, and refuses with status 503 those for which it has no room; null
+  /// counts none.
+  std::shared_ptr<base::MemoryBudget> memory;
 };
 
 /// The server side of one client connection. Not thread-safe.
@@ -34,6 +37,8 @@
     /// then answered with status 500.
     std::function<void()> failed;
     std::function<ServerPolicy()> policy;
+    /// Called for a request that is refused before its body is read, as there is no memory for it.
+    std::function<void(const http::Request& head)> refused_for_memory;
     /// Called once when the connection is closed from either side.
     std::function<void(const std::shared_ptr<ServerConnection>&)> closed;
   };
@@ -62,7 +67,9 @@
   void Serve();
   void ReportFailure(const std::string& cause, const Inbound& inbound);
   void Refuse(int status);
-  void Write(const http::Response& response, bool close);
+  /// Refuses a request whose body does not fit into the memory budget.
+  void RefuseForMemory();
+  void Write(http::Response response, bool close);
   void HandleWritten(bool close);
   void Linger();
   void HandlePeerClosed();
@@ -77,7 +84,9 @@
   std::array<char, 8'192> buffer_{};
   /// Received bytes that are not parsed yet, such as pipelined requests.
   std::string pending_;
-  std::string output_;
+  /// Head and body of the answer that is being sent.
+  std::string output_head_;
+  http::Response output_;
   base::MonotonicTime last_activity_;
   base::MonotonicTime request_started_;
   std::weak_ptr<Inbound> inbound_;
--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream_connection.h"
 
+#include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -10,11 +11,12 @@
 namespace wagtailpick::net {
 namespace {
 
-constexpr std::array<base::EnumName<ExchangeOutcome>, 4> kOutcomeNames{{
+constexpr std::array<base::EnumName<ExchangeOutcome>, 5> kOutcomeNames{{
     {ExchangeOutcome::kAnswered, "answered"},
     {ExchangeOutcome::kNotConnected, "not_connected"},
     {ExchangeOutcome::kNotSent, "not_sent"},
     {ExchangeOutcome::kBroken, "broken"},
+    {ExchangeOutcome::kNoMemory, "no_memory"},
 }};
 
 /// Connecting takes one round trip. After this time the first packet was lost or the upstream is
@@ -32,21 +34,23 @@
 std::string_view ToString(ExchangeOutcome outcome) { return base::NameOf(kOutcomeNames, outcome); }
 
 UpstreamConnection::UpstreamConnection(asio::io_context& loop, const base::Endpoint& endpoint,
-                                       const MessageLimits& limits)
+                                       const MessageLimits& limits,
+                                       std::shared_ptr<base::MemoryBudget> memory)
     : socket_(loop),
       connect_timer_(loop),
       endpoint_(endpoint),
       parser_(HttpParserState::Kind::kResponse, limits),
       idle_since_(base::MonotonicNow()),
-      keep_alive_(kDefaultKeepAlive) {}
+      keep_alive_(kDefaultKeepAlive) {
+  parser_.set_memory(std::move(memory));
+}
 
-void UpstreamConnection::Exchange(std::string bytes, bool head, Done done) {
-  output_ = std::move(bytes);
-  head_ = head;
+void UpstreamConnection::Exchange(OutboundRequest request, Done done) {
+  output_ = std::move(request);
   done_ = std::move(done);
   reused_ = connected_;
   interim_answers_ = 0;
-  parser_.Reset(head);
+  parser_.Reset(output_.is_head);
   if (connected_) {
     may_send = nullptr;
     return Send();
@@ -78,7 +82,9 @@
 
 void UpstreamConnection::Send() {
   writing_ = true;
-  asio::async_write(socket_, asio::buffer(output_),
+  std::array<asio::const_buffer, 2> parts{asio::buffer(output_.head), {}};
+  if (output_.body != nullptr) parts[1] = asio::buffer(*output_.body);
+  asio::async_write(socket_, parts,
                     [self = shared_from_this()](asio::error_code error, std::size_t /*length*/) {
                       self->writing_ = false;
                       // The upstream may have answered before it read the whole body, so the
@@ -108,6 +114,7 @@
   if (!done_) return Close();
   while (!bytes.empty()) {
     bytes.remove_prefix(parser_.Feed(bytes));
+    if (parser_.error() == ParseError::kNoMemory) return HandleNoMemory();
     if (parser_.error() != ParseError::kNone) {
       return Fail(ExchangeOutcome::kBroken, "malformed or oversized answer");
     }
@@ -117,12 +124,20 @@
       return Fail(ExchangeOutcome::kBroken,
                   "more than " + std::to_string(kMaxInterimAnswers) + " interim answers");
     }
-    parser_.Reset(head_);
+    parser_.Reset(output_.is_head);
   }
   if (!parser_.complete()) return;
   Complete(bytes.empty() && parser_.keep_alive() && !writing_);
 }
 
+// An answer without a declared length may never end, so its upstream is at fault.
+void UpstreamConnection::HandleNoMemory() {
+  if (parser_.has_open_body()) {
+    return Fail(ExchangeOutcome::kBroken, "no memory for an answer without a declared length");
+  }
+  Fail(ExchangeOutcome::kNoMemory, "no memory for the answer");
+}
+
 void UpstreamConnection::HandleReadError(asio::error_code error) {
   if (!done_) return Close();
   // An answer without a declared length is complete only if the stream ends without an error.
@@ -153,11 +168,11 @@
   result.connect_time = reused_ ? base::Duration::zero() : connect_time_;
   result.response = std::move(parser_.response());
   const auto done = std::exchange(done_, nullptr);
-  output_ = {};
   idle_since_ = base::MonotonicNow();
   if (!reusable) {
     Close();
   } else if (on_idle) {
+    output_ = {};
     on_idle(shared_from_this());
   }
   done(std::move(result));
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -25,6 +25,9 @@
   /// The connection was lost before a complete answer, or the answer was malformed or exceeded a
   /// limit. The upstream may have run the request.
   kBroken,
+  /// The upstream answers, but there is no memory for its answer, which declares its length. It has
+  /// run the request.
+  kNoMemory,
 };
 
 /// Returns the name of `outcome` in logs.
@@ -44,17 +47,29 @@
   std::string detail;
 };
 
+/// A request to an upstream.
+struct OutboundRequest {
+  /// Serialized head.
+  std::string head;
+  /// Body; null for none. Attempts share it with the caller's request.
+  std::shared_ptr<const std::string> body;
+  /// Whether it is a HEAD request.
+  bool is_head = false;
+};
+
 /// One connection to an upstream, which runs one exchange at a time. Not thread-safe.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
  public:
   using Done = std::function<void(ExchangeResult)>;
 
+  /// Counts the bodies of answers in `memory`; null counts none.
   UpstreamConnection(asio::io_context& loop, const base::Endpoint& endpoint,
-                     const MessageLimits& limits);
+                     const MessageLimits& limits,
+                     std::shared_ptr<base::MemoryBudget> memory = nullptr);
 
-  /// Connects if necessary, sends the serialized request `bytes` and calls `done` once with the
-  /// result, unless `Close` is called before. `head` states that it is a HEAD request.
-  void Exchange(std::string bytes, bool head, Done done);
+  /// Connects if necessary, sends `request` and calls `done` once with the result, unless `Close` is
+  /// called before.
+  void Exchange(OutboundRequest request, Done done);
 
   /// Called with this connection when it is ready for another exchange.
   std::function<void(const std::shared_ptr<UpstreamConnection>&)> on_idle;
@@ -79,6 +94,7 @@
   void Connect();
   void Send();
   void Read();
+  void HandleNoMemory();
   void HandleBytes(std::string_view bytes);
   void HandleReadError(asio::error_code error);
   void Complete(bool reusable);
@@ -91,14 +107,13 @@
   base::Endpoint endpoint_;
   HttpParserState parser_;
   std::array<char, 8'192> buffer_{};
-  std::string output_;
+  OutboundRequest output_;
   Done done_;
   bool connected_ = false;
   bool closed_ = false;
   bool writing_ = false;
   bool reading_ = false;
   bool reused_ = false;
-  bool head_ = false;
   int interim_answers_ = 0;
   base::MonotonicTime connect_started_;
   base::Duration connect_time_{};
--- a/src/libs/net/upstream_pool.cpp
+++ b/src/libs/net/upstream_pool.cpp
@@ -20,9 +20,11 @@
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const MessageLimits& limits)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const MessageLimits& limits,
+                           std::shared_ptr<base::MemoryBudget> memory)
     : loop_(loop),
       limits_(limits),
+      memory_(std::move(memory)),
       idle_(std::make_shared<std::unordered_map<std::string, Idle>>()) {}
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::Acquire(const base::Endpoint& endpoint,
@@ -36,7 +38,7 @@
     if (IsFresh(*connection, now, max_idle)) return connection;
     connection->Close();
   }
-  auto connection = std::make_shared<UpstreamConnection>(loop_, endpoint, limits_);
+  auto connection = std::make_shared<UpstreamConnection>(loop_, endpoint, limits_, memory_);
   connection->on_idle = [weak = std::weak_ptr(idle_),
                          key](const std::shared_ptr<UpstreamConnection>& released) {
     const auto idle_connections = weak.lock();
--- a/src/libs/net/upstream_pool.h
+++ b/src/libs/net/upstream_pool.h
@@ -14,7 +14,9 @@
 /// Pool of idle connections to upstreams, by address. Not thread-safe.
 class UpstreamPool {
  public:
-  UpstreamPool(asio::io_context& loop, const MessageLimits& limits);
+  /// Counts the bodies of answers in `memory`; null counts none.
+  UpstreamPool(asio::io_context& loop, const MessageLimits& limits,
+               std::shared_ptr<base::MemoryBudget> memory);
 
   /// Returns the most recently used connection that has been idle for less than `max_idle`, or a
   /// new one. The connection returns to the pool by itself when it is ready for another exchange.
@@ -32,6 +34,7 @@
 
   asio::io_context& loop_;
   MessageLimits limits_;
+  std::shared_ptr<base::MemoryBudget> memory_;
   std::shared_ptr<std::unordered_map<std::string, Idle>> idle_;
 };
 
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -20,6 +20,12 @@
 /// Silent upstreams are removed after this time, which is longer than an announcement can be
 /// delayed: a delayed one cannot add a removed upstream again.
 constexpr base::Duration kForgetUpstreamAfter = std::chrono::seconds(60);
+/// Largest body of an order or announcement: a catalog of about 35,000 routes. Decoding one takes
+/// about ten times its size.
+constexpr std::size_t kMaxOrderBytes = 8UL * 1024 * 1024;
+/// Share of the VM's memory for the bodies of orders that arrive or wait for their outcome. Each is
+/// copied several times on its way into the log.
+constexpr double kOrderMemoryFraction = 0.1;
 constexpr base::Duration kCacheInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kLivenessInterval = std::chrono::seconds(1);
 /// Entries connect to a replica that has just started within this time.
@@ -41,6 +47,8 @@
       hooks_(std::move(hooks)),
       self_(base::ToString({options.node.ip, options.node.cluster_port})),
       started_at_(base::MonotonicNow()),
+      memory_(std::make_shared<base::MemoryBudget>(
+          base::ScaleBytes(options.node.memory_bytes, kOrderMemoryFraction))),
       suspects_(relay::CrashLimits()),
       cache_(options.data_folder + "/cache"),
       departures_(options.data_folder + "/departures"),
@@ -92,7 +100,7 @@
   const base::Endpoint links{options_.node.ip, options_.node.cluster_port};
   BOOST_OUTCOME_TRY(acceptor, cluster::Acceptor::Start(loop_, links, SessionHooks()));
   acceptor_ = std::move(acceptor);
-  const auto policy = [] { return net::ServerPolicy(); };
+  const auto policy = [this] { return OrdersPolicy(); };
   BOOST_OUTCOME_TRY(orders_listener,
                     net::HttpListener::Start(loop_, options_.orders, hooks_.serve_orders, policy));
   orders_listener_ = std::move(orders_listener);
@@ -106,6 +114,13 @@
   return base::Ok();
 }
 
+net::ServerPolicy ControlNode::OrdersPolicy() const {
+  net::ServerPolicy policy;
+  policy.message.max_body_bytes = kMaxOrderBytes;
+  policy.memory = memory_;
+  return policy;
+}
+
 ReplicaLinks::Hooks ControlNode::LinkHooks() {
   ReplicaLinks::Hooks hooks;
   hooks.hello = [this] {
@@ -160,6 +175,7 @@
 void ControlNode::UpdateGauges() {
   auto failures = orders_listener_->handler_failures();
   if (directory_listener_ != nullptr) failures += directory_listener_->handler_failures();
+  SetMemoryGauges(*memory_, metrics_);
   metrics_.GaugeAt("wagtailpick_request_handler_failures").Set(static_cast<std::int64_t>(failures));
 }
 
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -101,6 +101,7 @@
   ReplicaLinks::Hooks LinkHooks();
   void Tick();
   void UpdateGauges();
+  net::ServerPolicy OrdersPolicy() const;
   void HandleSessionOpened(const cluster::Session& session);
   void HandleSessionMessage(const cluster::Session& session, const cluster::Message& message);
   void HandlePing(const cluster::Session& session);
@@ -151,6 +152,8 @@
   std::string self_;
   base::MonotonicTime started_at_;
   metrics::Registry metrics_;
+  /// Counts the bodies of orders and announcements.
+  std::shared_ptr<base::MemoryBudget> memory_;
   orders::OrderState state_;
   consensus::Membership members_;
   upstreams::UpstreamTable upstreams_;
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -17,6 +17,9 @@
 constexpr base::Duration kObservationInterval = std::chrono::milliseconds(400);
 /// Share of the VM's bandwidth that catalog transfers may use; the rest is left to requests.
 constexpr double kCatalogLinkFraction = 0.5;
+/// Share of the VM's memory for the bodies of requests and answers. The rest is for everything else
+/// (10 to 40 MB), for bytes that are not read yet, and for a buffer that is copied while it grows.
+constexpr double kMessageMemoryFraction = 0.65;
 constexpr base::Duration kForgetUpstreamAfter = std::chrono::seconds(60);
 /// Callers cache lookup answers for up to `ControlOptions::directory_lifetime` (2 s at most), so
 /// they are served for some time after the drain has started.
@@ -41,6 +44,8 @@
     : loop_(loop),
       options_(options),
       hooks_(std::move(hooks)),
+      memory_(std::make_shared<base::MemoryBudget>(
+          base::ScaleBytes(options.node.memory_bytes, kMessageMemoryFraction))),
       timer_(loop),
       catalog_fetcher_(static_cast<std::uint64_t>(
           static_cast<double>(options.node.link_bytes_per_second) * kCatalogLinkFraction)),
@@ -54,6 +59,7 @@
   relay_options.regions = options.node.regions;
   relay_options.cold_bound = options.cold_bound;
   relay_options.retry_bound = options.retry_bound;
+  relay_options.memory = memory_;
   relay_ = std::make_unique<relay::Relay>(loop_, relay_options, hooks_.dialect, routing_state_,
                                           metrics_);
   replica_links_ = std::make_unique<ReplicaLinks>(loop_, options_.node, std::string(), LinkHooks());
@@ -69,6 +75,8 @@
                                  },
                                  [this] { return CallerPolicy(); }));
   callers_listener_ = std::move(callers);
+  callers_listener_->set_on_refused_for_memory(
+      [this](const http::Request& head) { relay_->RecordRefusedForMemory(head); });
   BOOST_OUTCOME_TRY(readiness,
                     net::HttpListener::Start(loop_, options_.readiness, hooks_.serve_readiness,
                                              [] { return net::ServerPolicy(); }));
@@ -81,6 +89,7 @@
 net::ServerPolicy EntryNode::CallerPolicy() const {
   net::ServerPolicy policy;
   policy.close_after_answer = draining_;
+  policy.memory = memory_;
   if (routing_state_.catalog == nullptr) return policy;
   const auto& limits = routing_state_.catalog->limits();
   policy.message = {limits.max_header_bytes, limits.max_body_bytes};
@@ -176,6 +185,7 @@
       .Set(static_cast<std::int64_t>(relay_->crash_guard().size()));
   metrics_.GaugeAt("wagtailpick_upstreams_limited")
       .Set(static_cast<std::int64_t>(relay_->limits().table().in_force()));
+  SetMemoryGauges(*memory_, metrics_);
   metrics_.GaugeAt("wagtailpick_request_handler_failures")
       .Set(static_cast<std::int64_t>(callers_listener_->handler_failures() +
                                      readiness_listener_->handler_failures()));
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -90,6 +90,8 @@
   EntryOptions options_;
   Hooks hooks_;
   metrics::Registry metrics_;
+  /// Counts the bodies of requests and answers.
+  std::shared_ptr<base::MemoryBudget> memory_;
   relay::RoutingState routing_state_;
   std::unique_ptr<relay::Relay> relay_;
   std::unique_ptr<ReplicaLinks> replica_links_;
--- a/src/libs/node/metrics_page.cpp
+++ b/src/libs/node/metrics_page.cpp
@@ -1,5 +1,7 @@
 #include "node/metrics_page.h"
 
+#include <string>
+
 namespace wagtailpick::node {
 
 base::Result<std::unique_ptr<net::HttpListener>> ServeMetrics(
@@ -21,4 +23,16 @@
       [] { return net::ServerPolicy(); });
 }
 
+void SetMemoryGauges(const base::MemoryBudget& budget, metrics::Registry& registry) {
+  registry.GaugeAt("wagtailpick_memory_budget_bytes")
+      .Set(static_cast<std::int64_t>(budget.total()));
+  for (const auto use : base::kMemoryUses) {
+    const std::string labels = "use=\"" + std::string(base::ToString(use)) + "\"";
+    registry.GaugeAt("wagtailpick_memory_held_bytes", labels)
+        .Set(static_cast<std::int64_t>(budget.held(use)));
+    registry.GaugeAt("wagtailpick_memory_refusals", labels)
+        .Set(static_cast<std::int64_t>(budget.refusals(use)));
+  }
+}
+
 }  // namespace wagtailpick::node
--- a/src/libs/node/node_options.h
+++ b/src/libs/node/node_options.h
@@ -25,6 +25,8 @@
   std::uint16_t cluster_port = 0;
   /// Bandwidth of this VM's network link in bytes per second; 0 when it is unknown.
   std::uint64_t link_bytes_per_second = 0;
+  /// Memory that the process may use, in bytes.
+  std::uint64_t memory_bytes = 256'000'000;
   /// Addresses at which some of the replicas accept orders.
   std::vector<base::Endpoint> seeds;
   /// Where metrics are served; without it they are not served.
--- a/src/libs/relay/dialect.h
+++ b/src/libs/relay/dialect.h
@@ -58,8 +58,8 @@
 struct Dialect {
   /// Extracts the attributes of a caller's request. Fails with `kInvalidArgument`.
   std::function<base::Result<RequestAttributes>(const http::Request&)> parse_request;
-  /// Returns the request to send to the upstream with id `upstream`. `time_left` is the time until
-  /// the request's deadline.
+  /// Returns the request to send to the upstream with id `upstream`, without its body. `time_left`
+  /// is the time until the request's deadline.
   std::function<http::Request(const http::Request&, const std::string& upstream,
                               base::Duration time_left)>
       build_upstream_request;
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -33,7 +33,7 @@
     : loop_(loop),
       dialect_(std::move(dialect)),
       routing_state_(routing_state),
-      pool_(loop, kAnswerLimits),
+      pool_(loop, kAnswerLimits, options.memory),
       chooser_(placement::NetworkDistance(options.data_centre, options.regions),
                placement::ColdRateLimiter(options.vm, options.cold_bound)),
       retry_budget_(options.retry_bound),
@@ -49,6 +49,18 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
+void Relay::RecordRefusedForMemory(const http::Request& head) {
+  metrics_.RecordAnswer(kNoMemoryReason, base::Duration::zero());
+  const auto attributes = dialect_.parse_request(head);
+  const auto* length = http::FindHeader(head.headers, "Content-Length");
+  log_.Write(logging::Level::kWarning, "request_ended", "refused",
+             {{"reason", std::string(kNoMemoryReason)},
+              {"status", "503"},
+              {"request_id", attributes ? attributes.value().request_id : std::string()},
+              {"body_bytes", length == nullptr ? "not declared" : *length}},
+             base::MonotonicNow());
+}
+
 void Relay::SetEntries(const std::vector<std::string>& entries) {
   chooser_.SetEntries(entries);
   retry_budget_.SetEntries(entries.size());
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,9 @@
 
 namespace wagtailpick::relay {
 
+/// Reason, in logs and metrics, of requests that end because the memory budget has no room.
+inline constexpr std::string_view kNoMemoryReason = "no_memory";
+
 /// Returns a rate limit, in requests per second, as text for logs.
 std::string FormatLimit(double requests_per_second);
 
@@ -47,6 +51,8 @@
   std::map<std::string, std::string> regions;
   placement::ColdRateLimit cold_bound;
   placement::RetryLimit retry_bound;
+  /// Counts the bodies of answers; null counts none.
+  std::shared_ptr<base::MemoryBudget> memory;
 };
 
 /// Serves callers' requests by one entry's routing state. Not thread-safe: all calls are made on
@@ -59,6 +65,9 @@
   /// Handles a request and answers it later.
   void Handle(std::shared_ptr<net::InboundRequest> inbound);
 
+  /// Records a request that was refused before its body was read, for lack of memory.
+  void RecordRefusedForMemory(const http::Request& head);
+
   /// Sets the names of all entries, including this one.
   void SetEntries(const std::vector<std::string>& entries);
   /// Closes idle connections to `address` after its upstream restarted, began to drain or left.
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -161,10 +161,13 @@
   const auto request =
       relay_.dialect_.build_upstream_request(inbound_->request, choice.upstream, deadline_ - now);
   ScheduleHedge(choice);
-  attempt->connection->Exchange(net::RenderRequest(request), request.method == "HEAD",
-                                [self = shared_from_this(), attempt](net::ExchangeResult result) {
-                                  self->HandleResult(attempt, std::move(result));
-                                });
+  const auto& body = inbound_->request.body;
+  attempt->connection->Exchange(
+      {net::RenderRequestHead(request, body.size()),
+       std::shared_ptr<const std::string>(inbound_, &body), request.method == "HEAD"},
+      [self = shared_from_this(), attempt](net::ExchangeResult result) {
+        self->HandleResult(attempt, std::move(result));
+      });
 }
 
 void RequestRun::LogSent(const placement::Choice& choice, base::MonotonicTime now) {
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -25,6 +25,7 @@
     case net::ExchangeOutcome::kNotConnected:
       return Outcome::kUnreachable;
     case net::ExchangeOutcome::kNotSent:
+    case net::ExchangeOutcome::kNoMemory:
     case net::ExchangeOutcome::kAnswered:
       break;
   }
@@ -71,6 +72,11 @@
     may_have_run_ = true;
     return ExamineLoss(attempt);
   }
+  // The answer of another attempt would not fit either.
+  if (result.outcome == net::ExchangeOutcome::kNoMemory) {
+    may_have_run_ = true;
+    return attempts_.empty() ? Fail(kNoMemoryReason) : void();
+  }
   --sends_;
   if (!attempts_.empty()) return;
   if (++failed_connects_ < kMaxFailedConnects && HasTimeForAttempt()) return StartAttempt();
--- a/tests/auto/net/http_listener_test.cpp
+++ b/tests/auto/net/http_listener_test.cpp
@@ -15,6 +15,7 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
+constexpr std::size_t kMemoryBudget = 2'000'000;
 constexpr std::size_t kLongAnswer = 8UL * 1024 * 1024;
 
 /// A listener whose requests the test answers, and a client socket.
@@ -32,7 +33,11 @@
             if (throws) throw std::runtime_error("cannot handle this");
             inbound = std::move(request);
           },
-          [] { return net::ServerPolicy(); });
+          [this] {
+            net::ServerPolicy policy;
+            policy.memory = memory;
+            return policy;
+          });
       if (started) listener = std::move(started.value());
     }
     client.connect({asio::ip::address_v4::loopback(), endpoint.port});
@@ -55,6 +60,7 @@
     return std::stoi(received.substr(received.find(' ')));
   }
 
+  std::shared_ptr<base::MemoryBudget> memory = std::make_shared<base::MemoryBudget>(kMemoryBudget);
   asio::io_context loop;
   std::shared_ptr<net::InboundRequest> inbound;
   /// Makes the handler of requests fail.
@@ -115,3 +121,48 @@
   fixture.Run();
   cr_expect(fixture.ReadStatus() == 200);
 }
+
+// Guards against a request that is read although the process has no memory for its body, and
+// against a refusal without a time to return.
+Test(http_listener, refuses_a_request_without_memory_before_its_body) {
+  Fixture fixture;
+  std::string refused_target;
+  fixture.listener->set_on_refused_for_memory(
+      [&](const http::Request& head) { refused_target = head.target; });
+  fixture.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1700000\r\n\r\nfirst bytes");
+  std::string received(1'024, '\0');
+  received.resize(fixture.client.read_some(asio::buffer(received)));
+  cr_expect(received.starts_with("HTTP/1.1 503 "));
+  cr_expect(received.find("\r\nRetry-After: ") != std::string::npos);
+  cr_expect(received.find("\r\nConnection: close\r\n") != std::string::npos);
+  cr_expect(fixture.inbound == nullptr);
+  cr_expect(refused_target == "/x");
+}
+
+// Guards against memory that stays counted after its request or answer is gone, and against an
+// answer that is not counted while a slow client has not taken it.
+Test(http_listener, counts_bodies_until_they_are_sent) {
+  Fixture fixture;
+  const std::string body(100'000, 'x');
+  fixture.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + body);
+  cr_assert(fixture.inbound != nullptr);
+  cr_expect(fixture.memory->held(base::MemoryUse::kRequest) == body.size());
+  http::Response response;
+  response.memory =
+      std::make_shared<base::MemoryReservation>(fixture.memory, base::MemoryUse::kAnswer);
+  cr_expect(response.memory->GrowTo(900'000));
+  response.body = std::string(kLongAnswer, 'x');
+  fixture.inbound->Answer(std::move(response));
+  fixture.inbound.reset();
+  fixture.Run();
+  cr_expect(fixture.memory->held(base::MemoryUse::kRequest) == 0);
+  cr_expect(fixture.memory->held(base::MemoryUse::kAnswer) == 900'000);
+  std::string received(kLongAnswer, '\0');
+  std::size_t length = 0;
+  while (length < kLongAnswer) {
+    fixture.Run();
+    length += fixture.client.read_some(asio::buffer(received));
+  }
+  fixture.Run();
+  cr_expect(fixture.memory->held(base::MemoryUse::kAnswer) == 0);
+}
--- a/tests/auto/net/http_parser_state_test.cpp
+++ b/tests/auto/net/http_parser_state_test.cpp
@@ -2,11 +2,15 @@
 
 #include <criterion/criterion.h>
 
+#include <memory>
+#include <vector>
+
 #include "net/http_text.h"
 
 namespace {
 
 using namespace wagtailpick::net;  // NOLINT(google-build-using-namespace)
+namespace base = wagtailpick::base;
 
 HttpParserState Parser(HttpParserState::Kind kind) { return {kind, MessageLimits{200, 10}}; }
 
@@ -69,3 +73,49 @@
   cr_expect(RenderRequest({"GET", "/a", {{"Host", "h"}, {"Keep-Alive", "x"}}, "", ""}) ==
             "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
 }
+
+// Guards against a body that is received although there is no memory for it, and against one that
+// is counted when it has arrived and not before.
+Test(http_parser_state, counts_a_declared_body_before_it_arrives) {
+  const auto budget = std::make_shared<base::MemoryBudget>(1'000'000);
+  auto parser = std::make_unique<HttpParserState>(HttpParserState::Kind::kRequest, MessageLimits{});
+  parser->set_memory(budget);
+  parser->Feed("POST / HTTP/1.1\r\nContent-Length: 700000\r\n\r\n");
+  cr_expect(parser->error() == ParseError::kNone);
+  cr_expect(budget->held(base::MemoryUse::kRequest) == 700'000);
+  HttpParserState second(HttpParserState::Kind::kRequest, {});
+  second.set_memory(budget);
+  second.Feed("POST / HTTP/1.1\r\nContent-Length: 700000\r\n\r\n");
+  cr_expect(second.error() == ParseError::kNoMemory);
+  cr_expect(budget->refusals(base::MemoryUse::kRequest) == 1);
+  parser.reset();
+  cr_expect(budget->held(base::MemoryUse::kRequest) == 0);
+  second.Reset();
+  second.Feed("POST / HTTP/1.1\r\nContent-Length: 700000\r\n\r\n");
+  cr_expect(second.error() == ParseError::kNone);
+}
+
+// Guards against an answer without an end that takes the memory of the process: each was collected
+// up to 64 MiB, however many there were.
+Test(http_parser_state, ends_an_open_body_that_the_budget_has_no_room_for) {
+  const auto budget = std::make_shared<base::MemoryBudget>(10'000'000);
+  const std::string part(100'000, 'x');
+  std::vector<std::unique_ptr<HttpParserState>> parsers;
+  std::size_t ended = 0;
+  for (int i = 0; i < 20; ++i) {
+    auto parser = std::make_unique<HttpParserState>(HttpParserState::Kind::kResponse,
+                                                    MessageLimits{1'000, 64'000'000});
+    parser->set_memory(budget);
+    parser->Feed("HTTP/1.1 200 OK\r\n\r\n");
+    cr_expect(parser->has_open_body());
+    for (int sent = 0; sent < 10; ++sent) parser->Feed(part);
+    ended += parser->error() == ParseError::kNoMemory ? 1 : 0;
+    parsers.push_back(std::move(parser));
+  }
+  cr_expect(ended > 10);
+  cr_expect(budget->held(base::MemoryUse::kOpenAnswer) <= 4'000'000);
+  HttpParserState small(HttpParserState::Kind::kResponse, {});
+  small.set_memory(budget);
+  small.Feed("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  cr_expect(small.complete());
+}
--- a/tests/auto/net/upstream_connection_test.cpp
+++ b/tests/auto/net/upstream_connection_test.cpp
@@ -21,7 +21,7 @@
       loop, base::Endpoint{kLoopback, port}, net::MessageLimits{1'024, 1'024});
   connection->may_send = std::move(may_send);
   std::optional<net::ExchangeResult> result;
-  connection->Exchange("GET / HTTP/1.1\r\n\r\n", false, [&](net::ExchangeResult done) {
+  connection->Exchange({"GET / HTTP/1.1\r\n\r\n", nullptr, false}, [&](net::ExchangeResult done) {
     result = std::move(done);
     loop.stop();
   });
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -12,6 +12,7 @@
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <future>
 
 namespace wagtailpick::relay_test {
 namespace {
@@ -36,7 +37,7 @@
   };
   dialect.build_upstream_request = [](const http::Request& request, const std::string& upstream,
                                       base::Duration /*left*/) {
-    auto copy = request;
+    http::Request copy{request.method, request.target, request.headers, {}, request.peer};
     copy.headers.push_back({"For", upstream});
     return copy;
   };
@@ -175,7 +176,9 @@
                          });
 }
 
-RelayHost::RelayHost(const std::vector<std::string>& upstreams, bool idempotent) {
+RelayHost::RelayHost(const std::vector<std::string>& upstreams, bool idempotent,
+                     std::size_t memory_bytes)
+    : memory_(std::make_shared<base::MemoryBudget>(memory_bytes)) {
   routing_state_.catalog = std::make_shared<const catalog::Catalog>(TestCatalog(idempotent));
   for (const auto& address : upstreams) {
     upstreams::UpstreamReport report;
@@ -190,6 +193,7 @@
   options.data_centre = "dc";
   options.regions = {{"dc", "region"}};
   options.retry_bound.slack = 100;
+  options.memory = memory_;
   relay_ = std::make_unique<relay::Relay>(loop_, options, TestDialect(), routing_state_, metrics_);
   relay_->SetEntries({options.vm});
   // Another process may take the free port before the listener binds it. Another port is tried
@@ -231,6 +235,16 @@
   });
 }
 
+std::size_t RelayHost::memory_held() {
+  std::promise<std::size_t> held;
+  asio::post(loop_, [&] {
+    std::size_t sum = 0;
+    for (const auto use : base::kMemoryUses) sum += memory_->held(use);
+    held.set_value(sum);
+  });
+  return held.get_future().get();
+}
+
 std::string RelayHost::Exchange(const std::string& bytes, base::Duration wait) const {
   const int socket = ConnectTo(endpoint_);
   if (socket < 0) return "not connected";
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -74,7 +74,9 @@
 /// An entry's relay with its listener and upstreams, on its own thread.
 class RelayHost {
  public:
-  explicit RelayHost(const std::vector<std::string>& upstreams, bool idempotent = true);
+  /// `memory_bytes` is the memory budget for the bodies of answers.
+  explicit RelayHost(const std::vector<std::string>& upstreams, bool idempotent = true,
+                     std::size_t memory_bytes = 64'000'000);
   ~RelayHost();
   RelayHost(const RelayHost&) = delete;
   RelayHost& operator=(const RelayHost&) = delete;
@@ -88,6 +90,11 @@
   /// Number of requests for tokens.
   int token_requests() const { return token_requests_; }
 
+  /// Where the relay accepts requests.
+  const base::Endpoint& endpoint() const { return endpoint_; }
+  /// Bytes that the budget counts for all uses.
+  std::size_t memory_held();
+
   /// Sends raw bytes to the relay. Returns all bytes received until they end with "END", the relay
   /// closes the connection, or `wait` has passed.
   std::string Exchange(const std::string& bytes, base::Duration wait) const;
@@ -98,6 +105,7 @@
   asio::io_context loop_;
   relay::RoutingState routing_state_;
   metrics::Registry metrics_;
+  std::shared_ptr<base::MemoryBudget> memory_;
   std::unique_ptr<relay::Relay> relay_;
   std::unique_ptr<net::HttpListener> listener_;
   base::Endpoint endpoint_;
