End an answer at its head if it is not passed on

Cause: an answer whose head shows that it cannot be passed on (no seal, another request's id, not run) was collected all the same, until its end, 64 MB, or the end of the request's time. An answer without an end has no seal. Ruled out: bytes in front of slow callers (with sound servers an entry stays at 10 MB) and a leak (memory falls when such answers end).

Change: a connection asks at the head of an answer whether its body is wanted. If not, the exchange ends with the head, and the connection is closed.

Conclusion: such an answer costs no memory, and its caller is retried or answered at once instead of when its time is up.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -50,6 +50,7 @@
   done_ = std::move(done);
   reused_ = connected_;
   interim_answers_ = 0;
+  head_checked_ = !wants_body;
   parser_.Reset(output_.is_head);
   if (connected_) {
     may_send = nullptr;
@@ -118,7 +119,7 @@
     if (parser_.error() != ParseError::kNone) {
       return Fail(ExchangeOutcome::kBroken, "malformed or oversized answer");
     }
-    if (!parser_.complete()) return;
+    if (!parser_.complete()) return CheckHead();
     if (parser_.response().status >= kFirstFinalStatus) break;
     if (++interim_answers_ > kMaxInterimAnswers) {
       return Fail(ExchangeOutcome::kBroken,
@@ -130,6 +131,13 @@
   Complete(bytes.empty() && parser_.keep_alive() && !writing_);
 }
 
+void UpstreamConnection::CheckHead() {
+  if (head_checked_ || !parser_.headers_complete()) return;
+  if (parser_.response().status < kFirstFinalStatus) return;
+  head_checked_ = true;
+  if (!wants_body(parser_.response())) Complete(false);
+}
+
 // An answer without a declared length may never end, so its upstream is at fault.
 void UpstreamConnection::HandleNoMemory() {
   if (parser_.has_open_body()) {
@@ -168,6 +176,7 @@
   result.connect_time = reused_ ? base::Duration::zero() : connect_time_;
   result.response = std::move(parser_.response());
   const auto done = std::exchange(done_, nullptr);
+  wants_body = nullptr;
   idle_since_ = base::MonotonicNow();
   if (!reusable) {
     Close();
@@ -195,6 +204,7 @@
   closed_ = true;
   done_ = nullptr;
   may_send = nullptr;
+  wants_body = nullptr;
   connect_timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -78,6 +78,11 @@
   /// false, the exchange ends with `kNotSent`. Not called on a reused connection.
   std::function<bool()> may_send;
 
+  /// Called with the head of the answer to the running exchange before its body has arrived. If it
+  /// returns false, the exchange ends at once with the head as its answer, and the connection is
+  /// closed: an answer that is not passed on may never end.
+  std::function<bool(const http::Response& head)> wants_body;
+
   /// Closes the connection without calling `done` for a running exchange. Most upstreams then
   /// abandon its request.
   void Close();
@@ -94,6 +99,7 @@
   void Connect();
   void Send();
   void Read();
+  void CheckHead();
   void HandleNoMemory();
   void HandleBytes(std::string_view bytes);
   void HandleReadError(asio::error_code error);
@@ -114,6 +120,8 @@
   bool writing_ = false;
   bool reading_ = false;
   bool reused_ = false;
+  /// `wants_body` was called for the answer, or there is nothing to ask.
+  bool head_checked_ = false;
   int interim_answers_ = 0;
   base::MonotonicTime connect_started_;
   base::Duration connect_time_{};
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -161,6 +161,11 @@
   const auto request =
       relay_.dialect_.build_upstream_request(inbound_->request, choice.upstream, deadline_ - now);
   ScheduleHedge(choice);
+  // Answers of other kinds are not passed on.
+  attempt->connection->wants_body = [self = shared_from_this()](const http::Response& head) {
+    const auto kind = self->relay_.dialect_.classify_answer(head, self->attributes_).kind;
+    return kind == AnswerKind::kFinal || kind == AnswerKind::kServerFailure;
+  };
   const auto& body = inbound_->request.body;
   attempt->connection->Exchange(
       {net::RenderRequestHead(request, body.size()),
--- a/tests/auto/relay/relay_memory_test.cpp
+++ b/tests/auto/relay/relay_memory_test.cpp
@@ -66,6 +66,27 @@
 
 }  // namespace
 
+// Guards against an answer without an end that is collected although it can't be passed on. The
+// caller waited until its time was up, and the bytes took the memory of the entry.
+Test(relay_memory, ends_an_answer_at_its_head_if_it_is_not_passed_on) {
+  const std::vector<std::string> heads{
+      "HTTP/1.1 200 OK\r\nId: other\r\n\r\nendless",
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 60000000\r\n\r\nendless",
+      "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\nendless",
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\nendless",
+  };
+  for (const auto& head : heads) {
+    // The connection stays open: more bytes may come.
+    FakeUpstream upstream([&head](const std::string&, int) { return RawAnswer{head, false}; });
+    RelayHost host({upstream.address()}, false);
+    int status = 0;
+    const auto time = TimeOf([&] { status = StatusOf(host.Exchange(Request("1"), kWait)); });
+    cr_expect(status == 502 || status == 503, "%s", head.c_str());
+    cr_expect(time < kRouteTimeout / 2, "%s", head.c_str());
+    cr_expect(host.memory_held() == 0);
+  }
+}
+
 // Guards against answers without an end that take the memory of the process: two entries were
 // killed for it every 20 s.
 Test(relay_memory, bounds_all_open_answers_together) {
