Start an attempt while draining only if it ends before the stop

Cause: EntryNode refused all requests from a constant time after the signal on, and took all before, whatever their deadline, their expected time or the grace time. With a grace time below 3.2 s it refused nothing and never ended by itself. Ruled out as the whole cause: the constant and its check every 200 ms; a request of 1.85 s after the signal was cut as well.

Change: relay::DecideWhileDraining, without state, starts an attempt if its deadline comes before the end of the drain; within 2.5 s of the signal also if one and a half times its expected time fits. It decides for each attempt, retries and hedges too. Others are refused with Retry-After 0.1 s, as another entry can serve them at once. The process ends 0.15 s before the grace time, by a timer, and logs each request that it cuts with the decision that took it.

--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -44,9 +44,9 @@
   /// Whether callers may be directed to this entry: it has a catalog and is not draining.
   bool ready() const { return !draining_ && routing_state_.catalog != nullptr; }
 
-  /// Stops new callers from being directed to this entry and later refuses new requests. Calls
-  /// `done` once all requests have ended, or shortly before `EntryOptions::grace` has passed. Has
-  /// no effect after the first call.
+  /// Stops new callers from being directed to this entry and refuses requests that may not end in
+  /// time. Calls `done` once all requests have ended, or shortly before `EntryOptions::grace` has
+  /// passed. Has no effect after the first call.
   void Drain(std::function<void()> done);
 
   /// Replaces the seed addresses after a reload of the settings.
@@ -59,6 +59,7 @@
   net::ServerPolicy CallerPolicy() const;
   void Tick();
   void CheckDrain(base::MonotonicTime now);
+  void EndDrain(const std::string& cause);
   void HandleMessage(const std::string& replica, const cluster::Message& message);
   void HandleReports(const cluster::Reports& reports);
   void HandleLiveness(const std::string& replica, const cluster::UpstreamLiveness& liveness);
@@ -112,6 +113,8 @@
   bool draining_ = false;
   base::MonotonicTime drain_started_;
   std::function<void()> on_drained_;
+  /// Ends the drain when the grace time is nearly over.
+  asio::steady_timer grace_timer_;
   base::MonotonicTime slow_tick_due_;
   base::MonotonicTime observations_due_;
 };
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -49,6 +49,10 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
+void Relay::LogCutRequests() const {
+  for (auto* run : *runs_) run->LogCut();
+}
+
 void Relay::RecordRefusedForMemory(const http::Request& head) {
   metrics_.RecordAnswer(kNoMemoryReason, base::Duration::zero());
   const auto attributes = dialect_.parse_request(head);
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,8 @@
 
 namespace wagtailpick::relay {
 
+class RequestRun;
+
 /// Reason, in logs and metrics, of requests that end because the memory budget has no room.
 inline constexpr std::string_view kNoMemoryReason = "no_memory";
 
@@ -93,10 +96,15 @@
   const limits::EntryLimits& limits() const { return limits_; }
   /// Requests for tokens, which the node sends to the replicas.
   TokenRequests& token_requests() { return token_requests_; }
-  /// Makes the relay refuse new requests. Running ones continue.
-  void RefuseNewRequests() { refusing_new_requests_ = true; }
+  /// Makes the relay refuse requests that may not end before the entry is killed, `grace` after
+  /// `signalled_at`. Attempts that run continue.
+  void StartDraining(base::MonotonicTime signalled_at, base::Duration grace) {
+    drain_ = Drain{signalled_at, grace};
+  }
+  /// Logs each request that has not ended, before the process exits.
+  void LogCutRequests() const;
   /// Number of requests that have not ended.
-  std::size_t running() const { return running_; }
+  std::size_t running() const { return runs_->size(); }
   /// Closes idle connections that are too old, and drops the limits of upstreams that are gone. To
   /// be called about once a second.
   void Tick(base::MonotonicTime now);
@@ -104,6 +112,11 @@
  private:
   friend class RequestRun;
 
+  struct Drain {
+    base::MonotonicTime signalled_at;
+    base::Duration grace;
+  };
+
   /// Marks a run that announced in an answer that it is leaving.
   void HandleLeaving(const std::string& id, std::int64_t started_unix_ms,
                      const std::string& request_id);
@@ -141,8 +154,10 @@
   CrashGuard crash_guard_;
   std::string vm_;
   std::vector<upstreams::UpstreamReport> leaving_reports_;
-  std::size_t running_ = 0;
-  bool refusing_new_requests_ = false;
+  /// Requests that have not ended. They remove themselves, some of them after the relay is gone.
+  std::shared_ptr<std::set<RequestRun*>> runs_ = std::make_shared<std::set<RequestRun*>>();
+  /// Set once the entry drains.
+  std::optional<Drain> drain_;
 };
 
 }  // namespace wagtailpick::relay
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -51,6 +51,9 @@
   return {text.data(), static_cast<std::size_t>(length)};
 }
 
+/// Reason, in logs and metrics, of requests that are refused because the entry drains.
+constexpr std::string_view kStoppingReason = "stopping";
+
 http::Response Plain(int status) {
   http::Response response;
   response.status = status;
@@ -61,14 +64,15 @@
 
 RequestRun::RequestRun(Relay& relay, std::shared_ptr<net::InboundRequest> inbound)
     : relay_(relay),
+      runs_(relay.runs_),
       inbound_(std::move(inbound)),
       catalog_(relay.routing_state_.catalog),
       timer_(relay.loop_),
       hedge_timer_(relay.loop_) {
-  ++relay_.running_;
+  runs_->insert(this);
 }
 
-RequestRun::~RequestRun() { --relay_.running_; }
+RequestRun::~RequestRun() { runs_->erase(this); }
 
 void RequestRun::Start() {
   auto attributes = relay_.dialect_.parse_request(inbound_->request);
@@ -78,7 +82,6 @@
   }
   attributes_ = std::move(attributes.value());
   if (catalog_ == nullptr) return Refuse("no_catalog");
-  if (relay_.refusing_new_requests_) return Refuse("stopping");
   if (!FindRoute()) return Finish(Plain(404), "rejected", "no_route");
   const auto& route = *placement_request_.route;
   deadline_ = inbound_->received_at +
@@ -133,6 +136,12 @@
 
 void RequestRun::Send(const placement::Choice& choice) {
   choice_ = choice;
+  if (!MayStartWhileDraining(choice)) {
+    // A hedge that is not sent leaves the first attempt running. Other entries can serve a refused
+    // request at once.
+    if (attempts_.empty()) Refuse(kStoppingReason, kMinRetryAfter);
+    return;
+  }
   const auto endpoint = base::ParseEndpoint(choice.address);
   if (!endpoint) {
     // A hedge that cannot be sent leaves the first attempt running.
@@ -156,7 +165,8 @@
     // The upstream may have named a limit while the connection was being opened.
     const bool lacks_token =
         !choice.needs_token && relay_.IsLimited(choice.upstream, started_unix_ms);
-    return !lacks_token && relay_.MaySend(choice.upstream, started_unix_ms);
+    return !lacks_token && MayStartWhileDraining(choice) &&
+           relay_.MaySend(choice.upstream, started_unix_ms);
   };
   const auto request =
       relay_.dialect_.build_upstream_request(inbound_->request, choice.upstream, deadline_ - now);
@@ -194,6 +204,7 @@
     fields.push_back(std::move(field));
   }
   AddHeldBackFields(choice, fields);
+  AddDrainFields(fields);
   Log(Level::kInfo, "request_sent", "to " + choice.address, std::move(fields));
 }
 
@@ -377,6 +388,7 @@
                                      {"heard_age_ms", Millis(choice_.last_seen_age)},
                                      {"candidates", std::to_string(choice_.candidates)}};
   if (choice_.refusal != Refusal::kNone) AddHeldBackFields(choice_, fields);
+  AddDrainFields(fields);
   Log(outcome == "served" ? Level::kInfo : Level::kWarning, "request_ended", std::string(outcome),
       std::move(fields));
   inbound_->Answer(std::move(response));
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -9,6 +9,7 @@
 
 #include "net/upstream_connection.h"
 #include "placement/choice.h"
+#include "relay/drain_policy.h"
 #include "relay/relay.h"
 
 namespace wagtailpick::relay {
@@ -22,6 +23,8 @@
   RequestRun& operator=(const RequestRun&) = delete;
 
   void Start();
+  /// Logs that the request is cut because the process exits.
+  void LogCut();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
@@ -90,11 +93,17 @@
   /// Adds the upstream that the choice passed over for its rate limit, if there is one.
   static void AddHeldBackFields(const placement::Choice& choice,
                                 std::vector<logging::Field>& fields);
+  /// Whether an attempt may start, in view of a drain of the entry.
+  bool MayStartWhileDraining(const placement::Choice& choice);
+  /// Adds how long the entry has been draining, and the last decision about an attempt.
+  void AddDrainFields(std::vector<logging::Field>& fields) const;
   void LogSent(const placement::Choice& choice, base::MonotonicTime now);
   void Log(logging::Level level, const std::string& event, const std::string& message,
            std::vector<logging::Field> fields);
 
   Relay& relay_;
+  /// The relay's list of running requests.
+  std::shared_ptr<std::set<RequestRun*>> runs_;
   std::shared_ptr<net::InboundRequest> inbound_;
   /// The catalog at the request's arrival. A newer catalog does not change its route.
   std::shared_ptr<const catalog::Catalog> catalog_;
@@ -106,6 +115,8 @@
   asio::steady_timer timer_;
   asio::steady_timer hedge_timer_;
   base::MonotonicTime deadline_;
+  /// The last decision about an attempt while the entry drains.
+  std::optional<DrainDecision> drain_decision_;
   /// Computed when it is first needed.
   std::optional<safety::Fingerprint> fingerprint_;
   /// Attempts that reached an upstream, or may have.
--- a/tests/auto/platform/control_group.h
+++ b/tests/auto/platform/control_group.h
@@ -24,6 +24,8 @@
   ControlGroup& operator=(const ControlGroup&) = delete;
 
   std::size_t size() const { return nodes_.size(); }
+  /// Address of a replica.
+  const std::string& ip(std::size_t node) const { return nodes_[node]->ip; }
   /// Sends a request to the API of a replica. Returns nothing if no answer comes within a second.
   std::optional<http::Response> Call(std::size_t node, const http::Request& request) const;
   /// Sends a request to the replicas in turn until one answers with status 200, for 20 s at most.
--- /dev/null
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -0,0 +1,94 @@
+#include <criterion/criterion.h>
+
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "entry_host.h"
+#include "platform/standin_wire.h"
+
+namespace {
+
+using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
+using platform_test::ControlGroup;
+using platform_test::EntryHost;
+using platform_test::WorkingServer;
+using std::chrono::milliseconds;
+
+constexpr base::Duration kGrace = std::chrono::seconds(6);
+/// Requests that are sent later than this after the signal must be answered.
+constexpr base::Duration kMayBeCutUntil = std::chrono::seconds(3);
+constexpr base::Duration kSendUntil = std::chrono::seconds(5);
+constexpr base::Duration kSendEvery = milliseconds(50);
+constexpr base::Duration kCallTimeout = std::chrono::seconds(5);
+constexpr int kLongDeadlineMs = 4'000;
+constexpr int kShortDeadlineMs = 1'500;
+
+/// The config of the stand-in, in which charges may take 4 s.
+std::string ConfigWithLongCharges() {
+  auto config = platform::TwoRouteConfig(1, "menu");
+  const std::string from = "\"timeoutMs\":1500";
+  const auto at = config.find(from, config.find("/charge/"));
+  cr_assert(at != std::string::npos);
+  return config.replace(at, from.size(), "\"timeoutMs\":4000");
+}
+
+struct Outcome {
+  base::Duration sent_at{};
+  bool is_long = false;
+  /// Status of the answer; 0 for none.
+  int status = 0;
+};
+
+}  // namespace
+
+// Guards against requests that an entry takes after SIGTERM and then cuts: those that came 3.0 to
+// 3.4 s after it and took 2.5 s were cut after 5.7 s. An entry that refuses all would be no better:
+// what ends in time is served.
+Test(entry_drain, answers_every_request_that_it_takes_late, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  const WorkingServer server(group, "menu", [](const http::Request& request) {
+    return request.target.starts_with("/charge/") ? milliseconds(2'500) : milliseconds(100);
+  });
+  EntryHost entry(group, kGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  std::mutex mutex;
+  std::vector<Outcome> outcomes;
+  std::vector<std::thread> clients;
+  const auto send = [&](bool is_long, base::Duration sent_at, std::size_t number) {
+    const auto answer =
+        entry.Call(platform::ClientRequest("POST", is_long ? "/charge/1" : "/read/1",
+                                           "id-" + std::to_string(number),
+                                           is_long ? kLongDeadlineMs : kShortDeadlineMs, "object"),
+                   kCallTimeout);
+    const std::lock_guard lock(mutex);
+    outcomes.push_back({sent_at, is_long, answer ? answer->status : 0});
+  };
+  entry.Drain();
+  const auto start = base::MonotonicNow();
+  for (base::Duration at{}; at < kSendUntil; at += kSendEvery) {
+    std::this_thread::sleep_for(start + at - base::MonotonicNow());
+    clients.emplace_back(send, clients.size() % 2 == 0, at, clients.size());
+  }
+  for (auto& client : clients) client.join();
+
+  int short_served = 0;
+  int long_served = 0;
+  for (const auto& outcome : outcomes) {
+    const auto millis = static_cast<long long>(outcome.sent_at.count() / 1'000);
+    const bool must_be_answered = !outcome.is_long || outcome.sent_at > kMayBeCutUntil;
+    if (must_be_answered) {
+      cr_expect(outcome.status == 200 || outcome.status == 503, "%d for the request at %lld ms",
+                outcome.status, millis);
+    }
+    if (outcome.status == 200) ++(outcome.is_long ? long_served : short_served);
+  }
+  // Short requests are served until 4.2 s after the signal, long ones at least for the first
+  // second.
+  cr_expect(short_served >= 38, "%d short requests were served", short_served);
+  cr_expect(long_served >= 10, "%d long requests were served", long_served);
+}
--- /dev/null
+++ b/tests/auto/relay/relay_drain_test.cpp
@@ -0,0 +1,66 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "relay_fixture.h"
+
+namespace {
+
+using std::chrono::milliseconds;
+using wagtailpick::base::Duration;
+using wagtailpick::relay_test::FakeUpstream;
+using wagtailpick::relay_test::RawAnswer;
+using wagtailpick::relay_test::RelayHost;
+using wagtailpick::relay_test::Request;
+using wagtailpick::relay_test::StatusOf;
+using wagtailpick::relay_test::Whole;
+
+constexpr Duration kWait = std::chrono::seconds(3);
+constexpr Duration kGrace = milliseconds(6'000);
+
+RawAnswer Serve(const std::string& /*head*/, int /*number*/) { return {Whole("1"), false}; }
+
+RawAnswer Refuse(const std::string& /*head*/, int /*number*/) {
+  return {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false};
+}
+
+}  // namespace
+
+// Guards against a request that is passed on after the signal to stop and then cut without an
+// answer, and against refusing one that ends in time. Requests of the test route end after 1.2 s.
+Test(relay_drain, takes_only_what_ends_before_the_stop) {
+  struct Case {
+    Duration since;
+    int status;
+  };
+  const std::vector<Case> cases{
+      {milliseconds(0), 200},     {milliseconds(2'000), 200}, {milliseconds(3'300), 200},
+      {milliseconds(4'300), 200}, {milliseconds(4'800), 503}, {milliseconds(5'900), 503},
+  };
+  for (const auto& test_case : cases) {
+    FakeUpstream upstream(Serve);
+    RelayHost host({upstream.address()}, false);
+    host.StartDraining(test_case.since, kGrace);
+    const auto answer = host.Exchange(Request("1"), kWait);
+    cr_expect(StatusOf(answer) == test_case.status, "%lld us after the signal",
+              static_cast<long long>(test_case.since.count()));
+    cr_expect(upstream.requests() == (test_case.status == 200 ? 1 : 0));
+    const bool has_retry_after = answer.find("Retry-After: 0.10") != std::string::npos;
+    cr_expect(has_retry_after == (test_case.status == 503));
+  }
+}
+
+// Guards against a retry that begins so late that it is cut, for a request that was taken early.
+Test(relay_drain, starts_no_retry_that_is_cut) {
+  FakeUpstream upstream([](const std::string& head, int number) {
+    std::this_thread::sleep_for(milliseconds(400));
+    return Refuse(head, number);
+  });
+  RelayHost host({upstream.address()}, false);
+  // The deadline comes after the stop, so the expected time decides, and 0.2 s later nothing does.
+  host.StartDraining(milliseconds(2'300), milliseconds(3'600));
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+  cr_expect(upstream.requests() == 1);
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -235,6 +235,15 @@
   });
 }
 
+void RelayHost::StartDraining(base::Duration since, base::Duration grace) {
+  std::promise<void> done;
+  asio::post(loop_, [&] {
+    relay_->StartDraining(base::MonotonicNow() - since, grace);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 std::size_t RelayHost::memory_held() {
   std::promise<std::size_t> held;
   asio::post(loop_, [&] {
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -90,6 +90,8 @@
   /// Number of requests for tokens.
   int token_requests() const { return token_requests_; }
 
+  /// Makes the relay drain as if the signal to stop had come `since` ago.
+  void StartDraining(base::Duration since, base::Duration grace);
   /// Where the relay accepts requests.
   const base::Endpoint& endpoint() const { return endpoint_; }
   /// Bytes that the budget counts for all uses.
