Handle signals that come while a role starts

Cause: the signals were registered once the role had started. SIGHUP, which only tells of new settings, and SIGTERM ended the process until then.

Change: the signals are registered before the role starts and wait for its loop.

Measured: role_loop::handles_signals_that_come_during_the_start; before, no set of signals exists outside RunRole, and a signal raised before it ends the process. role_loop::goes_on_after_a_failed_handler guards the loop's boundary for exceptions.

Conclusion: a signal has the same effect during the start as after it.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -1,6 +1,5 @@
 #include "wagtailpick_edge/role_loop.h"
 
-#include <asio/signal_set.hpp>
 #include <csignal>
 #include <exception>
 
@@ -34,10 +33,13 @@
 
 }  // namespace
 
-int RunRole(asio::io_context& loop, const std::string& settings_path, const std::string& serving,
-            const RoleHooks& hooks) {
+asio::signal_set MakeRoleSignals(asio::io_context& loop) {
+  return asio::signal_set(loop, SIGTERM, SIGINT, SIGHUP);
+}
+
+int RunRole(asio::io_context& loop, asio::signal_set& signals, const std::string& settings_path,
+            const std::string& serving, const RoleHooks& hooks) {
   logging::Write(Level::kInfo, "process_started", serving);
-  asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
   const std::function<void()> wait_for_signal = [&] {
     signals.async_wait([&](asio::error_code error, int signal) {
       if (error) return;
--- a/src/app/wagtailpick_edge/role_loop.h
+++ b/src/app/wagtailpick_edge/role_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
 #include <functional>
 #include <string>
 
@@ -18,10 +19,14 @@
   std::function<void(const node::NodeOptions&)> reload;
 };
 
+/// Returns the signals that `RunRole` handles. Create it before the role starts: a signal that
+/// comes during the start waits for `RunRole` then, and would end the process otherwise.
+asio::signal_set MakeRoleSignals(asio::io_context& loop);
+
 /// Runs `loop` until SIGTERM or SIGINT has been handled; SIGHUP reloads the settings from
 /// `settings_path`. `serving` is the message of the log event `process_started`, such as "entry on
 /// ADDRESS". Returns the exit code of the process.
-int RunRole(asio::io_context& loop, const std::string& settings_path, const std::string& serving,
-            const RoleHooks& hooks);
+int RunRole(asio::io_context& loop, asio::signal_set& signals, const std::string& settings_path,
+            const std::string& serving, const RoleHooks& hooks);
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_control.cpp
+++ b/src/app/wagtailpick_edge/serve_control.cpp
@@ -13,6 +13,7 @@
 
 int ServeControl(const node::ControlOptions& options, const std::string& settings_path) {
   asio::io_context loop(1);
+  auto signals = MakeRoleSignals(loop);
   std::unique_ptr<node::ControlNode> control;
   const platform::ControlApi api([&control] { return control.get(); });
   node::ControlNode::Hooks hooks;
@@ -35,7 +36,8 @@
   role_hooks.reload = [&control](const node::NodeOptions& settings) {
     control->SetSeeds(settings.seeds);
   };
-  return RunRole(loop, settings_path, "control on " + base::ToString(options.orders), role_hooks);
+  return RunRole(loop, signals, settings_path, "control on " + base::ToString(options.orders),
+                 role_hooks);
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_entry.cpp
+++ b/src/app/wagtailpick_edge/serve_entry.cpp
@@ -15,6 +15,7 @@
 
 int ServeEntry(const node::EntryOptions& options, const std::string& settings_path) {
   asio::io_context loop(1);
+  auto signals = MakeRoleSignals(loop);
   std::unique_ptr<node::EntryNode> entry;
   node::EntryNode::Hooks hooks;
   hooks.decode_catalog = platform::DecodeCatalog;
@@ -32,7 +33,8 @@
   role_hooks.reload = [&entry](const node::NodeOptions& settings) {
     entry->SetSeeds(settings.seeds);
   };
-  return RunRole(loop, settings_path, "entry on " + base::ToString(options.callers), role_hooks);
+  return RunRole(loop, signals, settings_path, "entry on " + base::ToString(options.callers),
+                 role_hooks);
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
