Answer the calls that a control replica has taken before it stops

Cause: on SIGTERM a control replica ended at once, in the middle of calls. The operator of an order that had been accepted, and a server whose drain was being spread, got no answer.

Change: ControlNode::Drain waits until no call is left, for a second at most, and closes connections after their answer.

Conclusion: a planned stop of a control replica costs no answers.

--- a/src/app/wagtailpick_edge/serve_control.cpp
+++ b/src/app/wagtailpick_edge/serve_control.cpp
@@ -32,7 +32,7 @@
   }
   control = std::move(started.value());
   RoleHooks role_hooks;
-  role_hooks.stop = [](const std::function<void()>& done) { done(); };
+  role_hooks.stop = [&control](std::function<void()> done) { control->Drain(std::move(done)); };
   role_hooks.reload = [&control](const node::NodeOptions& settings) {
     control->SetSeeds(settings.seeds);
   };
--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -27,6 +27,9 @@
 /// copied several times on its way into the log.
 constexpr double kOrderMemoryFraction = 0.1;
 constexpr base::Duration kCacheInterval = std::chrono::milliseconds(500);
+/// Calls of operators and upstreams are answered within a second, or tried elsewhere.
+constexpr base::Duration kMaxDrainTime = std::chrono::seconds(1);
+constexpr base::Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kLivenessInterval = std::chrono::seconds(1);
 /// Entries connect to a replica that has just started within this time.
 constexpr base::Duration kStartupDelay = std::chrono::milliseconds(800);
@@ -53,6 +56,7 @@
       cache_(options.data_folder + "/cache"),
       departures_(options.data_folder + "/departures"),
       timer_(loop),
+      drain_timer_(loop),
       alive_(std::make_shared<bool>(true)) {}
 
 ControlNode::~ControlNode() { *alive_ = false; }
@@ -118,6 +122,7 @@
   net::ServerPolicy policy;
   policy.message.max_body_bytes = kMaxOrderBytes;
   policy.memory = memory_;
+  policy.close_after_answer = draining_;
   return policy;
 }
 
@@ -172,6 +177,30 @@
   }
 }
 
+// An order that was accepted and not yet acknowledged would leave its operator without an answer.
+void ControlNode::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  on_drained_ = std::move(done);
+  orders_listener_->CloseIdle();
+  if (directory_listener_ != nullptr) directory_listener_->CloseIdle();
+  CheckDrain(base::MonotonicNow() + kMaxDrainTime);
+}
+
+void ControlNode::CheckDrain(base::MonotonicTime give_up_at) {
+  auto busy = orders_listener_->busy_count();
+  if (directory_listener_ != nullptr) busy += directory_listener_->busy_count();
+  if (busy == 0 || base::MonotonicNow() >= give_up_at) {
+    logging::Write(Level::kInfo, "drain_ended", busy == 0 ? "no call is left" : "time is up",
+                   {{"running", std::to_string(busy)}});
+    return on_drained_();
+  }
+  drain_timer_.expires_after(kDrainCheckInterval);
+  drain_timer_.async_wait([this, give_up_at](asio::error_code error) {
+    if (!error) CheckDrain(give_up_at);
+  });
+}
+
 void ControlNode::UpdateGauges() {
   auto failures = orders_listener_->handler_failures();
   if (directory_listener_ != nullptr) failures += directory_listener_->handler_failures();
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -55,6 +55,10 @@
   ControlNode(const ControlNode&) = delete;
   ControlNode& operator=(const ControlNode&) = delete;
 
+  /// Answers the calls that have arrived before the process exits. Calls `done` once all are
+  /// answered, or after a second. Has no effect after the first call.
+  void Drain(std::function<void()> done);
+
   /// Commits a catalog. `done` is called once, on the loop; the status is `kInvalid` when the
   /// catalog cannot be decoded, and `kAccepted` without a commit when its version is not newer than
   /// the committed one.
@@ -101,6 +105,7 @@
   ReplicaLinks::Hooks LinkHooks();
   void Tick();
   void UpdateGauges();
+  void CheckDrain(base::MonotonicTime give_up_at);
   net::ServerPolicy OrdersPolicy() const;
   void HandleSessionOpened(const cluster::Session& session);
   void HandleSessionMessage(const cluster::Session& session, const cluster::Message& message);
@@ -195,6 +200,11 @@
   std::unique_ptr<net::HttpListener> directory_listener_;
   std::unique_ptr<net::HttpListener> metrics_listener_;
   asio::steady_timer timer_;
+  /// Checks whether all calls are answered once the node drains.
+  asio::steady_timer drain_timer_;
+  /// Set while the node drains.
+  std::function<void()> on_drained_;
+  bool draining_ = false;
   std::shared_ptr<bool> alive_;
 };
 
--- a/tests/auto/platform/control_group.cpp
+++ b/tests/auto/platform/control_group.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include "platform/catalog_json.h"
@@ -96,6 +97,12 @@
   }
 }
 
+void ControlGroup::Drain(std::size_t node) {
+  auto& draining = *nodes_[node];
+  asio::post(draining.loop,
+             [&draining] { draining.control->Drain([&draining] { draining.drained = true; }); });
+}
+
 std::optional<http::Response> ControlGroup::Call(std::size_t node,
                                                  const http::Request& request) const {
   return soak::Call(base::ToString({nodes_[node]->ip, kOrdersPort}), request, kCallTimeout);
--- a/tests/auto/platform/control_group.h
+++ b/tests/auto/platform/control_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,10 @@
   std::size_t size() const { return nodes_.size(); }
   /// Address of a replica.
   const std::string& ip(std::size_t node) const { return nodes_[node]->ip; }
+  /// Starts the drain of a replica, as SIGTERM does.
+  void Drain(std::size_t node);
+  /// Whether the drain of a replica has ended; its process would exit then.
+  bool drained(std::size_t node) const { return nodes_[node]->drained; }
   /// Sends a request to the API of a replica. Returns nothing if no answer comes within a second.
   std::optional<http::Response> Call(std::size_t node, const http::Request& request) const;
   /// Sends a request to the replicas in turn until one answers with status 200, for 20 s at most.
@@ -47,6 +52,7 @@
     asio::io_context loop;
     std::unique_ptr<platform::ControlApi> api;
     std::unique_ptr<node::ControlNode> control;
+    std::atomic<bool> drained = false;
     std::thread thread;
   };
 
