Refuse frames that nest deeply

Cause: the MessagePack decoder calls itself for each level, so a frame that nests 1,000,000 levels overflows the stack.

Measured: message_codec::refuses_frames_that_nest_deeply ends the process with the check switched off and passes with it.

Conclusion: a frame costs its link and not the process.

--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -5,6 +5,7 @@
 #include "base/printable_text.h"
 #include "cluster/consensus_codec.h"
 #include "cluster/limit_codec.h"
+#include "cluster/nesting_check.h"
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
 #include "compress/zstd_codec.h"
@@ -285,6 +286,7 @@
     BOOST_OUTCOME_TRY(content, compress::Decompress(packed, kMaxMessageBytes));
     packed = std::move(content);
   }
+  if (IsNestedTooDeep(packed)) return base::Fail(base::ErrorCode::kCorrupt, "nested too deep");
   try {
     return DecodeAs(first & ~kCompressed, json::from_msgpack(packed));
   } catch (const json::exception& error) {
--- a/tests/auto/cluster/message_codec_test.cpp
+++ b/tests/auto/cluster/message_codec_test.cpp
@@ -168,3 +168,13 @@
   cr_expect(!Decode(Encode(Hello{NodeRole::kReplica, unreadable, "dc", "a:1", "a:2", 1})));
   cr_expect(!Decode(Encode(Replicas{{{unreadable, "a:2", "dc"}}})));
 }
+
+// Guards against a frame that nests so deeply that its decoder overflows the stack, which ended the
+// process.
+Test(message_codec, refuses_frames_that_nest_deeply) {
+  constexpr std::size_t kLevels = 1'000'000;
+  constexpr char kArrayOfOne = '\x91';
+  const std::string kind(1, '\0');
+  cr_expect(!Decode(kind + std::string(kLevels, kArrayOfOne) + '\xc0'));
+  cr_expect(!Decode(kind + std::string(kLevels, kArrayOfOne)));
+}
