Let an exception cost its request in wagtailpickd, too

Cause: an exception that left a task of an entry's loop ended the process, and one that left a handler of the HTTP server, or a handler that dropped its request, gave the client no answer.

Change: base::EventLoop takes a callback for failed tasks; an entry's loop logs them as handler_failed and goes on. The HTTP server answers 500 for a request whose handler has thrown or dropped it, and reports it. Loops without a callback, those of replicas and disks, end the process as before: half of their work must not be continued.

--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -8,6 +8,7 @@
 #include "controller/controller.h"
 #include "entry/entry.h"
 #include "http/server.h"
+#include "logging/log.h"
 #include "metrics/registry.h"
 #include "rpc/client.h"
 #include "rpc/server.h"
@@ -73,6 +74,9 @@
   state->rpc_server = std::move(rpc_server);
   http::ServerOptions options;
   options.endpoint = settings.admin_endpoint;
+  options.on_failure = [](const std::string& cause) {
+    logging::Write(logging::Level::kError, "request_handler_failed", cause);
+  };
   BOOST_OUTCOME_TRY(admin_server,
                     http::Server::Start(options, [raw = state.get()](auto request, auto sink) {
                       sink(raw->admin.Answer(request));
--- a/src/libs/base/event_loop.cpp
+++ b/src/libs/base/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "base/event_loop.h"
 
+#include <exception>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -18,15 +19,25 @@
       batch.clear();
       const Duration wait = std::max(Duration(0), next_tick - MonotonicNow());
       if (!queue.PopAll(batch, wait)) return;
-      for (const auto& task : batch) task();
+      for (const auto& task : batch) RunTask(task);
       const MonotonicTime now = MonotonicNow();
       if (now < next_tick) continue;
-      tick();
+      RunTask(tick);
       next_tick = now + interval;
     }
   }
 
+  void RunTask(const Task& task) const {
+    if (!on_failure) return task();
+    try {
+      task();
+    } catch (const std::exception& error) {
+      on_failure(error.what());
+    }
+  }
+
   BoundedQueue<Task> queue;
+  std::function<void(const std::string& cause)> on_failure;
   std::thread thread;
 };
 
@@ -34,6 +45,10 @@
 
 EventLoop::~EventLoop() { Stop(); }
 
+void EventLoop::set_on_failure(std::function<void(const std::string& cause)> callback) {
+  state_->on_failure = std::move(callback);
+}
+
 void EventLoop::Start(Duration interval, Task tick) {
   state_->thread = std::thread(
       [state = state_.get(), interval, tick = std::move(tick)] { state->Run(interval, tick); });
--- a/src/libs/base/event_loop.h
+++ b/src/libs/base/event_loop.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/monotonic_time.h"
 
@@ -21,6 +22,11 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
+  /// Sets a callback for exceptions that leave a task or the tick: it gets the text, on the loop's
+  /// thread, and the loop goes on. Without it they end the process, as they must where half of a
+  /// task's work must not be continued. Call it before `Start`.
+  void set_on_failure(std::function<void(const std::string& cause)> callback);
+
   /// Starts the thread. It calls `tick` at once and then whenever `interval` has passed since the
   /// start of the last call; queued tasks run first and can delay a call. Call this only once.
   void Start(Duration interval, Task tick);
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include "base/random_id.h"
 #include "entry/decision_answer.h"
 #include "entry/upstream_request.h"
+#include "logging/log.h"
 #include "rpc/stamp.h"
 
 namespace wagtailpick::entry {
@@ -64,6 +65,9 @@
 Dispatcher::~Dispatcher() { Stop(); }
 
 void Dispatcher::Start() {
+  loop_.set_on_failure([](const std::string& cause) {
+    logging::Write(logging::Level::kError, "handler_failed", cause);
+  });
   loop_.Start(kTickInterval, [this] { Tick(); });
 }
 
--- a/src/libs/entry/entry.cpp
+++ b/src/libs/entry/entry.cpp
@@ -10,6 +10,7 @@
 #include "entry/session.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "logging/log.h"
 
 namespace wagtailpick::entry {
 
@@ -72,6 +73,9 @@
   server_options.threads = options.http_threads;
   server_options.max_body_bytes = options.max_body_bytes;
   server_options.max_connections = options.max_connections;
+  server_options.on_failure = [](const std::string& cause) {
+    logging::Write(logging::Level::kError, "request_handler_failed", cause);
+  };
   state->dispatcher.Start();
   BOOST_OUTCOME_TRY(
       server, http::Server::Start(server_options, [raw = state.get()](auto request, auto sink) {
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -10,12 +10,15 @@
 #include <utility>
 
 #include "http/answering_socket.h"
+#include "http/json_answer.h"
 #include "http/parse_error_answer.h"
 #include "http/parse_error_logger.h"
 
 namespace wagtailpick::http {
 namespace {
 
+constexpr int kInternalError = 500;
+
 struct ServerTraits : public restinio::traits_t<restinio::asio_timer_manager_t, ParseErrorLogger> {
   using stream_socket_t = AnsweringSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
@@ -50,19 +53,38 @@
   builder.set_body(std::move(response.body)).done();
 }
 
-/// Sends an answer on the server's threads, after the handler has returned. If the answer were sent
-/// from within the handler, RESTinio would read the next request before this answer is written, and
-/// read it twice.
-struct PostedSink {
-  /// Shared, as the sink may be called after the server has stopped.
-  std::shared_ptr<restinio::asio_ns::io_context> io;
-  restinio::request_handle_t handle;
+/// Sends the answer to one request on the server's threads, after the handler has returned. If the
+/// answer were sent from within the handler, RESTinio would read the next request before this
+/// answer is written, and read it twice.
+class PendingAnswer {
+ public:
+  /// `io` is shared, as the answer may be given after the server has stopped.
+  PendingAnswer(std::shared_ptr<restinio::asio_ns::io_context> io,
+                restinio::request_handle_t handle,
+                std::function<void(const std::string& cause)> on_failure)
+      : io_(std::move(io)), handle_(std::move(handle)), on_failure_(std::move(on_failure)) {}
+  PendingAnswer(const PendingAnswer&) = delete;
+  PendingAnswer& operator=(const PendingAnswer&) = delete;
+
+  // A handler that threw, or dropped its sink, would leave the client waiting.
+  ~PendingAnswer() {
+    if (answered_ || io_ == nullptr) return;
+    if (on_failure_) on_failure_("the request was dropped without an answer");
+    Answer(JsonErrorAnswer(kInternalError, "internal error"));
+  }
 
-  void operator()(Response response) const {
-    restinio::asio_ns::post(*io, [to = handle, answer = std::move(response)]() mutable {
+  void Answer(Response response) {
+    answered_ = true;
+    restinio::asio_ns::post(*io_, [to = handle_, answer = std::move(response)]() mutable {
       SendResponse(to, std::move(answer));
     });
   }
+
+ private:
+  std::shared_ptr<restinio::asio_ns::io_context> io_;
+  restinio::request_handle_t handle_;
+  std::function<void(const std::string& cause)> on_failure_;
+  bool answered_ = false;
 };
 
 // RESTinio's parser accepts malformed header fields, so they are checked separately.
@@ -113,14 +135,20 @@
         .max_parallel_connections(options.max_connections)
         .read_next_http_message_timelimit(options.read_timeout)
         .handle_request_timeout(options.handle_timeout)
-        .request_handler([io = std::weak_ptr(state->io),
+        .request_handler([io = std::weak_ptr(state->io), on_failure = options.on_failure,
                           handler = std::move(handler)](const restinio::request_handle_t& handle) {
           Request request = ToRequest(handle);
           const auto& headers = request.headers;
           if (!std::all_of(headers.begin(), headers.end(), IsWellFormed)) {
             return RejectMalformedFields(handle);
           }
-          handler(std::move(request), PostedSink{io.lock(), handle});
+          const auto pending = std::make_shared<PendingAnswer>(io.lock(), handle, on_failure);
+          try {
+            handler(std::move(request),
+                    [pending](Response response) { pending->Answer(std::move(response)); });
+          } catch (const std::exception& error) {
+            if (on_failure) on_failure(error.what());
+          }
           return restinio::request_accepted();
         });
   };
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -15,7 +15,8 @@
 /// Sends the answer to one request; called exactly once, on any thread.
 using ResponseSink = std::function<void(Response)>;
 
-/// Handles one request. Called on a server thread, so it must not block.
+/// Handles one request. Called on a server thread, so it must not block. An exception costs the
+/// request only.
 using RequestHandler = std::function<void(Request, ResponseSink)>;
 
 /// Address and limits of a server.
@@ -31,6 +32,9 @@
   base::Duration read_timeout = std::chrono::seconds(10);
   /// Longest time from a request to its answer.
   base::Duration handle_timeout = std::chrono::seconds(30);
+  /// Called, on any thread, with the cause when a handler has thrown or has dropped its sink
+  /// without a call. The request is then answered with status 500.
+  std::function<void(const std::string& cause)> on_failure;
 };
 
 /// HTTP/1.1 server based on RESTinio.
--- a/tests/auto/base/event_loop_test.cpp
+++ b/tests/auto/base/event_loop_test.cpp
@@ -2,7 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <future>
+#include <stdexcept>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -64,3 +67,17 @@
   loop.Stop();
   cr_expect(ticks >= 3);
 }
+
+// Guards against a task that ends the process, and with it the requests of all other tasks.
+Test(event_loop, goes_on_after_a_failed_task) {
+  EventLoop loop(10);
+  std::vector<std::string> failures;
+  loop.set_on_failure([&](const std::string& cause) { failures.push_back(cause); });
+  loop.Start(kLongInterval, [] { throw std::runtime_error("failed tick"); });
+  bool ran = false;
+  cr_assert(loop.Post([] { throw std::runtime_error("failed task"); }));
+  cr_assert(loop.Post([&] { ran = true; }));
+  loop.Stop();
+  cr_expect(ran);
+  cr_expect(std::find(failures.begin(), failures.end(), "failed task") != failures.end());
+}
--- a/tests/auto/base/memory_budget_test.cpp
+++ b/tests/auto/base/memory_budget_test.cpp
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-// Guards against one use that takes the memory of the others: endless answers that leave no room for
-// a large upload, and uploads that leave none for small answers.
+// Guards against one use that takes the memory of the others: endless answers that leave no room
+// for a large upload, and uploads that leave none for small answers.
 Test(memory_budget, each_use_keeps_its_part) {
   for (const auto hungry : base::kMemoryUses) {
     MemoryBudget budget(kTotal);
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,8 +30,10 @@
   std::string url() const { return "http://127.0.0.1:" + std::to_string(port) + "/x?y=1"; }
 };
 
-RunningServer StartServer(const RequestHandler& handler) {
+RunningServer StartServer(const RequestHandler& handler,
+                          std::function<void(const std::string&)> on_failure = nullptr) {
   ServerOptions options;
+  options.on_failure = std::move(on_failure);
   options.max_body_bytes = 1'000;
   options.max_header_bytes = 500;
   options.max_header_count = 10;
@@ -216,3 +219,25 @@
   cr_assert(!started);
   cr_expect(started.error().message.starts_with("can't listen on 127.0.0.1:"));
 }
+
+// Guards against a handler that ends the process or leaves its client waiting, by an exception or
+// by dropping the request.
+Test(server, answers_500_for_a_failed_handler) {
+  std::atomic<int> failures = 0;
+  std::atomic<int> requests = 0;
+  const auto running = StartServer(
+      [&](const Request&, const ResponseSink& sink) {
+        const int number = ++requests;
+        if (number == 1) throw std::runtime_error("cannot handle this");
+        if (number == 2) return;
+        sink({});
+      },
+      [&](const std::string&) { ++failures; });
+  cr_assert(running.server != nullptr);
+  for (const std::string status : {"500", "500", "200"}) {
+    auto connection = RawConnection::Connect(running.port);
+    connection.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    cr_expect(connection.ReadToEnd().starts_with("HTTP/1.1 " + status));
+  }
+  cr_expect(failures >= 2);
+}
