Count sent bytes as activity of a client

Cause: the idle timeout was compared with the time of the last received byte, so the upstream's work and the whole writing counted as idle time.

Change: the time is set when an answer begins and whenever the socket takes a part of it. A client that stops reading is still cut after the timeout. Bytes of a client whose connection lingers are dropped, so that they don't stop the reads.

Conclusion: a slow reader gets its answer.

--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -29,8 +29,8 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
-  /// Sets a callback for requests that are refused before their body is read, as the memory budget of
-  /// the policy has no room for it.
+  /// Sets a callback for requests that are refused before their body is read, as the memory budget
+  /// of the policy has no room for it.
   void set_on_refused_for_memory(std::function<void(const http::Request& head)> callback) {
     refused_for_memory_ = std::move(callback);
   }
--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -91,8 +91,7 @@
   }
   const bool has_body = has_open_body_ || (has_length && parser_.content_length != 0);
   if (!has_body || budget_ == nullptr) return 0;
-  const auto answer_use =
-      has_open_body_ ? base::MemoryUse::kOpenAnswer : base::MemoryUse::kAnswer;
+  const auto answer_use = has_open_body_ ? base::MemoryUse::kOpenAnswer : base::MemoryUse::kAnswer;
   memory() = std::make_shared<base::MemoryReservation>(
       budget_, kind_ == Kind::kRequest ? base::MemoryUse::kRequest : answer_use);
   if (!has_length) return 0;
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/write.hpp>
 #include <exception>
 #include <utility>
@@ -180,8 +181,15 @@
   output_ = std::move(response);
   const std::array<asio::const_buffer, 2> parts{asio::buffer(output_head_),
                                                 asio::buffer(output_.body)};
+  last_activity_ = base::MonotonicNow();
+  // Called after each part that the socket has taken: a client that reads slowly is not idle.
+  const auto record_progress = [self = shared_from_this()](asio::error_code error,
+                                                           std::size_t length) {
+    self->last_activity_ = base::MonotonicNow();
+    return asio::transfer_all()(error, length);
+  };
   asio::async_write(
-      socket_, parts,
+      socket_, parts, record_progress,
       [self = shared_from_this(), close](asio::error_code error, std::size_t /*length*/) {
         if (self->phase_ == Phase::kClosed) return;
         if (error) return self->Close();
@@ -203,6 +211,8 @@
 // Closing the socket at once could reset the connection before the client has read the answer.
 void ServerConnection::Linger() {
   phase_ = Phase::kLingering;
+  // Nothing is served any more, and a full buffer would stop the reads.
+  pending_ = {};
   asio::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   Read();
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -18,13 +18,13 @@
   MessageLimits message;
   /// Longest time from the first byte of a request to the end of its headers.
   base::Duration header_timeout = std::chrono::seconds(3);
-  /// Longest time without received bytes between two requests, within a body, and while an answer
-  /// is being sent.
+  /// Longest time without received bytes between two requests and within a body, and without sent
+  /// bytes while an answer is being sent.
   base::Duration idle_timeout = std::chrono::seconds(15);
   /// Whether the connection is closed after each answer.
   bool close_after_answer = false;
-  /// Counts the bodies of requests, and refuses with status 503 those for which it has no room; null
-  /// counts none.
+  /// Counts the bodies of requests, and refuses with status 503 those for which it has no room;
+  /// null counts none.
   std::shared_ptr<base::MemoryBudget> memory;
 };
 
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -67,8 +67,8 @@
                      const MessageLimits& limits,
                      std::shared_ptr<base::MemoryBudget> memory = nullptr);
 
-  /// Connects if necessary, sends `request` and calls `done` once with the result, unless `Close` is
-  /// called before.
+  /// Connects if necessary, sends `request` and calls `done` once with the result, unless `Close`
+  /// is called before.
   void Exchange(OutboundRequest request, Done done);
 
   /// Called with this connection when it is ready for another exchange.
--- a/tests/auto/net/http_listener_test.cpp
+++ b/tests/auto/net/http_listener_test.cpp
@@ -36,6 +36,7 @@
           [this] {
             net::ServerPolicy policy;
             policy.memory = memory;
+            policy.idle_timeout = idle_timeout;
             return policy;
           });
       if (started) listener = std::move(started.value());
@@ -60,6 +61,7 @@
     return std::stoi(received.substr(received.find(' ')));
   }
 
+  base::Duration idle_timeout = std::chrono::seconds(15);
   std::shared_ptr<base::MemoryBudget> memory = std::make_shared<base::MemoryBudget>(kMemoryBudget);
   asio::io_context loop;
   std::shared_ptr<net::InboundRequest> inbound;
@@ -166,3 +168,31 @@
   fixture.Run();
   cr_expect(fixture.memory->held(base::MemoryUse::kAnswer) == 0);
 }
+
+// Guards against an answer that is cut because its client reads it for longer than the idle
+// timeout, and against a client that stops reading and keeps its connection.
+Test(http_listener, cuts_an_answer_only_if_its_client_stops_reading) {
+  Fixture fixture;
+  fixture.idle_timeout = milliseconds(600);
+  fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(fixture.inbound != nullptr);
+  http::Response response;
+  response.body = std::string(2 * kLongAnswer, 'x');
+  const std::size_t expected = response.body.size();
+  fixture.inbound->Answer(std::move(response));
+  std::string part(400'000, '\0');
+  std::size_t length = 0;
+  asio::error_code error;
+  while (length < expected && !error) {
+    fixture.Run();
+    length += fixture.client.read_some(asio::buffer(part), error);
+  }
+  cr_expect(length >= expected);
+  fixture.Run();
+  fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  http::Response unread;
+  unread.body = std::string(8 * kLongAnswer, 'x');
+  fixture.inbound->Answer(std::move(unread));
+  for (int i = 0; i < 40; ++i) fixture.Run();
+  cr_expect(fixture.listener->busy_count() == 0);
+}
