--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -61,8 +61,8 @@
 
 namespace {
 
-// The JSON layout has no limit for a line, and writes bytes that are not ASCII as question marks, so
-// that unreadable bytes from outside could not be told apart.
+// The JSON layout has no limit for a line, and writes bytes that are not ASCII as question marks,
+// so that unreadable bytes from outside could not be told apart.
 void MakePrintable(std::string& text, std::size_t max_bytes) {
   if (text.size() <= max_bytes && base::IsPrintable(text)) return;
   text = base::ToPrintable(text, max_bytes);
--- a/tests/auto/logging/line_text_test.cpp
+++ b/tests/auto/logging/line_text_test.cpp
@@ -26,8 +26,8 @@
 
 }  // namespace
 
-// Guards against a line that is as long as the text from outside that it quotes, and against one that
-// no reader of JSON accepts.
+// Guards against a line that is as long as the text from outside that it quotes, and against one
+// that no reader of JSON accepts.
 Test(logging, every_line_is_json_whatever_it_quotes) {
   const std::vector<std::string> texts{
       "\xff",        "\x1b[31m", "a\nb", std::string("\0x", 2),
