Keep a request of the soak's upstream until its crash closes it

Cause: the stand-in drops the request that crashes it and closes its listener afterwards. A dropped request is answered 500 now, so the entry got an answer from an upstream that was to crash, and counted no crash.

Change: the stand-in keeps the request until its connection is closed, as the crash of a process would.

Conclusion: a fault of the stand-in. No check of the soak is changed.

--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -145,7 +145,8 @@
   checker_.RecordArrival(id, kDrainBound);
   if (inbound->request.target == kCrashTarget) {
     checker_.RecordCrash();
-    return asio::post(loop_, [this, &upstream] { Crash(upstream); });
+    // The request is kept until its connection is closed, as it is answered when it is dropped.
+    return asio::post(loop_, [this, &upstream, inbound] { Crash(upstream); });
   }
   const auto now = base::MonotonicNow();
   if (limit) checker_.RecordLimitedArrival(id, now);
