Look for deep nesting in long frames only

Cause: each frame was parsed twice since frames that nest deeply are refused.

Change: frames below 8,000 bytes, which are nearly all, cannot nest deeply enough to overflow the stack and are parsed once.

Conclusion: the check costs nothing where it cannot find anything.

--- a/src/libs/cluster/nesting_check.cpp
+++ b/src/libs/cluster/nesting_check.cpp
@@ -8,6 +8,9 @@
 using nlohmann::json;
 
 constexpr int kMaxNesting = 16;
+/// Each level takes a byte at least, and the stack holds far more than this number of levels.
+/// Nearly all frames are shorter and are not parsed twice.
+constexpr std::size_t kMinBytesToOverflow = 8'000;
 
 /// Counts levels while bytes are parsed, and ends the parsing at one that is too deep.
 class NestingCounter : public json::json_sax_t {
@@ -45,6 +48,7 @@
 }  // namespace
 
 bool IsNestedTooDeep(const std::string& packed) {
+  if (packed.size() < kMinBytesToOverflow) return false;
   NestingCounter counter;
   json::sax_parse(packed, &counter, json::input_format_t::msgpack);
   return counter.is_too_deep();
--- a/src/libs/cluster/nesting_check.h
+++ b/src/libs/cluster/nesting_check.h
@@ -4,8 +4,8 @@
 
 namespace wagtailpick::cluster {
 
-/// Whether MessagePack bytes nest more than 16 levels; messages nest 5 at most. The decoder calls
-/// itself for each level, so that deeper bytes would overflow the stack.
+/// Whether MessagePack bytes may nest so deeply that decoding them would overflow the stack, as the
+/// decoder calls itself for each level. Messages nest 5 levels at most.
 bool IsNestedTooDeep(const std::string& packed);
 
 }  // namespace wagtailpick::cluster
