Tell requests that were not read from those that were cut in the drain test

Traced: the server has not begun to run them. They crossed the close of their connection, which had been accepted and had carried no request yet when idle connections were closed. The rule excuses a request that crosses the close and is not passed on, and its caller sends it again.

--- a/tests/auto/platform/entry_host.cpp
+++ b/tests/auto/platform/entry_host.cpp
@@ -82,6 +82,10 @@
   auto started = net::HttpListener::Start(
       loop_, {group.EntryNodeOptions().ip, kServerPort},
       [this](const std::shared_ptr<net::InboundRequest>& inbound) {
+        {
+          const std::lock_guard lock(mutex_);
+          runs_.insert(platform::RequestIdOf(inbound->request));
+        }
         const auto timer = std::make_shared<asio::steady_timer>(loop_, work_(inbound->request));
         timer->async_wait([inbound, timer](asio::error_code) {
           inbound->Answer(platform::ServerAnswer(platform::RequestIdOf(inbound->request), "done"));
@@ -101,6 +105,11 @@
   serving_.join();
 }
 
+bool WorkingServer::HasRun(const std::string& request_id) {
+  const std::lock_guard lock(mutex_);
+  return runs_.contains(request_id);
+}
+
 void WorkingServer::Announce(const ControlGroup& group) {
   while (running_) {
     ++report_.sequence;
--- a/tests/auto/platform/entry_host.h
+++ b/tests/auto/platform/entry_host.h
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -49,11 +51,16 @@
   WorkingServer(const WorkingServer&) = delete;
   WorkingServer& operator=(const WorkingServer&) = delete;
 
+  /// Whether the request with this id has begun to run.
+  bool HasRun(const std::string& request_id);
+
  private:
   void Announce(const ControlGroup& group);
 
   upstreams::UpstreamReport report_;
   Work work_;
+  std::mutex mutex_;
+  std::set<std::string> runs_;
   asio::io_context loop_;
   std::unique_ptr<net::HttpListener> listener_;
   std::atomic<bool> running_ = true;
