Read long answers in one place in the listener's tests

Cause: two tests had the same loop that reads a long answer.

Change: Fixture::ReadLongAnswer serves both. No assertion is changed.

--- a/tests/auto/net/http_listener_test.cpp
+++ b/tests/auto/net/http_listener_test.cpp
@@ -54,6 +54,17 @@
     loop.run_for(milliseconds(50));
   }
 
+  /// Reads until the client has received at least `kLongAnswer` bytes.
+  void ReadLongAnswer() {
+    std::string received(kLongAnswer, '\0');
+    std::size_t length = 0;
+    while (length < kLongAnswer) {
+      Run();
+      length += client.read_some(asio::buffer(received));
+    }
+    Run();
+  }
+
   /// Returns the status of the answer that has arrived.
   int ReadStatus() {
     std::string received(1'024, '\0');
@@ -92,13 +103,7 @@
   fixture.inbound->Answer(std::move(response));
   fixture.Run();
   cr_expect(fixture.listener->busy_count() == 1);
-  std::string received(kLongAnswer, '\0');
-  std::size_t length = 0;
-  while (length < kLongAnswer) {
-    fixture.Run();
-    length += fixture.client.read_some(asio::buffer(received));
-  }
-  fixture.Run();
+  fixture.ReadLongAnswer();
   cr_expect(fixture.listener->busy_count() == 0);
 }
 
@@ -159,13 +164,7 @@
   fixture.Run();
   cr_expect(fixture.memory->held(base::MemoryUse::kRequest) == 0);
   cr_expect(fixture.memory->held(base::MemoryUse::kAnswer) == 900'000);
-  std::string received(kLongAnswer, '\0');
-  std::size_t length = 0;
-  while (length < kLongAnswer) {
-    fixture.Run();
-    length += fixture.client.read_some(asio::buffer(received));
-  }
-  fixture.Run();
+  fixture.ReadLongAnswer();
   cr_expect(fixture.memory->held(base::MemoryUse::kAnswer) == 0);
 }
 
