End the process without waiting for stalled disks and outputs

Cause: after the last log line the role's objects were destroyed. OrderLog, StateCache and DepartureLog each join a thread there, which runs its queue and waits for the write or fsync under way. A disk that stalls for seconds delays the end of the process for as long. Its sockets stay open meanwhile.

Conclusion: the end of a process waits for no thread. A thread in the kernel's uninterruptible sleep still keeps the process until the kernel returns.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -1,6 +1,7 @@
 #include "wagtailpick_edge/role_loop.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 
 #include "logging/log.h"
@@ -59,4 +60,6 @@
   return 0;
 }
 
+void EndProcess(int exit_code) { std::_Exit(exit_code); }
+
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/role_loop.h
+++ b/src/app/wagtailpick_edge/role_loop.h
@@ -29,4 +29,8 @@
 int RunRole(asio::io_context& loop, asio::signal_set& signals, const std::string& settings_path,
             const std::string& serving, const RoleHooks& hooks);
 
+/// Ends the process with `exit_code` after `RunRole`, without destroying objects: that would wait
+/// for threads whose disk or output is stalled. What was acknowledged was synced before.
+[[noreturn]] void EndProcess(int exit_code);
+
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_control.cpp
+++ b/src/app/wagtailpick_edge/serve_control.cpp
@@ -36,8 +36,8 @@
   role_hooks.reload = [&control](const node::NodeOptions& settings) {
     control->SetSeeds(settings.seeds);
   };
-  return RunRole(loop, signals, settings_path, "control on " + base::ToString(options.orders),
-                 role_hooks);
+  EndProcess(RunRole(loop, signals, settings_path, "control on " + base::ToString(options.orders),
+                     role_hooks));
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_control.h
+++ b/src/app/wagtailpick_edge/serve_control.h
@@ -7,8 +7,8 @@
 namespace wagtailpick::wagtailpick_edge {
 
 /// Runs a control replica until SIGTERM or SIGINT. SIGHUP reloads `settings_path` and applies its
-/// seeds. Returns the exit code of the process: 0, or `kExitCannotStart` with a message on standard
-/// error.
+/// seeds. Ends the process then. Returns `kExitCannotStart`, with a message on standard error, when
+/// the replica cannot start.
 int ServeControl(const node::ControlOptions& options, const std::string& settings_path);
 
 }  // namespace wagtailpick::wagtailpick_edge
--- a/src/app/wagtailpick_edge/serve_entry.cpp
+++ b/src/app/wagtailpick_edge/serve_entry.cpp
@@ -33,8 +33,8 @@
   role_hooks.reload = [&entry](const node::NodeOptions& settings) {
     entry->SetSeeds(settings.seeds);
   };
-  return RunRole(loop, signals, settings_path, "entry on " + base::ToString(options.callers),
-                 role_hooks);
+  EndProcess(RunRole(loop, signals, settings_path, "entry on " + base::ToString(options.callers),
+                     role_hooks));
 }
 
 }  // namespace wagtailpick::wagtailpick_edge
