Close a control replica's sockets once its drain has ended

What callers saw: between drain_ended and the end of the process, the kernel still accepted connections for a replica that served nobody. Their callers waited until the process was gone: up to 0.2 s while the last log lines are written, longer while the kernel waits for the disk.

Cause: the listeners were closed by the destructors only.

Change: ControlNode::Drain closes listeners and links before it logs drain_ended and calls done.

Measured: control_drain::refuses_connections_once_the_drain_has_ended failed before (connections to the orders and the cluster port were accepted), and passes with the change, three runs of three. ControlGroup stops the loop of a drained replica, as RunRole does.

Conclusion: a replica that has answered its last call refuses connections, so that callers try another one at once.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -191,6 +191,7 @@
   auto busy = orders_listener_->busy_count();
   if (directory_listener_ != nullptr) busy += directory_listener_->busy_count();
   if (busy == 0 || base::MonotonicNow() >= give_up_at) {
+    Close();
     logging::Write(Level::kInfo, "drain_ended", busy == 0 ? "no call is left" : "time is up",
                    {{"running", std::to_string(busy)}});
     return on_drained_();
@@ -201,6 +202,18 @@
   });
 }
 
+// The process may live on for a moment, while its last log lines are written or the kernel waits
+// for the disk. Open sockets would take connections that nobody serves.
+void ControlNode::Close() {
+  *alive_ = false;
+  timer_.cancel();
+  orders_listener_.reset();
+  directory_listener_.reset();
+  metrics_listener_.reset();
+  acceptor_.reset();
+  replica_links_.reset();
+}
+
 void ControlNode::UpdateGauges() {
   auto failures = orders_listener_->handler_failures();
   if (directory_listener_ != nullptr) failures += directory_listener_->handler_failures();
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -55,8 +55,9 @@
   ControlNode(const ControlNode&) = delete;
   ControlNode& operator=(const ControlNode&) = delete;
 
-  /// Answers the calls that have arrived before the process exits. Calls `done` once all are
-  /// answered, or after a second. Has no effect after the first call.
+  /// Answers the calls that have arrived before the process exits. Closes all listeners and links
+  /// once all are answered, or after a second, and calls `done`, which must stop the loop. Has no
+  /// effect after the first call.
   void Drain(std::function<void()> done);
 
   /// Commits a catalog. `done` is called once, on the loop; the status is `kInvalid` when the
@@ -106,6 +107,8 @@
   void Tick();
   void UpdateGauges();
   void CheckDrain(base::MonotonicTime give_up_at);
+  /// Closes all listeners and links; only the destructor may be called then.
+  void Close();
   net::ServerPolicy OrdersPolicy() const;
   void HandleSessionOpened(const cluster::Session& session);
   void HandleSessionMessage(const cluster::Session& session, const cluster::Message& message);
--- a/tests/auto/platform/control_drain_test.cpp
+++ b/tests/auto/platform/control_drain_test.cpp
@@ -19,6 +19,21 @@
 constexpr milliseconds kShortWait{100};
 constexpr int kMaxWaits = 15;
 
+bool WaitUntilDrained(const ControlGroup& group, std::size_t node) {
+  for (int i = 0; i < kMaxWaits && !group.drained(node); ++i) {
+    std::this_thread::sleep_for(kShortWait);
+  }
+  return group.drained(node);
+}
+
+asio::error_code Connect(const std::string& ip, std::uint16_t port) {
+  asio::io_context loop;
+  asio::ip::tcp::socket client(loop);
+  asio::error_code error;
+  client.connect({asio::ip::make_address(ip), port}, error);
+  return error;
+}
+
 }  // namespace
 
 // Guards against a control replica that is stopped in the middle of a call: its caller got no
@@ -43,6 +58,16 @@
   cr_expect(answer.starts_with("HTTP/1.1 200 "));
   cr_expect(answer.find("Connection: close") != std::string::npos);
   client.close();
-  for (int i = 0; i < kMaxWaits && !group.drained(0); ++i) std::this_thread::sleep_for(kShortWait);
-  cr_expect(group.drained(0));
+  cr_expect(WaitUntilDrained(group, 0));
+}
+
+// Guards against connections that the kernel accepts for a replica that serves nobody any more, as
+// its process still writes its last log lines: their callers wait for an answer in vain.
+Test(control_drain, refuses_connections_once_the_drain_has_ended) {
+  ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(platform::TwoRouteConfig(1, "menu"))));
+  group.Drain(0);
+  cr_assert(WaitUntilDrained(group, 0));
+  cr_expect(Connect(group.ip(0), ControlGroup::orders_port()) == asio::error::connection_refused);
+  cr_expect(Connect(group.ip(0), ControlGroup::cluster_port()) == asio::error::connection_refused);
 }
--- a/tests/auto/platform/control_group.cpp
+++ b/tests/auto/platform/control_group.cpp
@@ -99,8 +99,12 @@
 
 void ControlGroup::Drain(std::size_t node) {
   auto& draining = *nodes_[node];
-  asio::post(draining.loop,
-             [&draining] { draining.control->Drain([&draining] { draining.drained = true; }); });
+  asio::post(draining.loop, [&draining] {
+    draining.control->Drain([&draining] {
+      draining.loop.stop();
+      draining.drained = true;
+    });
+  });
 }
 
 std::optional<http::Response> ControlGroup::Call(std::size_t node,
