Wait for what a start lacks for a moment

What was seen: a process whose settings file was empty, half written or missing at its start ended with exit code 2 at once; one whose port was still held, or whose data folder could not be used, with exit code 1, without a line in its log. The platform starts it again, with the same end: three of them on a tenth of the machines are a fault of the system.

Cause: each failure of the start counted as final.

Change: start_process waits for settings that are missing or were modified less than 2 s ago, and tries the start of the role again for 10 s when an address is in use, the disk fails or the folder is locked. It logs start_delayed for each attempt, and start_failed at the end, with the same exit code and message on standard error as before. Signals are registered before the settings are read: SIGTERM ends the wait at once, and SIGHUP does not end the process.

Conclusion: a start ends with an exit code only for what nothing but an operator can change, or after 10 s.

--- a/src/app/wagtailpick_edge/main.cpp
+++ b/src/app/wagtailpick_edge/main.cpp
@@ -4,12 +4,9 @@
 #include <iostream>
 #include <string>
 
-#include "logging/log.h"
 #include "settings/command_line.h"
 #include "wagtailpick_edge/edge_settings.h"
-#include "wagtailpick_edge/role_loop.h"
-#include "wagtailpick_edge/serve_control.h"
-#include "wagtailpick_edge/serve_entry.h"
+#include "wagtailpick_edge/start_process.h"
 
 namespace {
 
@@ -48,22 +45,11 @@
     std::cerr << "wagtailpick_edge: no settings file: pass --config or set WAGTAILPICK_CONFIG\n";
     return settings::kExitWrongInput;
   }
+  if (!arguments.at("--check").asBool()) return edge::StartProcess(path);
   const auto loaded = edge::LoadEdgeSettings(path);
-  if (!loaded) {
-    std::cerr << loaded.error().message << "\n";
-    return settings::kExitWrongInput;
-  }
-  if (arguments.at("--check").asBool()) return 0;
-  const auto& edge_settings = loaded.value();
-  const auto& node = edge_settings.node();
-  const auto logging =
-      wagtailpick::logging::Start({node.vm, node.data_centre, edge_settings.log_file, true});
-  if (!logging) {
-    std::cerr << "wagtailpick_edge: " << logging.error().message << "\n";
-    return edge::kExitCannotStart;
-  }
-  if (edge_settings.entry) return edge::ServeEntry(*edge_settings.entry, path);
-  return edge::ServeControl(*edge_settings.control, path);
+  if (loaded) return 0;
+  std::cerr << loaded.error().message << "\n";
+  return settings::kExitWrongInput;
 }
 
 }  // namespace
--- a/src/app/wagtailpick_edge/serve_control.cpp
+++ b/src/app/wagtailpick_edge/serve_control.cpp
@@ -1,7 +1,6 @@
 #include "wagtailpick_edge/serve_control.h"
 
 #include <asio/io_context.hpp>
-#include <iostream>
 #include <memory>
 
 #include "node/control_node.h"
@@ -11,7 +10,7 @@
 
 namespace wagtailpick::wagtailpick_edge {
 
-int ServeControl(const node::ControlOptions& options, const std::string& settings_path) {
+base::Error ServeControl(const node::ControlOptions& options, const std::string& settings_path) {
   asio::io_context loop(1);
   auto signals = MakeRoleSignals(loop);
   std::unique_ptr<node::ControlNode> control;
@@ -26,10 +25,7 @@
   };
   hooks.serve_directory = hooks.serve_orders;
   auto started = node::ControlNode::Start(loop, options, std::move(hooks));
-  if (!started) {
-    std::cerr << "wagtailpick_edge: " << started.error().message << "\n";
-    return kExitCannotStart;
-  }
+  if (!started) return started.error();
   control = std::move(started.value());
   RoleHooks role_hooks;
   role_hooks.stop = [&control](std::function<void()> done) { control->Drain(std::move(done)); };
--- a/src/app/wagtailpick_edge/serve_entry.cpp
+++ b/src/app/wagtailpick_edge/serve_entry.cpp
@@ -2,7 +2,6 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
-#include <iostream>
 #include <memory>
 
 #include "node/entry_node.h"
@@ -13,7 +12,7 @@
 
 namespace wagtailpick::wagtailpick_edge {
 
-int ServeEntry(const node::EntryOptions& options, const std::string& settings_path) {
+base::Error ServeEntry(const node::EntryOptions& options, const std::string& settings_path) {
   asio::io_context loop(1);
   auto signals = MakeRoleSignals(loop);
   std::unique_ptr<node::EntryNode> entry;
@@ -23,10 +22,7 @@
   hooks.serve_readiness =
       platform::ReadinessApi([&entry] { return entry != nullptr && entry->ready(); });
   auto started = node::EntryNode::Start(loop, options, std::move(hooks));
-  if (!started) {
-    std::cerr << "wagtailpick_edge: " << started.error().message << "\n";
-    return kExitCannotStart;
-  }
+  if (!started) return started.error();
   entry = std::move(started.value());
   RoleHooks role_hooks;
   role_hooks.stop = [&entry](std::function<void()> done) { entry->Drain(std::move(done)); };
