Read settings that are being replaced at SIGHUP again

Cause: the file was read once.

Change: RunRole reads a file that is missing or was modified less than 2 s ago again, for 2 s at most.

Measured: process_start::reloads_settings_that_are_half_written_at_sighup failed before (no settings_reloaded within 20 s) and passes now; reports_settings_that_stay_invalid_at_sighup, which also sends SIGHUP and a second SIGTERM during the drain, passed before and passes now.

Conclusion: one SIGHUP is enough, also if it comes before the file is complete.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -1,10 +1,14 @@
 #include "wagtailpick_edge/role_loop.h"
 
+#include <asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <utility>
 
+#include "base/monotonic_time.h"
 #include "logging/log.h"
+#include "settings/file_age.h"
 #include "wagtailpick_edge/edge_settings.h"
 
 namespace wagtailpick::wagtailpick_edge {
@@ -12,12 +16,39 @@
 
 using logging::Level;
 
-void Reload(const std::string& settings_path, const RoleHooks& hooks) {
-  const auto settings = LoadEdgeSettings(settings_path);
-  if (!settings) return logging::Write(Level::kError, "reload_failed", settings.error().message);
-  logging::Write(Level::kInfo, "settings_reloaded", settings_path);
-  hooks.reload(settings.value().node());
-}
+/// Reloads the settings on SIGHUP. A file that may be incomplete is read again until it is
+/// complete, as no further signal follows.
+class Reloader {
+ public:
+  Reloader(asio::io_context& loop, std::string settings_path, const RoleHooks& hooks)
+      : timer_(loop), settings_path_(std::move(settings_path)), hooks_(hooks) {}
+
+  void Reload() {
+    give_up_at_ = base::MonotonicNow() + settings::kReplacementTime;
+    TryReload();
+  }
+
+ private:
+  void TryReload() {
+    const auto loaded = LoadEdgeSettings(settings_path_);
+    if (loaded) {
+      logging::Write(Level::kInfo, "settings_reloaded", settings_path_);
+      return hooks_.reload(loaded.value().node());
+    }
+    if (!settings::MayBeIncomplete(settings_path_) || base::MonotonicNow() >= give_up_at_) {
+      return logging::Write(Level::kError, "reload_failed", loaded.error().message);
+    }
+    timer_.expires_after(settings::kReadRetryInterval);
+    timer_.async_wait([this](asio::error_code error) {
+      if (!error) TryReload();
+    });
+  }
+
+  asio::steady_timer timer_;
+  std::string settings_path_;
+  const RoleHooks& hooks_;
+  base::MonotonicTime give_up_at_;
+};
 
 // An exception that leaves a handler ends that handler's work and not the process. Periodic work
 // and reads are scheduled before they can throw, so they go on.
@@ -41,12 +72,13 @@
 int RunRole(asio::io_context& loop, asio::signal_set& signals, const std::string& settings_path,
             const std::string& serving, const RoleHooks& hooks) {
   logging::Write(Level::kInfo, "process_started", serving);
+  Reloader reloader(loop, settings_path, hooks);
   const std::function<void()> wait_for_signal = [&] {
     signals.async_wait([&](asio::error_code error, int signal) {
       if (error) return;
       wait_for_signal();
       if (signal == SIGHUP) {
-        Reload(settings_path, hooks);
+        reloader.Reload();
       } else {
         logging::Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
         hooks.stop([&loop] { loop.stop(); });
--- a/tests/auto/wagtailpick_edge/process_start_test.cpp
+++ b/tests/auto/wagtailpick_edge/process_start_test.cpp
@@ -26,6 +26,9 @@
 /// The start gives up after 10 s.
 constexpr seconds kMaxStartTime{15};
 
+/// Grace time of the entry (1 s) and time for its last log lines.
+constexpr seconds kMaxStopTime{2};
+
 /// Time for which the settings file is incomplete.
 constexpr milliseconds kReplacement{300};
 
@@ -149,6 +152,34 @@
   cr_expect(entry.WaitForEnd(kPromptly) == 0, "%s", entry.output().c_str());
 }
 
+// Guards against a process that keeps its old settings because SIGHUP came while the file was being
+// replaced.
+Test(process_start, reloads_settings_that_are_half_written_at_sighup) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  entry.Start();
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout));
+  Replace(entry.settings_path(), "[node]\nrole = entry\nvm = v");
+  entry.Signal(SIGHUP);
+  std::this_thread::sleep_for(kReplacement);
+  Replace(entry.settings_path(), entry.settings());
+  cr_expect(entry.WaitForOutput("settings_reloaded", kStartTimeout), "%s", entry.output().c_str());
+}
+
+// Guards against a reload that never reports that the settings stay invalid, and against one that
+// delays the end of the process.
+Test(process_start, reports_settings_that_stay_invalid_at_sighup) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  entry.Start();
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout));
+  Replace(entry.settings_path(), "[node]\nrole = king\n");
+  entry.Signal(SIGHUP);
+  cr_expect(entry.WaitForOutput("reload_failed", kStartTimeout), "%s", entry.output().c_str());
+  entry.Signal(SIGHUP);
+  entry.Signal(SIGTERM);
+  entry.Signal(SIGTERM);
+  cr_expect(entry.WaitForEnd(kMaxStopTime) == 0, "%s", entry.output().c_str());
+}
+
 // Guards against waiting for settings that are still missing when the process is told to stop.
 Test(process_start, stops_while_it_waits_for_its_settings) {
   auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
