Survive a log output that fails

What was seen: a process that logs to a full disk ended by itself, with std::terminate on its log thread; one whose standard output had lost its reader was ended by SIGPIPE, without a line. With log_file = /dev/full the edge program aborts (exit code 134), and with a closed pipe it ends with 141 (SIGPIPE), both at the first line.

Cause: log4cxx throws when it cannot write a line to a file, and nothing on the background thread caught it. SIGPIPE and SIGXFSZ had their default action.

Change: a line that cannot be written counts as dropped, and log_lines_dropped reports it once the output works again. logging::Start ignores both signals.

Conclusion: a failed output costs log lines only.

--- a/src/libs/logging/background_writer.cpp
+++ b/src/libs/logging/background_writer.cpp
@@ -1,6 +1,7 @@
 #include "logging/background_writer.h"
 
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -18,6 +19,16 @@
 }  // namespace
 
 struct BackgroundWriter::State {
+  /// Writes `line`; returns false if the output fails, such as on a full disk.
+  bool TryWrite(const Line& line) const {
+    try {
+      write(line);
+      return true;
+    } catch (const std::exception&) {
+      return false;
+    }
+  }
+
   std::function<void(const Line&)> write;
   base::BoundedQueue<Line> queue{kQueueCapacity};
   std::atomic<std::uint64_t> dropped = 0;
@@ -36,20 +47,26 @@
 void BackgroundWriter::Run(const std::shared_ptr<State>& state) {
   std::vector<Line> lines;
   while (state->queue.PopAll(lines, kPopTimeout)) {
-    for (const auto& line : lines) state->write(line);
-    lines.clear();
-    const auto dropped = state->dropped.exchange(0);
-    if (dropped > 0) {
-      state->write({Level::kWarning,
-                    "log_lines_dropped",
-                    "the output is too slow",
-                    {{"count", std::to_string(dropped)}}});
+    for (const auto& line : lines) {
+      if (!state->TryWrite(line)) ++state->dropped;
     }
+    lines.clear();
+    ReportDropped(*state);
     if (!state->stopping) std::this_thread::sleep_for(kBatchPause);
   }
   state->finished = true;
 }
 
+void BackgroundWriter::ReportDropped(State& state) {
+  const auto dropped = state.dropped.exchange(0);
+  if (dropped == 0) return;
+  const Line report{Level::kWarning,
+                    "log_lines_dropped",
+                    "the output is too slow or has failed",
+                    {{"count", std::to_string(dropped)}}};
+  if (!state.TryWrite(report)) state.dropped += dropped;
+}
+
 void BackgroundWriter::Enqueue(Line line) {
   if (!state_->queue.TryPush(std::move(line))) ++state_->dropped;
 }
--- a/src/libs/logging/background_writer.h
+++ b/src/libs/logging/background_writer.h
@@ -19,8 +19,9 @@
   std::vector<Field> fields;
 };
 
-/// Writes log lines on a background thread. Lines are dropped while the queue is full; a warning
-/// `log_lines_dropped` with their count follows when lines are written again.
+/// Writes log lines on a background thread. Lines are dropped while the queue is full and when
+/// `write` throws; a warning `log_lines_dropped` with their count follows when lines are written
+/// again.
 class BackgroundWriter {
  public:
   /// Starts the thread, which calls `write` for every line.
@@ -40,6 +41,7 @@
  private:
   struct State;
   static void Run(const std::shared_ptr<State>& state);
+  static void ReportDropped(State& state);
 
   std::shared_ptr<State> state_;
 };
--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -7,6 +7,7 @@
 #include <log4cxx/mdc.h>
 
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <memory>
@@ -81,6 +82,13 @@
   logger->forcedLog(ToLog4cxx(line.level), line.message);
 }
 
+// A write to an output whose reader has ended, or to a file at its size limit, fails; by default it
+// ends the process.
+void IgnoreOutputSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+}
+
 }  // namespace
 
 base::Result<void> Start(const Options& options) {
@@ -88,6 +96,7 @@
   if (is_file && !std::ofstream(options.file, std::ios::app)) {
     return base::Fail(base::ErrorCode::kIo, "log file " + options.file + " can't be opened");
   }
+  IgnoreOutputSignals();
   process_options = options;
   const auto logger = ProcessLogger();
   logger->removeAllAppenders();
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -30,8 +30,8 @@
   bool in_background = false;
 };
 
-/// Sets up logging for the process; call it once before the first line. Fails with `kIo` if the
-/// file cannot be opened.
+/// Sets up logging for the process; call it once before the first line. Ignores the signals of
+/// failed writes (SIGPIPE, SIGXFSZ) from then on. Fails with `kIo` if the file cannot be opened.
 base::Result<void> Start(const Options& options);
 
 /// Writes one JSON line with `event`, `message` and `fields`. Bytes of the message and of field
