Recover from exceptions on a replica's other threads

What would be seen: an exception on the thread of the orders' log, of its disk, of the departures or of the cache, such as bad_alloc, ended the process by std::terminate without a log line. Found by reading.

Cause: RunLoop catches exceptions on the role's loop only. These four threads had no boundary.

Change: an exception during a write to a file is a failed write. After one on the log's thread, whose state in memory may be changed by half, the driver is dropped, its waiting proposals fail with "unavailable", and the state is read from the disk again a second later, as after a failed write. A cache that cannot be encoded is not written.

Conclusion: an exception costs a replica its log for a second, and no process. An order whose task throws before it is proposed gets no reply; its caller's timeout ends it.

--- a/src/libs/node/departure_log.cpp
+++ b/src/libs/node/departure_log.cpp
@@ -1,5 +1,6 @@
 #include "node/departure_log.h"
 
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
@@ -88,7 +89,7 @@
 
 void DepartureLog::Flush() {
   const auto batch = std::exchange(waiting_, {});
-  const auto stored = Store(batch);
+  const auto stored = TryStore(batch);
   if (!stored) {
     logging::Write(Level::kWarning, "departures_not_stored", stored.error().message);
     log_.reset();
@@ -96,6 +97,14 @@
   for (const auto& waiting : batch) waiting.done(stored.has_value());
 }
 
+base::Result<void> DepartureLog::TryStore(const std::vector<Waiting>& batch) {
+  try {
+    return Store(batch);
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::kIo, error.what());
+  }
+}
+
 base::Result<void> DepartureLog::Store(const std::vector<Waiting>& batch) {
   if (log_ == nullptr) {
     const auto ignore = [](std::uint64_t, std::string_view) -> base::Result<void> {
--- a/src/libs/node/departure_log.h
+++ b/src/libs/node/departure_log.h
@@ -41,6 +41,8 @@
   };
 
   void Flush();
+  /// `Store`, with an exception as `kIo`.
+  base::Result<void> TryStore(const std::vector<Waiting>& batch);
   base::Result<void> Store(const std::vector<Waiting>& batch);
   base::Result<void> Open(const storage::RecordLog::Visitor& visit);
 
--- a/src/libs/node/order_log.cpp
+++ b/src/libs/node/order_log.cpp
@@ -32,6 +32,8 @@
 base::Result<std::unique_ptr<OrderLog>> OrderLog::Start(const Options& options, Hooks hooks) {
   std::unique_ptr<OrderLog> log(new OrderLog(options, std::move(hooks)));
   BOOST_OUTCOME_TRY(log->Open());
+  log->loop_.set_on_failure(
+      [raw = log.get()](const std::string& cause) { raw->HandleException(cause); });
   log->loop_.Start(kTick, [raw = log.get()] { raw->Tick(); });
   return log;
 }
@@ -231,6 +233,15 @@
   logging::Write(Level::kInfo, "log_reopened", options_.folder);
 }
 
+// The state in memory may be changed by half. The one on disk is not: it changes by whole batches,
+// and nothing is acknowledged before its batch is synced.
+void OrderLog::HandleException(const std::string& cause) {
+  logging::Write(Level::kError, "log_failed", cause);
+  if (driver_) driver_->FailPending();
+  driver_.reset();
+  reopen_due_ = base::MonotonicNow() + kReopenInterval;
+}
+
 void OrderLog::DetectMembershipChange() {
   const auto& members = driver_->replica().membership();
   if (members == members_) return;
--- a/src/libs/node/order_log.h
+++ b/src/libs/node/order_log.h
@@ -16,10 +16,11 @@
 
 namespace wagtailpick::node {
 
-/// The replicated log of operators' orders, on its own thread. After a failed write or sync, it
-/// recovers from the disk as soon as the disk can be written again. All public functions may be
-/// called from any thread. Hooks and `done` callbacks run on the log's thread, except that a call
-/// which finds the log's queue full calls `done` at once with `kUnavailable`.
+/// The replicated log of operators' orders, on its own thread. After a failed write or sync and
+/// after an exception, it recovers from the disk as soon as the disk can be written again. All
+/// public functions may be called from any thread. Hooks and `done` callbacks run on the log's
+/// thread, except that a call which finds the log's queue full calls `done` at once with
+/// `kUnavailable`.
 class OrderLog {
  public:
   struct Options {
@@ -75,6 +76,8 @@
   base::Result<void> OpenDriver();
   /// Replaces a driver that has stopped after a disk error.
   void ReopenWhenDue();
+  /// Drops the driver after an exception; it is opened again from the disk.
+  void HandleException(const std::string& cause);
   bool Leads() const;
   replica::LogDriver::Hooks DriverHooks();
   void Tick();
@@ -97,7 +100,7 @@
   std::uint64_t incarnation_ = 0;
   base::MonotonicTime started_at_;
   base::EventLoop loop_;
-  /// Null after a disk error, until the disk can be opened again.
+  /// Null after a disk error or an exception, until the disk is opened again.
   std::unique_ptr<replica::LogDriver> driver_;
   base::MonotonicTime reopen_due_;
   orders::OrderState state_;
--- a/src/libs/node/state_cache.cpp
+++ b/src/libs/node/state_cache.cpp
@@ -60,6 +60,9 @@
 }  // namespace
 
 StateCache::StateCache(std::string path) : path_(std::move(path)), loop_(kMaxQueuedSaves) {
+  loop_.set_on_failure([](const std::string& cause) {
+    logging::Write(logging::Level::kWarning, "cache_not_written", cause);
+  });
   loop_.Start(kIdleTick, [] {});
 }
 
--- a/src/libs/replica/disk_writer.cpp
+++ b/src/libs/replica/disk_writer.cpp
@@ -1,6 +1,8 @@
 #include "replica/disk_writer.h"
 
+#include <exception>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace wagtailpick::replica {
@@ -21,7 +23,7 @@
 void DiskWriter::Start(consensus::SyncBatch batch) {
   busy_ = true;
   thread_.Post([this, shared = std::make_shared<consensus::SyncBatch>(std::move(batch))] {
-    auto result = disk_.Write(*shared);
+    auto result = Write(*shared);
     {
       const std::lock_guard lock(mutex_);
       result_ = WriteResult{shared->id, std::move(result)};
@@ -30,6 +32,14 @@
   });
 }
 
+base::Result<void> DiskWriter::Write(const consensus::SyncBatch& batch) {
+  try {
+    return disk_.Write(batch);
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::kIo, std::string("write failed: ") + error.what());
+  }
+}
+
 std::optional<DiskWriter::WriteResult> DiskWriter::ConsumeResult() {
   const std::lock_guard lock(mutex_);
   if (result_) busy_ = false;
--- a/src/libs/replica/disk_writer.h
+++ b/src/libs/replica/disk_writer.h
@@ -20,7 +20,7 @@
   struct WriteResult {
     /// `consensus::SyncBatch::id` of the batch.
     std::uint64_t batch = 0;
-    /// Result of `ReplicaDisk::Write`.
+    /// Result of `ReplicaDisk::Write`; `kIo` if it threw.
     base::Result<void> result;
   };
 
@@ -41,6 +41,8 @@
   std::optional<WriteResult> ConsumeResult();
 
  private:
+  base::Result<void> Write(const consensus::SyncBatch& batch);
+
   ReplicaDisk disk_;
   std::function<void()> wake_;
   bool busy_ = false;
--- a/src/libs/replica/log_driver.h
+++ b/src/libs/replica/log_driver.h
@@ -71,6 +71,9 @@
   /// Handles timeouts; must be called every 10 to 20 ms.
   void Tick();
 
+  /// Calls the callbacks of all proposals that are not applied yet with `kUnavailable`.
+  void FailPending();
+
   /// Whether this replica leads and its lease is valid, so that it may answer reads from the
   /// committed state.
   bool HasLease() const;
@@ -92,7 +95,6 @@
   void Apply(const consensus::Output& output);
   void HandleMembershipEntry(const std::string& data);
   void CompletePending(const consensus::Entry& entry);
-  void FailPending();
   void TakeSnapshotWhenDue();
 
   struct Pending {
--- a/tests/auto/node/departure_log_test.cpp
+++ b/tests/auto/node/departure_log_test.cpp
@@ -6,6 +6,9 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <memory>
+#include <new>
+#include <utility>
 
 #include "upstreams/upstream_table.h"
 
@@ -47,6 +50,21 @@
 
 }  // namespace
 
+// Guards against a process that ends because an exception left a write to the file, and against an
+// announcement that waits for that write forever.
+Test(departure_log, recovers_from_an_exception_during_a_write) {
+  const Folder folder;
+  bool failing = true;
+  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
+  files->sync = [&failing](int file) {
+    if (std::exchange(failing, false)) throw std::bad_alloc();
+    return storage::PosixFileOps()->sync(file);
+  };
+  DepartureLog log(folder.File(), files);
+  cr_expect(!Append(log, Report("a", State::kDraining)));
+  cr_expect(Append(log, Report("b", State::kLeft)));
+}
+
 // Guards against sending requests again, after a replica's restart, to an upstream that has left.
 // The cache was written before it left, so the log must take precedence.
 Test(departure_log, overrides_an_older_cache) {
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <future>
+#include <new>
 
 #include "node/state_cache.h"
 
@@ -39,6 +40,16 @@
   return reply.get_future().get();
 }
 
+bool SubmitUntilAccepted(OrderLog& log, std::uint64_t version, std::chrono::seconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto reply = Submit(log, orders::PutCatalog{version, "catalog"});
+    if (reply.status == OrderStatus::kAccepted) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
 }  // namespace
 
 // Guards against acknowledging an order that only one disk holds, while the other replicas have not
@@ -80,25 +91,56 @@
   };
   auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
   cr_assert(log.has_value());
-  const auto submit_until_accepted = [&](std::uint64_t version, std::chrono::seconds timeout) {
-    const auto end = std::chrono::steady_clock::now() + timeout;
-    while (std::chrono::steady_clock::now() < end) {
-      const auto reply = Submit(*log.value(), orders::PutCatalog{version, "catalog"});
-      if (reply.status == OrderStatus::kAccepted) return true;
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
-  };
-  cr_assert(submit_until_accepted(1, std::chrono::seconds(15)));
+  cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
   full = true;
-  cr_expect(!submit_until_accepted(2, std::chrono::seconds(3)));
+  cr_expect(!SubmitUntilAccepted(*log.value(), 2, std::chrono::seconds(3)));
   full = false;
-  cr_expect(submit_until_accepted(3, std::chrono::seconds(10)));
+  cr_expect(SubmitUntilAccepted(*log.value(), 3, std::chrono::seconds(10)));
   cr_expect(Read(*log.value()).status == OrderStatus::kAccepted);
   log.value().reset();
   std::filesystem::remove_all(folder);
 }
 
+// Guards against a process that ends because an exception left the work of the log's thread, and
+// against a log that goes on with an order that was applied by half.
+Test(order_log, recovers_from_an_exception_while_it_applies_an_order) {
+  const std::string folder = MakeFolder();
+  std::atomic<bool> failing = true;
+  std::atomic<std::uint64_t> version = 0;
+  auto hooks = NoOpHooks();
+  hooks.changed = [&](const orders::OrderState& state) {
+    if (failing.exchange(false)) throw std::bad_alloc();
+    version = state.catalog_version();
+  };
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, hooks);
+  cr_assert(log.has_value());
+  cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
+  cr_expect(SubmitUntilAccepted(*log.value(), 2, std::chrono::seconds(15)));
+  cr_expect(version == 2);
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
+// Guards against a process that ends because an exception left a write to the disk.
+Test(order_log, recovers_from_an_exception_on_the_disk_thread) {
+  const std::string folder = MakeFolder();
+  std::atomic<bool> failing = false;
+  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
+  files->sync = [&failing](int file) {
+    if (failing) throw std::bad_alloc();
+    return storage::PosixFileOps()->sync(file);
+  };
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
+  cr_assert(log.has_value());
+  cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
+  failing = true;
+  cr_expect(!SubmitUntilAccepted(*log.value(), 2, std::chrono::seconds(3)));
+  failing = false;
+  cr_expect(SubmitUntilAccepted(*log.value(), 3, std::chrono::seconds(10)));
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against losing an acknowledged catalog: two proposals in flight are patches to the same
 // version, and the second one no longer applies once the first is committed.
 Test(order_log, applies_catalogs_that_are_submitted_at_the_same_time) {
