Report how a process ends by a fault of its own

What was missing: a process that ended by an uncaught exception, an assertion or a fault in its memory left no line, like one that was killed for too much memory.

Change: logging::InstallCrashReport, called first in the edge program, logs process_terminated with the exception and writes the number of a fatal signal to standard error. The process ends as before.

The edge program, sent SIGSEGV, writes the line and ends with 139.

Conclusion: an end without process_stopped and without either line is a kill from outside.

--- a/src/app/wagtailpick_edge/main.cpp
+++ b/src/app/wagtailpick_edge/main.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <string>
 
+#include "logging/crash_report.h"
 #include "settings/command_line.h"
 #include "wagtailpick_edge/edge_settings.h"
 #include "wagtailpick_edge/start_process.h"
@@ -55,6 +56,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  wagtailpick::logging::InstallCrashReport();
   // Large buffers are mapped, and given back to the system when they are freed. By default the
   // threshold rises with each freed buffer, and freed memory of that size stays with the process.
   mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
