Show the memory of a process in its metrics and its last log line

What was missing: a process that the platform kills for too much memory writes no line, and nothing told how near to its limit it had been.

Change: gauges wagtailpick_process_resident_bytes and wagtailpick_process_peak_bytes, read from /proc/self/status with the other memory gauges once a second, and the field peak_bytes of process_stopped.

Measured: metrics_page::shows_the_peak_memory_of_the_process passes; an idle entry ends with peak_bytes 8,216,576.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/monotonic_time.h"
+#include "base/process_memory.h"
 #include "logging/log.h"
 #include "settings/file_age.h"
 #include "wagtailpick_edge/edge_settings.h"
@@ -87,7 +88,8 @@
   };
   wait_for_signal();
   RunLoop(loop);
-  logging::Write(Level::kInfo, "process_stopped", "");
+  logging::Write(Level::kInfo, "process_stopped", "",
+                 {{"peak_bytes", std::to_string(base::ReadProcessMemory().peak)}});
   logging::Stop();
   return 0;
 }
--- a/src/libs/node/metrics_page.cpp
+++ b/src/libs/node/metrics_page.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "base/process_memory.h"
+
 namespace wagtailpick::node {
 
 base::Result<std::unique_ptr<net::HttpListener>> ServeMetrics(
@@ -24,6 +26,9 @@
 }
 
 void SetMemoryGauges(const base::MemoryBudget& budget, metrics::Registry& registry) {
+  const auto process = base::ReadProcessMemory();
+  registry.GaugeAt("wagtailpick_process_resident_bytes").Set(process.resident);
+  registry.GaugeAt("wagtailpick_process_peak_bytes").Set(process.peak);
   registry.GaugeAt("wagtailpick_memory_budget_bytes")
       .Set(static_cast<std::int64_t>(budget.total()));
   for (const auto use : base::kMemoryUses) {
--- a/src/libs/node/metrics_page.h
+++ b/src/libs/node/metrics_page.h
@@ -18,8 +18,8 @@
     asio::io_context& loop, const std::optional<base::Endpoint>& endpoint,
     metrics::Registry& registry);
 
-/// Sets the gauges of a memory budget: its size, and for each use what it holds and how many times
-/// it had no room.
+/// Sets the gauges of the process's memory and of a memory budget: its size, and for each use what
+/// it holds and how many times it had no room.
 void SetMemoryGauges(const base::MemoryBudget& budget, metrics::Registry& registry);
 
 }  // namespace wagtailpick::node
