--- a/src/app/wagtailpick_edge/main.cpp
+++ b/src/app/wagtailpick_edge/main.cpp
@@ -4,12 +4,10 @@
 #include <iostream>
 #include <string>
 
-#include "logging/log.h"
+#include "logging/crash_report.h"
 #include "settings/command_line.h"
 #include "wagtailpick_edge/edge_settings.h"
-#include "wagtailpick_edge/role_loop.h"
-#include "wagtailpick_edge/serve_control.h"
-#include "wagtailpick_edge/serve_entry.h"
+#include "wagtailpick_edge/start_process.h"
 
 namespace {
 
@@ -48,27 +46,17 @@
     std::cerr << "wagtailpick_edge: no settings file: pass --config or set WAGTAILPICK_CONFIG\n";
     return settings::kExitWrongInput;
   }
+  if (!arguments.at("--check").asBool()) return edge::StartProcess(path);
   const auto loaded = edge::LoadEdgeSettings(path);
-  if (!loaded) {
-    std::cerr << loaded.error().message << "\n";
-    return settings::kExitWrongInput;
-  }
-  if (arguments.at("--check").asBool()) return 0;
-  const auto& edge_settings = loaded.value();
-  const auto& node = edge_settings.node();
-  const auto logging =
-      wagtailpick::logging::Start({node.vm, node.data_centre, edge_settings.log_file, true});
-  if (!logging) {
-    std::cerr << "wagtailpick_edge: " << logging.error().message << "\n";
-    return edge::kExitCannotStart;
-  }
-  if (edge_settings.entry) return edge::ServeEntry(*edge_settings.entry, path);
-  return edge::ServeControl(*edge_settings.control, path);
+  if (loaded) return 0;
+  std::cerr << loaded.error().message << "\n";
+  return settings::kExitWrongInput;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
+  wagtailpick::logging::InstallCrashReport();
   // Large buffers are mapped, and given back to the system when they are freed. By default the
   // threshold rises with each freed buffer, and freed memory of that size stays with the process.
   mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
