Start no payment while draining unless its deadline comes before the stop

What callers saw: a payment that was passed on after SIGTERM and took longer than expected ended with a closed connection. It may have run and can't be sent again.

Cause: within 2.5 s of the signal an attempt started if one and a half times its expected time fitted, for any request. Where the expected time is wrong (a cold server, a queue), the request is cut at the end of the grace time. A 503 with Retry-After lets another entry serve it at once.

Change: relay::AttemptOutlook tells whether the request is idempotent; one that isn't starts while draining only if its deadline comes before the stop. The new decision is `not_repeatable` in the logs.

relay_drain::starts_no_retry_that_is_cut used a request that isn't idempotent, whose first attempt would no longer start; it uses an idempotent one now and still expects one attempt and 503.

Conclusion: a request that can't be sent again is cut by a drain only if it was passed on before the signal was handled.

--- a/src/libs/relay/drain_policy.cpp
+++ b/src/libs/relay/drain_policy.cpp
@@ -7,11 +7,12 @@
 namespace wagtailpick::relay {
 namespace {
 
-constexpr std::array<base::EnumName<DrainDecision>, 4> kDecisionNames{{
+constexpr std::array<base::EnumName<DrainDecision>, 5> kDecisionNames{{
     {DrainDecision::kEndsBeforeStop, "ends_before_stop"},
     {DrainDecision::kExpectedBeforeStop, "expected_before_stop"},
     {DrainDecision::kTooLate, "too_late"},
     {DrainDecision::kTooLong, "too_long"},
+    {DrainDecision::kNotRepeatable, "not_repeatable"},
 }};
 
 /// Until this time after the signal, the expected time of a request decides if its deadline comes
@@ -30,6 +31,7 @@
                                   const AttemptOutlook& attempt) {
   const auto until_stop = grace - kDrainEndMargin - since_signal;
   if (attempt.time_left <= until_stop) return DrainDecision::kEndsBeforeStop;
+  if (!attempt.idempotent) return DrainDecision::kNotRepeatable;
   if (since_signal > kRelyOnExpectedUntil) return DrainDecision::kTooLate;
   const bool fits = attempt.expected * kExpectedPercent / 100 <= until_stop;
   return fits ? DrainDecision::kExpectedBeforeStop : DrainDecision::kTooLong;
--- a/src/libs/relay/drain_policy.h
+++ b/src/libs/relay/drain_policy.h
@@ -22,6 +22,8 @@
   kTooLate,
   /// Not started: it is not expected to end before the entry stops.
   kTooLong,
+  /// Not started: it may outlast the entry, and its request cannot be sent again if it is cut.
+  kNotRepeatable,
 };
 
 /// Returns the name of `decision` in logs.
@@ -39,11 +41,14 @@
   base::Duration time_left;
   /// Expected time of the attempt.
   base::Duration expected;
+  /// Whether the request may be sent again if it is cut.
+  bool idempotent;
 };
 
 /// Decides whether an entry that got the signal to stop `since_signal` ago, and is killed `grace`
 /// after it, starts an attempt. Callers keep using a draining entry for as long as they cache its
-/// address. A request that is refused can be sent to another entry, one that is cut may have run.
+/// address. A request that is refused can be sent to another entry, one that is cut may have run:
+/// only idempotent requests start by their expected time.
 DrainDecision DecideWhileDraining(base::Duration since_signal, base::Duration grace,
                                   const AttemptOutlook& attempt);
 
--- a/src/libs/relay/request_run_drain.cpp
+++ b/src/libs/relay/request_run_drain.cpp
@@ -10,8 +10,9 @@
   if (!relay_.drain_) return true;
   const auto now = base::MonotonicNow();
   const auto& drain = *relay_.drain_;
-  drain_decision_ = DecideWhileDraining(now - drain.signalled_at, drain.grace,
-                                        {deadline_ - now, choice.expected_total});
+  drain_decision_ = DecideWhileDraining(
+      now - drain.signalled_at, drain.grace,
+      {deadline_ - now, choice.expected_total, placement_request_.route->idempotent});
   return IsStarted(*drain_decision_);
 }
 
--- a/tests/auto/relay/relay_drain_test.cpp
+++ b/tests/auto/relay/relay_drain_test.cpp
@@ -58,9 +58,23 @@
     std::this_thread::sleep_for(milliseconds(400));
     return Refuse(head, number);
   });
-  RelayHost host({upstream.address()}, false);
-  // The deadline comes after the stop, so the expected time decides, and 0.2 s later nothing does.
+  RelayHost host({upstream.address()});
+  // The deadline comes after the stop. Of an idempotent request, the expected time decides, and
+  // 0.2 s later nothing does.
   host.StartDraining(milliseconds(2'300), milliseconds(3'600));
   cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
   cr_expect(upstream.requests() == 1);
 }
+
+// Guards against a payment that is passed on while the entry drains, takes longer than expected and
+// is cut: 1.4 s before the stop, requests of 1.2 s that were expected to take 0.3 s were started.
+Test(relay_drain, starts_a_payment_only_if_its_deadline_comes_before_the_stop) {
+  for (const bool idempotent : {true, false}) {
+    FakeUpstream upstream(Serve);
+    RelayHost host({upstream.address()}, idempotent);
+    host.StartDraining(milliseconds(2'300), milliseconds(3'700));
+    const int expected_status = idempotent ? 200 : 503;
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == expected_status);
+    cr_expect(upstream.requests() == (idempotent ? 1 : 0));
+  }
+}
