--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -5,7 +5,6 @@
 
 #include "logging/log.h"
 #include "node/metrics_page.h"
-#include "relay/drain_policy.h"
 
 namespace wagtailpick::node {
 namespace {
@@ -22,17 +21,6 @@
 /// (10 to 40 MB), for bytes that are not read yet, and for a buffer that is copied while it grows.
 constexpr double kMessageMemoryFraction = 0.65;
 constexpr base::Duration kForgetUpstreamAfter = std::chrono::seconds(60);
-/// Callers cache lookup answers for up to `ControlOptions::directory_lifetime` (2 s at most), so
-/// they are served for some time after the drain has started, or for `kServeFraction` of a short
-/// grace time.
-constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
-constexpr double kServeFraction = 0.6;
-/// A drain ends only when no caller has connected for this time.
-constexpr base::Duration kQuietTimeBeforeExit = std::chrono::milliseconds(400);
-/// Part of the grace time that is kept for the last log lines and the exit of the process. Requests
-/// that end until then are still answered.
-constexpr base::Duration kExitMargin = std::chrono::milliseconds(150);
-static_assert(kExitMargin < relay::kDrainEndMargin);
 
 }  // namespace
 
@@ -57,8 +45,7 @@
       catalog_timer_(loop),
       roster_(options.node.vm),
       upstream_sync_(routing_state_.upstreams),
-      network_(options.node.data_centre, options.node.regions),
-      grace_timer_(loop) {
+      network_(options.node.data_centre, options.node.regions) {
   relay::RelayOptions relay_options;
   relay_options.vm = options.node.vm;
   relay_options.data_centre = options.node.data_centre;
@@ -94,7 +81,7 @@
 
 net::ServerPolicy EntryNode::CallerPolicy() const {
   net::ServerPolicy policy;
-  policy.close_after_answer = draining_;
+  policy.close_after_answer = drain_ != nullptr;
   policy.memory = memory_;
   if (routing_state_.catalog == nullptr) return policy;
   const auto& limits = routing_state_.catalog->limits();
@@ -156,7 +143,7 @@
     if (roster_.Expire(now)) relay_->SetEntries(roster_.names());
     UpdateGauges(now);
   }
-  if (draining_) CheckDrain(now);
+  if (drain_) drain_->Check(now);
 }
 
 // Only the nearest replica sends reports of all upstreams to this entry: reports from every replica
@@ -371,38 +358,10 @@
 }
 
 void EntryNode::Drain(std::function<void()> done) {
-  if (draining_) return;
-  draining_ = true;
-  drain_started_ = base::MonotonicNow();
-  on_drained_ = std::move(done);
-  logging::Write(Level::kInfo, "drain_started", "no new callers are directed to this entry",
-                 {{"running", std::to_string(relay_->running())}});
-  relay_->StartDraining(drain_started_, options_.grace);
+  if (drain_) return;
+  drain_ = std::make_unique<EntryDrain>(loop_, options_.grace, *relay_, *callers_listener_,
+                                        std::move(done));
   replica_links_->PingAll();
-  grace_timer_.expires_after(std::max(options_.grace - kExitMargin, base::Duration::zero()));
-  grace_timer_.async_wait([this](asio::error_code error) {
-    if (!error) EndDrain("the grace time has passed");
-  });
-}
-
-void EntryNode::CheckDrain(base::MonotonicTime now) {
-  const auto serve_until =
-      std::min(kServeWhileDraining, base::Scale(options_.grace, kServeFraction));
-  if (now - drain_started_ < serve_until) return;
-  callers_listener_->CloseIdle();
-  // Waits for connections that were just accepted and for answers that are still being written.
-  const bool quiet = relay_->running() == 0 && callers_listener_->busy_count() == 0 &&
-                     now - callers_listener_->last_accepted() > kQuietTimeBeforeExit;
-  if (quiet) EndDrain("no request is left");
-}
-
-void EntryNode::EndDrain(const std::string& cause) {
-  const auto done = std::exchange(on_drained_, nullptr);
-  if (!done) return;
-  relay_->LogCutRequests();
-  logging::Write(Level::kInfo, "drain_ended", cause,
-                 {{"running", std::to_string(relay_->running())}});
-  done();
 }
 
 void EntryNode::SetSeeds(const std::vector<base::Endpoint>& seeds) {
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -13,6 +13,7 @@
 #include "distribution/catalog_fetcher.h"
 #include "metrics/registry.h"
 #include "net/http_listener.h"
+#include "node/entry_drain.h"
 #include "node/entry_roster.h"
 #include "node/node_options.h"
 #include "node/replica_links.h"
@@ -42,7 +43,7 @@
   EntryNode& operator=(const EntryNode&) = delete;
 
   /// Whether callers may be directed to this entry: it has a catalog and is not draining.
-  bool ready() const { return !draining_ && routing_state_.catalog != nullptr; }
+  bool ready() const { return drain_ == nullptr && routing_state_.catalog != nullptr; }
 
   /// Stops new callers from being directed to this entry and refuses requests that may not end in
   /// time. Calls `done` once all requests have ended, or shortly before `EntryOptions::grace` has
@@ -58,8 +59,6 @@
   ReplicaLinks::Hooks LinkHooks();
   net::ServerPolicy CallerPolicy() const;
   void Tick();
-  void CheckDrain(base::MonotonicTime now);
-  void EndDrain(const std::string& cause);
   void HandleMessage(const std::string& replica, const cluster::Message& message);
   void HandleReports(const cluster::Reports& reports);
   void HandleLiveness(const std::string& replica, const cluster::UpstreamLiveness& liveness);
@@ -110,11 +109,8 @@
   /// no replica is connected.
   std::string followed_;
   placement::NetworkDistance network_;
-  bool draining_ = false;
-  base::MonotonicTime drain_started_;
-  std::function<void()> on_drained_;
-  /// Ends the drain when the grace time is nearly over.
-  asio::steady_timer grace_timer_;
+  /// Null until the entry is told to stop.
+  std::unique_ptr<EntryDrain> drain_;
   base::MonotonicTime slow_tick_due_;
   base::MonotonicTime observations_due_;
 };
