Let a listener stop accepting before its process ends

A drain that has ended closes the listening socket only with the process, so the kernel went on accepting for callers that nobody would serve, and a drain saw new connections but not new requests on kept ones.

HttpListener::StopAccepting accepts what the kernel has completed, then closes the listening socket; open connections go on. last_request_at tells when the first byte of the last request was read, connection_count how many connections are open.

--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -42,37 +42,60 @@
 }
 
 void HttpListener::Accept() {
-  acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](asio::error_code error,
-                                                               asio::ip::tcp::socket socket) {
-    if (alive.expired() || error == asio::error::operation_aborted) return;
-    if (error) {
-      logging::Write(logging::Level::kWarning, "accept_failed", error.message());
-      timer_.expires_after(kAcceptPause);
-      return timer_.async_wait([this, alive](asio::error_code aborted) {
-        if (aborted || alive.expired()) return;
+  if (!acceptor_.is_open()) return;
+  acceptor_.async_accept(
+      [this, alive = std::weak_ptr(alive_)](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (alive.expired() || error == asio::error::operation_aborted) return;
+        if (error) {
+          logging::Write(logging::Level::kWarning, "accept_failed", error.message());
+          timer_.expires_after(kAcceptPause);
+          return timer_.async_wait([this, alive](asio::error_code aborted) {
+            if (aborted || alive.expired()) return;
+            Accept();
+            ScheduleTimeoutCheck();
+          });
+        }
+        // Before anything that may throw, as the listener would not accept any more.
         Accept();
-        ScheduleTimeoutCheck();
+        AddConnection(std::move(socket));
       });
-    }
-    // Before anything that may throw, as the listener would not accept any more.
-    Accept();
-    ServerConnection::Hooks hooks;
-    hooks.handle = handle_;
-    hooks.policy = policy_;
-    hooks.refused_for_memory = [this](const http::Request& head) {
-      if (!stopped_ && refused_for_memory_) refused_for_memory_(head);
-    };
-    hooks.failed = [this] {
-      if (!stopped_) ++handler_failures_;
-    };
-    hooks.closed = [this](const std::shared_ptr<ServerConnection>& closed) {
-      if (!stopped_) connections_.erase(closed);
-    };
-    const auto connection = std::make_shared<ServerConnection>(std::move(socket), std::move(hooks));
-    connections_.insert(connection);
-    last_accepted_ = base::MonotonicNow();
-    connection->Start();
-  });
+}
+
+void HttpListener::AddConnection(asio::ip::tcp::socket socket) {
+  ServerConnection::Hooks hooks;
+  hooks.handle = handle_;
+  hooks.policy = policy_;
+  hooks.request_started = [this](base::MonotonicTime at) {
+    if (!stopped_) last_request_at_ = at;
+  };
+  hooks.refused_for_memory = [this](const http::Request& head) {
+    if (!stopped_ && refused_for_memory_) refused_for_memory_(head);
+  };
+  hooks.failed = [this] {
+    if (!stopped_) ++handler_failures_;
+  };
+  hooks.closed = [this](const std::shared_ptr<ServerConnection>& closed) {
+    if (!stopped_) connections_.erase(closed);
+  };
+  const auto connection = std::make_shared<ServerConnection>(std::move(socket), std::move(hooks));
+  connections_.insert(connection);
+  last_accepted_ = base::MonotonicNow();
+  connection->Start();
+}
+
+// The kernel resets the connections that wait to be accepted when the listening socket is closed.
+void HttpListener::StopAccepting() {
+  if (!acceptor_.is_open()) return;
+  asio::error_code error;
+  acceptor_.non_blocking(true, error);
+  // Otherwise `accept` would wait for another connection in place of an aborted one.
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), error);
+  while (!error || error == asio::error::connection_aborted) {
+    asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) AddConnection(std::move(socket));
+  }
+  acceptor_.close(error);
 }
 
 void HttpListener::ScheduleTimeoutCheck() {
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -35,6 +35,9 @@
     refused_for_memory_ = std::move(callback);
   }
 
+  /// Stops to listen: the kernel refuses further connections. Those that it has completed before
+  /// are accepted, and open connections go on. Has no effect when called again.
+  void StopAccepting();
   /// Closes the connections without a request in progress. The others close after their answer only
   /// if the policy sets `close_after_answer`.
   void CloseIdle();
@@ -46,11 +49,16 @@
   std::uint64_t handler_failures() const { return handler_failures_; }
   /// Time at which the last connection was accepted.
   base::MonotonicTime last_accepted() const { return last_accepted_; }
+  /// Time at which the first byte of the last request was read.
+  base::MonotonicTime last_request_at() const { return last_request_at_; }
+  /// Number of open connections, with those that are about to close.
+  std::size_t connection_count() const { return connections_.size(); }
 
  private:
   HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                std::function<ServerPolicy()> policy);
   void Accept();
+  void AddConnection(asio::ip::tcp::socket socket);
   /// Checks all connections for timeouts after an interval, and again after that.
   void ScheduleTimeoutCheck();
 
@@ -67,6 +75,7 @@
   /// still run, without an error.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   base::MonotonicTime last_accepted_;
+  base::MonotonicTime last_request_at_;
 };
 
 }  // namespace wagtailpick::net
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -116,7 +116,10 @@
 }
 
 void ServerConnection::ParseBuffered() {
-  if (!parser_.started()) request_started_ = last_activity_;
+  if (!parser_.started()) {
+    request_started_ = last_activity_;
+    if (hooks_.request_started) hooks_.request_started(request_started_);
+  }
   const auto policy = hooks_.policy();
   parser_.set_limits(policy.message);
   parser_.set_memory(policy.memory);
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -37,6 +37,8 @@
     /// then answered with status 500.
     std::function<void()> failed;
     std::function<ServerPolicy()> policy;
+    /// Called when the first byte of a request has been read.
+    std::function<void(base::MonotonicTime at)> request_started;
     /// Called for a request that is refused before its body is read, as there is no memory for it.
     std::function<void(const http::Request& head)> refused_for_memory;
     /// Called once when the connection is closed from either side.
