Count a drain from the earliest time at which its signal can have come

The entry is killed a grace time after the signal was sent, but took requests by the time at which it had handled the signal. A busy or paused process handles it late, and what it takes then is cut by the kill.

Change: node::LoopDelay keeps when the loop's periodic work ran. Requests that run already still get the whole grace time from when the signal was handled, since that may be when it came. drain_started logs the time as `delay_ms`.

Conclusion: what is taken after a signal that was handled late ends before the process is killed. What was passed on before the signal was handled may still be cut.

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -25,17 +25,20 @@
 
 }  // namespace
 
-EntryDrain::EntryDrain(asio::io_context& loop, base::Duration grace, relay::Relay& relay,
-                       net::HttpListener& callers, std::function<void()> done)
+EntryDrain::EntryDrain(asio::io_context& loop, base::MonotonicTime signalled_at,
+                       base::Duration grace, relay::Relay& relay, net::HttpListener& callers,
+                       std::function<void()> done)
     : grace_(grace),
       relay_(relay),
       callers_(callers),
       done_(std::move(done)),
-      started_(base::MonotonicNow()),
+      signalled_at_(signalled_at),
       grace_timer_(loop) {
+  const auto delay = base::MonotonicNow() - signalled_at_;
   logging::Write(Level::kInfo, "drain_started", "no new callers are directed to this entry",
-                 {{"running", std::to_string(relay_.running())}});
-  relay_.StartDraining(started_, grace_);
+                 {{"running", std::to_string(relay_.running())},
+                  {"delay_ms", std::to_string(delay.count() / 1'000)}});
+  relay_.StartDraining(signalled_at_, grace_);
   grace_timer_.expires_after(std::max(grace_ - kExitMargin, base::Duration::zero()));
   grace_timer_.async_wait([this](asio::error_code error) {
     if (!error) End("the grace time has passed");
@@ -44,7 +47,7 @@
 
 void EntryDrain::Check(base::MonotonicTime now) {
   const auto serve_until = std::min(kServeWhileDraining, base::Scale(grace_, kServeFraction));
-  if (now - started_ < serve_until) return;
+  if (now - signalled_at_ < serve_until) return;
   callers_.CloseIdle();
   // Waits for connections that were just accepted and for answers that are still being written.
   const bool quiet = relay_.running() == 0 && callers_.busy_count() == 0 &&
--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -14,10 +14,12 @@
 /// The drain of an entry that was told to stop: decides when the process may exit. Not thread-safe.
 class EntryDrain {
  public:
-  /// Starts the drain. Calls `done` once all requests have ended, or shortly before `grace` has
-  /// passed.
-  EntryDrain(asio::io_context& loop, base::Duration grace, relay::Relay& relay,
-             net::HttpListener& callers, std::function<void()> done);
+  /// Starts the drain. `signalled_at` is the earliest time at which the signal to stop can have
+  /// come; the relay takes only requests that end within `grace` from then. Calls `done` once all
+  /// requests have ended, or shortly before `grace` has passed since the drain started: those that
+  /// run already get all the time that there may be.
+  EntryDrain(asio::io_context& loop, base::MonotonicTime signalled_at, base::Duration grace,
+             relay::Relay& relay, net::HttpListener& callers, std::function<void()> done);
   EntryDrain(const EntryDrain&) = delete;
   EntryDrain& operator=(const EntryDrain&) = delete;
 
@@ -32,7 +34,7 @@
   relay::Relay& relay_;
   net::HttpListener& callers_;
   std::function<void()> done_;
-  base::MonotonicTime started_;
+  base::MonotonicTime signalled_at_;
   /// Ends the drain when the grace time is nearly over.
   asio::steady_timer grace_timer_;
 };
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -40,6 +40,7 @@
       memory_(std::make_shared<base::MemoryBudget>(
           base::ScaleBytes(options.node.memory_bytes, kMessageMemoryFraction))),
       timer_(loop),
+      loop_delay_(kTick, base::MonotonicNow()),
       catalog_fetcher_(static_cast<std::uint64_t>(
           static_cast<double>(options.node.link_bytes_per_second) * kCatalogLinkFraction)),
       catalog_timer_(loop),
@@ -124,6 +125,7 @@
     if (!error) Tick();
   });
   const auto now = base::MonotonicNow();
+  loop_delay_.RecordTick(now);
   replica_links_->Tick(now);
   ChooseFollowedReplica();
   RequestCatalog(now);
@@ -359,8 +361,9 @@
 
 void EntryNode::Drain(std::function<void()> done) {
   if (drain_) return;
-  drain_ = std::make_unique<EntryDrain>(loop_, options_.grace, *relay_, *callers_listener_,
-                                        std::move(done));
+  const auto signalled_at = loop_delay_.EarliestArrival(base::MonotonicNow());
+  drain_ = std::make_unique<EntryDrain>(loop_, signalled_at, options_.grace, *relay_,
+                                        *callers_listener_, std::move(done));
   replica_links_->PingAll();
 }
 
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -15,6 +15,7 @@
 #include "net/http_listener.h"
 #include "node/entry_drain.h"
 #include "node/entry_roster.h"
+#include "node/loop_delay.h"
 #include "node/node_options.h"
 #include "node/replica_links.h"
 #include "node/upstream_sync.h"
@@ -47,7 +48,8 @@
 
   /// Stops new callers from being directed to this entry and refuses requests that may not end in
   /// time. Calls `done` once all requests have ended, or shortly before `EntryOptions::grace` has
-  /// passed. Has no effect after the first call.
+  /// passed. Has no effect after the first call. Requests are taken as if the signal had come as
+  /// early as it can have, in view of how late the loop runs.
   void Drain(std::function<void()> done);
 
   /// Replaces the seed addresses after a reload of the settings.
@@ -99,6 +101,7 @@
   std::unique_ptr<net::HttpListener> readiness_listener_;
   std::unique_ptr<net::HttpListener> metrics_listener_;
   asio::steady_timer timer_;
+  LoopDelay loop_delay_;
   /// Log index of the newest order summary that was applied.
   std::uint64_t orders_index_ = 0;
   distribution::CatalogFetcher catalog_fetcher_;
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -44,6 +44,9 @@
   int status = 0;
 };
 
+/// The time that a loop is blocked while the signal to stop waits.
+constexpr base::Duration kBlockedFor = milliseconds(1'500);
+
 }  // namespace
 
 // Guards against requests that an entry takes after SIGTERM and then cuts: those that came 3.0 to
@@ -100,3 +103,28 @@
   cr_expect(short_served >= 38, "%d short requests were served", short_served);
   cr_expect(long_served >= 10, "%d long requests were served", long_served);
 }
+
+// Guards against a drain that counts from when a busy process handled the signal: charges of 4 s
+// were taken until 1.7 s after that, and SIGKILL came 6 s after the signal itself.
+Test(entry_drain, counts_from_the_signal_if_the_loop_was_blocked, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  WorkingServer server(group, "menu", [](const http::Request&) { return milliseconds(100); });
+  EntryHost entry(group, kGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  const auto signalled_at = base::MonotonicNow();
+  entry.DrainAfterBlockedLoop(kBlockedFor);
+  std::this_thread::sleep_for(signalled_at + kBlockedFor + milliseconds(500) -
+                              base::MonotonicNow());
+  const auto charge = [&](const std::string& id, int deadline_ms) {
+    return entry.Call(platform::ClientRequest("POST", "/charge/1", id, deadline_ms, "object"),
+                      kCallTimeout);
+  };
+  const auto too_late = charge("id-too-late", kLongDeadlineMs);
+  const auto in_time = charge("id-in-time", kShortDeadlineMs);
+  cr_assert(too_late.has_value() && in_time.has_value());
+  cr_expect(too_late->status == 503, "%d", too_late->status);
+  cr_expect(in_time->status == 200, "%d", in_time->status);
+}
--- a/tests/auto/platform/entry_host.cpp
+++ b/tests/auto/platform/entry_host.cpp
@@ -66,6 +66,16 @@
   });
 }
 
+void EntryHost::DrainAfterBlockedLoop(base::Duration blocked_for) {
+  std::promise<void> blocked;
+  asio::post(loop_, [&blocked, blocked_for] {
+    blocked.set_value();
+    std::this_thread::sleep_for(blocked_for);
+  });
+  blocked.get_future().wait();
+  Drain();
+}
+
 std::optional<http::Response> EntryHost::Call(const http::Request& request,
                                               base::Duration timeout) const {
   return soak::Call(base::ToString(options_.callers), request, timeout);
--- a/tests/auto/platform/entry_host.h
+++ b/tests/auto/platform/entry_host.h
@@ -27,6 +27,9 @@
   bool WaitUntilReady();
   /// Starts the drain, as SIGTERM does.
   void Drain();
+  /// Starts the drain when the loop has been blocked for `blocked_for`, as a signal does that came
+  /// to a busy process. Waits until the loop is blocked.
+  void DrainAfterBlockedLoop(base::Duration blocked_for);
   /// Whether the drain has ended; the process would exit then.
   bool drained() const { return drained_; }
   /// Sends a client's request. Returns nothing if it gets no complete answer within `timeout`.
