Answer a client that ends its sending half and waits

Callers that end their stream after a request and wait for the answer saw a closed connection and no answer; an answer that was being written was cut.

Cause: the end of the client's stream was taken for a client that has left. It ends the sending half only (RFC 9112, 9.6), and a close looks the same until something is written.

Change: InboundRequest::continues_after_half_close lets the handler decide. A request that goes on keeps its connection, which is then watched for a reset; requests that came before the end of the stream are answered in turn. Without a decision the request ends with the stream as before, so requests don't run on for clients that left. An answer that is being written is finished.

--- a/src/libs/net/inbound_request.h
+++ b/src/libs/net/inbound_request.h
@@ -23,6 +23,12 @@
   /// Closes the connection without an answer.
   virtual void Abort() = 0;
 
+  /// Called when the client ends its stream before the answer is given: it has closed the
+  /// connection, or has nothing more to send and waits for the answer. The two look alike until
+  /// something is written. Returns whether the request goes on; its answer is then written if the
+  /// connection still takes it, and `on_client_left` still tells of a reset. If unset or false, the
+  /// connection is closed and `on_client_left` is called.
+  std::function<bool()> continues_after_half_close;
   /// Called when the client's connection is lost before the answer is given.
   std::function<void()> on_client_left;
 };
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -60,26 +60,31 @@
 
   void Answer(http::Response response) override {
     const auto connection = std::exchange(connection_, nullptr);
-    on_client_left = nullptr;
+    ClearHooks();
     if (connection == nullptr || connection->phase_ != Phase::kServing) return;
-    const bool close =
-        !connection->client_keeps_open_ || connection->hooks_.policy().close_after_answer;
-    connection->Write(std::move(response), close);
+    connection->Write(std::move(response), connection->ClosesAfterAnswer());
   }
 
   void Abort() override {
     const auto connection = std::exchange(connection_, nullptr);
-    on_client_left = nullptr;
+    ClearHooks();
     if (connection != nullptr) connection->Close();
   }
 
   void HandleClientLeft() {
     connection_ = nullptr;
     const auto notify = std::exchange(on_client_left, nullptr);
+    ClearHooks();
     if (notify) notify();
   }
 
  private:
+  /// Ends reference cycles, as the hooks may hold the request.
+  void ClearHooks() {
+    continues_after_half_close = nullptr;
+    on_client_left = nullptr;
+  }
+
   std::shared_ptr<ServerConnection> connection_;
 };
 
@@ -96,13 +101,15 @@
 }
 
 void ServerConnection::Read() {
-  if (reading_ || phase_ == Phase::kClosed || pending_.size() > kMaxPendingBytes) return;
+  if (reading_ || half_closed_ || phase_ == Phase::kClosed) return;
+  if (pending_.size() > kMaxPendingBytes) return;
   reading_ = true;
   socket_.async_read_some(asio::buffer(buffer_),
                           [self = shared_from_this()](asio::error_code error, std::size_t length) {
                             self->reading_ = false;
                             if (self->phase_ == Phase::kClosed) return;
-                            if (error) return self->HandlePeerClosed();
+                            if (error == asio::error::eof) return self->HandleEndOfStream();
+                            if (error) return self->HandleConnectionLost();
                             self->HandleBytes({self->buffer_.data(), length});
                             self->Read();
                           });
@@ -145,6 +152,14 @@
     ReportFailure(error.what(), *inbound);
     inbound->Answer(InternalError());
   }
+  if (half_closed_ && phase_ == Phase::kServing) HandleEndOfStream();
+}
+
+// A request that has come with the end of the stream is answered first.
+bool ServerConnection::ClosesAfterAnswer() const {
+  if (!client_keeps_open_) return true;
+  if (half_closed_) return pending_.empty();
+  return hooks_.policy().close_after_answer;
 }
 
 void ServerConnection::ReportFailure(const std::string& cause, const Inbound& inbound) {
@@ -208,11 +223,14 @@
   phase_ = Phase::kReading;
   parser_.Reset();
   if (!pending_.empty()) ParseBuffered();
+  // No more of this request comes.
+  if (half_closed_ && phase_ == Phase::kReading) return Close();
   Read();
 }
 
 // Closing the socket at once could reset the connection before the client has read the answer.
 void ServerConnection::Linger() {
+  if (half_closed_) return Close();
   phase_ = Phase::kLingering;
   // Nothing is served any more, and a full buffer would stop the reads.
   pending_ = {};
@@ -221,7 +239,31 @@
   Read();
 }
 
-void ServerConnection::HandlePeerClosed() {
+void ServerConnection::HandleEndOfStream() {
+  half_closed_ = true;
+  if (phase_ == Phase::kServing && ContinuesAfterHalfClose()) return WatchForReset();
+  // The client may still read an answer: the write fails if it has left.
+  if (phase_ != Phase::kWriting) HandleConnectionLost();
+}
+
+bool ServerConnection::ContinuesAfterHalfClose() const {
+  const auto inbound = inbound_.lock();
+  if (inbound == nullptr) return false;
+  // A copy, as an answer within the hook clears it.
+  const auto decide = inbound->continues_after_half_close;
+  return decide && decide();
+}
+
+// Waiting to read would report the end of the stream again and again.
+void ServerConnection::WatchForReset() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                     [self = shared_from_this()](asio::error_code error) {
+                       if (error || self->phase_ == Phase::kClosed) return;
+                       self->HandleConnectionLost();
+                     });
+}
+
+void ServerConnection::HandleConnectionLost() {
   const auto inbound = inbound_.lock();
   const bool serving = phase_ == Phase::kServing;
   Close();
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -71,10 +71,17 @@
   void Refuse(int status);
   /// Refuses a request whose body does not fit into the memory budget.
   void RefuseForMemory();
+  bool ClosesAfterAnswer() const;
   void Write(http::Response response, bool close);
   void HandleWritten(bool close);
   void Linger();
-  void HandlePeerClosed();
+  void HandleEndOfStream();
+  /// Whether the handler lets the request in progress go on although the client has ended its
+  /// stream.
+  bool ContinuesAfterHalfClose() const;
+  /// Waits for a reset by a client whose stream has ended, so that nothing is read any more.
+  void WatchForReset();
+  void HandleConnectionLost();
 
   asio::ip::tcp::socket socket_;
   Hooks hooks_;
@@ -83,6 +90,8 @@
   bool reading_ = false;
   bool head_ = false;
   bool client_keeps_open_ = true;
+  /// Whether the client has ended its stream. It may still read.
+  bool half_closed_ = false;
   std::array<char, 8'192> buffer_{};
   /// Received bytes that are not parsed yet, such as pipelined requests.
   std::string pending_;
