Answer what still runs before a stopping entry exits

What callers saw: at the end of the grace time, requests that still ran ended with a closed connection, which tells a caller nothing and keeps it waiting where the close is lost.

Cause: EntryDrain logged these requests and let the process end.

Change: 0.25 s before the end of the grace time (an eighth of it if it is shorter than 2 s) Relay::EndRequests answers each of them: 502 if an attempt may have run it or still runs, 503 with Retry-After if no byte of it was sent. An attempt counts as sent once its connection is open. The drain then waits 0.1 s at most until the answers are written. That lies in the last sixth of the grace time, as the cut did. request_ended has the reason `grace_time_over` (502) or `stopping` (503); the outcome `cut` is gone.

Conclusion: every request that an entry has read gets an answer, unless its process is killed or paused.

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -18,10 +18,23 @@
 constexpr double kServeFraction = 0.6;
 /// A drain ends only when no caller has connected for this time.
 constexpr base::Duration kQuietTimeBeforeExit = std::chrono::milliseconds(400);
-/// Part of the grace time that is kept for the last log lines and the exit of the process. Requests
-/// that end until then are still answered.
+/// Part of the grace time that is kept for the last log lines and the exit of the process.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(150);
-static_assert(kExitMargin < relay::kDrainEndMargin);
+/// Time before that in which the last answers are written and their connections close.
+constexpr base::Duration kLastAnswersTime = std::chrono::milliseconds(100);
+static_assert(kExitMargin + kLastAnswersTime < relay::kDrainEndMargin);
+/// Both together take at most this part of a short grace time: a request that is ended earlier
+/// might still be answered by its upstream.
+constexpr double kMaxEndFraction = 0.125;
+/// Interval between checks whether the last answers have been sent.
+constexpr base::Duration kLastAnswersCheck = std::chrono::milliseconds(10);
+
+/// Returns `margin`, or a part of it in a short grace time.
+base::Duration EndMargin(base::Duration margin, base::Duration grace) {
+  const double longest = base::ToSeconds(kExitMargin + kLastAnswersTime);
+  const double scale = std::min(1.0, kMaxEndFraction * base::ToSeconds(grace) / longest);
+  return base::Scale(margin, scale);
+}
 
 }  // namespace
 
@@ -39,9 +52,27 @@
                  {{"running", std::to_string(relay_.running())},
                   {"delay_ms", std::to_string(delay.count() / 1'000)}});
   relay_.StartDraining(signalled_at_, grace_);
-  grace_timer_.expires_after(std::max(grace_ - kExitMargin, base::Duration::zero()));
+  exit_at_ = base::MonotonicNow() + grace_ - EndMargin(kExitMargin, grace_);
+  grace_timer_.expires_after(grace_ - EndMargin(kExitMargin + kLastAnswersTime, grace_));
+  grace_timer_.async_wait([this](asio::error_code error) {
+    if (!error) EndRequests();
+  });
+}
+
+void EntryDrain::EndRequests() {
+  if (!done_) return;
+  relay_.EndRequests();
+  AwaitLastAnswers();
+}
+
+void EntryDrain::AwaitLastAnswers() {
+  callers_.CloseIdle();
+  if (callers_.busy_count() == 0 || base::MonotonicNow() >= exit_at_) {
+    return End("the grace time has passed");
+  }
+  grace_timer_.expires_after(kLastAnswersCheck);
   grace_timer_.async_wait([this](asio::error_code error) {
-    if (!error) End("the grace time has passed");
+    if (!error) AwaitLastAnswers();
   });
 }
 
@@ -58,7 +89,6 @@
 void EntryDrain::End(const std::string& cause) {
   const auto done = std::exchange(done_, nullptr);
   if (!done) return;
-  relay_.LogCutRequests();
   logging::Write(Level::kInfo, "drain_ended", cause,
                  {{"running", std::to_string(relay_.running())}});
   done();
--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -28,6 +28,10 @@
   void Check(base::MonotonicTime now);
 
  private:
+  /// Answers the requests that still run, as the process exits soon.
+  void EndRequests();
+  /// Ends the drain once the last answers have been sent.
+  void AwaitLastAnswers();
   void End(const std::string& cause);
 
   base::Duration grace_;
@@ -35,6 +39,7 @@
   net::HttpListener& callers_;
   std::function<void()> done_;
   base::MonotonicTime signalled_at_;
+  base::MonotonicTime exit_at_;
   /// Ends the drain when the grace time is nearly over.
   asio::steady_timer grace_timer_;
 };
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -49,8 +49,11 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
-void Relay::LogCutRequests() const {
-  for (auto* run : *runs_) run->LogCut();
+void Relay::EndRequests() {
+  // A request that ends removes itself from the list.
+  std::vector<std::shared_ptr<RequestRun>> runs;
+  for (auto* run : *runs_) runs.push_back(run->shared_from_this());
+  for (const auto& run : runs) run->EndBeforeExit();
 }
 
 void Relay::RecordRefusedForMemory(const http::Request& head) {
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -101,8 +101,9 @@
   void StartDraining(base::MonotonicTime signalled_at, base::Duration grace) {
     drain_ = Drain{signalled_at, grace};
   }
-  /// Logs each request that has not ended, before the process exits.
-  void LogCutRequests() const;
+  /// Answers each request that has not ended, before the process exits: 503 if it has not run, 502
+  /// if an attempt may have run it or still runs.
+  void EndRequests();
   /// Number of requests that have not ended.
   std::size_t running() const { return runs_->size(); }
   /// Closes idle connections that are too old, and drops the limits of upstreams that are gone. To
--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -51,9 +51,6 @@
   return {text.data(), static_cast<std::size_t>(length)};
 }
 
-/// Reason, in logs and metrics, of requests that are refused because the entry drains.
-constexpr std::string_view kStoppingReason = "stopping";
-
 http::Response Plain(int status) {
   http::Response response;
   response.status = status;
@@ -137,9 +134,8 @@
 void RequestRun::Send(const placement::Choice& choice) {
   choice_ = choice;
   if (!MayStartWhileDraining(choice)) {
-    // A hedge that is not sent leaves the first attempt running. Other entries can serve a refused
-    // request at once.
-    if (attempts_.empty()) Refuse(kStoppingReason, kMinRetryAfter);
+    // A hedge that is not sent leaves the first attempt running.
+    if (attempts_.empty()) RefuseStopping();
     return;
   }
   const auto endpoint = base::ParseEndpoint(choice.address);
@@ -160,13 +156,12 @@
   attempts_.push_back(attempt);
   if (attempt->suspect) relay_.crash_guard_.AddRunningSuspect(choice.upstream);
   LogSent(choice, now);
-  attempt->connection->may_send = [this, choice, run = attempt->run] {
-    const auto started_unix_ms = static_cast<std::int64_t>(run.incarnation);
-    // The upstream may have named a limit while the connection was being opened.
-    const bool lacks_token =
-        !choice.needs_token && relay_.IsLimited(choice.upstream, started_unix_ms);
-    return !lacks_token && MayStartWhileDraining(choice) &&
-           relay_.MaySend(choice.upstream, started_unix_ms);
+  attempt->sent = attempt->connection->usable();
+  attempt->connection->may_send = [this, weak = std::weak_ptr(attempt)] {
+    const auto connected = weak.lock();
+    if (connected == nullptr) return false;
+    connected->sent = MaySend(*connected);
+    return connected->sent;
   };
   const auto request =
       relay_.dialect_.build_upstream_request(inbound_->request, choice.upstream, deadline_ - now);
@@ -185,6 +180,16 @@
       });
 }
 
+bool RequestRun::MaySend(const Attempt& attempt) {
+  const auto& choice = attempt.choice;
+  const auto started_unix_ms = static_cast<std::int64_t>(attempt.run.incarnation);
+  // The upstream may have named a limit while the connection was being opened.
+  const bool lacks_token =
+      !choice.needs_token && relay_.IsLimited(choice.upstream, started_unix_ms);
+  return !lacks_token && MayStartWhileDraining(choice) &&
+         relay_.MaySend(choice.upstream, started_unix_ms);
+}
+
 void RequestRun::LogSent(const placement::Choice& choice, base::MonotonicTime now) {
   std::vector<logging::Field> fields{{"upstream", choice.upstream},
                                      {"service", placement_request_.service},
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -23,8 +23,8 @@
   RequestRun& operator=(const RequestRun&) = delete;
 
   void Start();
-  /// Logs that the request is cut because the process exits.
-  void LogCut();
+  /// Answers the request at once because the process exits.
+  void EndBeforeExit();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
@@ -38,6 +38,8 @@
     base::MonotonicTime sent_at;
     /// Number that the chooser gave the attempt; passed back when the attempt ends.
     std::uint64_t attempt_number = 0;
+    /// Bytes of the request may have reached the upstream: its connection was open.
+    bool sent = false;
   };
 
   bool FindRoute();
@@ -45,6 +47,8 @@
   void StartAttempt();
   placement::Choice Choose();
   void Send(const placement::Choice& choice);
+  /// Whether the request may still be sent on the connection that was opened for `attempt`.
+  bool MaySend(const Attempt& attempt);
   /// Requests a token for the chosen upstream, which has a rate limit. Then sends the request or
   /// chooses again.
   void RequestToken(const placement::Choice& choice);
@@ -93,6 +97,10 @@
   /// Adds the upstream that the choice passed over for its rate limit, if there is one.
   static void AddHeldBackFields(const placement::Choice& choice,
                                 std::vector<logging::Field>& fields);
+  /// Whether an upstream may have run the request, or runs it now.
+  bool MayHaveRun() const;
+  /// Answers a request that has not run, so that its caller goes to another entry at once.
+  void RefuseStopping();
   /// Whether an attempt may start, in view of a drain of the entry.
   bool MayStartWhileDraining(const placement::Choice& choice);
   /// Adds how long the entry has been draining, and the last decision about an attempt.
--- a/src/libs/relay/request_run_drain.cpp
+++ b/src/libs/relay/request_run_drain.cpp
@@ -1,10 +1,20 @@
+#include <algorithm>
+
 #include "relay/request_run.h"
 
 // The part of RequestRun that handles the drain of the entry.
 
 namespace wagtailpick::relay {
+namespace {
+
+/// Reasons, in logs and metrics, of requests that end because the entry drains: before they run,
+/// and while an attempt runs.
+constexpr std::string_view kStoppingReason = "stopping";
+constexpr std::string_view kGraceTimeOverReason = "grace_time_over";
+/// Other entries can serve a refused request at once.
+constexpr base::Duration kRetryAfterStopping = std::chrono::milliseconds(100);
 
-using logging::Level;
+}  // namespace
 
 bool RequestRun::MayStartWhileDraining(const placement::Choice& choice) {
   if (!relay_.drain_) return true;
@@ -24,17 +34,18 @@
   fields.push_back({"drain_decision", std::string(ToString(*drain_decision_))});
 }
 
-void RequestRun::LogCut() {
+void RequestRun::EndBeforeExit() {
   if (finished_) return;
-  const auto total = base::MonotonicNow() - inbound_->received_at;
-  std::vector<logging::Field> fields{
-      {"reason", "grace_time_over"},
-      {"upstream", choice_.upstream},
-      {"sends", std::to_string(sends_)},
-      {"total_ms", std::to_string(total.count() / 1'000)},
-      {"expected_ms", std::to_string(choice_.expected_total.count() / 1'000)}};
-  AddDrainFields(fields);
-  Log(Level::kWarning, "request_ended", "cut", std::move(fields));
+  if (MayHaveRun()) return Fail(kGraceTimeOverReason);
+  EndAllAttempts("not_sent");
+  RefuseStopping();
 }
 
+bool RequestRun::MayHaveRun() const {
+  return may_have_run_ || std::any_of(attempts_.begin(), attempts_.end(),
+                                      [](const auto& attempt) { return attempt->sent; });
+}
+
+void RequestRun::RefuseStopping() { Refuse(kStoppingReason, kRetryAfterStopping); }
+
 }  // namespace wagtailpick::relay
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -46,6 +46,7 @@
 
 /// The time that a loop is blocked while the signal to stop waits.
 constexpr base::Duration kBlockedFor = milliseconds(1'500);
+constexpr base::Duration kShortGrace = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -128,3 +129,32 @@
   cr_expect(too_late->status == 503, "%d", too_late->status);
   cr_expect(in_time->status == 200, "%d", in_time->status);
 }
+
+// Guards against a connection that is closed without an answer at the end of the grace time, which
+// tells its caller nothing: a charge that was passed on before the signal and takes 3 s.
+Test(entry_drain, answers_what_still_runs_at_the_end, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  WorkingServer server(group, "menu", [](const http::Request&) { return milliseconds(3'000); });
+  EntryHost entry(group, kShortGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  std::optional<http::Response> answer;
+  std::thread client([&] {
+    answer = entry.Call(
+        platform::ClientRequest("POST", "/charge/1", "id-cut", kLongDeadlineMs, "object"),
+        kCallTimeout);
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  const auto signalled_at = base::MonotonicNow();
+  entry.Drain();
+  client.join();
+  const auto after = base::MonotonicNow() - signalled_at;
+  cr_assert(server.HasRun("id-cut"));
+  cr_assert(answer.has_value());
+  cr_expect(answer->status == 502, "%d", answer->status);
+  const auto millis = static_cast<long long>(after.count() / 1'000);
+  // Its server might still answer before the last sixth of the grace time.
+  cr_expect(after > kShortGrace * 5 / 6 && after < kShortGrace, "after %lld ms", millis);
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr const char* kLoopback = "127.0.0.1";
+constexpr base::Duration kRouteTimeout = std::chrono::milliseconds(1'200);
 
 std::string HeaderOf(const http::Headers& headers, const char* name) {
   const auto* value = http::FindHeader(headers, name);
@@ -63,13 +64,13 @@
   return dialect;
 }
 
-catalog::Catalog TestCatalog(bool idempotent) {
+catalog::Catalog TestCatalog(bool idempotent, base::Duration timeout) {
   catalog::Route route;
   route.name = "r";
   route.host = "h";
   route.path_prefix = "/";
   route.idempotent = idempotent;
-  route.timeout = std::chrono::milliseconds(1'200);
+  route.timeout = timeout;
   route.objective = std::chrono::milliseconds(300);
   route.attempts = 2;
   route.targets = {{"s", 1}};
@@ -178,8 +179,9 @@
 
 RelayHost::RelayHost(const std::vector<std::string>& upstreams, bool idempotent,
                      std::size_t memory_bytes)
-    : memory_(std::make_shared<base::MemoryBudget>(memory_bytes)) {
-  routing_state_.catalog = std::make_shared<const catalog::Catalog>(TestCatalog(idempotent));
+    : idempotent_(idempotent), memory_(std::make_shared<base::MemoryBudget>(memory_bytes)) {
+  routing_state_.catalog =
+      std::make_shared<const catalog::Catalog>(TestCatalog(idempotent_, kRouteTimeout));
   for (const auto& address : upstreams) {
     upstreams::UpstreamReport report;
     report.id = address;
@@ -235,23 +237,62 @@
   });
 }
 
-void RelayHost::StartDraining(base::Duration since, base::Duration grace) {
+void RelayHost::RunOnLoop(const std::function<void()>& task) {
   std::promise<void> done;
   asio::post(loop_, [&] {
-    relay_->StartDraining(base::MonotonicNow() - since, grace);
+    task();
     done.set_value();
   });
   done.get_future().wait();
 }
 
+void RelayHost::StartDraining(base::Duration since, base::Duration grace) {
+  RunOnLoop([&] { relay_->StartDraining(base::MonotonicNow() - since, grace); });
+}
+
+void RelayHost::EndRequests() {
+  RunOnLoop([this] { relay_->EndRequests(); });
+}
+
+void RelayHost::SetRouteTimeout(base::Duration timeout) {
+  RunOnLoop([&] {
+    routing_state_.catalog =
+        std::make_shared<const catalog::Catalog>(TestCatalog(idempotent_, timeout));
+  });
+}
+
+void RelayHost::RemoveUpstream(const std::string& address) {
+  RunOnLoop([&] {
+    upstreams::UpstreamReport report;
+    report.id = address;
+    report.service = "s";
+    report.address = address;
+    report.data_centre = "dc";
+    report.sequence = 1;
+    report.state = upstreams::State::kLeft;
+    routing_state_.upstreams.Apply(report, {}, base::MonotonicNow());
+    relay_->DropUpstreamState(address, address, false);
+  });
+}
+
+void RelayHost::LoseReplicas() {
+  RunOnLoop([this] {
+    relay_->token_requests().set_sender([](const limits::TokenRequest&) { return false; });
+  });
+}
+
+std::size_t RelayHost::running() {
+  std::size_t running = 0;
+  RunOnLoop([&] { running = relay_->running(); });
+  return running;
+}
+
 std::size_t RelayHost::memory_held() {
-  std::promise<std::size_t> held;
-  asio::post(loop_, [&] {
-    std::size_t sum = 0;
+  std::size_t sum = 0;
+  RunOnLoop([&] {
     for (const auto use : base::kMemoryUses) sum += memory_->held(use);
-    held.set_value(sum);
   });
-  return held.get_future().get();
+  return sum;
 }
 
 std::string RelayHost::Exchange(const std::string& bytes, base::Duration wait) const {
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -92,6 +92,16 @@
 
   /// Makes the relay drain as if the signal to stop had come `since` ago.
   void StartDraining(base::Duration since, base::Duration grace);
+  /// Makes the relay answer all requests that run, as before the process exits.
+  void EndRequests();
+  /// Puts a catalog in force in which the route has another timeout.
+  void SetRouteTimeout(base::Duration timeout);
+  /// Reports that the upstream at `address` has left.
+  void RemoveUpstream(const std::string& address);
+  /// Simulates that no replica can be reached any more.
+  void LoseReplicas();
+  /// Number of requests that have not ended.
+  std::size_t running();
   /// Where the relay accepts requests.
   const base::Endpoint& endpoint() const { return endpoint_; }
   /// Bytes that the budget counts for all uses.
@@ -104,6 +114,10 @@
   void SendAndLeave(const std::string& bytes, base::Duration wait) const;
 
  private:
+  /// Runs `task` on the relay's thread and waits for its end.
+  void RunOnLoop(const std::function<void()>& task);
+
+  bool idempotent_;
   asio::io_context loop_;
   relay::RoutingState routing_state_;
   metrics::Registry metrics_;
