Finish a payment whose client has ended its stream

What callers saw: a client that ended its sending half after the request and waited got no answer, and a payment whose upstream was at work was cancelled.

Cause: the end of the client's stream was taken for a client that left.

Change: a request that isn't idempotent and may have reached an upstream goes on, and its answer is written if the connection takes it. It is not sent again: what has not run is then refused with the reason `client_stream_ended`. Idempotent requests and those that are not sent yet end as before. The log event client_stream_ended tells which (`continues` or `ends`).

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -51,6 +51,9 @@
   return {text.data(), static_cast<std::size_t>(length)};
 }
 
+/// Reason, in logs and metrics, of requests that are not sent again as their client may have left.
+constexpr std::string_view kClientStreamEndedReason = "client_stream_ended";
+
 http::Response Plain(int status) {
   http::Response response;
   response.status = status;
@@ -86,6 +89,9 @@
   placement_request_.object = placement::RouteObjectHash(attributes_.object, route.name);
   relay_.chooser_.RecordRequest(placement_request_, inbound_->received_at);
   relay_.retry_budget_.RecordRequest(placement_request_.service, inbound_->received_at);
+  inbound_->continues_after_half_close = [self = shared_from_this()] {
+    return self->HandleClientStreamEnded();
+  };
   inbound_->on_client_left = [self = shared_from_this()] { self->HandleClientLeft(); };
   timer_.expires_after(deadline_ - base::MonotonicNow());
   timer_.async_wait([self = shared_from_this()](asio::error_code error) {
@@ -122,6 +128,7 @@
 
 void RequestRun::StartAttempt() {
   if (IsBlocked()) return FinishBlocked();
+  if (client_stream_ended_) return Refuse(kClientStreamEndedReason);
   const auto choice = Choose();
   if (choice.refusal != Refusal::kNone) {
     choice_ = choice;
@@ -324,7 +331,7 @@
 bool RequestRun::TryAcquireRetry(bool known_not_run) {
   const auto now = base::MonotonicNow();
   if (!placement_request_.route->idempotent && (may_have_run_ || !known_not_run)) return false;
-  if (sends_ >= placement_request_.route->attempts) return false;
+  if (client_stream_ended_ || sends_ >= placement_request_.route->attempts) return false;
   if (!HasTimeForAttempt()) return false;
   return relay_.retry_budget_.TryRetry(placement_request_.service, now);
 }
@@ -351,6 +358,18 @@
   Log(Level::kInfo, "client_left", "the caller closed its connection", {});
 }
 
+// A request that cannot be sent again and may have run is worth its upstream's time: its caller may
+// wait for the answer, and cannot ask for it again. Others end, as most clients that end their
+// stream have left.
+bool RequestRun::HandleClientStreamEnded() {
+  if (finished_) return false;
+  const bool continues = !placement_request_.route->idempotent && MayHaveRun();
+  client_stream_ended_ = true;
+  Log(Level::kInfo, "client_stream_ended", continues ? "continues" : "ends",
+      {{"upstream", choice_.upstream}, {"sends", std::to_string(sends_)}});
+  return continues;
+}
+
 // Callers retry when the first back-off ends or the first token may be issued: urgent requests
 // first, the others after them, each group spread over `kRetryAfterSpread`.
 std::optional<base::Duration> RequestRun::RetryAfterFor(const placement::Choice& choice) const {
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -86,6 +86,9 @@
   void Fail(std::string_view reason = "may_have_run");
   void HandleTimeout();
   void HandleClientLeft();
+  /// Handles a client that ended its stream: it has closed the connection, or waits for the answer.
+  /// Returns whether the request goes on.
+  bool HandleClientStreamEnded();
   /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs.
   /// Without `retry_after`, the Retry-After header is derived from the time that the caller has
   /// left.
@@ -133,6 +136,8 @@
   int token_requests_ = 0;
   /// An upstream may have run the request.
   bool may_have_run_ = false;
+  /// The client has ended its stream, and may have left. No further attempt is made.
+  bool client_stream_ended_ = false;
   bool finished_ = false;
 };
 
