Stop accepting before the drain of an entry ends

What callers saw: from drain_ended to the end of the process the listening sockets stayed open, so the kernel completed connections that nobody served; so it did while the last answers were awaited.

Cause: the listeners closed with the process only, and the quiet time before the end of a drain looked at new connections, not at requests on kept ones.

Change: a drain that is about to end, because it is quiet or because the grace time is nearly over, first closes the listening sockets of callers and of readiness checks. Connections that the kernel had completed get 50 ms for their request; then idle ones are closed, and drain_ended follows once all answers are written. A request on a kept connection restarts the quiet time like a new connection does.

Conclusion: nobody connects to an entry that has ended its drain. A request that crosses the close of an idle connection is still not read; kMaxUnread of the drain test stays as it is.

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -16,7 +16,7 @@
 /// grace time.
 constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
 constexpr double kServeFraction = 0.6;
-/// A drain ends only when no caller has connected for this time.
+/// A drain ends only when no caller has connected or sent a request for this time.
 constexpr base::Duration kQuietTimeBeforeExit = std::chrono::milliseconds(400);
 /// Part of the grace time that is kept for the last log lines and the exit of the process.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(150);
@@ -26,6 +26,9 @@
 /// Both together take at most this part of a short grace time: a request that is ended earlier
 /// might still be answered by its upstream.
 constexpr double kMaxEndFraction = 0.125;
+/// Time that connections have for their request when the listener has stopped to accept: they were
+/// completed by the kernel just before.
+constexpr base::Duration kLastRequestsTime = std::chrono::milliseconds(50);
 /// Interval between checks whether the last answers have been sent.
 constexpr base::Duration kLastAnswersCheck = std::chrono::milliseconds(10);
 
@@ -39,14 +42,15 @@
 }  // namespace
 
 EntryDrain::EntryDrain(asio::io_context& loop, base::MonotonicTime signalled_at,
-                       base::Duration grace, relay::Relay& relay, net::HttpListener& callers,
+                       base::Duration grace, relay::Relay& relay, Listeners listeners,
                        std::function<void()> done)
     : grace_(grace),
       relay_(relay),
-      callers_(callers),
+      listeners_(listeners),
       done_(std::move(done)),
       signalled_at_(signalled_at),
-      grace_timer_(loop) {
+      grace_timer_(loop),
+      last_answers_timer_(loop) {
   const auto delay = base::MonotonicNow() - signalled_at_;
   logging::Write(Level::kInfo, "drain_started", "no new callers are directed to this entry",
                  {{"running", std::to_string(relay_.running())},
@@ -60,36 +64,53 @@
 }
 
 void EntryDrain::EndRequests() {
-  if (!done_) return;
+  StopAccepting("the grace time has passed");
   relay_.EndRequests();
-  AwaitLastAnswers();
 }
 
-void EntryDrain::AwaitLastAnswers() {
-  callers_.CloseIdle();
-  if (callers_.busy_count() == 0 || base::MonotonicNow() >= exit_at_) {
-    return End("the grace time has passed");
-  }
-  grace_timer_.expires_after(kLastAnswersCheck);
-  grace_timer_.async_wait([this](asio::error_code error) {
+void EntryDrain::StopAccepting(const std::string& cause) {
+  if (stopped_accepting_at_) return;
+  stopped_accepting_at_ = base::MonotonicNow();
+  cause_ = cause;
+  listeners_.readiness.StopAccepting();
+  listeners_.callers.StopAccepting();
+  ScheduleLastAnswersCheck();
+}
+
+void EntryDrain::ScheduleLastAnswersCheck() {
+  last_answers_timer_.expires_after(kLastAnswersCheck);
+  last_answers_timer_.async_wait([this](asio::error_code error) {
     if (!error) AwaitLastAnswers();
   });
 }
 
+void EntryDrain::AwaitLastAnswers() {
+  const auto now = base::MonotonicNow();
+  if (now >= exit_at_) return End();
+  const auto last_request = std::max(*stopped_accepting_at_, listeners_.callers.last_request_at());
+  if (now - last_request > kLastRequestsTime) {
+    listeners_.callers.CloseIdle();
+    if (listeners_.callers.busy_count() == 0) return End();
+  }
+  ScheduleLastAnswersCheck();
+}
+
 void EntryDrain::Check(base::MonotonicTime now) {
   const auto serve_until = std::min(kServeWhileDraining, base::Scale(grace_, kServeFraction));
-  if (now - signalled_at_ < serve_until) return;
-  callers_.CloseIdle();
+  if (stopped_accepting_at_ || now - signalled_at_ < serve_until) return;
+  auto& callers = listeners_.callers;
+  callers.CloseIdle();
   // Waits for connections that were just accepted and for answers that are still being written.
-  const bool quiet = relay_.running() == 0 && callers_.busy_count() == 0 &&
-                     now - callers_.last_accepted() > kQuietTimeBeforeExit;
-  if (quiet) End("no request is left");
+  const auto last_sign = std::max(callers.last_accepted(), callers.last_request_at());
+  const bool quiet =
+      relay_.running() == 0 && callers.busy_count() == 0 && now - last_sign > kQuietTimeBeforeExit;
+  if (quiet) StopAccepting("no request is left");
 }
 
-void EntryDrain::End(const std::string& cause) {
+void EntryDrain::End() {
   const auto done = std::exchange(done_, nullptr);
   if (!done) return;
-  logging::Write(Level::kInfo, "drain_ended", cause,
+  logging::Write(Level::kInfo, "drain_ended", cause_,
                  {{"running", std::to_string(relay_.running())}});
   done();
 }
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -362,8 +362,9 @@
 void EntryNode::Drain(std::function<void()> done) {
   if (drain_) return;
   const auto signalled_at = loop_delay_.EarliestArrival(base::MonotonicNow());
-  drain_ = std::make_unique<EntryDrain>(loop_, signalled_at, options_.grace, *relay_,
-                                        *callers_listener_, std::move(done));
+  const EntryDrain::Listeners listeners{*callers_listener_, *readiness_listener_};
+  drain_ = std::make_unique<EntryDrain>(loop_, signalled_at, options_.grace, *relay_, listeners,
+                                        std::move(done));
   replica_links_->PingAll();
 }
 
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -158,3 +158,20 @@
   // Its server might still answer before the last sixth of the grace time.
   cr_expect(after > kShortGrace * 5 / 6 && after < kShortGrace, "after %lld ms", millis);
 }
+
+// Guards against a caller whose connection the kernel completes when nobody will serve it: the
+// listening socket stayed open until the process was gone.
+Test(entry_drain, refuses_connections_once_it_has_ended, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  EntryHost entry(group, kShortGrace);
+  cr_assert(entry.WaitUntilReady());
+  cr_assert(entry.accepting_addresses() == 2);
+  entry.Drain();
+  const auto end = base::MonotonicNow() + 2 * kShortGrace;
+  while (!entry.drained() && base::MonotonicNow() < end) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_assert(entry.drained());
+  cr_expect(entry.accepting_addresses() == 0);
+}
--- a/tests/auto/platform/entry_host.cpp
+++ b/tests/auto/platform/entry_host.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <future>
@@ -76,6 +77,18 @@
   Drain();
 }
 
+int EntryHost::accepting_addresses() const {
+  asio::io_context loop;
+  int accepting = 0;
+  for (const auto port : {kCallersPort, kReadinessPort}) {
+    asio::ip::tcp::socket socket(loop);
+    asio::error_code error;
+    socket.connect({asio::ip::make_address(options_.node.ip), port}, error);
+    if (!error) ++accepting;
+  }
+  return accepting;
+}
+
 std::optional<http::Response> EntryHost::Call(const http::Request& request,
                                               base::Duration timeout) const {
   return soak::Call(base::ToString(options_.callers), request, timeout);
--- a/tests/auto/platform/entry_host.h
+++ b/tests/auto/platform/entry_host.h
@@ -32,6 +32,8 @@
   void DrainAfterBlockedLoop(base::Duration blocked_for);
   /// Whether the drain has ended; the process would exit then.
   bool drained() const { return drained_; }
+  /// Number of addresses, of the callers' and the readiness one, that accept a connection.
+  int accepting_addresses() const;
   /// Sends a client's request. Returns nothing if it gets no complete answer within `timeout`.
   std::optional<http::Response> Call(const http::Request& request, base::Duration timeout) const;
 
