--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -23,8 +23,8 @@
   RequestRun& operator=(const RequestRun&) = delete;
 
   void Start();
-  /// Logs that the request is cut because the process exits.
-  void LogCut();
+  /// Answers the request at once because the process exits.
+  void EndBeforeExit();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
@@ -38,6 +38,8 @@
     base::MonotonicTime sent_at;
     /// Number that the chooser gave the attempt; passed back when the attempt ends.
     std::uint64_t attempt_number = 0;
+    /// Bytes of the request may have reached the upstream: its connection was open.
+    bool sent = false;
   };
 
   bool FindRoute();
@@ -45,6 +47,8 @@
   void StartAttempt();
   placement::Choice Choose();
   void Send(const placement::Choice& choice);
+  /// Whether the request may still be sent on the connection that was opened for `attempt`.
+  bool MaySend(const Attempt& attempt);
   /// Requests a token for the chosen upstream, which has a rate limit. Then sends the request or
   /// chooses again.
   void RequestToken(const placement::Choice& choice);
@@ -82,6 +86,9 @@
   void Fail(std::string_view reason = "may_have_run");
   void HandleTimeout();
   void HandleClientLeft();
+  /// Handles a client that ended its stream: it has closed the connection, or waits for the answer.
+  /// Returns whether the request goes on.
+  bool HandleClientStreamEnded();
   /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs.
   /// Without `retry_after`, the Retry-After header is derived from the time that the caller has
   /// left.
@@ -93,6 +100,10 @@
   /// Adds the upstream that the choice passed over for its rate limit, if there is one.
   static void AddHeldBackFields(const placement::Choice& choice,
                                 std::vector<logging::Field>& fields);
+  /// Whether an upstream may have run the request, or runs it now.
+  bool MayHaveRun() const;
+  /// Answers a request that has not run, so that its caller goes to another entry at once.
+  void RefuseStopping();
   /// Whether an attempt may start, in view of a drain of the entry.
   bool MayStartWhileDraining(const placement::Choice& choice);
   /// Adds how long the entry has been draining, and the last decision about an attempt.
@@ -125,6 +136,8 @@
   int token_requests_ = 0;
   /// An upstream may have run the request.
   bool may_have_run_ = false;
+  /// The client has ended its stream, and may have left. No further attempt is made.
+  bool client_stream_ended_ = false;
   bool finished_ = false;
 };
 
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -44,6 +44,10 @@
   int status = 0;
 };
 
+/// The time that a loop is blocked while the signal to stop waits.
+constexpr base::Duration kBlockedFor = milliseconds(1'500);
+constexpr base::Duration kShortGrace = std::chrono::seconds(2);
+
 }  // namespace
 
 // Guards against requests that an entry takes after SIGTERM and then cuts: those that came 3.0 to
@@ -100,3 +104,74 @@
   cr_expect(short_served >= 38, "%d short requests were served", short_served);
   cr_expect(long_served >= 10, "%d long requests were served", long_served);
 }
+
+// Guards against a drain that counts from when a busy process handled the signal: charges of 4 s
+// were taken until 1.7 s after that, and SIGKILL came 6 s after the signal itself.
+Test(entry_drain, counts_from_the_signal_if_the_loop_was_blocked, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  WorkingServer server(group, "menu", [](const http::Request&) { return milliseconds(100); });
+  EntryHost entry(group, kGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  const auto signalled_at = base::MonotonicNow();
+  entry.DrainAfterBlockedLoop(kBlockedFor);
+  std::this_thread::sleep_for(signalled_at + kBlockedFor + milliseconds(500) -
+                              base::MonotonicNow());
+  const auto charge = [&](const std::string& id, int deadline_ms) {
+    return entry.Call(platform::ClientRequest("POST", "/charge/1", id, deadline_ms, "object"),
+                      kCallTimeout);
+  };
+  const auto too_late = charge("id-too-late", kLongDeadlineMs);
+  const auto in_time = charge("id-in-time", kShortDeadlineMs);
+  cr_assert(too_late.has_value() && in_time.has_value());
+  cr_expect(too_late->status == 503, "%d", too_late->status);
+  cr_expect(in_time->status == 200, "%d", in_time->status);
+}
+
+// Guards against a connection that is closed without an answer at the end of the grace time, which
+// tells its caller nothing: a charge that was passed on before the signal and takes 3 s.
+Test(entry_drain, answers_what_still_runs_at_the_end, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  WorkingServer server(group, "menu", [](const http::Request&) { return milliseconds(3'000); });
+  EntryHost entry(group, kShortGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  std::optional<http::Response> answer;
+  std::thread client([&] {
+    answer = entry.Call(
+        platform::ClientRequest("POST", "/charge/1", "id-cut", kLongDeadlineMs, "object"),
+        kCallTimeout);
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  const auto signalled_at = base::MonotonicNow();
+  entry.Drain();
+  client.join();
+  const auto after = base::MonotonicNow() - signalled_at;
+  cr_assert(server.HasRun("id-cut"));
+  cr_assert(answer.has_value());
+  cr_expect(answer->status == 502, "%d", answer->status);
+  const auto millis = static_cast<long long>(after.count() / 1'000);
+  // Its server might still answer before the last sixth of the grace time.
+  cr_expect(after > kShortGrace * 5 / 6 && after < kShortGrace, "after %lld ms", millis);
+}
+
+// Guards against a caller whose connection the kernel completes when nobody will serve it: the
+// listening socket stayed open until the process was gone.
+Test(entry_drain, refuses_connections_once_it_has_ended, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  EntryHost entry(group, kShortGrace);
+  cr_assert(entry.WaitUntilReady());
+  cr_assert(entry.accepting_addresses() == 2);
+  entry.Drain();
+  const auto end = base::MonotonicNow() + 2 * kShortGrace;
+  while (!entry.drained() && base::MonotonicNow() < end) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_assert(entry.drained());
+  cr_expect(entry.accepting_addresses() == 0);
+}
