Measure requests that end without an answer around stops of entries

This benchmark starts real processes, plays payments, listings and photos with the times of the deployment in the record, on kept and new connections, stops the entries in turn and judges each request that ends without a complete answer.

--- /dev/null
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -0,0 +1,158 @@
+#include "stops/stop_run.h"
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <thread>
+
+#include "platform/standin_wire.h"
+#include "soak/http_call.h"
+#include "stops/verdict.h"
+
+namespace wagtailpick::stops {
+namespace {
+
+constexpr int kFirstNetwork = 20;
+constexpr int kNetworks = 200;
+constexpr base::Duration kFormationTime = std::chrono::seconds(25);
+constexpr base::Duration kWarmUpTime = std::chrono::seconds(4);
+/// Time from the start of an entry until it may be stopped again.
+constexpr base::Duration kMinRunTime = std::chrono::seconds(3);
+/// How long a stop waits for the entry to answer.
+constexpr base::Duration kBusyWait = std::chrono::seconds(1);
+constexpr base::Duration kOrderTimeout = std::chrono::seconds(1);
+constexpr milliseconds kPollInterval{5};
+
+class Run {
+ public:
+  explicit Run(const StopRunOptions& options)
+      : options_(options),
+        random_(options.seed),
+        network_(kFirstNetwork + static_cast<int>(options.seed % kNetworks)),
+        fleet_(options.program, network_, options.replicas, options.entries) {}
+
+  int Execute() {
+    fleet_.StartAll();
+    WorkingServers servers(network_, fleet_.OrdersAddresses(), options_.seed);
+    if (!StoreConfig()) {
+      std::cout << "seed " << options_.seed << ": no config was acknowledged\n";
+      return 1;
+    }
+    CallerOptions caller_options{fleet_.DirectoryAddresses(), options_.half_close,
+                                 [&](const auto& id) { return servers.Find(id).has_value(); },
+                                 [this](const auto& address) { HandleAnswerBegan(address); }};
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < options_.callers; ++i) {
+      callers.emplace_back([this, i, &caller_options] {
+        Caller(i, options_.seed, caller_options, log_).Run(stopping_);
+      });
+    }
+    PollFor(kWarmUpTime);
+    for (std::size_t i = 0; i < options_.stops; ++i) StopOne(i % 2 == 0);
+    PollFor(kGrace + std::chrono::seconds(2));
+    stopping_ = true;
+    for (auto& caller : callers) caller.join();
+    return Report(servers);
+  }
+
+ private:
+  bool StoreConfig() {
+    const auto put = platform::PutConfig(SiteConfig(1));
+    const auto end = base::MonotonicNow() + kFormationTime;
+    while (base::MonotonicNow() < end) {
+      for (const auto& replica : fleet_.OrdersAddresses()) {
+        const auto answer = soak::Call(replica, put, kOrderTimeout);
+        if (answer && answer->status == 200) return true;
+      }
+      PollFor(milliseconds(200));
+    }
+    return false;
+  }
+
+  void PollFor(base::Duration time) {
+    const auto end = base::MonotonicNow() + time;
+    do {
+      fleet_.Poll();
+      std::this_thread::sleep_for(kPollInterval);
+    } while (base::MonotonicNow() < end);
+  }
+
+  void StopOne(bool busy) {
+    const auto entry = next_++ % options_.entries;
+    while (!fleet_.HasRunFor(entry, kMinRunTime)) PollFor(kPollInterval);
+    if (busy) WaitUntilAnswers(entry);
+    fleet_.StopEntry(entry);
+    PollFor(milliseconds(options_.gap_ms / 2 +
+                         static_cast<int>(random_() % static_cast<unsigned>(options_.gap_ms))));
+  }
+
+  void WaitUntilAnswers(std::size_t entry) {
+    {
+      const std::lock_guard lock(mutex_);
+      watched_ = fleet_.CallersAddress(entry);
+    }
+    const auto end = base::MonotonicNow() + kBusyWait;
+    bool answering = false;
+    while (!answering && base::MonotonicNow() < end) {
+      std::this_thread::sleep_for(std::chrono::microseconds(200));
+      const std::lock_guard lock(mutex_);
+      answering = watched_.empty();
+    }
+  }
+
+  void HandleAnswerBegan(const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    if (watched_ == address) watched_.clear();
+  }
+
+  int Report(const WorkingServers& servers) {
+    const auto attempts = log_.attempts();
+    const auto cuts = FindCuts(attempts, fleet_, servers);
+    std::map<Cut, int> counts;
+    for (const auto& cut : cuts) {
+      ++counts[cut.cut];
+      Print(std::cout, cut, fleet_);
+    }
+    std::map<int, int> statuses;
+    for (const auto& attempt : attempts) ++statuses[attempt.status];
+    const auto count = [&](auto matches) { return std::ranges::count_if(attempts, matches); };
+    const auto killed =
+        std::ranges::count_if(fleet_.stops(), [](const auto& stop) { return stop.killed; });
+    std::cout << "seed " << options_.seed << ": stops " << fleet_.stops().size() << " killed "
+              << killed << " ended by themselves " << fleet_.unexpected_ends() << " attempts "
+              << attempts.size() << " in aim " << log_.count(Outcome::kInAim) << " late "
+              << log_.count(Outcome::kLate) << " refused " << log_.count(Outcome::kRefused)
+              << " failed " << log_.count(Outcome::kFailed) << " answers 503 "
+              << count([](const auto& attempt) { return attempt.status == 503; }) << " repeated "
+              << count([](const auto& attempt) { return attempt.repeated; }) << " not connected "
+              << count([](const auto& attempt) {
+                   return attempt.result.ending == Ending::kNotConnected;
+                 })
+              << " cut: lost " << counts[Cut::kLost] << " excused " << counts[Cut::kExcused]
+              << " unread " << counts[Cut::kUnread] << " elsewhere " << counts[Cut::kElsewhere]
+              << " statuses";
+    for (const auto& [status, number] : statuses) std::cout << " " << status << ": " << number;
+    std::cout << std::endl;
+    const bool suspicious = counts[Cut::kLost] > 0 || counts[Cut::kElsewhere] > 0;
+    if (options_.keep && suspicious) fleet_.KeepFolder();
+    return counts[Cut::kLost];
+  }
+
+  StopRunOptions options_;
+  std::mt19937_64 random_;
+  int network_;
+  Fleet fleet_;
+  CallLog log_;
+  std::atomic<bool> stopping_ = false;
+  std::size_t next_ = 0;
+  std::mutex mutex_;
+  /// Address of the entry that is stopped as soon as it answers; empty once it has.
+  std::string watched_;
+};
+
+}  // namespace
+
+int RunStops(const StopRunOptions& options) { return Run(options).Execute(); }
+
+}  // namespace wagtailpick::stops
