--- a/tests/benchmarks/stops/caller.cpp
+++ b/tests/benchmarks/stops/caller.cpp
@@ -134,7 +134,7 @@
     const auto piece = body.substr(i * part_bytes, last ? std::string::npos : part_bytes);
     parts.push_back(attempt.chunked ? Chunk(piece) : piece);
   }
-  if (attempt.chunked) parts.push_back("0\r\n\r\n");
+  if (attempt.chunked) parts.emplace_back("0\r\n\r\n");
   if (attempt.slow) return parts;
   std::string whole;
   for (const auto& part : parts) whole += part;
