Let the benchmark of stops pause an entry at its signal

A process that stands still or is busy when SIGTERM comes handles the signal late, and SIGKILL comes before it expects it.

--- a/tests/benchmarks/stops/fleet.cpp
+++ b/tests/benchmarks/stops/fleet.cpp
@@ -67,13 +67,18 @@
       folder_.Path(process.name + ".out"), folder_.Path(process.name + ".err"));
   process.started_at = base::MonotonicNow();
   process.stop.reset();
+  process.continue_due.reset();
 }
 
-void Fleet::StopEntry(std::size_t entry) {
+void Fleet::StopEntry(std::size_t entry, base::Duration pause) {
   auto& process = processes_[replicas_ + entry];
   if (process.stop) return;
   process.stop = stops_.size();
   stops_.push_back({entry, base::MonotonicNow(), std::nullopt, false});
+  if (pause > base::Duration::zero()) {
+    process.child->Signal(SIGSTOP);
+    process.continue_due = base::MonotonicNow() + pause;
+  }
   process.child->Signal(SIGTERM);
 }
 
@@ -84,6 +89,10 @@
       HandleEnd(process, now);
       continue;
     }
+    if (process.continue_due && now >= *process.continue_due) {
+      process.continue_due.reset();
+      process.child->Signal(SIGCONT);
+    }
     if (!process.stop || now - stops_[*process.stop].signalled_at < kGrace) continue;
     stops_[*process.stop].killed = true;
     process.child->Kill();
--- a/tests/benchmarks/stops/fleet.h
+++ b/tests/benchmarks/stops/fleet.h
@@ -30,9 +30,11 @@
   Fleet(std::string program, int network, std::size_t replicas, std::size_t entries);
 
   void StartAll();
-  /// Sends SIGTERM to an entry that is not being stopped.
-  void StopEntry(std::size_t entry);
-  /// Kills entries whose grace time is over, and starts those that have ended.
+  /// Sends SIGTERM to an entry that is not being stopped. With a `pause`, the process stands still
+  /// from the signal on for so long, and so handles it late.
+  void StopEntry(std::size_t entry, base::Duration pause);
+  /// Continues entries whose pause is over, kills those whose grace time is over, and starts those
+  /// that have ended.
   void Poll();
   /// Whether the entry runs and has had `time` since its start.
   bool HasRunFor(std::size_t entry, base::Duration time) const;
@@ -56,6 +58,8 @@
     base::MonotonicTime started_at;
     /// Position of the running stop in `stops_`.
     std::optional<std::size_t> stop;
+    /// When a paused process continues; empty if it is not paused.
+    std::optional<base::MonotonicTime> continue_due;
   };
 
   std::string Settings(const Process& process, bool first_start) const;
--- a/tests/benchmarks/stops/stop_run.cpp
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -82,7 +82,7 @@
     const auto entry = next_++ % options_.entries;
     while (!fleet_.HasRunFor(entry, kMinRunTime)) PollFor(kPollInterval);
     if (busy) WaitUntilAnswers(entry);
-    fleet_.StopEntry(entry);
+    fleet_.StopEntry(entry, milliseconds(options_.pause_ms));
     PollFor(milliseconds(options_.gap_ms / 2 +
                          static_cast<int>(random_() % static_cast<unsigned>(options_.gap_ms))));
   }
--- a/tests/benchmarks/stops/stop_run.h
+++ b/tests/benchmarks/stops/stop_run.h
@@ -13,6 +13,8 @@
   std::size_t callers = 60;
   std::size_t stops = 12;
   int gap_ms = 1'500;
+  /// How long an entry stands still from SIGTERM on.
+  int pause_ms = 0;
   double half_close = 0;
   bool keep = false;
 };
