--- a/tests/benchmarks/stops/caller.cpp
+++ b/tests/benchmarks/stops/caller.cpp
@@ -31,6 +31,11 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Position of an element of `kTraffic`.
+std::size_t KindOf(const Traffic& traffic) {
+  return static_cast<std::size_t>(&traffic - kTraffic.data());
+}
+
 std::string Chunk(const std::string& bytes) {
   std::array<char, 20> size{};
   std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -44,9 +49,9 @@
   attempts_.push_back(std::move(attempt));
 }
 
-void CallLog::Add(Outcome outcome) {
+void CallLog::Add(const Traffic& traffic, Outcome outcome) {
   const std::lock_guard lock(mutex_);
-  ++outcomes_.at(static_cast<std::size_t>(outcome));
+  ++outcomes_.at(KindOf(traffic)).at(static_cast<std::size_t>(outcome));
 }
 
 std::vector<Attempt> CallLog::attempts() const {
@@ -54,9 +59,9 @@
   return attempts_;
 }
 
-int CallLog::count(Outcome outcome) const {
+int CallLog::count(const Traffic& traffic, Outcome outcome) const {
   const std::lock_guard lock(mutex_);
-  return outcomes_.at(static_cast<std::size_t>(outcome));
+  return outcomes_.at(KindOf(traffic)).at(static_cast<std::size_t>(outcome));
 }
 
 Caller::Caller(std::size_t number, std::uint64_t seed, const CallerOptions& options, CallLog& log)
@@ -189,7 +194,7 @@
     status = attempt.status;
     if (status == 200) {
       const bool in_aim = attempt.ended_at - began <= traffic.objective;
-      return log_.Add(in_aim ? Outcome::kInAim : Outcome::kLate);
+      return log_.Add(traffic, in_aim ? Outcome::kInAim : Outcome::kLate);
     }
     if (!MayRepeat(attempt)) break;
     const auto* wait = attempt.result.response
@@ -200,7 +205,7 @@
         wait == nullptr ? milliseconds(50) : base::FromSeconds(std::strtod(wait->c_str(), nullptr));
     std::this_thread::sleep_for(std::min<base::Duration>(most, named));
   }
-  log_.Add(IsPromise(status) ? Outcome::kRefused : Outcome::kFailed);
+  log_.Add(traffic, IsPromise(status) ? Outcome::kRefused : Outcome::kFailed);
 }
 
 }  // namespace wagtailpick::stops
--- a/tests/benchmarks/stops/caller.h
+++ b/tests/benchmarks/stops/caller.h
@@ -40,14 +40,15 @@
 class CallLog {
  public:
   void Add(Attempt attempt);
-  void Add(Outcome outcome);
+  void Add(const Traffic& traffic, Outcome outcome);
   std::vector<Attempt> attempts() const;
-  int count(Outcome outcome) const;
+  int count(const Traffic& traffic, Outcome outcome) const;
 
  private:
   mutable std::mutex mutex_;
   std::vector<Attempt> attempts_;
-  std::array<int, 4> outcomes_{};
+  /// For each kind of `kTraffic`, the number of requests with each outcome.
+  std::array<std::array<int, 4>, kTraffic.size()> outcomes_{};
 };
 
 /// Settings that all callers of a run share.
--- a/tests/benchmarks/stops/stop_run.cpp
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -108,35 +108,46 @@
 
   int Report(const WorkingServers& servers) {
     const auto attempts = log_.attempts();
-    const auto cuts = FindCuts(attempts, fleet_, servers);
-    std::map<Cut, int> counts;
-    for (const auto& cut : cuts) {
-      ++counts[cut.cut];
+    std::map<Cut, int> cuts;
+    for (const auto& cut : FindCuts(attempts, fleet_, servers)) {
+      ++cuts[cut.cut];
       Print(std::cout, cut, fleet_);
     }
-    std::map<int, int> statuses;
-    for (const auto& attempt : attempts) ++statuses[attempt.status];
-    const auto count = [&](auto matches) { return std::ranges::count_if(attempts, matches); };
     const auto killed =
         std::ranges::count_if(fleet_.stops(), [](const auto& stop) { return stop.killed; });
     std::cout << "seed " << options_.seed << ": stops " << fleet_.stops().size() << " killed "
-              << killed << " ended by themselves " << fleet_.unexpected_ends() << " attempts "
-              << attempts.size() << " in aim " << log_.count(Outcome::kInAim) << " late "
-              << log_.count(Outcome::kLate) << " refused " << log_.count(Outcome::kRefused)
-              << " failed " << log_.count(Outcome::kFailed) << " answers 503 "
-              << count([](const auto& attempt) { return attempt.status == 503; }) << " repeated "
-              << count([](const auto& attempt) { return attempt.repeated; }) << " not connected "
-              << count([](const auto& attempt) {
-                   return attempt.result.ending == Ending::kNotConnected;
-                 })
-              << " cut: lost " << counts[Cut::kLost] << " excused " << counts[Cut::kExcused]
-              << " unread " << counts[Cut::kUnread] << " elsewhere " << counts[Cut::kElsewhere]
-              << " statuses";
+              << killed << " ended by themselves " << fleet_.unexpected_ends() << " cut: lost "
+              << cuts[Cut::kLost] << " excused " << cuts[Cut::kExcused] << " unread "
+              << cuts[Cut::kUnread] << " elsewhere " << cuts[Cut::kElsewhere];
+    PrintAttempts(attempts);
+    PrintOutcomes();
+    const bool suspicious = cuts[Cut::kLost] > 0 || cuts[Cut::kElsewhere] > 0;
+    if (options_.keep && suspicious) fleet_.KeepFolder();
+    return cuts[Cut::kLost];
+  }
+
+  static void PrintAttempts(const std::vector<Attempt>& attempts) {
+    std::map<int, int> statuses;
+    int repeated = 0;
+    int unconnected = 0;
+    for (const auto& attempt : attempts) {
+      ++statuses[attempt.status];
+      repeated += attempt.repeated ? 1 : 0;
+      unconnected += attempt.result.ending == Ending::kNotConnected ? 1 : 0;
+    }
+    std::cout << "; attempts " << attempts.size() << " repeated " << repeated << " not connected "
+              << unconnected << " statuses";
     for (const auto& [status, number] : statuses) std::cout << " " << status << ": " << number;
+  }
+
+  void PrintOutcomes() const {
+    for (const auto& traffic : kTraffic) {
+      std::cout << "; " << traffic.name << " in aim " << log_.count(traffic, Outcome::kInAim)
+                << " late " << log_.count(traffic, Outcome::kLate) << " refused "
+                << log_.count(traffic, Outcome::kRefused) << " failed "
+                << log_.count(traffic, Outcome::kFailed);
+    }
     std::cout << std::endl;
-    const bool suspicious = counts[Cut::kLost] > 0 || counts[Cut::kElsewhere] > 0;
-    if (options_.keep && suspicious) fleet_.KeepFolder();
-    return counts[Cut::kLost];
   }
 
   StopRunOptions options_;
