--- a/tests/benchmarks/stops/fleet.cpp
+++ b/tests/benchmarks/stops/fleet.cpp
@@ -67,18 +67,16 @@
       folder_.Path(process.name + ".out"), folder_.Path(process.name + ".err"));
   process.started_at = base::MonotonicNow();
   process.stop.reset();
-  process.continue_due.reset();
+  process.paused = false;
 }
 
-void Fleet::StopEntry(std::size_t entry, base::Duration pause) {
+void Fleet::StopEntry(std::size_t entry, const Pause& pause) {
   auto& process = processes_[replicas_ + entry];
   if (process.stop) return;
   process.stop = stops_.size();
   stops_.push_back({entry, base::MonotonicNow(), std::nullopt, false});
-  if (pause > base::Duration::zero()) {
-    process.child->Signal(SIGSTOP);
-    process.continue_due = base::MonotonicNow() + pause;
-  }
+  process.pause = pause;
+  if (pause.start == base::Duration::zero()) PollPause(process, base::Duration::zero());
   process.child->Signal(SIGTERM);
 }
 
@@ -89,17 +87,24 @@
       HandleEnd(process, now);
       continue;
     }
-    if (process.continue_due && now >= *process.continue_due) {
-      process.continue_due.reset();
-      process.child->Signal(SIGCONT);
-    }
-    if (!process.stop || now - stops_[*process.stop].signalled_at < kGrace) continue;
+    if (!process.stop) continue;
+    const auto since_signal = now - stops_[*process.stop].signalled_at;
+    PollPause(process, since_signal);
+    if (since_signal < kGrace) continue;
     stops_[*process.stop].killed = true;
     process.child->Kill();
     HandleEnd(process, base::MonotonicNow());
   }
 }
 
+void Fleet::PollPause(Process& process, base::Duration since_signal) {
+  const auto& pause = process.pause;
+  const bool wanted = since_signal >= pause.start && since_signal < pause.start + pause.length;
+  if (wanted == process.paused) return;
+  process.paused = wanted;
+  process.child->Signal(wanted ? SIGSTOP : SIGCONT);
+}
+
 void Fleet::HandleEnd(Process& process, base::MonotonicTime now) {
   if (process.stop) {
     stops_[*process.stop].ended_at = now;
--- a/tests/benchmarks/stops/fleet.h
+++ b/tests/benchmarks/stops/fleet.h
@@ -18,6 +18,13 @@
 /// calls come from the thread that made it.
 class Fleet {
  public:
+  /// A time in which a process stands still.
+  struct Pause {
+    /// Start, from SIGTERM on. A pause that starts at once also delays the signal.
+    base::Duration start{};
+    base::Duration length{};
+  };
+
   /// One stop of an entry.
   struct Stop {
     std::size_t entry = 0;
@@ -30,10 +37,10 @@
   Fleet(std::string program, int network, std::size_t replicas, std::size_t entries);
 
   void StartAll();
-  /// Sends SIGTERM to an entry that is not being stopped. With a `pause`, the process stands still
-  /// from the signal on for so long, and so handles it late.
-  void StopEntry(std::size_t entry, base::Duration pause);
-  /// Continues entries whose pause is over, kills those whose grace time is over, and starts those
+  /// Sends SIGTERM to an entry that is not being stopped. With a `pause`, the process then stands
+  /// still for a while, and so handles late what comes meanwhile.
+  void StopEntry(std::size_t entry, const Pause& pause);
+  /// Begins and ends pauses, kills those whose grace time is over, and starts those
   /// that have ended.
   void Poll();
   /// Whether the entry runs and has had `time` since its start.
@@ -58,12 +65,14 @@
     base::MonotonicTime started_at;
     /// Position of the running stop in `stops_`.
     std::optional<std::size_t> stop;
-    /// When a paused process continues; empty if it is not paused.
-    std::optional<base::MonotonicTime> continue_due;
+    /// Pause of the running stop.
+    Pause pause;
+    bool paused = false;
   };
 
   std::string Settings(const Process& process, bool first_start) const;
   void Start(Process& process, bool first_start);
+  static void PollPause(Process& process, base::Duration since_signal);
   void HandleEnd(Process& process, base::MonotonicTime now);
 
   std::string program_;
--- a/tests/benchmarks/stops/main.cpp
+++ b/tests/benchmarks/stops/main.cpp
@@ -20,7 +20,8 @@
   --entries=N          Entries [default: 6].
   --callers=N          Callers [default: 60].
   --gap-ms=N           Mean time between two stops [default: 1500].
-  --pause-ms=N         Time for which an entry stands still from SIGTERM on [default: 0].
+  --pause-ms=N         Time for which each stopped entry stands still [default: 0].
+  --pause-start-ms=N   Time from SIGTERM until it stands still [default: 0].
   --half-close=PERCENT  Requests after which callers close their sending side [default: 0].
   --keep               Keep the logs of runs with lost requests.
 
@@ -42,7 +43,8 @@
     options.entries = static_cast<std::size_t>(number("--entries"));
     options.callers = static_cast<std::size_t>(number("--callers"));
     options.gap_ms = static_cast<int>(number("--gap-ms"));
-    options.pause_ms = static_cast<int>(number("--pause-ms"));
+    options.pause.length = std::chrono::milliseconds(number("--pause-ms"));
+    options.pause.start = std::chrono::milliseconds(number("--pause-start-ms"));
     options.half_close = kPercent * static_cast<double>(number("--half-close"));
     options.keep = arguments.at("--keep").asBool();
     runs = number("--runs");
--- a/tests/benchmarks/stops/stop_run.cpp
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -23,6 +23,8 @@
 constexpr base::Duration kBusyWait = std::chrono::seconds(1);
 constexpr base::Duration kOrderTimeout = std::chrono::seconds(1);
 constexpr milliseconds kPollInterval{5};
+/// Short, so that the signal comes while the answer is still being written.
+constexpr milliseconds kBusyPollInterval{1};
 
 class Run {
  public:
@@ -82,7 +84,7 @@
     const auto entry = next_++ % options_.entries;
     while (!fleet_.HasRunFor(entry, kMinRunTime)) PollFor(kPollInterval);
     if (busy) WaitUntilAnswers(entry);
-    fleet_.StopEntry(entry, milliseconds(options_.pause_ms));
+    fleet_.StopEntry(entry, options_.pause);
     PollFor(milliseconds(options_.gap_ms / 2 +
                          static_cast<int>(random_() % static_cast<unsigned>(options_.gap_ms))));
   }
@@ -95,7 +97,8 @@
     const auto end = base::MonotonicNow() + kBusyWait;
     bool answering = false;
     while (!answering && base::MonotonicNow() < end) {
-      std::this_thread::sleep_for(std::chrono::microseconds(200));
+      fleet_.Poll();
+      std::this_thread::sleep_for(kBusyPollInterval);
       const std::lock_guard lock(mutex_);
       answering = watched_.empty();
     }
--- a/tests/benchmarks/stops/stop_run.h
+++ b/tests/benchmarks/stops/stop_run.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <string>
 
+#include "stops/fleet.h"
+
 namespace wagtailpick::stops {
 
 struct StopRunOptions {
@@ -13,8 +15,7 @@
   std::size_t callers = 60;
   std::size_t stops = 12;
   int gap_ms = 1'500;
-  /// How long an entry stands still from SIGTERM on.
-  int pause_ms = 0;
+  Fleet::Pause pause;
   double half_close = 0;
   bool keep = false;
 };
