Refuse a request at once that would wait for a token in vain

What callers saw: while an entry drained, a request to an upstream with a rate limit waited up to 0.2 s for a token and was refused then; the token was lost to other entries.

Cause: the drain's decision was taken only before sending.

Change: it is taken before a token is requested, too. What is refused once stays refused (drain_policy::what_is_refused_once_stays_refused).

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -134,8 +134,11 @@
     choice_ = choice;
     return Refuse(placement::ToString(choice.refusal), RetryAfterFor(choice));
   }
-  if (choice.needs_token) return RequestToken(choice);
-  Send(choice);
+  if (!choice.needs_token) return Send(choice);
+  // Otherwise the request would wait for a token that it cannot use.
+  if (MayStartWhileDraining(choice)) return RequestToken(choice);
+  choice_ = choice;
+  RefuseStopping();
 }
 
 void RequestRun::Send(const placement::Choice& choice) {
--- a/tests/auto/relay/relay_drain_test.cpp
+++ b/tests/auto/relay/relay_drain_test.cpp
@@ -66,6 +66,22 @@
   cr_expect(upstream.requests() == 1);
 }
 
+// Guards against a request that waits for a token although it will be refused: the token is lost to
+// other entries, and the caller loses time.
+Test(relay_drain, requests_no_token_for_what_it_refuses) {
+  FakeUpstream upstream([](const std::string& /*head*/, int /*number*/) -> RawAnswer {
+    return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: 1\r\nContent-Length: 3\r\n\r\nEND", false};
+  });
+  RelayHost host({upstream.address()});
+  host.AnswerTokenRequests([](const auto&) { return std::nullopt; });
+  cr_assert(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  host.StartDraining(kGrace, kGrace);
+  const auto answer = host.Exchange(Request("1"), kWait);
+  cr_expect(StatusOf(answer) == 503);
+  cr_expect(answer.find("Retry-After: 0.10") != std::string::npos);
+  cr_expect(host.token_requests() == 0);
+}
+
 // Guards against a payment that is passed on while the entry drains, takes longer than expected and
 // is cut: 1.4 s before the stop, requests of 1.2 s that were expected to take 0.3 s were started.
 Test(relay_drain, starts_a_payment_only_if_its_deadline_comes_before_the_stop) {
