--- a/src/libs/relay/decision_log.cpp
+++ b/src/libs/relay/decision_log.cpp
@@ -4,6 +4,10 @@
 
 namespace wagtailpick::relay {
 
+std::string FormatMillis(base::Duration duration) {
+  return std::to_string(duration.count() / 1'000);
+}
+
 void DecisionLog::Write(logging::Level level, const std::string& event, const std::string& message,
                         std::vector<logging::Field> fields, base::MonotonicTime now) {
   auto& window = windows_[event];
--- a/src/libs/relay/decision_log.h
+++ b/src/libs/relay/decision_log.h
@@ -10,6 +10,9 @@
 
 namespace wagtailpick::relay {
 
+/// Returns a duration, in milliseconds, as text for logs.
+std::string FormatMillis(base::Duration duration);
+
 /// Writes decisions as log lines, at most `lines_per_second` of each event. The field `left_out` of
 /// the next line that is written counts the lines that were dropped before it.
 class DecisionLog {
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -106,7 +106,7 @@
              {{"request_id", request_id},
               {"upstream", id},
               {"incarnation", std::to_string(started_unix_ms)},
-              {"heard_age_ms", std::to_string(last_seen_age.count() / 1'000)}},
+              {"heard_age_ms", FormatMillis(last_seen_age)}},
              base::MonotonicNow());
 }
 
@@ -120,9 +120,9 @@
   log_.Write(logging::Level::kInfo, "upstream_wants_nothing", choice.upstream,
              {{"request_id", request_id},
               {"upstream", choice.upstream},
-              {"for_ms", std::to_string(back_off.count() / 1'000)},
-              {"spread_ms", std::to_string(delay.count() / 1'000)},
-              {"heard_age_ms", std::to_string(choice.last_seen_age.count() / 1'000)}},
+              {"for_ms", FormatMillis(back_off)},
+              {"spread_ms", FormatMillis(delay)},
+              {"heard_age_ms", FormatMillis(choice.last_seen_age)}},
              base::MonotonicNow());
 }
 
@@ -157,7 +157,7 @@
               {"incarnation", std::to_string(started_unix_ms)},
               {"change", std::string(limits::ToString(change))},
               {"limit_per_s", FormatLimit(limit->requests_per_second)},
-              {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}},
+              {"limit_age_ms", FormatMillis(now - limit->stated_at)}},
              now);
 }
 
@@ -166,7 +166,7 @@
   const auto* limit = limits_.table().Find(id, started_unix_ms);
   if (limit == nullptr || limit->ended) return {};
   return {{"limit_per_s", FormatLimit(limit->requests_per_second)},
-          {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}};
+          {"limit_age_ms", FormatMillis(now - limit->stated_at)}};
 }
 
 bool Relay::MaySend(const std::string& id, std::int64_t started_unix_ms) const {
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -47,6 +47,7 @@
   void StartAttempt();
   placement::Choice Choose();
   void Send(const placement::Choice& choice);
+  void StartExchange(const std::shared_ptr<Attempt>& attempt);
   /// Whether the request may still be sent on the connection that was opened for `attempt`.
   bool MaySend(const Attempt& attempt);
   /// Requests a token for the chosen upstream, which has a rate limit. Then sends the request or
@@ -59,6 +60,10 @@
                    std::string_view token, base::Duration delay);
   void HandleResult(const std::shared_ptr<Attempt>& attempt, net::ExchangeResult result);
   void HandleAnswer(const Attempt& attempt, http::Response response);
+  void EndAnsweredAttempt(const Attempt& attempt, const ClassifiedAnswer& classified);
+  /// Sends the request again after an answer that is not final, or ends it.
+  void HandleUnusedAnswer(const Attempt& attempt, const ClassifiedAnswer& classified,
+                          http::Response response);
   /// Applies what the answer states about its upstream: load, leaving and back-off.
   void ApplyUpstreamStatus(const Attempt& attempt, const ClassifiedAnswer& classified);
   /// Logs the text of a value in an answer that could not be parsed, if there is one.
--- /dev/null
+++ b/src/libs/relay/request_run_answers.cpp
@@ -0,0 +1,69 @@
+#include <utility>
+
+#include "relay/request_run.h"
+
+// The part of RequestRun that handles the answers of upstreams.
+
+namespace wagtailpick::relay {
+
+using placement::Outcome;
+
+void RequestRun::HandleAnswer(const Attempt& attempt, http::Response response) {
+  const auto classified = relay_.dialect_.classify_answer(response, attributes_);
+  ApplyUpstreamStatus(attempt, classified);
+  EndAnsweredAttempt(attempt, classified);
+  // A duplicate of the answer may follow on the connection. A refusal without a request id would
+  // then be taken for the answer to the next request.
+  const bool is_own =
+      classified.kind == AnswerKind::kFinal || classified.kind == AnswerKind::kServerFailure;
+  if (!is_own) attempt.connection->Close();
+  if (classified.kind == AnswerKind::kFinal && relay_.crash_guard_.has_suspects()) {
+    relay_.crash_guard_.AddSuccess(fingerprint(), attempt.choice.address);
+  }
+  if (classified.kind == AnswerKind::kFinal) return Finish(std::move(response), "served", "");
+  // The other attempt may still be answered.
+  if (!attempts_.empty()) return;
+  HandleUnusedAnswer(attempt, classified, std::move(response));
+}
+
+void RequestRun::EndAnsweredAttempt(const Attempt& attempt, const ClassifiedAnswer& classified) {
+  switch (classified.kind) {
+    case AnswerKind::kFinal:
+      EndAttempt(attempt, Outcome::kServed, "served");
+      break;
+    case AnswerKind::kServerFailure:
+      EndAttempt(attempt, Outcome::kFailed, "server_failure");
+      may_have_run_ = true;
+      break;
+    case AnswerKind::kNotRun:
+      EndAttempt(attempt, classified.back_off_for ? Outcome::kBackOff : Outcome::kShed, "not_run");
+      break;
+    case AnswerKind::kOtherUpstream:
+      EndAttempt(attempt, Outcome::kUnreachable, "other_upstream");
+      break;
+    case AnswerKind::kForeign:
+      EndAttempt(attempt, Outcome::kFailed, "foreign_answer");
+      may_have_run_ = true;
+      break;
+  }
+}
+
+void RequestRun::HandleUnusedAnswer(const Attempt& attempt, const ClassifiedAnswer& classified,
+                                    http::Response response) {
+  // An upstream that refuses although it has free slots may accept the next attempt, and may be the
+  // only one that is warm for the object. So it stays eligible.
+  const bool had_free_slots = classified.load && classified.load->running < classified.load->slots;
+  if (classified.kind == AnswerKind::kNotRun && had_free_slots) {
+    std::erase(placement_request_.tried, attempt.choice.upstream);
+  }
+  const bool not_run =
+      classified.kind == AnswerKind::kNotRun || classified.kind == AnswerKind::kOtherUpstream;
+  if (TryAcquireRetry(not_run)) return StartAttempt();
+  if (classified.kind == AnswerKind::kServerFailure) {
+    return Finish(std::move(response), "failed", "server_failure");
+  }
+  if (not_run) return Refuse("upstream_refused");
+  Fail();
+}
+
+}  // namespace wagtailpick::relay
--- a/src/libs/relay/request_run_drain.cpp
+++ b/src/libs/relay/request_run_drain.cpp
@@ -29,7 +29,7 @@
 void RequestRun::AddDrainFields(std::vector<logging::Field>& fields) const {
   if (!relay_.drain_) return;
   const auto since = base::MonotonicNow() - relay_.drain_->signalled_at;
-  fields.push_back({"draining_ms", std::to_string(since.count() / 1'000)});
+  fields.push_back({"draining_ms", FormatMillis(since)});
   if (!drain_decision_) return;
   fields.push_back({"drain_decision", std::string(ToString(*drain_decision_))});
 }
--- a/src/libs/relay/request_run_tokens.cpp
+++ b/src/libs/relay/request_run_tokens.cpp
@@ -70,14 +70,14 @@
   const auto& by = *choice.held_back_by;
   fields.push_back({"held_back_by", by.upstream});
   fields.push_back({"held_back_limit_per_s", FormatLimit(by.requests_per_second)});
-  fields.push_back({"held_back_limit_age_ms", std::to_string(by.age.count() / 1'000)});
+  fields.push_back({"held_back_limit_age_ms", FormatMillis(by.age)});
 }
 
 void RequestRun::LogHeldBack(const placement::Choice& choice, std::int64_t started_unix_ms,
                              std::string_view token, base::Duration delay) {
   std::vector<logging::Field> fields{{"upstream", choice.upstream},
                                      {"token", std::string(token)},
-                                     {"retry_in_ms", std::to_string(delay.count() / 1'000)}};
+                                     {"retry_in_ms", FormatMillis(delay)}};
   const auto now = base::MonotonicNow();
   for (auto& field : relay_.LimitFields(choice.upstream, started_unix_ms, now)) {
     fields.push_back(std::move(field));
