Log how many requests a drain has ended

request_ended lines are bounded to 60 a second, so the requests that end together at the end of the grace time could not be counted from the log. drain_ended states their number as `ended_requests`; metrics count them as wagtailpick_requests_total{result="grace_time_over"} or "stopping".

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -65,7 +65,7 @@
 
 void EntryDrain::EndRequests() {
   StopAccepting("the grace time has passed");
-  relay_.EndRequests();
+  ended_requests_ += relay_.EndRequests();
 }
 
 void EntryDrain::StopAccepting(const std::string& cause) {
@@ -111,7 +111,8 @@
   const auto done = std::exchange(done_, nullptr);
   if (!done) return;
   logging::Write(Level::kInfo, "drain_ended", cause_,
-                 {{"running", std::to_string(relay_.running())}});
+                 {{"running", std::to_string(relay_.running())},
+                  {"ended_requests", std::to_string(ended_requests_)}});
   done();
 }
 
--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -54,6 +54,8 @@
   /// Set once the listeners have stopped to accept.
   std::optional<base::MonotonicTime> stopped_accepting_at_;
   std::string cause_;
+  /// Requests that were answered because the process exits.
+  std::size_t ended_requests_ = 0;
   /// Ends the drain when the grace time is nearly over.
   asio::steady_timer grace_timer_;
   asio::steady_timer last_answers_timer_;
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <functional>
@@ -49,11 +50,12 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
-void Relay::EndRequests() {
+std::size_t Relay::EndRequests() {
   // A request that ends removes itself from the list.
   std::vector<std::shared_ptr<RequestRun>> runs;
   for (auto* run : *runs_) runs.push_back(run->shared_from_this());
-  for (const auto& run : runs) run->EndBeforeExit();
+  return static_cast<std::size_t>(std::count_if(
+      runs.begin(), runs.end(), [](const auto& run) { return run->EndBeforeExit(); }));
 }
 
 void Relay::RecordRefusedForMemory(const http::Request& head) {
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -102,8 +102,8 @@
     drain_ = Drain{signalled_at, grace};
   }
   /// Answers each request that has not ended, before the process exits: 503 if it has not run, 502
-  /// if an attempt may have run it or still runs.
-  void EndRequests();
+  /// if an attempt may have run it or still runs. Returns their number.
+  std::size_t EndRequests();
   /// Number of requests that have not ended.
   std::size_t running() const { return runs_->size(); }
   /// Closes idle connections that are too old, and drops the limits of upstreams that are gone. To
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -23,8 +23,8 @@
   RequestRun& operator=(const RequestRun&) = delete;
 
   void Start();
-  /// Answers the request at once because the process exits.
-  void EndBeforeExit();
+  /// Answers the request at once because the process exits. Returns false if it has ended already.
+  bool EndBeforeExit();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
--- a/src/libs/relay/request_run_drain.cpp
+++ b/src/libs/relay/request_run_drain.cpp
@@ -34,11 +34,15 @@
   fields.push_back({"drain_decision", std::string(ToString(*drain_decision_))});
 }
 
-void RequestRun::EndBeforeExit() {
-  if (finished_) return;
-  if (MayHaveRun()) return Fail(kGraceTimeOverReason);
-  EndAllAttempts("not_sent");
-  RefuseStopping();
+bool RequestRun::EndBeforeExit() {
+  if (finished_) return false;
+  if (MayHaveRun()) {
+    Fail(kGraceTimeOverReason);
+  } else {
+    EndAllAttempts("not_sent");
+    RefuseStopping();
+  }
+  return true;
 }
 
 bool RequestRun::MayHaveRun() const {
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -250,8 +250,10 @@
   RunOnLoop([&] { relay_->StartDraining(base::MonotonicNow() - since, grace); });
 }
 
-void RelayHost::EndRequests() {
-  RunOnLoop([this] { relay_->EndRequests(); });
+std::size_t RelayHost::EndRequests() {
+  std::size_t ended = 0;
+  RunOnLoop([&] { ended = relay_->EndRequests(); });
+  return ended;
 }
 
 void RelayHost::SetRouteTimeout(base::Duration timeout) {
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -92,8 +92,9 @@
 
   /// Makes the relay drain as if the signal to stop had come `since` ago.
   void StartDraining(base::Duration since, base::Duration grace);
-  /// Makes the relay answer all requests that run, as before the process exits.
-  void EndRequests();
+  /// Makes the relay answer all requests that run, as before the process exits. Returns
+  /// their number.
+  std::size_t EndRequests();
   /// Puts a catalog in force in which the route has another timeout.
   void SetRouteTimeout(base::Duration timeout);
   /// Reports that the upstream at `address` has left.
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -214,7 +214,9 @@
         return host_->StartDraining(milliseconds(100), kGrace);
       case Event::kGraceTimeOver:
         host_->StartDraining(kGrace, kGrace);
-        return host_->EndRequests();
+        cr_expect(host_->EndRequests() == 1);
+        cr_expect(host_->EndRequests() == 0);
+        return;
       case Event::kClientReset:
         return caller_->Reset();
       case Event::kClientClosed:
