--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <functional>
@@ -49,11 +50,12 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
-void Relay::EndRequests() {
+std::size_t Relay::EndRequests() {
   // A request that ends removes itself from the list.
   std::vector<std::shared_ptr<RequestRun>> runs;
   for (auto* run : *runs_) runs.push_back(run->shared_from_this());
-  for (const auto& run : runs) run->EndBeforeExit();
+  return static_cast<std::size_t>(std::count_if(
+      runs.begin(), runs.end(), [](const auto& run) { return run->EndBeforeExit(); }));
 }
 
 void Relay::RecordRefusedForMemory(const http::Request& head) {
@@ -106,7 +108,7 @@
              {{"request_id", request_id},
               {"upstream", id},
               {"incarnation", std::to_string(started_unix_ms)},
-              {"heard_age_ms", std::to_string(last_seen_age.count() / 1'000)}},
+              {"heard_age_ms", FormatMillis(last_seen_age)}},
              base::MonotonicNow());
 }
 
@@ -120,9 +122,9 @@
   log_.Write(logging::Level::kInfo, "upstream_wants_nothing", choice.upstream,
              {{"request_id", request_id},
               {"upstream", choice.upstream},
-              {"for_ms", std::to_string(back_off.count() / 1'000)},
-              {"spread_ms", std::to_string(delay.count() / 1'000)},
-              {"heard_age_ms", std::to_string(choice.last_seen_age.count() / 1'000)}},
+              {"for_ms", FormatMillis(back_off)},
+              {"spread_ms", FormatMillis(delay)},
+              {"heard_age_ms", FormatMillis(choice.last_seen_age)}},
              base::MonotonicNow());
 }
 
@@ -157,7 +159,7 @@
               {"incarnation", std::to_string(started_unix_ms)},
               {"change", std::string(limits::ToString(change))},
               {"limit_per_s", FormatLimit(limit->requests_per_second)},
-              {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}},
+              {"limit_age_ms", FormatMillis(now - limit->stated_at)}},
              now);
 }
 
@@ -166,7 +168,7 @@
   const auto* limit = limits_.table().Find(id, started_unix_ms);
   if (limit == nullptr || limit->ended) return {};
   return {{"limit_per_s", FormatLimit(limit->requests_per_second)},
-          {"limit_age_ms", std::to_string((now - limit->stated_at).count() / 1'000)}};
+          {"limit_age_ms", FormatMillis(now - limit->stated_at)}};
 }
 
 bool Relay::MaySend(const std::string& id, std::int64_t started_unix_ms) const {
