Build the messages of the benchmark's site in platform/

Cause: the benchmark of stops had the provider's words in a file of its own, and only platform/ may know them.

Change: platform/standin_site builds and parses these messages; the benchmark passes its routes.

--- a/tests/benchmarks/stops/caller.cpp
+++ b/tests/benchmarks/stops/caller.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "net/http_text.h"
+#include "platform/standin_site.h"
 #include "platform/standin_wire.h"
 #include "soak/http_call.h"
 
@@ -84,11 +85,12 @@
   if (now < directory_due_) return;
   directory_due_ = now + kRetryDirectoryAfter;
   const auto place = std::to_string(number_ % 2);
-  const auto question = DirectoryQuestion(number_ % 2 == 0 ? "east" : "west", "dc-" + place);
+  const auto question =
+      platform::DirectoryQuestion(number_ % 2 == 0 ? "east" : "west", "dc-" + place);
   const auto& directory = options_.directories[random_() % options_.directories.size()];
   const auto answer = soak::Call(directory, question, kDirectoryTimeout);
   if (!answer || answer->status != 200) return;
-  auto parsed = ParseDirectoryAnswer(answer->body);
+  auto parsed = platform::ParseDirectoryAnswer(answer->body);
   if (parsed.addresses.empty()) return;
   addresses_ = std::move(parsed.addresses);
   failed_addresses_.clear();
--- a/tests/benchmarks/stops/caller.h
+++ b/tests/benchmarks/stops/caller.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "stops/client_connection.h"
-#include "stops/site_wire.h"
+#include "stops/traffic.h"
 
 namespace wagtailpick::stops {
 
--- a/tests/benchmarks/stops/stop_run.cpp
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -6,13 +6,24 @@
 #include <optional>
 #include <thread>
 
+#include "platform/standin_site.h"
 #include "platform/standin_wire.h"
 #include "soak/http_call.h"
+#include "stops/traffic.h"
 #include "stops/verdict.h"
 
 namespace wagtailpick::stops {
 namespace {
 
+std::string SiteConfig() {
+  std::vector<platform::SiteRoute> routes;
+  for (const auto& traffic : kTraffic) {
+    routes.push_back({traffic.name, traffic.path_prefix, traffic.service, traffic.idempotent,
+                      traffic.objective, traffic.route_timeout});
+  }
+  return platform::SiteConfig(1, routes);
+}
+
 constexpr int kFirstNetwork = 20;
 constexpr int kNetworks = 200;
 constexpr base::Duration kFormationTime = std::chrono::seconds(25);
@@ -60,7 +71,7 @@
 
  private:
   bool StoreConfig() {
-    const auto put = platform::PutConfig(SiteConfig(1));
+    const auto put = platform::PutConfig(SiteConfig());
     const auto end = base::MonotonicNow() + kFormationTime;
     while (base::MonotonicNow() < end) {
       for (const auto& replica : fleet_.OrdersAddresses()) {
--- a/tests/benchmarks/stops/site_wire.h
+++ b/tests/benchmarks/stops/traffic.h
@@ -2,11 +2,6 @@
 
 #include <array>
 #include <chrono>
-#include <cstdint>
-#include <string>
-#include <vector>
-
-#include "http/message.h"
 
 namespace wagtailpick::stops {
 
@@ -37,29 +32,4 @@
      milliseconds(2'000), milliseconds(1'600)},
 }};
 
-/// Returns the config of `kTraffic` as JSON.
-std::string SiteConfig(std::uint64_t version);
-
-/// Returns a caller's question for the addresses of entries.
-http::Request DirectoryQuestion(const std::string& region, const std::string& data_centre);
-
-/// Answer of the directory.
-struct DirectoryAnswer {
-  std::vector<std::string> addresses;
-  milliseconds lifetime{};
-};
-
-/// Parses the answer to `DirectoryQuestion`. The addresses are empty if it cannot be read.
-DirectoryAnswer ParseDirectoryAnswer(const std::string& body);
-
-/// Whether a server is asked for its health.
-bool IsHealthCheck(const http::Request& request);
-http::Response HealthAnswer(const std::string& server, milliseconds cold_left);
-
-/// Returns a server's refusal of a request that it did not run.
-http::Response NotRunAnswer(const std::string& request_id, int status);
-
-/// Sets the load that an answer of a server names.
-void SetLoad(http::Response& response, std::size_t running, std::size_t waiting, std::size_t slots);
-
 }  // namespace wagtailpick::stops
--- a/tests/benchmarks/stops/working_servers.cpp
+++ b/tests/benchmarks/stops/working_servers.cpp
@@ -6,9 +6,10 @@
 #include <stdexcept>
 #include <utility>
 
+#include "platform/standin_site.h"
 #include "platform/standin_wire.h"
 #include "soak/http_call.h"
-#include "stops/site_wire.h"
+#include "stops/traffic.h"
 
 namespace wagtailpick::stops {
 namespace {
@@ -81,12 +82,12 @@
 void WorkingServers::Serve(Server& server, const std::shared_ptr<net::InboundRequest>& inbound) {
   const auto now = base::MonotonicNow();
   const auto id = platform::RequestIdOf(inbound->request);
-  if (IsHealthCheck(inbound->request)) {
+  if (platform::IsHealthCheck(inbound->request)) {
     const auto cold_left = std::chrono::duration_cast<milliseconds>(ColdLeft(server));
-    return inbound->Answer(HealthAnswer(server.id, cold_left));
+    return inbound->Answer(platform::HealthAnswer(server.id, cold_left));
   }
   if (platform::ExpectedServer(inbound->request) != server.id) {
-    return inbound->Answer(NotRunAnswer(id, 421));
+    return inbound->Answer(platform::NotRunAnswer(id, 421));
   }
   Update(id, [now](ServerTrace& trace) {
     ++trace.arrivals;
@@ -104,8 +105,8 @@
   };
   if (server.running < kSlots) return Begin(server, waiting);
   if (server.queue.size() < kQueueLimit) return server.queue.push_back(waiting);
-  auto refusal = NotRunAnswer(id, 503);
-  SetLoad(refusal, server.running, server.queue.size(), kSlots);
+  auto refusal = platform::NotRunAnswer(id, 503);
+  platform::SetLoad(refusal, server.running, server.queue.size(), kSlots);
   Update(id, [](ServerTrace& trace) { trace.answered_at = base::MonotonicNow(); });
   inbound->Answer(std::move(refusal));
 }
@@ -145,7 +146,7 @@
     const auto id = platform::RequestIdOf(waiting.inbound->request);
     Update(id, [](ServerTrace& trace) { trace.answered_at = base::MonotonicNow(); });
     auto answer = platform::ServerAnswer(id, std::string(kAnswerBytes, 'a'));
-    SetLoad(answer, server.running, server.queue.size(), kSlots);
+    platform::SetLoad(answer, server.running, server.queue.size(), kSlots);
     waiting.inbound->Answer(std::move(answer));
   }
   while (!server.queue.empty() && server.running < kSlots) {
