Accept again after a failed accept while a timeout check is due

Callers saw nothing of it at once: the process stayed, its readiness stayed good, and nobody was accepted any more.

Cause: the pause after a failed accept (out of file descriptors, for instance) and the timeout checks shared one timer. A check that was already due set the timer again and so cancelled the pause, after which nothing accepts.

Change: a timer for each. Failed accepts are logged once in 10 s with their number, as the pause of 100 ms gave a line for each of them.

--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -1,6 +1,7 @@
 #include "net/http_listener.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,8 @@
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{500};
 /// Delay before accepting again after an error, such as too many open file descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{100};
+/// Shortest interval between two log lines about failed accepts, which may fail at each attempt.
+constexpr base::Duration kAcceptErrorLogInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -31,7 +34,8 @@
 HttpListener::HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                            std::function<ServerPolicy()> policy)
     : acceptor_(std::move(acceptor)),
-      timer_(acceptor_.get_executor()),
+      accept_timer_(acceptor_.get_executor()),
+      check_timer_(acceptor_.get_executor()),
       handle_(std::move(handle)),
       policy_(std::move(policy)) {}
 
@@ -46,21 +50,27 @@
   acceptor_.async_accept(
       [this, alive = std::weak_ptr(alive_)](asio::error_code error, asio::ip::tcp::socket socket) {
         if (alive.expired() || error == asio::error::operation_aborted) return;
-        if (error) {
-          logging::Write(logging::Level::kWarning, "accept_failed", error.message());
-          timer_.expires_after(kAcceptPause);
-          return timer_.async_wait([this, alive](asio::error_code aborted) {
-            if (aborted || alive.expired()) return;
-            Accept();
-            ScheduleTimeoutCheck();
-          });
-        }
+        if (error) return HandleAcceptError(error);
         // Before anything that may throw, as the listener would not accept any more.
         Accept();
         AddConnection(std::move(socket));
       });
 }
 
+void HttpListener::HandleAcceptError(asio::error_code error) {
+  ++unlogged_accept_failures_;
+  const auto now = base::MonotonicNow();
+  if (now >= next_accept_error_log_) {
+    next_accept_error_log_ = now + kAcceptErrorLogInterval;
+    logging::Write(logging::Level::kWarning, "accept_failed", error.message(),
+                   {{"failures", std::to_string(std::exchange(unlogged_accept_failures_, 0))}});
+  }
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code aborted) {
+    if (!aborted && !alive.expired()) Accept();
+  });
+}
+
 void HttpListener::AddConnection(asio::ip::tcp::socket socket) {
   ServerConnection::Hooks hooks;
   hooks.handle = handle_;
@@ -99,8 +109,8 @@
 }
 
 void HttpListener::ScheduleTimeoutCheck() {
-  timer_.expires_after(kTimeoutCheckInterval);
-  timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code error) {
+  check_timer_.expires_after(kTimeoutCheckInterval);
+  check_timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
     ScheduleTimeoutCheck();
     const auto now = base::MonotonicNow();
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -58,13 +58,20 @@
   HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                std::function<ServerPolicy()> policy);
   void Accept();
+  /// Accepts again after a pause.
+  void HandleAcceptError(asio::error_code error);
   void AddConnection(asio::ip::tcp::socket socket);
   /// Checks all connections for timeouts after an interval, and again after that.
   void ScheduleTimeoutCheck();
 
   asio::ip::tcp::acceptor acceptor_;
-  /// Runs the timeout checks, and delays accepting after an error.
-  asio::steady_timer timer_;
+  /// Delays accepting after an error. Apart from the checks' timer, as a check that is due at the
+  /// same moment would cancel the delay.
+  asio::steady_timer accept_timer_;
+  asio::steady_timer check_timer_;
+  /// Number of failed accepts since the last log line about them.
+  std::uint64_t unlogged_accept_failures_ = 0;
+  base::MonotonicTime next_accept_error_log_;
   InboundHandler handle_;
   std::function<ServerPolicy()> policy_;
   std::function<void(const http::Request& head)> refused_for_memory_;
