Leave a request unread that crosses the close of an idle connection

Around a stop callers saw their connection closed at once after they had sent a request. A payment could not be sent again: the process had read it.

Cause: CloseIdle went through the lingering close, which reads and drops what arrives, and took a connection that had just been accepted for an idle one. The kernel's buffer was not looked at.

Change: bytes are read only in the step that handles them (async_wait, then a non-blocking read), so an idle connection that is closed has no request in a buffer of ours. A connection whose next request the kernel holds counts as busy and is served, with Connection: close during a drain. A new one has a second for its first request. Others are closed at once, unread; the kernel resets the connection of a request that crosses the close. An answer that was sent before is still delivered, as nothing unread is there when the socket is closed.

--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -127,9 +127,10 @@
 }
 
 void HttpListener::CloseIdle() {
+  const auto now = base::MonotonicNow();
   const std::vector<std::shared_ptr<ServerConnection>> open(connections_.begin(),
                                                             connections_.end());
-  for (const auto& connection : open) connection->CloseIfIdle();
+  for (const auto& connection : open) connection->CloseIfIdle(now);
 }
 
 }  // namespace wagtailpick::net
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -38,7 +38,9 @@
   /// Stops to listen: the kernel refuses further connections. Those that it has completed before
   /// are accepted, and open connections go on. Has no effect when called again.
   void StopAccepting();
-  /// Closes the connections without a request in progress. The others close after their answer only
+  /// Closes the connections without a request in progress, and reads nothing more from them. Those
+  /// whose next request has arrived are kept, as are new ones that may still send their first. They
+  /// and the others close after their answer only
   /// if the policy sets `close_after_answer`.
   void CloseIdle();
 
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -18,6 +18,9 @@
 constexpr base::Duration kDeadClientTimeout = std::chrono::seconds(6);
 /// Time for the client to read the last answer before the connection is closed.
 constexpr base::Duration kLingerTimeout = std::chrono::seconds(2);
+/// Time that a new connection is given for its first request before it counts as idle. Clients send
+/// it within a round trip of connecting; a lost packet is sent again within this time.
+constexpr base::Duration kFirstRequestTimeout = std::chrono::seconds(1);
 /// Limit of buffered bytes of pipelined requests; beyond it no more is read from the socket.
 constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
 
@@ -92,11 +95,14 @@
     : socket_(std::move(socket)),
       hooks_(std::move(hooks)),
       parser_(HttpParserState::Kind::kRequest, hooks_.policy().message),
-      last_activity_(base::MonotonicNow()),
-      request_started_(last_activity_) {}
+      opened_at_(base::MonotonicNow()),
+      last_activity_(opened_at_),
+      request_started_(opened_at_) {}
 
 void ServerConnection::Start() {
   DetectDeadPeer(socket_, kDeadClientTimeout);
+  asio::error_code ignored;
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
@@ -104,15 +110,24 @@
   if (reading_ || half_closed_ || phase_ == Phase::kClosed) return;
   if (pending_.size() > kMaxPendingBytes) return;
   reading_ = true;
-  socket_.async_read_some(asio::buffer(buffer_),
-                          [self = shared_from_this()](asio::error_code error, std::size_t length) {
-                            self->reading_ = false;
-                            if (self->phase_ == Phase::kClosed) return;
-                            if (error == asio::error::eof) return self->HandleEndOfStream();
-                            if (error) return self->HandleConnectionLost();
-                            self->HandleBytes({self->buffer_.data(), length});
-                            self->Read();
-                          });
+  // Reads only when the bytes are handled at once: those of an idle connection that is closed stay
+  // unread.
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](asio::error_code error) {
+                       self->reading_ = false;
+                       if (self->phase_ == Phase::kClosed) return;
+                       if (error) return self->HandleConnectionLost();
+                       self->ReadAvailable();
+                     });
+}
+
+void ServerConnection::ReadAvailable() {
+  asio::error_code error;
+  const auto length = socket_.read_some(asio::buffer(buffer_), error);
+  if (error == asio::error::eof) return HandleEndOfStream();
+  if (error && error != asio::error::would_block) return HandleConnectionLost();
+  if (!error) HandleBytes({buffer_.data(), length});
+  Read();
 }
 
 void ServerConnection::HandleBytes(std::string_view bytes) {
@@ -125,6 +140,7 @@
 void ServerConnection::ParseBuffered() {
   if (!parser_.started()) {
     request_started_ = last_activity_;
+    had_request_ = true;
     if (hooks_.request_started) hooks_.request_started(request_started_);
   }
   const auto policy = hooks_.policy();
@@ -284,12 +300,20 @@
   Close();
 }
 
-void ServerConnection::CloseIfIdle() {
-  if (phase_ == Phase::kReading && !parser_.started()) Linger();
+// A request that crosses the close stays unread, so that its client may send it again.
+void ServerConnection::CloseIfIdle(base::MonotonicTime now) {
+  if (phase_ != Phase::kReading || parser_.started() || HasUnreadBytes()) return;
+  const bool awaits_first_request = !had_request_ && now - opened_at_ < kFirstRequestTimeout;
+  if (!awaits_first_request) Close();
+}
+
+bool ServerConnection::HasUnreadBytes() const {
+  asio::error_code ignored;
+  return socket_.available(ignored) > 0;
 }
 
 bool ServerConnection::busy() const {
-  if (phase_ == Phase::kReading) return parser_.started();
+  if (phase_ == Phase::kReading) return parser_.started() || HasUnreadBytes();
   return phase_ != Phase::kClosed;
 }
 
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -52,8 +52,9 @@
   /// Applies the timeouts of the policy at time `now`: an incomplete request is answered with
   /// status 408, and an idle connection is closed.
   void CheckTimeouts(base::MonotonicTime now);
-  /// Closes the connection if no request is in progress.
-  void CloseIfIdle();
+  /// Closes the connection if no request is in progress at time `now`, unless bytes of one wait to
+  /// be read or the connection is new and its first request may be on its way.
+  void CloseIfIdle(base::MonotonicTime now);
   /// Whether a request is in progress: from its first byte until its answer is sent, or until the
   /// connection is closed if this answer is the last.
   bool busy() const;
@@ -64,6 +65,8 @@
   enum class Phase { kReading, kServing, kWriting, kLingering, kClosed };
 
   void Read();
+  void ReadAvailable();
+  bool HasUnreadBytes() const;
   void HandleBytes(std::string_view bytes);
   void ParseBuffered();
   void Serve();
@@ -98,6 +101,8 @@
   /// Head and body of the answer that is being sent.
   std::string output_head_;
   http::Response output_;
+  bool had_request_ = false;
+  base::MonotonicTime opened_at_;
   base::MonotonicTime last_activity_;
   base::MonotonicTime request_started_;
   std::weak_ptr<Inbound> inbound_;
--- a/tests/auto/net/http_listener_drain_test.cpp
+++ b/tests/auto/net/http_listener_drain_test.cpp
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "http_listener_fixture.h"
@@ -15,6 +17,19 @@
 
 const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// Returns a client whose first request was answered and whose connection is kept.
+asio::ip::tcp::socket ConnectKept(HttpListenerFixture& fixture) {
+  auto client = fixture.Connect();
+  Send(client, kRequest);
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1);
+  fixture.inbound[0]->Answer(net::Ok());
+  fixture.inbound.clear();
+  fixture.Run();
+  cr_assert(ReadArrived(client).bytes.starts_with("HTTP/1.1 200 "));
+  return client;
+}
+
 }  // namespace
 
 // Guards against callers that connect to a process that is about to end: the kernel would go on
@@ -74,3 +89,62 @@
   fixture.Run();
   cr_expect(fixture.listener->last_request_at() >= before_second);
 }
+
+// Guards against a caller that has just connected and finds its connection closed before its first
+// request has arrived.
+Test(http_listener_drain, keeps_a_new_connection_for_its_first_request) {
+  HttpListenerFixture fixture;
+  auto client = fixture.Connect();
+  fixture.Run();
+  fixture.listener->CloseIdle();
+  fixture.Run();
+  Send(client, kRequest);
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1);
+  fixture.inbound[0]->Answer(net::Ok());
+  fixture.Run();
+  cr_expect(ReadArrived(client).bytes.starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against a drain that never ends, as a client connects and sends nothing.
+Test(http_listener_drain, closes_a_new_connection_that_sends_nothing) {
+  HttpListenerFixture fixture;
+  auto client = fixture.Connect();
+  fixture.Run();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'100));
+  fixture.listener->CloseIdle();
+  cr_expect(fixture.listener->connection_count() == 0);
+  cr_expect(ReadArrived(client).ended);
+}
+
+// Guards against a request that the kernel holds when idle connections are closed: it was read and
+// dropped, so that its caller could not send it again.
+Test(http_listener_drain, serves_a_request_that_has_arrived_unread) {
+  HttpListenerFixture fixture;
+  auto client = ConnectKept(fixture);
+  fixture.policy.close_after_answer = true;
+  Send(client, kRequest);
+  cr_expect(fixture.listener->busy_count() == 1);
+  fixture.listener->CloseIdle();
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1);
+  fixture.inbound[0]->Answer(net::Ok());
+  fixture.Run();
+  const auto received = ReadArrived(client);
+  cr_expect(received.bytes.starts_with("HTTP/1.1 200 "));
+  cr_expect(received.bytes.find("\r\nConnection: close\r\n") != std::string::npos);
+}
+
+// Guards against a request that crosses the close of its idle connection and is read: its caller
+// could not send it again. The reset shows that it was not.
+Test(http_listener_drain, leaves_a_request_that_crosses_the_close_unread) {
+  HttpListenerFixture fixture;
+  auto client = ConnectKept(fixture);
+  fixture.listener->CloseIdle();
+  asio::error_code error;
+  asio::write(client, asio::buffer(kRequest), error);
+  fixture.Run();
+  cr_expect(fixture.inbound.empty());
+  asio::write(client, asio::buffer(kRequest), error);
+  cr_expect(error == asio::error::broken_pipe || error == asio::error::connection_reset);
+}
