Show two ways in which a connection cuts a request that has begun

A client that pipelines a request loses it when the answer before it closes the connection in a drain: it was read and is dropped. A client whose upload has begun gets 413 when a config lowers the limit of bodies meanwhile.

--- a/tests/auto/net/connection_ends_test.cpp
+++ b/tests/auto/net/connection_ends_test.cpp
@@ -167,8 +167,27 @@
   }};
   for (const auto& row : rows) {
     for (std::size_t i = 0; i < kStates.size(); ++i) {
-      // A drain drops a pipelined request, which issue 39 lists.
+      // The next test has the pipelined request of a drain.
       if (row.event != kDrain || i != kPipelined) Check(row, i);
     }
   }
 }
+
+// Guards against a pipelined request that was read and is dropped, as the answer before it closes
+// the connection.
+Test(connection_ends, a_drain_answers_requests_that_it_has_read) {
+  Check({kDrain, {1, 1, 1, 1, 1, 1, 1, 2, 2}}, kPipelined);
+}
+
+// Guards against a request that is refused in its middle, as a lower limit came into force after it
+// had begun.
+Test(connection_ends, lower_limits_spare_a_request_that_has_begun) {
+  HttpListenerFixture fixture;
+  auto client = fixture.Connect();
+  net::Send(client, kBodyHead + "01234");
+  fixture.Run();
+  fixture.policy.message.max_body_bytes = 4;
+  net::Send(client, "56789");
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1, "%s", ReadArrived(client).bytes.c_str());
+}
