--- a/tests/auto/net/connection_ends_test.cpp
+++ b/tests/auto/net/connection_ends_test.cpp
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "http_listener_fixture.h"
@@ -16,7 +17,7 @@
 using net::HttpListenerFixture;
 using net::ReadArrived;
 
-const std::string kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr std::size_t kLongAnswer = 8UL * 1024 * 1024;
 constexpr int kMaxReads = 200;
 
@@ -24,34 +25,37 @@
 struct State {
   const char* name;
   /// Sent and handled before the event.
-  std::string handled;
+  std::string_view handled;
   /// Whether the requests in `handled` are answered before the event.
   bool answered;
   /// Sent before the event and not read yet.
-  std::string unread;
+  std::string_view unread;
   /// Sent after the event.
-  std::string rest;
+  std::string_view rest;
   /// Length of the answers' bodies.
   std::size_t answer_length = 2;
   /// Whether an answer is being written at the event.
   bool writing = false;
 };
 
-const std::string kHeadStart = "GET /x HTTP/1.1\r\nHo";
-const std::string kBodyHead = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n";
-const std::string kChunkedHead =
-    "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view kTwoGets =
+    "GET /x HTTP/1.1\r\nHost: h\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kHalfHead = "GET /x HTTP/1.1\r\nHo";
+constexpr std::string_view kHalfBody =
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n01234";
+constexpr std::string_view kHalfChunks =
+    "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n";
 
-const std::array<State, 9> kStates{{
+constexpr std::array<State, 9> kStates{{
     {"accepted", "", false, "", kGet},
-    {"head half read", kHeadStart, false, "", "st: h\r\n\r\n"},
-    {"body half read", kBodyHead + "01234", false, "", "56789"},
-    {"chunks half read", kChunkedHead + "5\r\n01234\r\n", false, "", "5\r\n56789\r\n0\r\n\r\n"},
+    {"head half read", kHalfHead, false, "", "st: h\r\n\r\n"},
+    {"body half read", kHalfBody, false, "", "56789"},
+    {"chunks half read", kHalfChunks, false, "", "5\r\n56789\r\n0\r\n\r\n"},
     {"in the handler", kGet, false, "", ""},
     {"answer half written", kGet, false, "", "", kLongAnswer, true},
     {"kept and idle", kGet, true, "", kGet},
     {"next request unread", kGet, true, kGet, ""},
-    {"next request pipelined", kGet + kGet, false, "", ""},
+    {"next request pipelined", kTwoGets, false, "", ""},
 }};
 
 enum Event { kDrain, kStopAccepting, kHandlerThrows, kHalfClose, kReset, kDestroyed };
@@ -112,7 +116,7 @@
   }
 
  private:
-  void Send(const std::string& bytes) {
+  void Send(std::string_view bytes) {
     asio::error_code ignored;
     asio::write(client_, asio::buffer(bytes), ignored);
   }
@@ -184,7 +188,7 @@
 Test(connection_ends, lower_limits_spare_a_request_that_has_begun) {
   HttpListenerFixture fixture;
   auto client = fixture.Connect();
-  net::Send(client, kBodyHead + "01234");
+  net::Send(client, kHalfBody);
   fixture.Run();
   fixture.policy.message.max_body_bytes = 4;
   net::Send(client, "56789");
--- a/tests/auto/net/http_listener_accept_test.cpp
+++ b/tests/auto/net/http_listener_accept_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -20,7 +21,7 @@
 using net::HttpListenerFixture;
 using net::Send;
 
-const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr int kRounds = 6;
 /// Longer than the interval between two timeout checks, so that a check is due when the listener
 /// runs again.
--- a/tests/auto/net/http_listener_drain_test.cpp
+++ b/tests/auto/net/http_listener_drain_test.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -15,7 +16,7 @@
 using net::ReadArrived;
 using net::Send;
 
-const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Returns a client whose first request was answered and whose connection is kept.
 asio::ip::tcp::socket ConnectKept(HttpListenerFixture& fixture) {
--- a/tests/auto/net/http_listener_fixture.cpp
+++ b/tests/auto/net/http_listener_fixture.cpp
@@ -52,9 +52,7 @@
   return received;
 }
 
-void Send(tcp::socket& client, const std::string& bytes) {
-  asio::write(client, asio::buffer(bytes));
-}
+void Send(tcp::socket& client, std::string_view bytes) { asio::write(client, asio::buffer(bytes)); }
 
 http::Response Ok(std::string body) {
   http::Response response;
--- a/tests/auto/net/http_listener_fixture.h
+++ b/tests/auto/net/http_listener_fixture.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/http_listener.h"
@@ -44,7 +45,7 @@
 Received ReadArrived(asio::ip::tcp::socket& client);
 
 /// Sends `bytes` without running the listener.
-void Send(asio::ip::tcp::socket& client, const std::string& bytes);
+void Send(asio::ip::tcp::socket& client, std::string_view bytes);
 
 /// Returns an answer of status 200 with `body`.
 http::Response Ok(std::string body = "ok");
--- a/tests/auto/net/http_listener_half_close_test.cpp
+++ b/tests/auto/net/http_listener_half_close_test.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "http_listener_fixture.h"
@@ -14,7 +15,7 @@
 using net::ReadArrived;
 using net::Send;
 
-const std::string kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr std::size_t kLongAnswer = 8UL * 1024 * 1024;
 
 /// Runs the listener until the client's stream has ended, and returns all that the client received.
@@ -69,7 +70,7 @@
   int left = 0;
   ContinueAfterHalfClose(fixture, left);
   auto client = fixture.Connect();
-  Send(client, kRequest + kRequest);
+  Send(client, std::string(kRequest).append(kRequest));
   client.shutdown(tcp::socket::shutdown_send);
   fixture.Run();
   cr_assert(fixture.inbound.size() == 1);
