Stop processes in series under long requests in the soak

The soak shared assumptions with the code that it tests: a new connection for each request, no body in chunks, 1.8 s of caller's time beside 4 s of grace time, and one fault at a time, each restart awaited. A request that an entry takes 3.0 to 3.4 s after SIGTERM and that outlasts the process never came up.

After the faults and the recovery, whose random sequence is unchanged, a second part stops processes in series that overlap: SIGTERM to entries in turn and to replicas, second signals, SIGHUP, SIGTERM soon after a start, upstreams that leave, configs that change timeouts and limits, SIGKILL after the grace time. Callers send requests of 0.25 to 2.3 s, twice that at a cold upstream, to upstreams with four slots and a queue: on kept and new connections, with a length or in chunks, in parts, half-closed, given up, to addresses that they cache. Phase one awaits restarts for the grace time and one second, as before.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -17,8 +17,9 @@
 
 }  // namespace
 
-Deployment::Deployment(std::string program, int network, std::size_t replicas, std::size_t entries)
-    : program_(std::move(program)), replica_count_(replicas) {
+Deployment::Deployment(std::string program, int network, std::size_t replicas, std::size_t entries,
+                       std::chrono::seconds grace)
+    : program_(std::move(program)), replica_count_(replicas), grace_(grace) {
   for (std::size_t i = 0; i < replicas + entries; ++i) {
     Node node;
     node.name = (i < replicas ? "replica-" : "entry-") + std::to_string(i);
@@ -45,7 +46,8 @@
            "\nfirst_start = " + (first_start ? "true" : "false") + "\n";
   }
   return text + "[entry]\ncallers = " + At(self.ip, kCallersPort) +
-         "\nreadiness = " + At(self.ip, kReadinessPort) + "\ngrace_s = 4\nretry_slack = 200\n";
+         "\nreadiness = " + At(self.ip, kReadinessPort) +
+         "\ngrace_s = " + std::to_string(grace_.count()) + "\nretry_slack = 200\n";
 }
 
 void Deployment::StartAll() {
@@ -73,7 +75,7 @@
 
 void Deployment::WipeDisk(std::size_t node) const { folder_.MakeEmpty(nodes_[node].name); }
 
-bool Deployment::HasEnded(std::size_t node) { return nodes_[node].child->TryReap().has_value(); }
+std::optional<int> Deployment::ExitCode(std::size_t node) { return nodes_[node].child->TryReap(); }
 
 std::string Deployment::OrdersAddress(std::size_t replica) const {
   return At(nodes_[replica].ip, kOrdersPort);
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +16,9 @@
 class Deployment {
  public:
   /// `network` is the second byte of the addresses, so that concurrent soaks use different ones.
-  Deployment(std::string program, int network, std::size_t replicas, std::size_t entries);
+  /// `grace` is the time that entries have between SIGTERM and SIGKILL.
+  Deployment(std::string program, int network, std::size_t replicas, std::size_t entries,
+             std::chrono::seconds grace);
 
   /// Creates empty disks and starts all processes, which form a new group.
   void StartAll();
@@ -30,8 +34,9 @@
   void Kill(std::size_t node);
   /// Empties the data folder of a killed replica.
   void WipeDisk(std::size_t node) const;
-  /// Whether the process has ended.
-  bool HasEnded(std::size_t node);
+  /// Exit code of a process, or the negated number of the signal that ended it; `nullopt` while it
+  /// runs.
+  std::optional<int> ExitCode(std::size_t node);
 
   /// Address at which `replica` accepts orders, as IP:PORT.
   std::string OrdersAddress(std::size_t replica) const;
@@ -52,6 +57,7 @@
 
   std::string program_;
   std::size_t replica_count_;
+  std::chrono::seconds grace_;
   processes::WorkFolder folder_;
   std::vector<Node> nodes_;
 };
--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -171,6 +171,11 @@
   measuring_ = true;
 }
 
+void PromiseChecker::EndMeasuring() {
+  const std::lock_guard lock(mutex_);
+  measuring_ = false;
+}
+
 double PromiseChecker::served_share() const {
   const std::lock_guard lock(mutex_);
   return measured_ == 0 ? 0 : static_cast<double>(measured_served_) / measured_;
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -56,9 +56,10 @@
   /// The newest acknowledged catalog version; 0 before the first.
   std::uint64_t acknowledged_catalog() const;
 
-  /// Starts to count answers for `served_share`.
+  /// Start and stop to count answers for `served_share`.
   void BeginMeasuring();
-  /// Fraction (0 to 1) of the answers since `BeginMeasuring` with status 200; 0 without answers.
+  void EndMeasuring();
+  /// Fraction (0 to 1) of the counted answers with status 200; 0 without answers.
   double served_share() const;
 
   /// One message for each violation so far.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -8,6 +8,8 @@
 
 #include "platform/standin_wire.h"
 #include "soak/http_call.h"
+#include "soak/mixed_caller.h"
+#include "soak/stop_series.h"
 
 namespace wagtailpick::soak {
 namespace {
@@ -21,13 +23,27 @@
 constexpr milliseconds kFormationTime{6'000};
 constexpr milliseconds kRecoveryTime{8'000};
 constexpr milliseconds kMeasuringTime{3'000};
+/// Time from the acknowledgement of a config until it is in force everywhere, and the longest wait
+/// for the acknowledgement.
+constexpr milliseconds kApplyTime{2'500};
+constexpr base::Duration kMaxConfigWait = std::chrono::seconds(20);
 /// Fraction of requests that must be served after the recovery. The users' limit after a final
 /// fault is a quarter; without faults nearly all requests have to be served.
 constexpr double kMinServedAfterRecovery = 0.9;
+/// The time between SIGTERM and SIGKILL beside the time of the long requests: that of the
+/// deployments, and for one seed in `kShortTimesOneIn` a shorter one.
+constexpr std::chrono::seconds kGrace{6};
+constexpr milliseconds kLongDeadline{4'000};
+constexpr std::chrono::seconds kShortGrace{4};
+constexpr milliseconds kShortLongDeadline{1'800};
+constexpr std::uint64_t kShortTimesOneIn = 4;
+/// How much longer than its grace time a process may take to end while other faults are injected.
+constexpr base::Duration kExtraStopTime = std::chrono::seconds(1);
 constexpr int kMaxRedirects = 2;
 constexpr int kDeadlineMs = 1'800;
 constexpr int kObjects = 20;
 constexpr milliseconds kCrashRequestInterval{300};
+constexpr std::array kIdleTimeouts{milliseconds(15'000), milliseconds(3'000), milliseconds(1'000)};
 /// Requests per second that upstreams name as their limits.
 constexpr std::array kLimits{0.5, 2.0, 5.0};
 /// The first upstream that may be limited after the faults, and its limit. The ones before it leave
@@ -43,7 +59,11 @@
         random_(options.seed),
         announcements_random_(options.seed + 2),
         network_(kFirstNetwork + static_cast<int>(options.seed % kNetworks)),
-        deployment_(options.program, network_, options.replicas, options.entries) {}
+        has_short_times_(options.seed % kShortTimesOneIn == 0),
+        grace_(has_short_times_ ? kShortGrace : kGrace),
+        long_deadline_(has_short_times_ ? kShortLongDeadline : kLongDeadline),
+        stops_(grace_),
+        deployment_(options.program, network_, options.replicas, options.entries, grace_) {}
 
   std::vector<std::string> Execute() {
     checker_.set_entries(options_.entries);
@@ -52,7 +72,7 @@
     for (std::size_t i = 0; i < options_.replicas; ++i) {
       replicas.push_back(deployment_.OrdersAddress(i));
     }
-    StandinService service(network_, options_.upstreams, replicas, checker_, options_.seed);
+    StandinService service(network_, options_.upstreams, replicas, checker_, stops_, options_.seed);
     std::thread operator_thread([this] { OperatorLoop(); });
     std::this_thread::sleep_for(kFormationTime);
     std::vector<std::thread> caller_threads;
@@ -62,8 +82,10 @@
     caller_threads.emplace_back([this] { CrashRequestLoop(); });
     InjectFaultsUntil(base::MonotonicNow() + options_.length, service);
     Recover(service);
-    stopping_ = true;
+    faults_are_over_ = true;
     for (auto& thread : caller_threads) thread.join();
+    StopInSeries(service);
+    stopping_ = true;
     operator_thread.join();
     return Finish();
   }
@@ -88,7 +110,8 @@
     std::mt19937_64 random(options_.seed + 1);
     std::uint64_t version = 1;
     while (!stopping_) {
-      const auto put = platform::PutConfig(platform::TwoRouteConfig(version, "s"));
+      const auto values = faults_are_over_ ? DrawConfig(random) : platform::ConfigValues();
+      const auto put = platform::PutConfig(platform::TwoRouteConfig(version, "s", values));
       const auto answer = SendOrder(put, random());
       if (answer && answer->status == 200) checker_.RecordCatalogAcknowledged(version++);
       if (answer && answer->status >= 400 && answer->status < 500) {
@@ -100,6 +123,16 @@
     }
   }
 
+  /// The callers' deadline always ends before the route's timeout.
+  platform::ConfigValues DrawConfig(std::mt19937_64& random) const {
+    platform::ConfigValues values;
+    values.route_timeout = long_deadline_ + milliseconds(500 * (random() % 4));
+    values.idle_timeout = kIdleTimeouts.at(random() % kIdleTimeouts.size());
+    values.max_header_bytes = random() % 2 == 0 ? 16'384 : 4'096;
+    values.max_body_bytes = random() % 2 == 0 ? 65'536 : 1'024;
+    return values;
+  }
+
   std::optional<std::uint64_t> ReadCatalog(std::size_t first) {
     const auto acknowledged = checker_.acknowledged_catalog();
     const auto answer = SendOrder(platform::GetConfig(), first);
@@ -114,7 +147,7 @@
 
   void CallLoop(std::size_t caller) {
     std::mt19937_64 random(options_.seed * 100 + caller);
-    for (int i = 0; !stopping_; ++i) {
+    for (int i = 0; !faults_are_over_; ++i) {
       const bool idempotent = random() % 2 == 0;
       const std::string id = std::to_string(caller) + "-" + std::to_string(i);
       auto request =
@@ -132,7 +165,7 @@
   /// Repeatedly sends a request that crashes each upstream that runs it, to random entries.
   void CrashRequestLoop() {
     std::mt19937_64 random(options_.seed * 100 + options_.callers);
-    for (int i = 0; !stopping_; ++i) {
+    for (int i = 0; !faults_are_over_; ++i) {
       const auto request = platform::ClientRequest(
           "GET", kCrashTarget, "deadly-" + std::to_string(i), kDeadlineMs, "deadly");
       Call(deployment_.CallersAddress(random() % options_.entries), request, kCallerTimeout);
@@ -142,6 +175,7 @@
 
   void InjectFaultsUntil(base::MonotonicTime end, StandinService& service) {
     while (base::MonotonicNow() < end) {
+      RestartEnded();
       checker_.RecordFault();
       InjectFault(service);
       if (fault_hits_entry_) checker_.RecordEntryFault();
@@ -151,6 +185,17 @@
     }
   }
 
+  /// Starts processes again that have ended by themselves. All run here, as each restart is
+  /// awaited.
+  void RestartEnded() {
+    for (std::size_t i = 0; i < deployment_.size(); ++i) {
+      const auto exit_code = deployment_.ExitCode(i);
+      if (!exit_code) continue;
+      stops_.RecordWrongEnd("ended by itself", i, *exit_code);
+      deployment_.Start(i);
+    }
+  }
+
   /// Makes an upstream announce in its answers that it leaves, is backing off or limits its
   /// requests, or that its limit has ended. Uses a separate
   /// random generator, so that a seed keeps its sequence of faults.
@@ -204,11 +249,11 @@
 
   void Restart(std::size_t node) {
     deployment_.Signal(node, SIGTERM);
-    const auto end = base::MonotonicNow() + std::chrono::seconds(5);
-    while (!deployment_.HasEnded(node) && base::MonotonicNow() < end) {
+    const auto end = base::MonotonicNow() + grace_ + kExtraStopTime;
+    while (!deployment_.ExitCode(node) && base::MonotonicNow() < end) {
       std::this_thread::sleep_for(milliseconds(20));
     }
-    if (!deployment_.HasEnded(node)) {
+    if (!deployment_.ExitCode(node)) {
       stop_timed_out_ = true;
       deployment_.Kill(node);
     }
@@ -239,12 +284,50 @@
     const auto since = base::MonotonicNow() - kMeasuringTime;
     std::this_thread::sleep_for(kMeasuringTime);
     checker_.CheckLimitUsed(limited, since);
+    checker_.EndMeasuring();
+    for (std::size_t i = 0; i < service.size(); ++i) service.EndLimit(i);
+  }
+
+  /// Waits until a config with timeouts for long requests is in force.
+  void WaitForLongTimeouts() const {
+    // The next version may have been drawn before.
+    const auto wanted = checker_.acknowledged_catalog() + 2;
+    const auto end = base::MonotonicNow() + kMaxConfigWait;
+    while (checker_.acknowledged_catalog() < wanted && base::MonotonicNow() < end) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    std::this_thread::sleep_for(kApplyTime);
+  }
+
+  /// Stops processes in series under long requests. No other faults are injected meanwhile.
+  void StopInSeries(StandinService& service) {
+    RestartEnded();
+    WaitForLongTimeouts();
+    std::vector<std::string> entries;
+    for (std::size_t i = 0; i < options_.entries; ++i) {
+      entries.push_back(deployment_.CallersAddress(i));
+    }
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < options_.mixed_callers; ++i) {
+      callers.emplace_back([this, entries, i] {
+        MixedCaller({i, options_.seed, entries, options_.replicas, long_deadline_}, checker_,
+                    stops_)
+            .RunUntil(stops_are_over_);
+      });
+    }
+    StopSeries series(deployment_, service, checker_, stops_, grace_, options_.seed + 3);
+    series.Run(options_.stops_length);
+    stops_are_over_ = true;
+    for (auto& caller : callers) caller.join();
+    fault_log_.insert(fault_log_.end(), series.log().begin(), series.log().end());
   }
 
   std::vector<std::string> Finish() {
     auto broken = checker_.violations();
+    const auto stop_violations = stops_.Violations();
+    broken.insert(broken.end(), stop_violations.begin(), stop_violations.end());
     if (valid_catalog_refused_) broken.emplace_back("a valid catalog was refused");
-    if (stop_timed_out_) broken.emplace_back("a process did not stop within 5 seconds");
+    if (stop_timed_out_) broken.emplace_back("a process did not stop 1 s after its grace time");
     if (checker_.served_share() < kMinServedAfterRecovery) {
       broken.emplace_back("only " + std::to_string(checker_.served_share()) +
                           " served after the recovery");
@@ -255,14 +338,15 @@
                           last_read_);
     }
     for (std::size_t i = 0; i < deployment_.size(); ++i) {
-      if (deployment_.HasEnded(i)) broken.emplace_back("process " + std::to_string(i) + " ended");
+      if (deployment_.ExitCode(i)) broken.emplace_back("process " + std::to_string(i) + " ended");
     }
     if (!broken.empty()) {
       deployment_.KeepFolder();
       for (const auto& fault : fault_log_) std::cout << fault << "\n";
     }
     std::cout << "seed " << options_.seed << ": " << checker_.Summary() << ", served "
-              << checker_.served_share() << ", broken " << broken.size() << std::endl;
+              << checker_.served_share() << ", broken " << broken.size() << "\n  "
+              << stops_.Summary() << std::endl;
     return broken;
   }
 
@@ -270,8 +354,14 @@
   std::mt19937_64 random_;
   std::mt19937_64 announcements_random_;
   int network_;
+  bool has_short_times_;
+  std::chrono::seconds grace_;
+  milliseconds long_deadline_;
   PromiseChecker checker_;
+  StopChecker stops_;
   Deployment deployment_;
+  std::atomic<bool> faults_are_over_ = false;
+  std::atomic<bool> stops_are_over_ = false;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> valid_catalog_refused_ = false;
   bool stop_timed_out_ = false;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -11,6 +11,7 @@
 #include "soak/deployment.h"
 #include "soak/promise_checker.h"
 #include "soak/standin_service.h"
+#include "soak/stop_checker.h"
 
 namespace wagtailpick::soak {
 
@@ -20,15 +21,19 @@
   std::uint64_t seed = 1;
   /// Time during which faults are injected.
   base::Duration length = std::chrono::seconds(12);
+  /// Time during which processes are stopped in series, after that.
+  base::Duration stops_length = std::chrono::seconds(15);
   std::size_t replicas = 3;
   std::size_t entries = 3;
   std::size_t upstreams = 6;
   std::size_t callers = 4;
+  /// Callers with long requests during the stops.
+  std::size_t mixed_callers = 24;
 };
 
 /// Runs one seed: starts all processes, injects faults for `options.length`, lets the system
-/// recover and checks the promises. Prints a summary line. Returns one message for each broken
-/// promise.
+/// recover, stops processes in series and checks the promises. Prints two summary lines. Returns
+/// one message for each broken promise.
 std::vector<std::string> RunSoak(const SoakOptions& options);
 
 }  // namespace wagtailpick::soak
--- a/tests/soak/standin_service.cpp
+++ b/tests/soak/standin_service.cpp
@@ -19,6 +19,8 @@
 /// How long an upstream is down after a crash.
 constexpr milliseconds kDownTime{1'500};
 constexpr milliseconds kAnnounceInterval{300};
+/// How long an upstream is cold after its start.
+constexpr milliseconds kColdTime{2'000};
 constexpr base::Duration kCallTimeout = milliseconds(1'000);
 /// How long a draining upstream continues to run after the acknowledgement.
 constexpr base::Duration kRunTimeAfterDrain = std::chrono::seconds(4);
@@ -29,11 +31,16 @@
 
 StandinService::StandinService(int network, std::size_t upstreams,
                                std::vector<std::string> replicas, PromiseChecker& checker,
-                               std::uint64_t seed)
-    : replicas_(std::move(replicas)), checker_(checker), random_(seed), upstreams_(upstreams) {
+                               StopChecker& stops, std::uint64_t seed)
+    : replicas_(std::move(replicas)),
+      checker_(checker),
+      stops_(stops),
+      random_(seed),
+      upstreams_(upstreams) {
   for (std::size_t i = 0; i < upstreams; ++i) {
     auto& upstream = upstreams_[i];
     upstream.ip = "127." + std::to_string(network) + ".1." + std::to_string(10 + i);
+    upstream.long_requests = std::make_unique<WorkQueue>(loop_, checker_, stops_, seed + i);
     Restart(upstream);
     Listen(upstream);
   }
@@ -130,8 +137,10 @@
   bool leaving = false;
   base::MonotonicTime back_off_until;
   std::optional<double> limit;
+  bool cold = false;
   {
     const std::lock_guard lock(mutex_);
+    cold = base::WallNowMillis() - upstream.started_unix_ms < kColdTime.count();
     id = upstream.id;
     leaving = upstream.leaving;
     back_off_until = upstream.back_off_until;
@@ -155,6 +164,10 @@
     const auto request_id = platform::RequestIdOf(inbound->request);
     return inbound->Answer(platform::BackOffAnswer(request_id, back_off_until - now));
   }
+  const auto& target = inbound->request.target;
+  if (target == kLongReadTarget || target == kLongChargeTarget) {
+    return upstream.long_requests->Add(inbound, id, cold, leaving);
+  }
   if (leaving) checker_.RecordDrainAcknowledged(id);
   Run(inbound, id, leaving, limit);
 }
--- a/tests/soak/standin_service.h
+++ b/tests/soak/standin_service.h
@@ -12,18 +12,23 @@
 
 #include "net/http_listener.h"
 #include "soak/promise_checker.h"
+#include "soak/stop_checker.h"
+#include "soak/work_queue.h"
 
 namespace wagtailpick::soak {
 
 /// A request to this target crashes the upstream that runs it.
 inline constexpr const char* kCrashTarget = "/read/deadly";
+/// Requests to these targets take long and need one of the few slots of an upstream.
+inline constexpr const char* kLongReadTarget = "/read/long";
+inline constexpr const char* kLongChargeTarget = "/charge/long";
 
 /// Upstreams of one service that announce themselves, run requests, lose some answers, drain and
 /// restart with new ids.
 class StandinService {
  public:
   StandinService(int network, std::size_t upstreams, std::vector<std::string> replicas,
-                 PromiseChecker& checker, std::uint64_t seed);
+                 PromiseChecker& checker, StopChecker& stops, std::uint64_t seed);
   ~StandinService();
   StandinService(const StandinService&) = delete;
   StandinService& operator=(const StandinService&) = delete;
@@ -61,6 +66,7 @@
     std::optional<double> limit;
     bool drain_acknowledged = false;
     base::MonotonicTime replace_due;
+    std::unique_ptr<WorkQueue> long_requests;
     std::unique_ptr<net::HttpListener> listener;
   };
 
@@ -75,6 +81,7 @@
 
   std::vector<std::string> replicas_;
   PromiseChecker& checker_;
+  StopChecker& stops_;
   asio::io_context loop_;
   std::mt19937_64 random_;
   std::atomic<double> lost_share_ = 0;
