Give replicas their recovery time before the soak's last reads

Cause: the stops in series end a second after the last start, and the last reads of the catalog came at once. The last stop may have been that of the leader.

Change: each replica has to answer the read within the recovery time of 8 s from the end of the series.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -145,6 +145,17 @@
     return version;
   }
 
+  /// Reads the catalog until a read succeeds or `end` has passed, as the last stop may have been
+  /// that of the leader.
+  std::optional<std::uint64_t> ReadCatalogUntil(std::size_t first, base::MonotonicTime end) {
+    auto version = ReadCatalog(first);
+    while (!version && base::MonotonicNow() < end) {
+      std::this_thread::sleep_for(milliseconds(100));
+      version = ReadCatalog(first);
+    }
+    return version;
+  }
+
   void CallLoop(std::size_t caller) {
     std::mt19937_64 random(options_.seed * 100 + caller);
     for (int i = 0; !faults_are_over_; ++i) {
@@ -332,8 +343,9 @@
       broken.emplace_back("only " + std::to_string(checker_.served_share()) +
                           " served after the recovery");
     }
+    const auto recovered_by = base::MonotonicNow() + kRecoveryTime;
     for (std::size_t i = 0; i < options_.replicas; ++i) {
-      if (ReadCatalog(i)) continue;
+      if (ReadCatalogUntil(i, recovered_by)) continue;
       broken.emplace_back("no catalog can be read at replica " + std::to_string(i) + ": " +
                           last_read_);
     }
