Count requests that close late without reaching an upstream in the soak

A request that no upstream got may have been read by the entry if its connection closes more than 0.2 s after its last byte. Callers can't tell whether it was read, so the soak's summary counts these beside the other unread ones and reports no violation.

--- a/tests/soak/client_connection.cpp
+++ b/tests/soak/client_connection.cpp
@@ -121,6 +121,7 @@
   result.sent_at = base::MonotonicNow();
   // An answer may arrive before the whole request is sent, so a failed send doesn't end the call.
   Send(style.chunked ? RenderChunked(request) : net::RenderRequest(request), style, end);
+  result.sent_whole_at = base::MonotonicNow();
   result.end = Receive(result.response, end);
   result.ended_at = base::MonotonicNow();
   if (style.half_close) usable_ = false;
--- a/tests/soak/client_connection.h
+++ b/tests/soak/client_connection.h
@@ -34,7 +34,9 @@
   CallEnd end = CallEnd::kClosed;
   /// The answer, if `end` is `kAnswered`.
   http::Response response;
+  /// When the first and the last byte of the request were sent, and when the call ended.
   base::MonotonicTime sent_at;
+  base::MonotonicTime sent_whole_at;
   base::MonotonicTime ended_at;
 };
 
--- a/tests/soak/stop_checker.cpp
+++ b/tests/soak/stop_checker.cpp
@@ -14,6 +14,10 @@
 /// Difference between the clocks of a caller and an entry for the end of the caller's time.
 constexpr base::Duration kDeadlineTolerance = std::chrono::milliseconds(50);
 
+/// A request that no upstream got and whose connection closes later than this after its last byte
+/// may have been read.
+constexpr base::Duration kLossSlack = std::chrono::milliseconds(200);
+
 std::string Millis(base::Duration duration) { return std::to_string(duration.count() / 1'000); }
 
 }  // namespace
@@ -124,6 +128,11 @@
   const auto count_if = [this](auto&& matches) {
     return std::to_string(std::count_if(attempts_.begin(), attempts_.end(), matches));
   };
+  const auto closed_late = count_if([this](const Attempt& attempt) {
+    const auto& result = attempt.result;
+    return Judge(attempt) == Verdict::kUnread &&
+           result.ended_at - result.sent_whole_at > kLossSlack;
+  });
   std::size_t stops = 0;
   for (const auto& [node, times] : stops_) stops += times.size();
   return "stops " + std::to_string(stops) + " (" + std::to_string(late_stops_) + " late)  sent " +
@@ -136,7 +145,7 @@
          " half-closed (" + std::to_string(verdicts[Verdict::kHalfClosed]) + " unanswered)  cut " +
          std::to_string(verdicts[Verdict::kLost] + verdicts[Verdict::kExcused]) + ", excused " +
          std::to_string(verdicts[Verdict::kExcused]) + ", closed unread " +
-         std::to_string(verdicts[Verdict::kUnread]) + ", given up " +
+         std::to_string(verdicts[Verdict::kUnread]) + " (" + closed_late + " late), given up " +
          std::to_string(verdicts[Verdict::kGivenUp]);
 }
 
