--- a/tests/benchmarks/stops/stop_run.cpp
+++ b/tests/benchmarks/stops/stop_run.cpp
@@ -17,6 +17,7 @@
 
 std::string SiteConfig() {
   std::vector<platform::SiteRoute> routes;
+  routes.reserve(kTraffic.size());
   for (const auto& traffic : kTraffic) {
     routes.push_back({traffic.name, traffic.path_prefix, traffic.service, traffic.idempotent,
                       traffic.objective, traffic.route_timeout});
