Pause after a failed accept of a link between processes

Cause: Acceptor::Accept accepted again at once after any error, without a log line. A process without file descriptors took a whole processor. A connection was added before the next accept was started, so an exception in between ended accepting. The handler of the accept had no guard against an acceptor that was destroyed after the accept had completed.

Change: after an error, the acceptor waits 100 ms on a timer of its own and logs accept_failed at most once in 10 s, as HttpListener does. The next accept starts before the connection is added, and both handlers check that the acceptor still exists. A link is created before it is entered in the table of peers, so that none without a link can remain there.

The order of accepting and adding has no test, as no exception can be caused there from outside.

Conclusion: a process without file descriptors stays idle, leaves a trace in its log, and accepts again once it has some.

--- a/src/libs/cluster/acceptor.cpp
+++ b/src/libs/cluster/acceptor.cpp
@@ -1,5 +1,6 @@
 #include "cluster/acceptor.h"
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,10 @@
 
 /// Three missed pings (one every 500 ms) and the time for their transfer.
 constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(1'800);
+/// Delay before accepting again after an error, such as too many open file descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+/// Shortest interval between two log lines about failed accepts, which may fail at each attempt.
+constexpr base::Duration kAcceptErrorLogInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -25,29 +30,49 @@
 }
 
 Acceptor::Acceptor(asio::ip::tcp::acceptor acceptor, Hooks hooks)
-    : acceptor_(std::move(acceptor)), hooks_(std::move(hooks)) {}
+    : acceptor_(std::move(acceptor)),
+      accept_timer_(acceptor_.get_executor()),
+      hooks_(std::move(hooks)) {}
 
 Acceptor::~Acceptor() {
   for (auto& [id, peer] : peers_) peer.link->Close();
 }
 
 void Acceptor::Accept() {
-  acceptor_.async_accept([this](asio::error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) Add(std::move(socket));
-    Accept();
+  acceptor_.async_accept(
+      [this, alive = std::weak_ptr(alive_)](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (alive.expired() || error == asio::error::operation_aborted) return;
+        if (error) return HandleAcceptError(error);
+        // Before anything that may throw, as the process would not accept any more.
+        Accept();
+        Add(std::move(socket));
+      });
+}
+
+void Acceptor::HandleAcceptError(asio::error_code error) {
+  ++unlogged_accept_failures_;
+  const auto now = base::MonotonicNow();
+  if (now >= next_accept_error_log_) {
+    next_accept_error_log_ = now + kAcceptErrorLogInterval;
+    logging::Write(logging::Level::kWarning, "accept_failed", error.message(),
+                   {{"failures", std::to_string(std::exchange(unlogged_accept_failures_, 0))}});
+  }
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code aborted) {
+    if (!aborted && !alive.expired()) Accept();
   });
 }
 
 void Acceptor::Add(asio::ip::tcp::socket socket) {
   const std::uint64_t id = next_id_++;
+  const auto link = std::make_shared<net::FrameLink>(std::move(socket));
   auto& peer = peers_[id];
-  peer.link = std::make_shared<net::FrameLink>(std::move(socket));
+  peer.link = link;
   peer.session.id = id;
   net::FrameLink::Hooks hooks;
   hooks.frame = [this, id](const std::string& frame) { HandleFrame(id, frame); };
   hooks.closed = [this, id](const std::string& reason) { Remove(id, reason); };
-  peer.link->Start(std::move(hooks));
+  link->Start(std::move(hooks));
 }
 
 void Acceptor::HandleFrame(std::uint64_t id, const std::string& frame) {
