Spare requests and idle connections that began under wider limits

Cause: ServerConnection applied the limits and timeouts of the moment to each part of a request and to each idle connection. When a config lowered maxBodyBytes in the middle of an upload, the request was answered with status 413; a shorter header or idle timeout gave 408 in the same way, and closed kept connections that their clients still expected to be open.

Change: a connection takes the policy when a request begins and when an idle time begins, and uses, field by field, the wider value of then and now until the request is answered or the idle time ends. Narrower limits apply from the next request or idle time on.

Measured: before, connection_ends::lower_limits_spare_a_request_that_has_begun (413), lower_limits_apply_to_the_next_request (413 to the first request), shorter_timeouts_spare_a_request_that_has_begun (408 in the head and in the body) and shorter_timeouts_spare_a_connection_that_is_idle (closed) failed, 36 of 40 tests of test_net passed. All 40 pass now, in 5 runs of 5. higher_limits_apply_to_a_request_that_has_begun passed before, too: it keeps the other direction.

Conclusion: a change of limits costs no request that has begun, and no client a connection that it may still use.

--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -41,6 +41,16 @@
   }
 }
 
+/// Returns `policy` with limits and timeouts that are at least as wide as those of `granted`.
+ServerPolicy Widen(ServerPolicy policy, const ServerPolicy& granted) {
+  auto& message = policy.message;
+  message.max_header_bytes = std::max(message.max_header_bytes, granted.message.max_header_bytes);
+  message.max_body_bytes = std::max(message.max_body_bytes, granted.message.max_body_bytes);
+  policy.header_timeout = std::max(policy.header_timeout, granted.header_timeout);
+  policy.idle_timeout = std::max(policy.idle_timeout, granted.idle_timeout);
+  return policy;
+}
+
 http::Response InternalError() {
   http::Response response;
   response.status = 500;
@@ -95,7 +105,8 @@
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, Hooks hooks)
     : socket_(std::move(socket)),
       hooks_(std::move(hooks)),
-      parser_(HttpParserState::Kind::kRequest, hooks_.policy().message),
+      granted_(hooks_.policy()),
+      parser_(HttpParserState::Kind::kRequest, granted_.message),
       opened_at_(base::MonotonicNow()),
       last_activity_(opened_at_),
       request_started_(opened_at_) {}
@@ -153,9 +164,10 @@
   if (!parser_.started()) {
     request_started_ = last_activity_;
     had_request_ = true;
+    granted_ = hooks_.policy();
     if (hooks_.request_started) hooks_.request_started(request_started_);
   }
-  const auto policy = hooks_.policy();
+  const auto policy = Widen(hooks_.policy(), granted_);
   parser_.set_limits(policy.message);
   parser_.set_memory(policy.memory);
   const std::size_t used = parser_.Feed(pending_);
@@ -250,6 +262,7 @@
   output_ = {};
   if (close) return Linger();
   phase_ = Phase::kReading;
+  granted_ = hooks_.policy();
   parser_.Reset();
   SkipEmptyLines();
   if (!pending_.empty()) ParseBuffered();
@@ -301,7 +314,7 @@
 }
 
 void ServerConnection::CheckTimeouts(base::MonotonicTime now) {
-  const auto policy = hooks_.policy();
+  const auto policy = Widen(hooks_.policy(), granted_);
   const auto idle = now - last_activity_;
   if (phase_ == Phase::kLingering && idle > kLingerTimeout) return Close();
   if (phase_ == Phase::kWriting && idle > policy.idle_timeout) return Close();
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -12,8 +12,9 @@
 
 namespace wagtailpick::net {
 
-/// Limits and timeouts of a server. They are read again for each request, so changes apply to open
-/// connections.
+/// Limits and timeouts of a server. Changes apply to open connections. A request that has begun,
+/// and a connection that has become idle, keep the limits and timeouts of that moment if they are
+/// wider.
 struct ServerPolicy {
   MessageLimits message;
   /// Longest time from the first byte of a request to the end of its headers.
@@ -91,6 +92,9 @@
 
   asio::ip::tcp::socket socket_;
   Hooks hooks_;
+  /// The policy when the current request or idle time began. Clients can't know of narrower limits
+  /// that come into force later, so these apply only from the next request or idle time on.
+  ServerPolicy granted_;
   HttpParserState parser_;
   Phase phase_ = Phase::kReading;
   bool reading_ = false;
--- a/tests/auto/net/connection_ends_test.cpp
+++ b/tests/auto/net/connection_ends_test.cpp
@@ -158,6 +158,12 @@
             outcome.answers, outcome.handed_over);
 }
 
+/// Runs the listener for longer than the interval between two timeout checks.
+void RunBeyondTimeoutCheck(HttpListenerFixture& fixture) {
+  fixture.loop.restart();
+  fixture.loop.run_for(std::chrono::milliseconds(600));
+}
+
 constexpr std::size_t kPipelined = kStates.size() - 1;
 
 }  // namespace
@@ -196,3 +202,78 @@
   fixture.Run();
   cr_assert(fixture.inbound.size() == 1, "%s", ReadArrived(client).bytes.c_str());
 }
+
+// Guards against a connection that keeps a higher limit for requests that begin after a lower one
+// has come into force.
+Test(connection_ends, lower_limits_apply_to_the_next_request) {
+  HttpListenerFixture fixture;
+  auto client = fixture.Connect();
+  net::Send(client, kHalfBody);
+  fixture.Run();
+  fixture.policy.message.max_body_bytes = 4;
+  net::Send(client, "56789");
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1, "%s", ReadArrived(client).bytes.c_str());
+  std::exchange(fixture.inbound, {})[0]->Answer(net::Ok());
+  fixture.Run();
+  net::Send(client, kHalfBody);
+  fixture.Run();
+  cr_expect(ReadArrived(client).bytes.find("HTTP/1.1 413 ") != std::string::npos);
+}
+
+// Guards against a request that is refused by the limit of its start although a higher one has come
+// into force since.
+Test(connection_ends, higher_limits_apply_to_a_request_that_has_begun) {
+  HttpListenerFixture fixture;
+  fixture.policy.message.max_header_bytes = 20;
+  auto client = fixture.Connect();
+  net::Send(client, kHalfHead);
+  fixture.Run();
+  fixture.policy.message.max_header_bytes = 200;
+  net::Send(client, "st: " + std::string(100, 'h') + "\r\n\r\n");
+  fixture.Run();
+  cr_expect(fixture.inbound.size() == 1, "%s", ReadArrived(client).bytes.c_str());
+}
+
+// Guards against status 408 in the middle of a request, as a shorter timeout came into force after
+// it had begun.
+Test(connection_ends, shorter_timeouts_spare_a_request_that_has_begun) {
+  for (const auto& state : {kStates[1], kStates[2]}) {
+    HttpListenerFixture fixture;
+    auto client = fixture.Connect();
+    net::Send(client, state.handled);
+    fixture.Run();
+    fixture.policy.header_timeout = std::chrono::milliseconds(1);
+    fixture.policy.idle_timeout = std::chrono::milliseconds(1);
+    RunBeyondTimeoutCheck(fixture);
+    net::Send(client, state.rest);
+    fixture.Run();
+    cr_expect(fixture.inbound.size() == 1, "%s: %s", state.name, ReadArrived(client).bytes.c_str());
+  }
+}
+
+// Guards against a kept connection that is closed before its client expects it: the client may send
+// a request until the idle timeout that was in force when the connection became idle is over.
+Test(connection_ends, shorter_timeouts_spare_a_connection_that_is_idle) {
+  HttpListenerFixture fixture;
+  auto client = fixture.Connect();
+  for (int round = 0; round < 2; ++round) {
+    fixture.policy.idle_timeout = std::chrono::seconds(15);
+    net::Send(client, kGet);
+    fixture.Run();
+    cr_assert(fixture.inbound.size() == 1, "round %d", round);
+    std::exchange(fixture.inbound, {})[0]->Answer(net::Ok());
+    fixture.Run();
+    fixture.policy.idle_timeout = std::chrono::milliseconds(1);
+    RunBeyondTimeoutCheck(fixture);
+    cr_assert(fixture.listener->connection_count() == 1, "round %d", round);
+  }
+  net::Send(client, kGet);
+  fixture.Run();
+  cr_assert(fixture.inbound.size() == 1);
+  std::exchange(fixture.inbound, {})[0]->Answer(net::Ok());
+  fixture.Run();
+  // The shorter timeout was in force when this idle time began.
+  RunBeyondTimeoutCheck(fixture);
+  cr_expect(fixture.listener->connection_count() == 0);
+}
