--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/server_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/completion_condition.hpp>
@@ -40,6 +41,16 @@
   }
 }
 
+/// Returns `policy` with limits and timeouts that are at least as wide as those of `granted`.
+ServerPolicy Widen(ServerPolicy policy, const ServerPolicy& granted) {
+  auto& message = policy.message;
+  message.max_header_bytes = std::max(message.max_header_bytes, granted.message.max_header_bytes);
+  message.max_body_bytes = std::max(message.max_body_bytes, granted.message.max_body_bytes);
+  policy.header_timeout = std::max(policy.header_timeout, granted.header_timeout);
+  policy.idle_timeout = std::max(policy.idle_timeout, granted.idle_timeout);
+  return policy;
+}
+
 http::Response InternalError() {
   http::Response response;
   response.status = 500;
@@ -94,7 +105,8 @@
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, Hooks hooks)
     : socket_(std::move(socket)),
       hooks_(std::move(hooks)),
-      parser_(HttpParserState::Kind::kRequest, hooks_.policy().message),
+      granted_(hooks_.policy()),
+      parser_(HttpParserState::Kind::kRequest, granted_.message),
       opened_at_(base::MonotonicNow()),
       last_activity_(opened_at_),
       request_started_(opened_at_) {}
@@ -132,18 +144,30 @@
 
 void ServerConnection::HandleBytes(std::string_view bytes) {
   if (phase_ == Phase::kLingering) return;
-  last_activity_ = base::MonotonicNow();
   pending_.append(bytes);
+  if (phase_ == Phase::kReading && !parser_.started()) {
+    SkipEmptyLines();
+    // Line ends alone don't extend the time for which an idle connection is kept.
+    if (pending_.empty()) return;
+  }
+  last_activity_ = base::MonotonicNow();
   if (phase_ == Phase::kReading) ParseBuffered();
 }
 
+// Some clients send a line end after a body. It would count as the start of a request that never
+// ends, which is answered with status 408 in the end.
+void ServerConnection::SkipEmptyLines() {
+  pending_.erase(0, std::min(pending_.find_first_not_of("\r\n"), pending_.size()));
+}
+
 void ServerConnection::ParseBuffered() {
   if (!parser_.started()) {
     request_started_ = last_activity_;
     had_request_ = true;
+    granted_ = hooks_.policy();
     if (hooks_.request_started) hooks_.request_started(request_started_);
   }
-  const auto policy = hooks_.policy();
+  const auto policy = Widen(hooks_.policy(), granted_);
   parser_.set_limits(policy.message);
   parser_.set_memory(policy.memory);
   const std::size_t used = parser_.Feed(pending_);
@@ -171,11 +195,12 @@
   if (half_closed_ && phase_ == Phase::kServing) HandleEndOfStream();
 }
 
-// A request that has come with the end of the stream is answered first.
-bool ServerConnection::ClosesAfterAnswer() const {
+// Requests that were read behind the current one are answered first. A client that always keeps one
+// request pipelined keeps its connection until the listener is destroyed.
+bool ServerConnection::ClosesAfterAnswer() {
   if (!client_keeps_open_) return true;
-  if (half_closed_) return pending_.empty();
-  return hooks_.policy().close_after_answer;
+  SkipEmptyLines();
+  return pending_.empty() && (half_closed_ || hooks_.policy().close_after_answer);
 }
 
 void ServerConnection::ReportFailure(const std::string& cause, const Inbound& inbound) {
@@ -237,7 +262,9 @@
   output_ = {};
   if (close) return Linger();
   phase_ = Phase::kReading;
+  granted_ = hooks_.policy();
   parser_.Reset();
+  SkipEmptyLines();
   if (!pending_.empty()) ParseBuffered();
   // No more of this request comes.
   if (half_closed_ && phase_ == Phase::kReading) return Close();
@@ -287,7 +314,7 @@
 }
 
 void ServerConnection::CheckTimeouts(base::MonotonicTime now) {
-  const auto policy = hooks_.policy();
+  const auto policy = Widen(hooks_.policy(), granted_);
   const auto idle = now - last_activity_;
   if (phase_ == Phase::kLingering && idle > kLingerTimeout) return Close();
   if (phase_ == Phase::kWriting && idle > policy.idle_timeout) return Close();
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -12,8 +12,9 @@
 
 namespace wagtailpick::net {
 
-/// Limits and timeouts of a server. They are read again for each request, so changes apply to open
-/// connections.
+/// Limits and timeouts of a server. Changes apply to open connections. A request that has begun,
+/// and a connection that has become idle, keep the limits and timeouts of that moment if they are
+/// wider.
 struct ServerPolicy {
   MessageLimits message;
   /// Longest time from the first byte of a request to the end of its headers.
@@ -21,7 +22,8 @@
   /// Longest time without received bytes between two requests and within a body, and without sent
   /// bytes while an answer is being sent.
   base::Duration idle_timeout = std::chrono::seconds(15);
-  /// Whether the connection is closed after each answer.
+  /// Whether the connection is closed after an answer, once all requests that were read are
+  /// answered.
   bool close_after_answer = false;
   /// Counts the bodies of requests, and refuses with status 503 those for which it has no room;
   /// null counts none.
@@ -68,13 +70,15 @@
   void ReadAvailable();
   bool HasUnreadBytes() const;
   void HandleBytes(std::string_view bytes);
+  /// Drops line ends that have arrived before a request.
+  void SkipEmptyLines();
   void ParseBuffered();
   void Serve();
   void ReportFailure(const std::string& cause, const Inbound& inbound);
   void Refuse(int status);
   /// Refuses a request whose body does not fit into the memory budget.
   void RefuseForMemory();
-  bool ClosesAfterAnswer() const;
+  bool ClosesAfterAnswer();
   void Write(http::Response response, bool close);
   void HandleWritten(bool close);
   void Linger();
@@ -88,6 +92,9 @@
 
   asio::ip::tcp::socket socket_;
   Hooks hooks_;
+  /// The policy when the current request or idle time began. Clients can't know of narrower limits
+  /// that come into force later, so these apply only from the next request or idle time on.
+  ServerPolicy granted_;
   HttpParserState parser_;
   Phase phase_ = Phase::kReading;
   bool reading_ = false;
