Take a settings file only once it is complete

Cause: a file that was modified just now was read again only if it was invalid. A file that is cut inside of its last value, or after a line, may be valid: 7 of 210 prefixes of a test entry's file are, and one of them ends with a newline. A process that read one kept wrong ports for its whole life. The same held for SIGHUP.

Change: a file counts as complete 50 ms after its last modification if it ends with a newline, and 2 s after it otherwise, provided that it did not change while it was read. Until then the start and the reload read it again, every 10 ms, for up to 4 s (2 s before), so that a file without a newline that appears late is still taken. A restart that waits for a port takes changed settings by the same rule.

A writer that pauses for over 50 ms right after a line is not noticed; only a rename or a mark at the end of the file could show that. What callers of such an entry saw was not measured.

--- a/src/app/wagtailpick_edge/role_loop.cpp
+++ b/src/app/wagtailpick_edge/role_loop.cpp
@@ -10,7 +10,7 @@
 #include "base/process_memory.h"
 #include "logging/log.h"
 #include "settings/file_age.h"
-#include "wagtailpick_edge/edge_settings.h"
+#include "wagtailpick_edge/settings_attempt.h"
 
 namespace wagtailpick::wagtailpick_edge {
 namespace {
@@ -25,19 +25,19 @@
       : timer_(loop), settings_path_(std::move(settings_path)), hooks_(hooks) {}
 
   void Reload() {
-    give_up_at_ = base::MonotonicNow() + settings::kReplacementTime;
+    give_up_at_ = base::MonotonicNow() + settings::kMaxReadTime;
     TryReload();
   }
 
  private:
   void TryReload() {
-    const auto loaded = LoadEdgeSettings(settings_path_);
-    if (loaded) {
+    const auto attempt = SettingsAttempt::Read(settings_path_);
+    if (attempt.settings) {
       logging::Write(Level::kInfo, "settings_reloaded", settings_path_);
-      return hooks_.reload(loaded.value().node());
+      return hooks_.reload(attempt.settings.value().node());
     }
-    if (!settings::MayBeIncomplete(settings_path_) || base::MonotonicNow() >= give_up_at_) {
-      return logging::Write(Level::kError, "reload_failed", loaded.error().message);
+    if (!attempt.may_change || base::MonotonicNow() >= give_up_at_) {
+      return logging::Write(Level::kError, "reload_failed", attempt.settings.error().message);
     }
     timer_.expires_after(settings::kReadRetryInterval);
     timer_.async_wait([this](asio::error_code error) {
--- a/src/app/wagtailpick_edge/start_process.cpp
+++ b/src/app/wagtailpick_edge/start_process.cpp
@@ -13,6 +13,7 @@
 #include "wagtailpick_edge/role_loop.h"
 #include "wagtailpick_edge/serve_control.h"
 #include "wagtailpick_edge/serve_entry.h"
+#include "wagtailpick_edge/settings_attempt.h"
 #include "wagtailpick_edge/start_signals.h"
 
 namespace wagtailpick::wagtailpick_edge {
@@ -36,16 +37,17 @@
 /// Loads the settings once the file is complete. Returns the error of the last attempt; stops
 /// early when the process is told to stop.
 base::Result<EdgeSettings> LoadCompleteSettings(const std::string& path, StartSignals& signals) {
-  const auto give_up_at = base::MonotonicNow() + settings::kReplacementTime;
+  const auto give_up_at = base::MonotonicNow() + settings::kMaxReadTime;
   bool reported = false;
   while (true) {
-    auto loaded = LoadEdgeSettings(path);
-    if (loaded || !settings::MayBeIncomplete(path)) return loaded;
-    if (base::MonotonicNow() >= give_up_at) return loaded;
-    if (!std::exchange(reported, true)) {
-      std::cerr << "wagtailpick_edge: waiting for the settings: " << loaded.error().message << "\n";
+    auto attempt = SettingsAttempt::Read(path);
+    if (!attempt.may_change || base::MonotonicNow() >= give_up_at) return attempt.settings;
+    const auto& error = attempt.settings.error();
+    // Not reported for a valid file, which each start finds right after it was written.
+    if (error.code != ErrorCode::kUnavailable && !std::exchange(reported, true)) {
+      std::cerr << "wagtailpick_edge: waiting for the settings: " << error.message << "\n";
     }
-    if (!signals.Wait(settings::kReadRetryInterval)) return loaded;
+    if (!signals.Wait(settings::kReadRetryInterval)) return attempt.settings;
   }
 }
 
@@ -81,7 +83,7 @@
     logging::Write(Level::kWarning, "start_delayed", error.message);
     if (!signals.Wait(kStartRetryInterval)) return EndStopped();
     // They may have changed meanwhile; SIGHUP only ends the wait.
-    auto reloaded = LoadEdgeSettings(path);
+    auto reloaded = SettingsAttempt::Read(path).settings;
     if (reloaded) settings = std::move(reloaded.value());
   }
 }
--- a/tests/auto/wagtailpick_edge/process_start_test.cpp
+++ b/tests/auto/wagtailpick_edge/process_start_test.cpp
@@ -36,6 +36,12 @@
   std::ofstream(path, std::ios::trunc) << content;
 }
 
+/// Settings of `entry` cut inside of the port of `readiness`: valid, but with the wrong port.
+std::string CutInsidePort(const EdgeProcess& entry) {
+  const std::string& whole = entry.settings();
+  return whole.substr(0, whole.find('\n', whole.find("readiness")) - 1);
+}
+
 /// Holds `port` of `ip`, as the process before does while it drains.
 class HeldPort {
  public:
@@ -66,6 +72,27 @@
   cr_expect(ServesAfterReplacement("[node]\nrole = entry\nvm = v"));
 }
 
+// Guards against a process that keeps wrong settings for its whole life, as its file was valid when
+// it was read half-written.
+Test(process_start, waits_for_the_rest_of_a_settings_file_that_is_valid_so_far) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  Replace(entry.settings_path(), CutInsidePort(entry));
+  entry.Start();
+  std::this_thread::sleep_for(kReplacement);
+  Replace(entry.settings_path(), entry.settings());
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout), "%s", entry.output().c_str());
+  cr_expect(entry.WaitForListener(EdgeProcess::kSecondPort, kPromptly));
+}
+
+// Guards against a process that never takes a complete file without a newline at its end.
+Test(process_start, takes_a_settings_file_without_a_newline_at_its_end) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  const std::string& whole = entry.settings();
+  Replace(entry.settings_path(), whole.substr(0, whole.size() - 1));
+  entry.Start();
+  cr_expect(entry.WaitForOutput("process_started", kStartTimeout), "%s", entry.output().c_str());
+}
+
 // Guards against a process that ends because its settings file is missing for a moment.
 Test(process_start, waits_for_a_settings_file_that_is_missing) {
   auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
@@ -165,6 +192,18 @@
   cr_expect(entry.WaitForOutput("settings_reloaded", kStartTimeout), "%s", entry.output().c_str());
 }
 
+// Guards against a reload that takes wrong settings, as the file is valid while it is half-written.
+Test(process_start, reloads_no_settings_that_are_valid_but_half_written_at_sighup) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  entry.Start();
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout));
+  Replace(entry.settings_path(), CutInsidePort(entry));
+  entry.Signal(SIGHUP);
+  cr_expect(!entry.WaitForOutput("settings_reloaded", kReplacement), "%s", entry.output().c_str());
+  Replace(entry.settings_path(), entry.settings());
+  cr_expect(entry.WaitForOutput("settings_reloaded", kStartTimeout), "%s", entry.output().c_str());
+}
+
 // Guards against a reload that never reports that the settings stay invalid, and against one that
 // delays the end of the process.
 Test(process_start, reports_settings_that_stay_invalid_at_sighup) {
