Reject the data folder of another replica at once

Cause: opening such a folder failed with kConflict, as a held lock does, which the start retries for 10 s. The owner of a folder does not change.

Change: the error is kInvalidArgument. The mapping to gRPC codes and consensus::Replica are not concerned.

Callers are not concerned.

--- a/src/libs/storage/data_folder.cpp
+++ b/src/libs/storage/data_folder.cpp
@@ -63,8 +63,8 @@
   if (!exists) return FailIfStoresExist();
   BOOST_OUTCOME_TRY(marker, LoadMarker(ops_, marker_path()));
   if (marker.replica != replica_) {
-    return Fail(ErrorCode::kConflict, path_ + " belongs to replica \"" + marker.replica +
-                                          "\", not to \"" + replica_ + "\"");
+    return Fail(ErrorCode::kInvalidArgument, path_ + " belongs to replica \"" + marker.replica +
+                                                 "\", not to \"" + replica_ + "\"");
   }
   if (!marker.ready) return Ok();
   incarnation_ = marker.incarnation;
--- a/src/libs/storage/data_folder.h
+++ b/src/libs/storage/data_folder.h
@@ -22,9 +22,9 @@
 class DataFolder {
  public:
   /// Creates the folder when it is missing and locks it. Fails with `kConflict` when another
-  /// process holds the lock or the folder belongs to another replica, with `kCorrupt` when the
-  /// marker is damaged or is missing while store files exist, and with `kIo` when a file operation
-  /// fails.
+  /// process holds the lock, with `kInvalidArgument` when the folder belongs to another replica,
+  /// with `kCorrupt` when the marker is damaged or is missing while store files exist, and with
+  /// `kIo` when a file operation fails.
   static base::Result<DataFolder> Open(FileOpsPtr ops, std::string path, std::string replica);
 
   /// Starts the set-up of a new folder under `incarnation`; the caller creates the stores next.
--- a/tests/auto/wagtailpick_edge/process_start_test.cpp
+++ b/tests/auto/wagtailpick_edge/process_start_test.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "edge_process.h"
+#include "storage/data_folder.h"
 
 namespace {
 
@@ -166,6 +167,20 @@
   cr_expect(replica.WaitForEnd(kPromptly) == kExitCannotStart, "%s", replica.output().c_str());
 }
 
+// Guards against waiting for a data folder that belongs to another replica as if it were locked.
+Test(process_start, rejects_the_data_folder_of_another_replica_at_once) {
+  auto replica = EdgeProcess::Replica(WAGTAILPICK_EDGE);
+  {
+    auto other =
+        storage::DataFolder::Open(storage::PosixFileOps(), replica.folder().Path("data"), "other");
+    cr_assert(other.has_value());
+    cr_assert(other.value().BeginSetUp(1).has_value());
+  }
+  replica.Start();
+  cr_expect(replica.WaitForEnd(kPromptly) == kExitCannotStart, "%s", replica.output().c_str());
+  cr_expect(replica.output().find("belongs to replica \"other\"") != std::string::npos);
+}
+
 // Guards against a signal that is not handled while the process waits: SIGHUP must not end it, and
 // SIGTERM must end it at once.
 Test(process_start, handles_signals_while_it_waits) {
