Retry opening the log file during the start

Change: logging starts inside of the retry of the start, with the settings of the moment. Until it has started, delays are written to standard error.

Measured: before, waits_for_a_log_file_that_cannot_be_opened failed (the process had ended). After, it and ends_when_its_log_file_cannot_be_opened pass, and so do all 22 tests of test_wagtailpick_edge.

Conclusion: mended. What callers saw was not measured.

--- a/src/app/wagtailpick_edge/start_process.cpp
+++ b/src/app/wagtailpick_edge/start_process.cpp
@@ -28,7 +28,8 @@
 constexpr base::Duration kStartRetryInterval = std::chrono::milliseconds(250);
 
 /// Whether a start that failed may succeed without a change by an operator: an address is in use, a
-/// disk refuses reads or writes, or another process holds the lock of the data folder.
+/// disk refuses reads or writes, the log file can't be opened, or another process holds the lock of
+/// the data folder.
 bool MayPass(const base::Error& error) {
   return error.code == ErrorCode::kUnavailable || error.code == ErrorCode::kIo ||
          error.code == ErrorCode::kConflict;
@@ -74,13 +75,30 @@
   return 0;
 }
 
-/// Starts the role, again and again while the reason of the failure may pass.
+/// Starts logging, if it has not started yet, and serves. Returns the reason if either fails.
+base::Error LogAndServe(const EdgeSettings& settings, const std::string& path, bool& logging) {
+  if (!logging) {
+    const auto& node = settings.node();
+    const auto started = logging::Start({node.vm, node.data_centre, settings.log_file, true});
+    if (!started) return started.error();
+    logging = true;
+  }
+  return Serve(settings, path);
+}
+
+void ReportDelay(const base::Error& error, bool logging) {
+  if (logging) return logging::Write(Level::kWarning, "start_delayed", error.message);
+  std::cerr << "wagtailpick_edge: start delayed: " << error.message << "\n";
+}
+
+/// Starts logging and the role, again and again while the reason of the failure may pass.
 int ServeOnceReady(EdgeSettings settings, const std::string& path, StartSignals& signals) {
   const auto give_up_at = base::MonotonicNow() + kMaxStartTime;
+  bool logging = false;
   while (true) {
-    const auto error = Serve(settings, path);
+    const auto error = LogAndServe(settings, path, logging);
     if (!MayPass(error) || base::MonotonicNow() >= give_up_at) return EndUnstarted(error);
-    logging::Write(Level::kWarning, "start_delayed", error.message);
+    ReportDelay(error, logging);
     if (!signals.Wait(kStartRetryInterval)) return EndStopped();
     // They may have changed meanwhile; SIGHUP only ends the wait.
     auto reloaded = SettingsAttempt::Read(path).settings;
@@ -98,12 +116,6 @@
     std::cerr << loaded.error().message << "\n";
     return settings::kExitWrongInput;
   }
-  const auto& node = loaded.value().node();
-  const auto logging = logging::Start({node.vm, node.data_centre, loaded.value().log_file, true});
-  if (!logging) {
-    std::cerr << "wagtailpick_edge: " << logging.error().message << "\n";
-    return kExitCannotStart;
-  }
   return ServeOnceReady(std::move(loaded.value()), settings_path, signals);
 }
 
--- a/tests/auto/wagtailpick_edge/process_start_test.cpp
+++ b/tests/auto/wagtailpick_edge/process_start_test.cpp
@@ -181,6 +181,31 @@
   cr_expect(replica.output().find("belongs to replica \"other\"") != std::string::npos);
 }
 
+// Guards against a process that ends for good because its log file cannot be opened for a moment.
+Test(process_start, waits_for_a_log_file_that_cannot_be_opened) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  const std::string folder = entry.folder().Path("logs");
+  const std::string log_file = folder + "/edge.log";
+  Replace(entry.settings_path(), entry.settings() + "[node]\nlog_file = " + log_file + "\n");
+  entry.Start();
+  cr_assert(entry.WaitForOutput("can't be opened", kStartTimeout), "%s", entry.output().c_str());
+  std::filesystem::create_directory(folder);
+  cr_expect(entry.WaitForListener(EdgeProcess::kServicePort, kStartTimeout), "%s",
+            entry.output().c_str());
+  cr_expect(std::filesystem::exists(log_file));
+  entry.Signal(SIGTERM);
+  cr_expect(entry.WaitForEnd(kMaxStopTime) == 0, "%s", entry.output().c_str());
+}
+
+// Guards against a process that never reports that its log file cannot be opened.
+Test(process_start, ends_when_its_log_file_cannot_be_opened) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  Replace(entry.settings_path(), entry.settings() + "[node]\nlog_file = /no/such/folder/log\n");
+  entry.Start();
+  cr_expect(entry.WaitForEnd(kMaxStartTime) == kExitCannotStart);
+  cr_expect(entry.output().find("can't be opened") != std::string::npos);
+}
+
 // Guards against a signal that is not handled while the process waits: SIGHUP must not end it, and
 // SIGTERM must end it at once.
 Test(process_start, handles_signals_while_it_waits) {
