Bound the report of an uncaught exception

Cause: the report writes a log line within std::terminate. If the fault happened under the lock of the log's queue, the thread waits for its own lock, and the process never ends. Found by reading.

Change: an alarm aborts the process 1 s after the report has begun.

The test blocks the report by the exception's text; the lock itself was not provoked.

Conclusion: mended for every wait within the report. What callers saw was not measured.

--- a/src/libs/logging/crash_report.cpp
+++ b/src/libs/logging/crash_report.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::array kFatalSignals{SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSEGV};
 constexpr int kDecimalBase = 10;
+/// The report takes locks, which the failed thread may hold itself; then it never returns.
+constexpr unsigned kMaxReportSeconds = 1;
 
 std::string DescribeException() {
   const auto exception = std::current_exception();
@@ -29,9 +31,19 @@
   }
 }
 
+void AbortAfter(unsigned seconds) {
+  std::signal(SIGALRM, [](int /*signal*/) { std::abort(); });
+  sigset_t alarm_signal;
+  sigemptyset(&alarm_signal);
+  sigaddset(&alarm_signal, SIGALRM);
+  pthread_sigmask(SIG_UNBLOCK, &alarm_signal, nullptr);
+  alarm(seconds);
+}
+
 [[noreturn]] void ReportTermination() {
   // A second exception ends the process at once.
   std::set_terminate(std::abort);
+  AbortAfter(kMaxReportSeconds);
   Write(Level::kError, "process_terminated", DescribeException());
   Stop();
   std::abort();
--- a/tests/auto/logging/crash_report_test.cpp
+++ b/tests/auto/logging/crash_report_test.cpp
@@ -5,7 +5,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <csignal>
+#include <exception>
 #include <functional>
 #include <new>
 #include <string>
@@ -23,6 +25,19 @@
   std::string output;
 };
 
+/// Time for the report and the end of a process.
+constexpr std::chrono::seconds kMaxReportTime{5};
+
+/// An exception whose report blocks for longer than `kMaxReportTime`, as that of one which was
+/// thrown under the lock of the log's queue does.
+class BlockingException : public std::exception {
+ public:
+  const char* what() const noexcept override {
+    std::this_thread::sleep_for(2 * kMaxReportTime);
+    return "blocked";
+  }
+};
+
 /// Runs `crash` in a process with a crash report and a log on standard error.
 ProcessEnd RunAndCrash(const std::function<void()>& crash) {
   std::array<int, 2> descriptors{};
@@ -62,6 +77,15 @@
   cr_expect(end.output.find("vm-7") != std::string::npos);
 }
 
+// Guards against a process that never ends, as the report of its end waits for a lock that the
+// thread holds itself.
+Test(crash_report, ends_a_process_whose_report_is_blocked) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto end = RunAndCrash([] { std::thread([] { throw BlockingException(); }).join(); });
+  cr_expect(end.signal == SIGABRT);
+  cr_expect(std::chrono::steady_clock::now() - start < kMaxReportTime);
+}
+
 // Guards against a process that ends by a fault in its memory without a line.
 Test(crash_report, reports_a_fatal_signal) {
   const auto end = RunAndCrash([] { raise(SIGSEGV); });
