--- a/src/app/wagtailpick_edge/start_process.cpp
+++ b/src/app/wagtailpick_edge/start_process.cpp
@@ -13,6 +13,7 @@
 #include "wagtailpick_edge/role_loop.h"
 #include "wagtailpick_edge/serve_control.h"
 #include "wagtailpick_edge/serve_entry.h"
+#include "wagtailpick_edge/settings_attempt.h"
 #include "wagtailpick_edge/start_signals.h"
 
 namespace wagtailpick::wagtailpick_edge {
@@ -27,7 +28,8 @@
 constexpr base::Duration kStartRetryInterval = std::chrono::milliseconds(250);
 
 /// Whether a start that failed may succeed without a change by an operator: an address is in use, a
-/// disk refuses reads or writes, or another process holds the lock of the data folder.
+/// disk refuses reads or writes, the log file can't be opened, or another process holds the lock of
+/// the data folder.
 bool MayPass(const base::Error& error) {
   return error.code == ErrorCode::kUnavailable || error.code == ErrorCode::kIo ||
          error.code == ErrorCode::kConflict;
@@ -36,16 +38,17 @@
 /// Loads the settings once the file is complete. Returns the error of the last attempt; stops
 /// early when the process is told to stop.
 base::Result<EdgeSettings> LoadCompleteSettings(const std::string& path, StartSignals& signals) {
-  const auto give_up_at = base::MonotonicNow() + settings::kReplacementTime;
+  const auto give_up_at = base::MonotonicNow() + settings::kMaxReadTime;
   bool reported = false;
   while (true) {
-    auto loaded = LoadEdgeSettings(path);
-    if (loaded || !settings::MayBeIncomplete(path)) return loaded;
-    if (base::MonotonicNow() >= give_up_at) return loaded;
-    if (!std::exchange(reported, true)) {
-      std::cerr << "wagtailpick_edge: waiting for the settings: " << loaded.error().message << "\n";
+    auto attempt = SettingsAttempt::Read(path);
+    if (!attempt.may_change || base::MonotonicNow() >= give_up_at) return attempt.settings;
+    const auto& error = attempt.settings.error();
+    // Not reported for a valid file, which each start finds right after it was written.
+    if (error.code != ErrorCode::kUnavailable && !std::exchange(reported, true)) {
+      std::cerr << "wagtailpick_edge: waiting for the settings: " << error.message << "\n";
     }
-    if (!signals.Wait(settings::kReadRetryInterval)) return loaded;
+    if (!signals.Wait(settings::kReadRetryInterval)) return attempt.settings;
   }
 }
 
@@ -72,16 +75,33 @@
   return 0;
 }
 
-/// Starts the role, again and again while the reason of the failure may pass.
+/// Starts logging, if it has not started yet, and serves. Returns the reason if either fails.
+base::Error LogAndServe(const EdgeSettings& settings, const std::string& path, bool& logging) {
+  if (!logging) {
+    const auto& node = settings.node();
+    const auto started = logging::Start({node.vm, node.data_centre, settings.log_file, true});
+    if (!started) return started.error();
+    logging = true;
+  }
+  return Serve(settings, path);
+}
+
+void ReportDelay(const base::Error& error, bool logging) {
+  if (logging) return logging::Write(Level::kWarning, "start_delayed", error.message);
+  std::cerr << "wagtailpick_edge: start delayed: " << error.message << "\n";
+}
+
+/// Starts logging and the role, again and again while the reason of the failure may pass.
 int ServeOnceReady(EdgeSettings settings, const std::string& path, StartSignals& signals) {
   const auto give_up_at = base::MonotonicNow() + kMaxStartTime;
+  bool logging = false;
   while (true) {
-    const auto error = Serve(settings, path);
+    const auto error = LogAndServe(settings, path, logging);
     if (!MayPass(error) || base::MonotonicNow() >= give_up_at) return EndUnstarted(error);
-    logging::Write(Level::kWarning, "start_delayed", error.message);
+    ReportDelay(error, logging);
     if (!signals.Wait(kStartRetryInterval)) return EndStopped();
     // They may have changed meanwhile; SIGHUP only ends the wait.
-    auto reloaded = LoadEdgeSettings(path);
+    auto reloaded = SettingsAttempt::Read(path).settings;
     if (reloaded) settings = std::move(reloaded.value());
   }
 }
@@ -96,12 +116,6 @@
     std::cerr << loaded.error().message << "\n";
     return settings::kExitWrongInput;
   }
-  const auto& node = loaded.value().node();
-  const auto logging = logging::Start({node.vm, node.data_centre, loaded.value().log_file, true});
-  if (!logging) {
-    std::cerr << "wagtailpick_edge: " << logging.error().message << "\n";
-    return kExitCannotStart;
-  }
   return ServeOnceReady(std::move(loaded.value()), settings_path, signals);
 }
 
--- a/tests/auto/wagtailpick_edge/process_start_test.cpp
+++ b/tests/auto/wagtailpick_edge/process_start_test.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "edge_process.h"
+#include "storage/data_folder.h"
 
 namespace {
 
@@ -36,6 +37,12 @@
   std::ofstream(path, std::ios::trunc) << content;
 }
 
+/// Settings of `entry` cut inside of the port of `readiness`: valid, but with the wrong port.
+std::string CutInsidePort(const EdgeProcess& entry) {
+  const std::string& whole = entry.settings();
+  return whole.substr(0, whole.find('\n', whole.find("readiness")) - 1);
+}
+
 /// Holds `port` of `ip`, as the process before does while it drains.
 class HeldPort {
  public:
@@ -66,6 +73,27 @@
   cr_expect(ServesAfterReplacement("[node]\nrole = entry\nvm = v"));
 }
 
+// Guards against a process that keeps wrong settings for its whole life, as its file was valid when
+// it was read half-written.
+Test(process_start, waits_for_the_rest_of_a_settings_file_that_is_valid_so_far) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  Replace(entry.settings_path(), CutInsidePort(entry));
+  entry.Start();
+  std::this_thread::sleep_for(kReplacement);
+  Replace(entry.settings_path(), entry.settings());
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout), "%s", entry.output().c_str());
+  cr_expect(entry.WaitForListener(EdgeProcess::kSecondPort, kPromptly));
+}
+
+// Guards against a process that never takes a complete file without a newline at its end.
+Test(process_start, takes_a_settings_file_without_a_newline_at_its_end) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  const std::string& whole = entry.settings();
+  Replace(entry.settings_path(), whole.substr(0, whole.size() - 1));
+  entry.Start();
+  cr_expect(entry.WaitForOutput("process_started", kStartTimeout), "%s", entry.output().c_str());
+}
+
 // Guards against a process that ends because its settings file is missing for a moment.
 Test(process_start, waits_for_a_settings_file_that_is_missing) {
   auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
@@ -139,6 +167,45 @@
   cr_expect(replica.WaitForEnd(kPromptly) == kExitCannotStart, "%s", replica.output().c_str());
 }
 
+// Guards against waiting for a data folder that belongs to another replica as if it were locked.
+Test(process_start, rejects_the_data_folder_of_another_replica_at_once) {
+  auto replica = EdgeProcess::Replica(WAGTAILPICK_EDGE);
+  {
+    auto other =
+        storage::DataFolder::Open(storage::PosixFileOps(), replica.folder().Path("data"), "other");
+    cr_assert(other.has_value());
+    cr_assert(other.value().BeginSetUp(1).has_value());
+  }
+  replica.Start();
+  cr_expect(replica.WaitForEnd(kPromptly) == kExitCannotStart, "%s", replica.output().c_str());
+  cr_expect(replica.output().find("belongs to replica \"other\"") != std::string::npos);
+}
+
+// Guards against a process that ends for good because its log file cannot be opened for a moment.
+Test(process_start, waits_for_a_log_file_that_cannot_be_opened) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  const std::string folder = entry.folder().Path("logs");
+  const std::string log_file = folder + "/edge.log";
+  Replace(entry.settings_path(), entry.settings() + "[node]\nlog_file = " + log_file + "\n");
+  entry.Start();
+  cr_assert(entry.WaitForOutput("can't be opened", kStartTimeout), "%s", entry.output().c_str());
+  std::filesystem::create_directory(folder);
+  cr_expect(entry.WaitForListener(EdgeProcess::kServicePort, kStartTimeout), "%s",
+            entry.output().c_str());
+  cr_expect(std::filesystem::exists(log_file));
+  entry.Signal(SIGTERM);
+  cr_expect(entry.WaitForEnd(kMaxStopTime) == 0, "%s", entry.output().c_str());
+}
+
+// Guards against a process that never reports that its log file cannot be opened.
+Test(process_start, ends_when_its_log_file_cannot_be_opened) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  Replace(entry.settings_path(), entry.settings() + "[node]\nlog_file = /no/such/folder/log\n");
+  entry.Start();
+  cr_expect(entry.WaitForEnd(kMaxStartTime) == kExitCannotStart);
+  cr_expect(entry.output().find("can't be opened") != std::string::npos);
+}
+
 // Guards against a signal that is not handled while the process waits: SIGHUP must not end it, and
 // SIGTERM must end it at once.
 Test(process_start, handles_signals_while_it_waits) {
@@ -165,6 +232,18 @@
   cr_expect(entry.WaitForOutput("settings_reloaded", kStartTimeout), "%s", entry.output().c_str());
 }
 
+// Guards against a reload that takes wrong settings, as the file is valid while it is half-written.
+Test(process_start, reloads_no_settings_that_are_valid_but_half_written_at_sighup) {
+  auto entry = EdgeProcess::Entry(WAGTAILPICK_EDGE);
+  entry.Start();
+  cr_assert(entry.WaitForOutput("process_started", kStartTimeout));
+  Replace(entry.settings_path(), CutInsidePort(entry));
+  entry.Signal(SIGHUP);
+  cr_expect(!entry.WaitForOutput("settings_reloaded", kReplacement), "%s", entry.output().c_str());
+  Replace(entry.settings_path(), entry.settings());
+  cr_expect(entry.WaitForOutput("settings_reloaded", kStartTimeout), "%s", entry.output().c_str());
+}
+
 // Guards against a reload that never reports that the settings stay invalid, and against one that
 // delays the end of the process.
 Test(process_start, reports_settings_that_stay_invalid_at_sighup) {
