Serve for the full time after a late signal to stop

Cause: a drain served for 3.2 s from the earliest time at which the signal can have come. The replicas and the directory learn of the drain only when the signal is handled, and callers cache lookup answers for 2 s from then. After a loop that was blocked for B seconds, 3.2 - B seconds of serving were left.

The relay still decides by the time of the signal which requests it takes.

Conclusion: callers that had looked up the address before such a drain were refused a connection. They are served or get 503 now.

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -13,7 +13,7 @@
 
 /// Callers cache lookup answers for up to `ControlOptions::directory_lifetime` (2 s at most), so
 /// they are served for some time after the drain has started, or for `kServeFraction` of a short
-/// grace time.
+/// grace time. Callers learn of the drain when it starts, however late that is after the signal.
 constexpr base::Duration kServeWhileDraining = std::chrono::milliseconds(3'200);
 constexpr double kServeFraction = 0.6;
 /// A drain ends only when no caller has connected or sent a request for this time.
@@ -49,14 +49,15 @@
       listeners_(listeners),
       done_(std::move(done)),
       signalled_at_(signalled_at),
+      started_at_(base::MonotonicNow()),
       grace_timer_(loop),
       last_answers_timer_(loop) {
-  const auto delay = base::MonotonicNow() - signalled_at_;
+  const auto delay = started_at_ - signalled_at_;
   logging::Write(Level::kInfo, "drain_started", "no new callers are directed to this entry",
                  {{"running", std::to_string(relay_.running())},
                   {"delay_ms", std::to_string(delay.count() / 1'000)}});
   relay_.StartDraining(signalled_at_, grace_);
-  exit_at_ = base::MonotonicNow() + grace_ - EndMargin(kExitMargin, grace_);
+  exit_at_ = started_at_ + grace_ - EndMargin(kExitMargin, grace_);
   grace_timer_.expires_after(grace_ - EndMargin(kExitMargin + kLastAnswersTime, grace_));
   grace_timer_.async_wait([this](asio::error_code error) {
     if (!error) EndRequests();
@@ -96,8 +97,11 @@
 }
 
 void EntryDrain::Check(base::MonotonicTime now) {
-  const auto serve_until = std::min(kServeWhileDraining, base::Scale(grace_, kServeFraction));
-  if (stopped_accepting_at_ || now - signalled_at_ < serve_until) return;
+  const auto serve_for = std::min(kServeWhileDraining, base::Scale(grace_, kServeFraction));
+  const auto killed_at = signalled_at_ + grace_;
+  const auto serve_until = std::min(started_at_ + serve_for,
+                                    killed_at - EndMargin(kExitMargin + kLastAnswersTime, grace_));
+  if (stopped_accepting_at_ || now < serve_until) return;
   auto& callers = listeners_.callers;
   callers.CloseIdle();
   // Waits for connections that were just accepted and for answers that are still being written.
--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -24,7 +24,9 @@
   /// Starts the drain. `signalled_at` is the earliest time at which the signal to stop can have
   /// come; the relay takes only requests that end within `grace` from then. Calls `done` once all
   /// requests have ended, or shortly before `grace` has passed since the drain started: those that
-  /// run already get all the time that there may be.
+  /// run already get all the time that there may be. Without requests, callers that have looked up
+  /// the address just before the drain started are still served, unless `grace` after
+  /// `signalled_at` comes first.
   EntryDrain(asio::io_context& loop, base::MonotonicTime signalled_at, base::Duration grace,
              relay::Relay& relay, Listeners listeners, std::function<void()> done);
   EntryDrain(const EntryDrain&) = delete;
@@ -50,6 +52,8 @@
   Listeners listeners_;
   std::function<void()> done_;
   base::MonotonicTime signalled_at_;
+  /// When the signal was handled.
+  base::MonotonicTime started_at_;
   base::MonotonicTime exit_at_;
   /// Set once the listeners have stopped to accept.
   std::optional<base::MonotonicTime> stopped_accepting_at_;
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -45,6 +45,9 @@
 
 /// The time that a loop is blocked while the signal to stop waits.
 constexpr base::Duration kBlockedFor = milliseconds(1'500);
+constexpr base::Duration kLongBlock = milliseconds(3'300);
+/// Callers use an address for this time after they have looked it up.
+constexpr base::Duration kAddressLifetime = std::chrono::seconds(2);
 constexpr base::Duration kShortGrace = std::chrono::seconds(2);
 
 }  // namespace
@@ -129,6 +132,26 @@
   cr_expect(in_time->status == 200, "%d", in_time->status);
 }
 
+// Guards against a drain that ends before callers have forgotten the address: they learn of it only
+// when the signal is handled. After a loop that was blocked for 3.3 s, it ended at once.
+Test(entry_drain, serves_until_callers_have_forgotten_it, .timeout = 60) {
+  const ControlGroup group;
+  cr_assert(group.CallUntilAccepted(platform::PutConfig(ConfigWithLongCharges())));
+  EntryHost entry(group, kGrace);
+  cr_assert(entry.WaitUntilReady());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  entry.DrainAfterBlockedLoop(kLongBlock);
+  std::this_thread::sleep_for(kLongBlock);
+  const auto handled_at = base::MonotonicNow();
+  while (!entry.drained() && base::MonotonicNow() < handled_at + kGrace) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_assert(entry.drained());
+  const auto served_for = base::MonotonicNow() - handled_at;
+  cr_expect(served_for > kAddressLifetime, "drain ended %lld ms after the signal was handled",
+            static_cast<long long>(served_for.count() / 1'000));
+}
+
 // Guards against a connection that is closed without an answer at the end of the grace time, which
 // tells its caller nothing: a charge that was passed on before the signal and takes 3 s.
 Test(entry_drain, answers_what_still_runs_at_the_end, .timeout = 60) {
