Count a signal from before a pause whose backlog delays ticks

Cause: RecordTick kept only the tick before the last one. After a long pause the backlog can make the next tick late, too, and the pause was forgotten: with ticks at 200, 1700 and 1960 ms, a signal of just after 200 ms counted from 1700 ms.

Change: a row of late ticks keeps the tick before its first one, for kMaxLateTicks (3) late ticks. The cap is for a loop that is always late, which would count ever older times. A tick on time ends the row, as before.

The test goes_back_two_ticks_at_most demanded that the second late tick in a row forgets the first pause. That was wrong: a signal that came in the first pause can wait behind its backlog. goes_back_three_late_ticks_at_most replaces it with exact times, too: the third late tick still counts from the first pause, the fourth one no longer does, and a tick on time forgets all.

--- a/src/libs/node/loop_delay.h
+++ b/src/libs/node/loop_delay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <optional>
+#include <deque>
 
 #include "base/monotonic_time.h"
 
@@ -17,7 +17,8 @@
   void RecordTick(base::MonotonicTime now);
 
   /// Earliest time at which an event that is handled at `now` can have come; `now` itself unless
-  /// the loop was blocked at the last tick or is late for the next one.
+  /// the loop was blocked at the last tick or is late for the next one. After several late ticks
+  /// in a row, it is the tick before the first of the last `kMaxLateTicks` ones.
   base::MonotonicTime EarliestArrival(base::MonotonicTime now) const;
 
  private:
@@ -25,9 +26,9 @@
 
   base::Duration interval_;
   base::MonotonicTime last_tick_;
-  /// The tick before the last one, if the last one was late: events that came in between may wait
-  /// to be handled still.
-  std::optional<base::MonotonicTime> blocked_since_;
+  /// The tick before each tick of the current row of late ones, oldest first: events that came in
+  /// between may wait to be handled still. Empty if the last tick was on time.
+  std::deque<base::MonotonicTime> blocked_since_;
 };
 
 }  // namespace wagtailpick::node
