Refuse an unsent request whose client ends its stream

Cause: HandleClientStreamEnded ended each idempotent request, and each one that had not been sent, with a closed connection. A client that only ends its sending half and waits for the answer cannot tell whether its request has run.

Change: a request that holds no sent attempt, and that no upstream may have run, gets 503 with Retry-After before the close, while it waits for a token or for a connection. It is never sent afterwards. A sent idempotent request ends as before, without an answer, so that its upstream does not work for a client that has left.

Measured: the two cells "awaits token, client stream ended" and "connecting, client stream ended" of test_relay request_ends expected no answer; they expect exactly one 503 now.

Conclusion: callers that end their sending half get a closed connection only if an idempotent request was sent. For a client that has left, the answer is lost.

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -187,13 +187,19 @@
 
 // A request that cannot be sent again and may have run is worth its upstream's time: its caller may
 // wait for the answer, and cannot ask for it again. Others end, as most clients that end their
-// stream have left.
+// stream have left. One that has not run is refused: a client that waits may send it again, and for
+// one that has left the answer costs nothing.
 bool RequestRun::HandleClientStreamEnded() {
   if (finished_) return false;
-  const bool continues = !placement_request_.route->idempotent && MayHaveRun();
+  const bool may_have_run = MayHaveRun();
+  const bool continues = !placement_request_.route->idempotent && may_have_run;
   client_stream_ended_ = true;
   Log(Level::kInfo, "client_stream_ended", continues ? "continues" : "ends",
       {{"upstream", choice_.upstream}, {"sends", std::to_string(sends_)}});
+  if (!may_have_run) {
+    EndAllAttempts("not_sent");
+    Refuse(kClientStreamEndedReason);
+  }
   return continues;
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -92,7 +92,7 @@
   void HandleTimeout();
   void HandleClientLeft();
   /// Handles a client that ended its stream: it has closed the connection, or waits for the answer.
-  /// Returns whether the request goes on.
+  /// Refuses a request that has not run. Returns whether the request goes on.
   bool HandleClientStreamEnded();
   /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs.
   /// Without `retry_after`, the Retry-After header is derived from the time that the caller has
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -96,8 +96,8 @@
 /// Returns the status that the caller gets. None of the upstreams answers in time.
 int ExpectedStatus(State state, Event event) {
   if (event == Event::kClientReset || event == Event::kClientClosed) return kNoAnswer;
-  if (event == Event::kClientStreamEnded && !ContinuesWithoutStream(state)) return kNoAnswer;
   if (!IsSent(state)) return kNotRun;
+  if (event == Event::kClientStreamEnded && !ContinuesWithoutStream(state)) return kNoAnswer;
   return event == Event::kGraceTimeOver ? kMayHaveRun : kTimedOut;
 }
 
