Refuse unsent requests in time after a late signal to stop

Cause: after a signal that is handled late, EndRequests and the exit count from the time of handling, so that requests that run get all the time that there may be. SIGKILL can come before that, and a request that was read and not sent yet (it waits for a token or a connection) then ended without an answer.

Change: 0.3 s (kDrainEndMargin) before the grace time from the signal has passed, requests that have not been sent get 503. This costs no request its answer, as the relay starts no attempt from then on. Sent ones still have until the time by handling.

A new event in test_relay request_ends meets all states: unsent requests get 503, sent ones go on.

Conclusion: callers whose request was not passed on get 503 before the process is killed. A connection opens or is given up within 0.4 s, so this concerns only signals that are handled in the last 0.7 s of the grace time, and the last 0.3 s of a drain on time.

--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -50,6 +50,7 @@
       done_(std::move(done)),
       signalled_at_(signalled_at),
       started_at_(base::MonotonicNow()),
+      unsent_timer_(loop),
       grace_timer_(loop),
       last_answers_timer_(loop) {
   const auto delay = started_at_ - signalled_at_;
@@ -57,6 +58,7 @@
                  {{"running", std::to_string(relay_.running())},
                   {"delay_ms", std::to_string(delay.count() / 1'000)}});
   relay_.StartDraining(signalled_at_, grace_);
+  ScheduleRefusalOfUnsent();
   exit_at_ = started_at_ + grace_ - EndMargin(kExitMargin, grace_);
   grace_timer_.expires_after(grace_ - EndMargin(kExitMargin + kLastAnswersTime, grace_));
   grace_timer_.async_wait([this](asio::error_code error) {
@@ -64,6 +66,15 @@
   });
 }
 
+void EntryDrain::ScheduleRefusalOfUnsent() {
+  // The relay starts no attempt after this time.
+  const auto refuse_at = signalled_at_ + grace_ - relay::kDrainEndMargin;
+  unsent_timer_.expires_after(refuse_at - base::MonotonicNow());
+  unsent_timer_.async_wait([this](asio::error_code error) {
+    if (!error) ended_requests_ += relay_.RefuseUnsentRequests();
+  });
+}
+
 void EntryDrain::EndRequests() {
   StopAccepting("the grace time has passed");
   ended_requests_ += relay_.EndRequests();
--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -37,6 +37,9 @@
   void Check(base::MonotonicTime now);
 
  private:
+  /// Refuses the requests that have not been sent when the process may be killed soon, counted from
+  /// the signal: no attempt may start any more.
+  void ScheduleRefusalOfUnsent();
   /// Answers the requests that still run, as the process exits soon.
   void EndRequests();
   /// Stops to accept, so that the kernel completes no connection that nobody would serve.
@@ -60,6 +63,8 @@
   std::string cause_;
   /// Requests that were answered because the process exits.
   std::size_t ended_requests_ = 0;
+  /// Refuses unsent requests when the grace time from the signal is nearly over.
+  asio::steady_timer unsent_timer_;
   /// Ends the drain when the grace time is nearly over.
   asio::steady_timer grace_timer_;
   asio::steady_timer last_answers_timer_;
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -50,14 +50,24 @@
   std::make_shared<RequestRun>(*this, std::move(inbound))->Start();
 }
 
-std::size_t Relay::EndRequests() {
-  // A request that ends removes itself from the list.
+std::vector<std::shared_ptr<RequestRun>> Relay::CopyRuns() const {
   std::vector<std::shared_ptr<RequestRun>> runs;
   for (auto* run : *runs_) runs.push_back(run->shared_from_this());
+  return runs;
+}
+
+std::size_t Relay::EndRequests() {
+  const auto runs = CopyRuns();
   return static_cast<std::size_t>(std::count_if(
       runs.begin(), runs.end(), [](const auto& run) { return run->EndBeforeExit(); }));
 }
 
+std::size_t Relay::RefuseUnsentRequests() {
+  const auto runs = CopyRuns();
+  return static_cast<std::size_t>(
+      std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run->RefuseUnsent(); }));
+}
+
 void Relay::RecordRefusedForMemory(const http::Request& head) {
   metrics_.RecordAnswer(kNoMemoryReason, base::Duration::zero());
   const auto attributes = dialect_.parse_request(head);
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -104,6 +104,8 @@
   /// Answers each request that has not ended, before the process exits: 503 if it has not run, 502
   /// if an attempt may have run it or still runs. Returns their number.
   std::size_t EndRequests();
+  /// Answers 503 to each request that has not been sent to an upstream. Returns their number.
+  std::size_t RefuseUnsentRequests();
   /// Number of requests that have not ended.
   std::size_t running() const { return runs_->size(); }
   /// Closes idle connections that are too old, and drops the limits of upstreams that are gone. To
@@ -118,6 +120,8 @@
     base::Duration grace;
   };
 
+  /// The requests that have not ended: one that ends removes itself from `runs_`.
+  std::vector<std::shared_ptr<RequestRun>> CopyRuns() const;
   /// Marks a run that announced in an answer that it is leaving.
   void HandleLeaving(const std::string& id, std::int64_t started_unix_ms,
                      const std::string& request_id);
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -25,6 +25,8 @@
   void Start();
   /// Answers the request at once because the process exits. Returns false if it has ended already.
   bool EndBeforeExit();
+  /// Refuses the request if it has not been sent yet, as the entry drains. Returns whether it did.
+  bool RefuseUnsent();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
--- a/src/libs/relay/request_run_drain.cpp
+++ b/src/libs/relay/request_run_drain.cpp
@@ -36,12 +36,14 @@
 
 bool RequestRun::EndBeforeExit() {
   if (finished_) return false;
-  if (MayHaveRun()) {
-    Fail(kGraceTimeOverReason);
-  } else {
-    EndAllAttempts("not_sent");
-    RefuseStopping();
-  }
+  if (!RefuseUnsent()) Fail(kGraceTimeOverReason);
+  return true;
+}
+
+bool RequestRun::RefuseUnsent() {
+  if (finished_ || MayHaveRun()) return false;
+  EndAllAttempts("not_sent");
+  RefuseStopping();
   return true;
 }
 
--- a/tests/auto/platform/entry_drain_test.cpp
+++ b/tests/auto/platform/entry_drain_test.cpp
@@ -1,11 +1,19 @@
+#include "node/entry_drain.h"
+
 #include <criterion/criterion.h>
 
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <deque>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "entry_host.h"
+#include "net/http_text.h"
+#include "platform/caller_dialect.h"
+#include "platform/catalog_json.h"
 #include "platform/standin_wire.h"
 
 namespace {
@@ -50,6 +58,108 @@
 constexpr base::Duration kAddressLifetime = std::chrono::seconds(2);
 constexpr base::Duration kShortGrace = std::chrono::seconds(2);
 
+/// Time in which a request is read and its connection to an upstream begins to open. With
+/// `kDrainFor` it is less than the 400 ms after which the opening is given up.
+constexpr base::Duration kReadFor = milliseconds(50);
+constexpr base::Duration kDrainFor = milliseconds(200);
+/// Less of the grace time is left than the margin in which no attempt starts.
+constexpr base::Duration kLittleTime = milliseconds(250);
+
+/// A drain on a loop that runs only within `RunFor`, with an upstream that never answers.
+class LateDrain {
+ public:
+  /// A silent upstream does not even accept connections: the queue of its socket is full.
+  explicit LateDrain(bool silent) : upstream_(loop_, {asio::ip::address_v4::loopback(), 0}) {
+    upstream_.listen(silent ? 0 : asio::socket_base::max_listen_connections);
+    for (int i = 0; silent && i < kQueuedConnections; ++i) {
+      queued_.emplace_back(outside_).async_connect(upstream_.local_endpoint(),
+                                                   [](asio::error_code) {});
+    }
+    auto catalog = platform::DecodeCatalog(ConfigWithLongCharges());
+    cr_assert(catalog.has_value());
+    routing_state_.catalog = std::make_shared<const catalog::Catalog>(std::move(catalog.value()));
+    upstreams::UpstreamReport report;
+    report.id = "i-late";
+    report.service = "menu";
+    report.address = "127.0.0.1:" + std::to_string(upstream_.local_endpoint().port());
+    report.data_centre = "dc-0";
+    routing_state_.upstreams.Apply(report, {}, base::MonotonicNow());
+    relay_ = std::make_unique<relay::Relay>(loop_, Options(), platform::CallerDialect(),
+                                            routing_state_, metrics_);
+    relay_->SetEntries({Options().vm});
+    callers_ = Listen();
+    readiness_ = Listen();
+  }
+
+  void RunFor(base::Duration time) { loop_.run_for(time); }
+  std::size_t running() const { return relay_->running(); }
+
+  void Send(const http::Request& request) {
+    client_.connect({asio::ip::address_v4::loopback(), callers_endpoint_.port});
+    asio::write(client_, asio::buffer(net::RenderRequestHead(request, 0)));
+  }
+  /// Returns what has been received.
+  std::string Received() {
+    std::string received(client_.available(), '\0');
+    client_.read_some(asio::buffer(received));
+    return received;
+  }
+  /// Starts the drain for a signal that came `ago`.
+  void Start(base::Duration ago) {
+    drain_ = std::make_unique<node::EntryDrain>(loop_, base::MonotonicNow() - ago, kGrace, *relay_,
+                                                node::EntryDrain::Listeners{*callers_, *readiness_},
+                                                [] {});
+  }
+
+ private:
+  static constexpr int kQueuedConnections = 4;
+  static constexpr int kMaxBinds = 20;
+
+  static relay::RelayOptions Options() {
+    relay::RelayOptions options;
+    options.vm = "e-late";
+    options.data_centre = "dc-0";
+    options.regions = {{"dc-0", "region"}};
+    return options;
+  }
+
+  /// Tries other ports if another process takes the free one first.
+  std::unique_ptr<net::HttpListener> Listen() {
+    for (int i = 0; i < kMaxBinds; ++i) {
+      base::Endpoint endpoint{"127.0.0.1", 0};
+      {
+        const asio::ip::tcp::acceptor probe(loop_, {asio::ip::address_v4::loopback(), 0});
+        endpoint.port = probe.local_endpoint().port();
+      }
+      auto started = net::HttpListener::Start(
+          loop_, endpoint,
+          [this](std::shared_ptr<net::InboundRequest> inbound) {
+            relay_->Handle(std::move(inbound));
+          },
+          [] { return net::ServerPolicy(); });
+      if (!started) continue;
+      if (callers_ == nullptr) callers_endpoint_ = endpoint;
+      return std::move(started.value());
+    }
+    cr_assert(false, "no port is free");
+    return nullptr;
+  }
+
+  /// Never runs: connecting only begins.
+  asio::io_context outside_;
+  asio::io_context loop_;
+  asio::ip::tcp::acceptor upstream_;
+  std::deque<asio::ip::tcp::socket> queued_;
+  relay::RoutingState routing_state_;
+  metrics::Registry metrics_;
+  std::unique_ptr<relay::Relay> relay_;
+  base::Endpoint callers_endpoint_;
+  std::unique_ptr<net::HttpListener> callers_;
+  std::unique_ptr<net::HttpListener> readiness_;
+  std::unique_ptr<node::EntryDrain> drain_;
+  asio::ip::tcp::socket client_{outside_};
+};
+
 }  // namespace
 
 // Guards against requests that an entry takes after SIGTERM and then cuts: those that came 3.0 to
@@ -197,3 +307,19 @@
   cr_assert(entry.drained());
   cr_expect(entry.accepting_addresses() == 0);
 }
+
+// Guards against SIGKILL before the answer of a request that was read and not sent: after a late
+// signal, it was answered by the time at which the signal was handled. A sent one may still end.
+Test(entry_drain, refuses_unsent_requests_before_the_kill_after_a_late_signal) {
+  for (const bool is_sent : {false, true}) {
+    LateDrain drain(!is_sent);
+    drain.Send(platform::ClientRequest("POST", "/charge/1", "id-unsent", kLongDeadlineMs, "o"));
+    drain.RunFor(kReadFor);
+    cr_assert(drain.running() == 1);
+    drain.Start(kGrace - kLittleTime);
+    drain.RunFor(kDrainFor);
+    const auto received = drain.running() == 0 ? drain.Received() : std::string();
+    cr_expect(drain.running() == (is_sent ? 1U : 0U));
+    cr_expect(received.starts_with(is_sent ? "" : "HTTP/1.1 503 "), "%s", received.c_str());
+  }
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -256,6 +256,12 @@
   return ended;
 }
 
+std::size_t RelayHost::RefuseUnsentRequests() {
+  std::size_t refused = 0;
+  RunOnLoop([&] { refused = relay_->RefuseUnsentRequests(); });
+  return refused;
+}
+
 void RelayHost::SetRouteTimeout(base::Duration timeout) {
   RunOnLoop([&] {
     routing_state_.catalog =
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -95,6 +95,8 @@
   /// Makes the relay answer all requests that run, as before the process exits. Returns
   /// their number.
   std::size_t EndRequests();
+  /// Makes the relay refuse all requests that have not been sent. Returns their number.
+  std::size_t RefuseUnsentRequests();
   /// Puts a catalog in force in which the route has another timeout.
   void SetRouteTimeout(base::Duration timeout);
   /// Reports that the upstream at `address` has left.
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -63,6 +63,7 @@
   kDrainEarly,
   kDrainLate,
   kSecondSignal,
+  kUnsentRefused,
   kGraceTimeOver,
   kClientReset,
   kClientClosed,
@@ -72,10 +73,11 @@
   kReplicasLost,
 };
 
-constexpr std::array<EnumName<Event>, 10> kEventNames{{
+constexpr std::array<EnumName<Event>, 11> kEventNames{{
     {Event::kDrainEarly, "drain, early"},
     {Event::kDrainLate, "drain, late"},
     {Event::kSecondSignal, "second signal"},
+    {Event::kUnsentRefused, "unsent requests refused"},
     {Event::kGraceTimeOver, "grace time over"},
     {Event::kClientReset, "client reset the connection"},
     {Event::kClientClosed, "client closed the connection"},
@@ -212,6 +214,10 @@
       case Event::kSecondSignal:
         host_->StartDraining(milliseconds(0), kGrace);
         return host_->StartDraining(milliseconds(100), kGrace);
+      case Event::kUnsentRefused:
+        host_->StartDraining(kGrace, kGrace);
+        cr_expect(host_->RefuseUnsentRequests() == (IsSent(state_) ? 0 : 1));
+        return;
       case Event::kGraceTimeOver:
         host_->StartDraining(kGrace, kGrace);
         cr_expect(host_->EndRequests() == 1);
