--- a/src/libs/node/entry_drain.h
+++ b/src/libs/node/entry_drain.h
@@ -24,7 +24,9 @@
   /// Starts the drain. `signalled_at` is the earliest time at which the signal to stop can have
   /// come; the relay takes only requests that end within `grace` from then. Calls `done` once all
   /// requests have ended, or shortly before `grace` has passed since the drain started: those that
-  /// run already get all the time that there may be.
+  /// run already get all the time that there may be. Without requests, callers that have looked up
+  /// the address just before the drain started are still served, unless `grace` after
+  /// `signalled_at` comes first.
   EntryDrain(asio::io_context& loop, base::MonotonicTime signalled_at, base::Duration grace,
              relay::Relay& relay, Listeners listeners, std::function<void()> done);
   EntryDrain(const EntryDrain&) = delete;
@@ -35,6 +37,9 @@
   void Check(base::MonotonicTime now);
 
  private:
+  /// Refuses the requests that have not been sent when the process may be killed soon, counted from
+  /// the signal: no attempt may start any more.
+  void ScheduleRefusalOfUnsent();
   /// Answers the requests that still run, as the process exits soon.
   void EndRequests();
   /// Stops to accept, so that the kernel completes no connection that nobody would serve.
@@ -50,12 +55,16 @@
   Listeners listeners_;
   std::function<void()> done_;
   base::MonotonicTime signalled_at_;
+  /// When the signal was handled.
+  base::MonotonicTime started_at_;
   base::MonotonicTime exit_at_;
   /// Set once the listeners have stopped to accept.
   std::optional<base::MonotonicTime> stopped_accepting_at_;
   std::string cause_;
   /// Requests that were answered because the process exits.
   std::size_t ended_requests_ = 0;
+  /// Refuses unsent requests when the grace time from the signal is nearly over.
+  asio::steady_timer unsent_timer_;
   /// Ends the drain when the grace time is nearly over.
   asio::steady_timer grace_timer_;
   asio::steady_timer last_answers_timer_;
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -25,6 +25,8 @@
   void Start();
   /// Answers the request at once because the process exits. Returns false if it has ended already.
   bool EndBeforeExit();
+  /// Refuses the request if it has not been sent yet, as the entry drains. Returns whether it did.
+  bool RefuseUnsent();
 
  private:
   /// One sending of the request. A hedged request has two attempts at the same time.
@@ -92,7 +94,7 @@
   void HandleTimeout();
   void HandleClientLeft();
   /// Handles a client that ended its stream: it has closed the connection, or waits for the answer.
-  /// Returns whether the request goes on.
+  /// Refuses a request that has not run. Returns whether the request goes on.
   bool HandleClientStreamEnded();
   /// Answers 503: the request did not run. Answers 502 if an attempt may have run it or still runs.
   /// Without `retry_after`, the Retry-After header is derived from the time that the caller has
