Refuse new requests before wagtailpickd's last wait

Cause: once no request was running, a stopping wagtailpickd waited 200 ms for the last answers to be written, with its listener open and its dispatcher still starting requests, and ended. A request that started in this time was cut after it had been passed on. A request that was queued for the dispatcher's loop was not counted as running either. At the time limit of 25 s, the running requests were cut, too.

Change: when the lookup answers that name the entry have expired, the dispatcher's loop refuses all requests that are not started, those queued before included, with 503 "stopping" and `Connection: close`; requests forwarded by other entries are refused as not run, and announcements with 503. From then on the number of running requests does not rise, so its zero is final. At the time limit, requests that were passed on are answered 502, those that wait for a claim 503. The listener is closed before the last wait. New connections are then refused.

The limit of 25 s itself and a request that waits for its claim at the limit are not tested.

Conclusion: callers that use the address until the process has ended get their answer or 503 with the verdict not_run (may_have_run with an idempotency key, as the claim was not checked). A request that arrives on an idle open connection in the last moment before the process ends still gets no answer; it has not run.

--- a/src/app/wagtailpickd/daemon.cpp
+++ b/src/app/wagtailpickd/daemon.cpp
@@ -1,7 +1,9 @@
 #include "wagtailpickd/daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -90,14 +92,22 @@
 void Daemon::Drain(base::Duration timeout) {
   state_->events.Record(base::WallNowMillis(), timeline::EventKind::kProcessStopping, "", "drain");
   if (state_->entry == nullptr) return;
-  const auto started = base::MonotonicNow();
-  state_->entry->StartDrain();
-  const auto serve_until = started + state_->entry->LookupAnswerLifetime() + kDrainPropagationTime;
-  while (base::MonotonicNow() < started + timeout) {
-    const bool is_done = base::MonotonicNow() >= serve_until && state_->entry->running() == 0;
-    if (is_done) break;
+  auto& entry = *state_->entry;
+  const auto end = base::MonotonicNow() + timeout;
+  entry.StartDrain();
+  const auto serve_time = entry.LookupAnswerLifetime() + kDrainPropagationTime;
+  std::this_thread::sleep_for(std::min(serve_time, timeout));
+  // Requests are refused from here on: one that started during the last wait would be cut.
+  entry.RefuseNewRequests();
+  while (entry.running() > 0 && base::MonotonicNow() < end) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
+  if (entry.running() > 0) {
+    logging::Write(logging::Level::kWarning, "drain_timed_out",
+                   std::to_string(entry.running()) + " requests are still running");
+    entry.AnswerRunningRequests();
+  }
+  entry.StopAccepting();
   std::this_thread::sleep_for(kAnswerWriteTime);
 }
 
--- a/src/app/wagtailpickd/daemon.h
+++ b/src/app/wagtailpickd/daemon.h
@@ -20,8 +20,9 @@
   Daemon& operator=(const Daemon&) = delete;
 
   /// Drains the entry, if there is one, and blocks until it is drained. Takes this VM out of lookup
-  /// answers at once and serves until all lookup answers that name it have expired and no request
-  /// runs, or until `timeout` has passed; then waits briefly for the last answers to be written.
+  /// answers at once and serves until all lookup answers that name it have expired. Then refuses
+  /// new requests until none runs; those that still run after `timeout` are answered with an error.
+  /// Closes the HTTP listener at the end and waits briefly for the last answers to be written.
   void Drain(base::Duration timeout);
 
  private:
--- a/src/libs/entry/decision_answer.cpp
+++ b/src/libs/entry/decision_answer.cpp
@@ -96,4 +96,22 @@
   return response;
 }
 
+http::Response StoppingAnswer(const http::Request& request) {
+  const bool has_key = http::FindHeader(request.headers, "Idempotency-Key") != nullptr;
+  const auto info = MakeInfo(503, "stopping", "this entry is stopping; use another entry",
+                             has_key ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun);
+  auto response = ErrorAnswer(info);
+  response.headers.push_back({"Connection", "close"});
+  return response;
+}
+
+rpc::ForwardReply StoppingReply(const rpc::ForwardRequest& request) {
+  rpc::ForwardReply reply;
+  reply.set_request_id(request.request_id());
+  reply.set_verdict(std::string(base::ToString(base::Verdict::kNotRun)));
+  reply.set_reason("stopping");
+  reply.set_retry_after_ms(kOverloadRetryMs);
+  return reply;
+}
+
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/decision_answer.h
+++ b/src/libs/entry/decision_answer.h
@@ -30,4 +30,11 @@
 http::Response NoLeaseAnswer(const http::Request& request, const View* view,
                              const std::string& own_region);
 
+/// Returns the answer to a request that comes when this entry no longer starts any. It closes the
+/// connection, so that the caller's next request goes to another entry.
+http::Response StoppingAnswer(const http::Request& request);
+
+/// Returns the same refusal for a request that another entry has forwarded.
+rpc::ForwardReply StoppingReply(const rpc::ForwardRequest& request);
+
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -80,6 +80,7 @@
 }
 
 void Dispatcher::StartRequest(const http::Request& request, const http::ResponseSink& sink) {
+  if (refuses_new_) return sink(StoppingAnswer(request));
   const ViewPtr view = session_.view();
   if (!session_.IsActive(base::MonotonicNow())) {
     return sink(NoLeaseAnswer(request, view.get(), options_.region));
@@ -100,6 +101,7 @@
     --running_;
     return sink(OverloadedAnswer(*flow));
   }
+  flows_.insert(flow);
   retries_.OnRequest(flow->started);
   if (flow->request.is_idempotent) return Route(flow);
   Claim(flow);
@@ -119,6 +121,7 @@
 }
 
 void Dispatcher::HandleDecision(const FlowPtr& flow, const claims::Decision& decision) {
+  if (flow->answered) return ReleaseUnusedClaim(flow, decision);
   if (decision.result == claims::RoundResult::kRun) {
     flow->claimed = true;
     return Route(flow);
@@ -190,6 +193,7 @@
 }
 
 void Dispatcher::HandleReply(const FlowPtr& flow, const base::Result<rpc::ForwardReply>& reply) {
+  if (flow->answered) return;
   const auto now = base::MonotonicNow();
   if (!reply || !IsIntact(flow->request.forward, reply.value())) {
     steering_.RecordRefusal(flow->target, now);
@@ -223,6 +227,7 @@
 }
 
 void Dispatcher::Finish(const FlowPtr& flow, const rpc::ForwardReply& reply) {
+  if (flow->answered) return;
   const base::Verdict verdict = VerdictOf(reply);
   if (verdict != base::Verdict::kRan) {
     if (flow->claimed && verdict == base::Verdict::kNotRun) {
@@ -275,7 +280,10 @@
     response.headers.push_back({"X-Wagtailpick-Verdict", name});
     response.headers.push_back({"X-Wagtailpick-Request-Id", flow->request.forward.request_id()});
   }
+  if (refuses_new_) response.headers.push_back({"Connection", "close"});
   limit_.Release();
+  flow->answered = true;
+  flows_.erase(flow);
   flow->sink(std::move(response));
   --running_;
 }
@@ -306,29 +314,6 @@
   });
 }
 
-void Dispatcher::StartDrain() {
-  loop_.TryPost([this] {
-    draining_ = true;
-    owner_.BeginHandover();
-    context_.events.Record(base::WallNowMillis(), timeline::EventKind::kDrainStarted, options_.vm,
-                           "entry");
-  });
-}
-
-void Dispatcher::ReleaseIdleUpstreams() {
-  owner_.BeginHandover();
-  for (const auto& upstream : owner_.ReleaseIdle()) {
-    rpc::DisownRequest request;
-    request.set_vm(options_.vm);
-    request.set_session_epoch(session_.lease().epoch());
-    request.set_service(upstream.service);
-    request.set_address(upstream.address);
-    request.set_epoch(upstream.grant_id);
-    request.set_idle(true);
-    control_.ReleaseOwnership(request);
-  }
-}
-
 void Dispatcher::Tick() {
   owner_.Tick();
   suspects_.Tick();
--- a/src/libs/entry/dispatcher.h
+++ b/src/libs/entry/dispatcher.h
@@ -4,8 +4,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "admission/entry_limit.h"
@@ -67,6 +69,13 @@
   /// once it is idle.
   void StartDrain();
 
+  /// Refuses requests that are not started yet, and all later ones, with status 503. Returns once
+  /// the loop has applied this; from then on `running()` does not rise.
+  void RefuseNewRequests();
+
+  /// Answers the running requests of callers: with status 502 if they may have run, else with 503.
+  void AnswerRunningRequests();
+
   /// Number of running requests, both of callers and forwarded by other entries.
   std::size_t running() const { return running_; }
 
@@ -86,6 +95,9 @@
   bool MayRetry(const RequestFlow& flow, const rpc::ForwardReply& reply);
   void Forward(const rpc::ForwardRequest& request, const rpc::Responder<rpc::ForwardReply>& done);
   void RecordRefusals(base::MonotonicTime now);
+  void RunOnLoop(const std::function<void()>& task);
+  void AnswerUnfinished(const FlowPtr& flow);
+  void ReleaseUnusedClaim(const FlowPtr& flow, const claims::Decision& decision);
   void Tick();
   rpc::Summary MakeSummary();
   void SendSummaries();
@@ -110,6 +122,9 @@
   std::map<std::string, std::uint64_t> refused_;
   base::MonotonicTime refusals_recorded_{};
   bool draining_ = false;
+  bool refuses_new_ = false;
+  /// Running requests of callers.
+  std::set<FlowPtr> flows_;
   std::atomic<std::size_t> running_ = 0;
 };
 
--- a/src/libs/entry/dispatcher_handlers.cpp
+++ b/src/libs/entry/dispatcher_handlers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "entry/announcement_json.h"
+#include "entry/decision_answer.h"
 #include "entry/dispatcher.h"
 #include "http/json_answer.h"
 #include "rpc/stamp.h"
@@ -22,7 +23,8 @@
     response.headers.push_back({"Cache-Control", "no-store"});
     sink(std::move(response));
   };
-  const bool queued = loop_.TryPost([this, value = announcement.value(), answer] {
+  const bool queued = loop_.TryPost([this, value = announcement.value(), answer, sink] {
+    if (refuses_new_) return sink(StoppingAnswer(http::Request()));
     announcement_router_.Announce(value, answer);
   });
   if (!queued) sink(Unavailable("this entry is overloaded"));
@@ -31,6 +33,7 @@
 void Dispatcher::Forward(const rpc::ForwardRequest& request,
                          const rpc::Responder<rpc::ForwardReply>& done) {
   rpc::ApplyStamp(context_.events, request);
+  if (refuses_new_) return done(StoppingReply(request));
   ++running_;
   owner_.Execute(request, [this, done](base::Result<rpc::ForwardReply> reply) {
     if (reply) *reply.value().mutable_summary() = MakeSummary();
--- a/src/libs/entry/entry.cpp
+++ b/src/libs/entry/entry.cpp
@@ -93,6 +93,12 @@
   state_->dispatcher.StartDrain();
 }
 
+void Entry::RefuseNewRequests() { state_->dispatcher.RefuseNewRequests(); }
+
+void Entry::AnswerRunningRequests() { state_->dispatcher.AnswerRunningRequests(); }
+
+void Entry::StopAccepting() { state_->server->StopAccepting(); }
+
 base::Duration Entry::LookupAnswerLifetime() const {
   const ViewPtr view = state_->session.view();
   if (view == nullptr) return base::Duration(0);
--- a/src/libs/entry/entry.h
+++ b/src/libs/entry/entry.h
@@ -28,6 +28,16 @@
   /// Starts a graceful stop: new lookup answers no longer list this entry, which keeps serving.
   void StartDrain();
 
+  /// Refuses requests to services that are not started yet, and all later ones, with status 503.
+  /// Returns once this has taken effect; from then on `running()` does not rise.
+  void RefuseNewRequests();
+
+  /// Answers the running requests of callers: with status 502 if they may have run, else with 503.
+  void AnswerRunningRequests();
+
+  /// Closes the HTTP listener. Open connections are still served.
+  void StopAccepting();
+
   /// Lifetime of lookup answers: the time for which callers may still use an answer that lists this
   /// entry. Zero before the first bundle.
   base::Duration LookupAnswerLifetime() const;
--- a/src/libs/entry/request_flow.h
+++ b/src/libs/entry/request_flow.h
@@ -26,6 +26,8 @@
   claims::ClaimRequest claim;
   /// Whether the claim was granted.
   bool claimed = false;
+  /// Whether the caller got its answer. Replies that come later are ignored.
+  bool answered = false;
 };
 
 }  // namespace wagtailpick::entry
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -41,13 +41,22 @@
   return request;
 }
 
+// A field `Connection: close` of the answer closes the connection, too. It is not appended, as
+// RESTinio writes the field itself.
+bool ClosesConnection(const restinio::request_handle_t& handle, const Response& response) {
+  if (!handle->header().should_keep_alive()) return true;
+  const std::string* connection = FindHeader(response.headers, "Connection");
+  return connection != nullptr && *connection == "close";
+}
+
 void SendResponse(const restinio::request_handle_t& handle, Response response) {
   const auto status = restinio::http_status_line_t(
       restinio::http_status_code_t(static_cast<std::uint16_t>(response.status)),
       response.status < 400 ? "OK" : "Error");
   auto builder = handle->create_response(status);
-  if (!handle->header().should_keep_alive()) builder.connection_close();
+  if (ClosesConnection(handle, response)) builder.connection_close();
   for (auto& field : response.headers) {
+    if (SameName(field.name, "Connection")) continue;
     builder.append_header(std::move(field.name), std::move(field.value));
   }
   builder.set_body(std::move(response.body)).done();
@@ -172,6 +181,14 @@
   return std::unique_ptr<Server>(new Server(std::move(state)));
 }
 
+void Server::StopAccepting() {
+  std::promise<void> closed;
+  state_->server->close_async(
+      [&closed]() noexcept { closed.set_value(); },
+      [&closed](const std::exception_ptr&) noexcept { closed.set_value(); });
+  closed.get_future().wait();
+}
+
 Server::~Server() {
   if (!state_->runner->started()) return;
   state_->runner->stop();
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -50,6 +50,10 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  /// Closes the listening socket, so that new connections are refused. Requests on open connections
+  /// are still served, without the time limits. Returns once the socket is closed.
+  void StopAccepting();
+
  private:
   struct State;
   explicit Server(std::unique_ptr<State> state);
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -3,12 +3,14 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <future>
 #include <memory>
 #include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "raw_connection.h"
 #include "raw_server.h"
 #include "sync_client.h"
 
@@ -241,3 +243,32 @@
   }
   cr_expect(failures >= 2);
 }
+
+// Guards against a stop that cuts a running request or accepts connections that it must cut later.
+Test(server, serves_open_connections_after_it_has_stopped_accepting) {
+  std::promise<ResponseSink> received;
+  const auto running =
+      StartServer([&](const Request&, const ResponseSink& sink) { received.set_value(sink); });
+  auto connection = RawConnection::Connect(running.port);
+  connection.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto sink = received.get_future().get();
+  running.server->StopAccepting();
+  cr_assert(SyncClient().Send(running.url()).status == ExchangeStatus::kNotSent);
+  sink({200, {}, "late"});
+  const auto answer = connection.ReadMessage();
+  cr_assert(answer.starts_with("HTTP/1.1 200") && answer.ends_with("late"), "%s", answer.c_str());
+}
+
+// Guards against clients that keep the connection to a server that is stopping.
+Test(server, closes_the_connection_after_an_answer_that_says_so) {
+  const auto running = StartServer([](const Request&, const ResponseSink& sink) {
+    sink({503, {{"Connection", "close"}}, "stopping"});
+  });
+  auto connection = RawConnection::Connect(running.port);
+  connection.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto answer = connection.ReadToEnd();
+  cr_assert(answer.ends_with("stopping") && connection.is_closed(), "%s", answer.c_str());
+  const auto field = answer.find("Connection: close");
+  cr_assert(field != std::string::npos, "%s", answer.c_str());
+  cr_assert(answer.find("Connection:", field + 1) == std::string::npos, "%s", answer.c_str());
+}
--- a/tests/auto/processes/harness/http_caller.cpp
+++ b/tests/auto/processes/harness/http_caller.cpp
@@ -19,6 +19,7 @@
   Answer answer;
   answer.order = ++ended;
   answer.whole = exchange.status == http::ExchangeStatus::kComplete;
+  answer.sent = exchange.status != http::ExchangeStatus::kNotSent;
   if (!answer.whole) return answer;
   answer.status = exchange.answer_status;
   answer.verdict = HeaderOf(exchange, "X-Wagtailpick-Verdict");
--- a/tests/auto/processes/harness/http_caller.h
+++ b/tests/auto/processes/harness/http_caller.h
@@ -14,6 +14,8 @@
 struct Answer {
   /// False if the connection broke or the request timed out; then all fields but `order` are empty.
   bool whole = false;
+  /// False if no byte of the request was sent, such as when the connection was refused.
+  bool sent = false;
   int status = 0;
   /// `ran`, `not_run`, `may_have_run`, or empty.
   std::string verdict;
