Ignore SIGHUP in wagtailpickd

Cause: only SIGTERM and SIGINT were blocked and waited for, so the default action of SIGHUP ended the process at once: without a drain, with all running requests cut.

Change: SIGHUP is blocked and waited for like the others, and a log line says that it is ignored, as the settings are read at the start only.

Conclusion: a closed terminal or a log rotation no longer stops an entry or a control replica. Changed settings need a restart.

--- a/src/app/wagtailpickd/main.cpp
+++ b/src/app/wagtailpickd/main.cpp
@@ -40,21 +40,32 @@
 using wagtailpick::logging::Level;
 using wagtailpick::logging::Write;
 
+/// Waits for a signal of `signals` other than SIGHUP. By default SIGHUP ends the process; a closed
+/// terminal or a log rotation may send it.
+int WaitForStop(const sigset_t& signals) {
+  int signal = 0;
+  while (true) {
+    sigwait(&signals, &signal);
+    if (signal != SIGHUP) return signal;
+    Write(Level::kInfo, "signal_ignored", "SIGHUP: settings are read at the start only");
+  }
+}
+
 int Serve(const wagtailpick::wagtailpickd::NodeSettings& node) {
   // All threads inherit the blocked signals, so only sigwait() below receives them.
-  sigset_t stop_signals;
-  sigemptyset(&stop_signals);
-  sigaddset(&stop_signals, SIGTERM);
-  sigaddset(&stop_signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   auto daemon = wagtailpick::wagtailpickd::Daemon::Start(node);
   if (!daemon) {
     std::cerr << "wagtailpickd: " << daemon.error().message << "\n";
     return kExitCannotStart;
   }
   Write(Level::kInfo, "process_started", "serving on " + node.rpc_address);
-  int signal = 0;
-  sigwait(&stop_signals, &signal);
+  const int signal = WaitForStop(signals);
   Write(Level::kInfo, "process_stopping", "signal " + std::to_string(signal));
   daemon.value()->Drain(kDrainTimeout);
   // Skips destructors: threads of the RPC library may still run callbacks, and destroying objects
--- a/tests/auto/processes/entry_stop_test.cpp
+++ b/tests/auto/processes/entry_stop_test.cpp
@@ -30,6 +30,8 @@
 // Requests start this long before the end of an idle entry's stop.
 constexpr milliseconds kLastRequestsTime{170};
 constexpr milliseconds kRequestInterval{25};
+// A process that a signal ends is gone earlier.
+constexpr milliseconds kSignalEffectTime{500};
 
 void UseLongDeadlines(Cluster& cluster) {
   const auto file = cluster.tool().Sign({2, 0, kLongDeadlineMs});
@@ -105,3 +107,16 @@
     Expect(code == 0, "exit code " + std::to_string(code));
   });
 }
+
+// Guards against a process that ends at SIGHUP, which a closed terminal or a log rotation sends.
+Test(entry_stop, entry_goes_on_after_sighup) {
+  RunTest([] {
+    Cluster cluster;
+    cluster.entry(1).process->Signal(SIGHUP);
+    std::this_thread::sleep_for(kSignalEffectTime);
+    Expect(Accepts(cluster.entry(1).http_address), "the entry has ended at SIGHUP");
+    cluster.entry(1).process->Signal(SIGTERM);
+    const int code = cluster.entry(1).process->Wait();
+    Expect(code == 0, "exit code " + std::to_string(code) + " after SIGTERM");
+  });
+}
