Accept in one place for callers and for processes

Cause: the pause after a failed accept, its log line and the guard against a destroyed owner stood twice, in HttpListener and in cluster::Acceptor.

Change: net::AcceptLoop has them; both use it. No change of behaviour.

Conclusion: a fault of accepting is mended once for both.

--- a/src/libs/cluster/acceptor.cpp
+++ b/src/libs/cluster/acceptor.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "cluster/message_codec.h"
-#include "logging/log.h"
 #include "net/socket_options.h"
 
 namespace wagtailpick::cluster {
@@ -13,10 +12,6 @@
 
 /// Three missed pings (one every 500 ms) and the time for their transfer.
 constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(1'800);
-/// Delay before accepting again after an error, such as too many open file descriptors.
-constexpr std::chrono::milliseconds kAcceptPause{100};
-/// Shortest interval between two log lines about failed accepts, which may fail at each attempt.
-constexpr base::Duration kAcceptErrorLogInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -25,44 +20,19 @@
                                                         Hooks hooks) {
   BOOST_OUTCOME_TRY(socket, net::Listen(loop, endpoint));
   std::unique_ptr<Acceptor> acceptor(new Acceptor(std::move(socket), std::move(hooks)));
-  acceptor->Accept();
+  acceptor->accept_loop_.Start();
   return acceptor;
 }
 
 Acceptor::Acceptor(asio::ip::tcp::acceptor acceptor, Hooks hooks)
-    : acceptor_(std::move(acceptor)),
-      accept_timer_(acceptor_.get_executor()),
+    : accept_loop_(std::move(acceptor),
+                   [this](asio::ip::tcp::socket socket) { Add(std::move(socket)); }),
       hooks_(std::move(hooks)) {}
 
 Acceptor::~Acceptor() {
   for (auto& [id, peer] : peers_) peer.link->Close();
 }
 
-void Acceptor::Accept() {
-  acceptor_.async_accept(
-      [this, alive = std::weak_ptr(alive_)](asio::error_code error, asio::ip::tcp::socket socket) {
-        if (alive.expired() || error == asio::error::operation_aborted) return;
-        if (error) return HandleAcceptError(error);
-        // Before anything that may throw, as the process would not accept any more.
-        Accept();
-        Add(std::move(socket));
-      });
-}
-
-void Acceptor::HandleAcceptError(asio::error_code error) {
-  ++unlogged_accept_failures_;
-  const auto now = base::MonotonicNow();
-  if (now >= next_accept_error_log_) {
-    next_accept_error_log_ = now + kAcceptErrorLogInterval;
-    logging::Write(logging::Level::kWarning, "accept_failed", error.message(),
-                   {{"failures", std::to_string(std::exchange(unlogged_accept_failures_, 0))}});
-  }
-  accept_timer_.expires_after(kAcceptPause);
-  accept_timer_.async_wait([this, alive = std::weak_ptr(alive_)](asio::error_code aborted) {
-    if (!aborted && !alive.expired()) Accept();
-  });
-}
-
 void Acceptor::Add(asio::ip::tcp::socket socket) {
   const std::uint64_t id = next_id_++;
   const auto link = std::make_shared<net::FrameLink>(std::move(socket));
--- a/src/libs/cluster/acceptor.h
+++ b/src/libs/cluster/acceptor.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,6 +11,7 @@
 #include "base/monotonic_time.h"
 #include "base/result.h"
 #include "cluster/messages.h"
+#include "net/accept_loop.h"
 #include "net/frame_link.h"
 
 namespace wagtailpick::cluster {
@@ -76,27 +76,16 @@
   };
 
   Acceptor(asio::ip::tcp::acceptor acceptor, Hooks hooks);
-  void Accept();
-  /// Accepts again after a pause.
-  void HandleAcceptError(asio::error_code error);
   void Add(asio::ip::tcp::socket socket);
   void HandleFrame(std::uint64_t id, const std::string& frame);
   void HandleMessage(Peer& peer, const Message& message);
   void Remove(std::uint64_t id, const std::string& reason);
   void SendToAll(const Message& message, const std::function<bool(const Session&)>& filter);
 
-  asio::ip::tcp::acceptor acceptor_;
-  /// Delays accepting after an error.
-  asio::steady_timer accept_timer_;
-  /// Number of failed accepts since the last log line about them.
-  std::uint64_t unlogged_accept_failures_ = 0;
-  base::MonotonicTime next_accept_error_log_;
+  net::AcceptLoop accept_loop_;
   Hooks hooks_;
   std::map<std::uint64_t, Peer> peers_;
   std::uint64_t next_id_ = 1;
-  /// Lets handlers detect that the acceptor was destroyed: a completion that was queued before is
-  /// still run, without an error.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace wagtailpick::cluster
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.h"
 #include "base/result.h"
+#include "net/accept_loop.h"
 #include "net/server_connection.h"
 
 namespace wagtailpick::net {
@@ -40,8 +41,7 @@
   void StopAccepting();
   /// Closes the connections without a request in progress, and reads nothing more from them. Those
   /// whose next request has arrived are kept, as are new ones that may still send their first. They
-  /// and the others close after their answer only
-  /// if the policy sets `close_after_answer`.
+  /// and the others close after their answer only if the policy sets `close_after_answer`.
   void CloseIdle();
 
   /// Number of connections with a request in progress or an answer that is not yet sent in full,
@@ -59,21 +59,12 @@
  private:
   HttpListener(asio::ip::tcp::acceptor acceptor, InboundHandler handle,
                std::function<ServerPolicy()> policy);
-  void Accept();
-  /// Accepts again after a pause.
-  void HandleAcceptError(asio::error_code error);
   void AddConnection(asio::ip::tcp::socket socket);
   /// Checks all connections for timeouts after an interval, and again after that.
   void ScheduleTimeoutCheck();
 
-  asio::ip::tcp::acceptor acceptor_;
-  /// Delays accepting after an error. Apart from the checks' timer, as a check that is due at the
-  /// same moment would cancel the delay.
-  asio::steady_timer accept_timer_;
   asio::steady_timer check_timer_;
-  /// Number of failed accepts since the last log line about them.
-  std::uint64_t unlogged_accept_failures_ = 0;
-  base::MonotonicTime next_accept_error_log_;
+  AcceptLoop accept_loop_;
   InboundHandler handle_;
   std::function<ServerPolicy()> policy_;
   std::function<void(const http::Request& head)> refused_for_memory_;
--- a/src/libs/replica/replica_disk.h
+++ b/src/libs/replica/replica_disk.h
@@ -26,7 +26,7 @@
 
   /// Opens the folder of the replica `self` and reads its state. An empty folder counts as a lost
   /// disk: the replica starts with an empty state under the incarnation `new_incarnation`. Fails
-  /// with `kCorrupt`, `kConflict` or `kIo`.
+  /// with `kCorrupt`, `kConflict`, `kInvalidArgument` for the folder of another replica, or `kIo`.
   static base::Result<ReplicaDisk> Open(const std::string& folder, const std::string& self,
                                         std::uint64_t new_incarnation,
                                         const storage::FileOpsPtr& ops = storage::PosixFileOps());
