Wait for the log's output once, and less than a drain leaves

Cause: an entry that uses its whole grace time keeps 150 ms for its last log lines and its exit. logging::Stop waited up to 200 ms for a slow or blocked output, and the destructor of the writer, which it runs at its end, waited as long again. The writer also slept up to 40 ms between two batches after the stop was requested.

Change: the destructor waits no second time; the wait is 100 ms, a named constant that a static_assert in entry_drain.cpp compares with the exit margin; a stop ends the pause between batches.

Measured: logging::a_stop_waits_for_a_blocked_output_for_a_short_time failed before (a bound of 150 ms, the test took 0.43 s; with 100 ms but two waits 0.22 s) and passes now.

Conclusion: the wait for the output fits the time that the drain keeps for it.

--- a/src/libs/logging/background_writer.cpp
+++ b/src/libs/logging/background_writer.cpp
@@ -1,8 +1,10 @@
 #include "logging/background_writer.h"
 
 #include <chrono>
+#include <condition_variable>
 #include <exception>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace wagtailpick::logging {
@@ -12,8 +14,6 @@
 /// Pause between batches. Writing lines in batches avoids waking the thread for each line while the
 /// process is busy.
 constexpr std::chrono::milliseconds kBatchPause{40};
-/// `Stop` gives up after this time, so that a blocked output does not delay the end of the process.
-constexpr std::chrono::milliseconds kStopTimeout{200};
 constexpr base::Duration kPopTimeout = std::chrono::seconds(3'600);
 
 }  // namespace
@@ -29,10 +29,18 @@
     }
   }
 
+  /// Waits for the pause between batches, or until the writer is stopped.
+  void Pause() {
+    std::unique_lock lock(mutex);
+    stop_requested.wait_for(lock, kBatchPause, [this] { return stopping; });
+  }
+
   std::function<void(const Line&)> write;
   base::BoundedQueue<Line> queue{kQueueCapacity};
   std::atomic<std::uint64_t> dropped = 0;
-  std::atomic<bool> stopping = false;
+  std::mutex mutex;
+  std::condition_variable stop_requested;
+  bool stopping = false;
   std::atomic<bool> finished = false;
 };
 
@@ -52,7 +60,7 @@
     }
     lines.clear();
     ReportDropped(*state);
-    if (!state->stopping) std::this_thread::sleep_for(kBatchPause);
+    state->Pause();
   }
   state->finished = true;
 }
@@ -72,7 +80,12 @@
 }
 
 bool BackgroundWriter::Stop() {
-  state_->stopping = true;
+  {
+    const std::lock_guard lock(state_->mutex);
+    // The destructor does not wait a second time.
+    if (std::exchange(state_->stopping, true)) return state_->finished;
+  }
+  state_->stop_requested.notify_all();
   state_->queue.Close();
   const auto deadline = std::chrono::steady_clock::now() + kStopTimeout;
   while (!state_->finished && std::chrono::steady_clock::now() < deadline) {
--- a/src/libs/logging/background_writer.h
+++ b/src/libs/logging/background_writer.h
@@ -34,8 +34,9 @@
   /// Queues `line` without waiting, or drops and counts it if the queue is full. Thread-safe.
   void Enqueue(Line line);
 
-  /// Rejects further lines and waits up to 200 ms until the queued lines are written. Returns
-  /// whether the thread has finished; if not, its output is blocked or slow.
+  /// Rejects further lines and waits up to `kStopTimeout` until the queued lines are written.
+  /// Returns whether the thread has finished; if not, its output is blocked or slow. A further call
+  /// does not wait.
   bool Stop();
 
  private:
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
+#include "base/monotonic_time.h"
 #include "base/result.h"
 
 namespace wagtailpick::logging {
@@ -41,8 +43,12 @@
 void Write(Level level, const std::string& event, const std::string& message,
            const std::vector<Field>& fields = {});
 
-/// Writes the queued lines and ends the background thread, if there is one. Waits up to 200 ms; if
-/// the output is still blocked then, the process will exit without destroying static objects.
+/// Longest wait of `Stop`, so that a blocked output does not delay the end of the process.
+inline constexpr base::Duration kStopTimeout = std::chrono::milliseconds(100);
+
+/// Writes the queued lines and ends the background thread, if there is one. Waits up to
+/// `kStopTimeout`; if the output is still blocked then, the process will exit without destroying
+/// static objects.
 void Stop();
 
 }  // namespace wagtailpick::logging
--- a/src/libs/node/entry_drain.cpp
+++ b/src/libs/node/entry_drain.cpp
@@ -20,6 +20,7 @@
 constexpr base::Duration kQuietTimeBeforeExit = std::chrono::milliseconds(400);
 /// Part of the grace time that is kept for the last log lines and the exit of the process.
 constexpr base::Duration kExitMargin = std::chrono::milliseconds(150);
+static_assert(logging::kStopTimeout < kExitMargin);
 /// Time before that in which the last answers are written and their connections close.
 constexpr base::Duration kLastAnswersTime = std::chrono::milliseconds(100);
 static_assert(kExitMargin + kLastAnswersTime < relay::kDrainEndMargin);
--- a/tests/auto/logging/blocked_output_test.cpp
+++ b/tests/auto/logging/blocked_output_test.cpp
@@ -22,6 +22,7 @@
 /// Limit for one call of `Write`: a request, which logs three lines, must not wait for the reader
 /// of the output.
 constexpr milliseconds kMaxWriteTime{100};
+constexpr milliseconds kMaxStopTime{150};
 
 /// Redirects the standard output of this process to a pipe that only `ReadAll` reads.
 class Pipe {
@@ -72,6 +73,17 @@
   cr_expect(content.find("request_ended") != std::string::npos);
 }
 
+// Guards against a process that is killed while it waits for its output: an entry that uses its
+// whole grace time has 150 ms left for its last log lines and its exit.
+Test(logging, a_stop_waits_for_a_blocked_output_for_a_short_time) {
+  const Pipe output;
+  cr_assert(logging::Start({"vm", "dc", "stdout", true}).has_value());
+  for (int i = 0; i < kLines; ++i) logging::Write(logging::Level::kInfo, "event", "message");
+  const auto begin = steady_clock::now();
+  logging::Stop();
+  cr_expect(steady_clock::now() - begin < kMaxStopTime);
+}
+
 // Guards against a process that does not exit after SIGTERM because nobody reads its standard
 // output.
 Test(logging, a_process_exits_in_time_when_its_output_is_blocked) {
