Count the network once in the latency of an owner

Cause: Dispatcher::HandleReply gives Steering::RecordAnswer the time from sending to the answer. The summary table expects the time without the network, as a choice adds the round trip to it: an owner in another data centre lost its requests to slower ones as soon as it had answered ten.

Change: Steering subtracts the round trip to the target's data centre.

Conclusion: observed and reported latencies mean the same.

--- a/src/libs/entry/steering.cpp
+++ b/src/libs/entry/steering.cpp
@@ -147,7 +147,7 @@
 void Steering::RecordAnswer(const Target& target, base::Duration latency,
                             std::uint64_t answer_bytes, base::MonotonicTime now) {
   if (!IsRemote(target)) return;
-  table_->RecordAnswer(target.key, target.chosen_at, latency, now);
+  table_->RecordAnswer(target.key, target.chosen_at, WithoutNetwork(target, latency), now);
   if (!target.crosses_link) return;
   const auto& directory = *view_->directory;
   const auto expected = static_cast<std::uint64_t>(
@@ -157,6 +157,14 @@
   shares_.ChargeLink(directory.RegionName(region), region_, answer_bytes - expected, now);
 }
 
+// The choice adds the round trip to the latency of the table.
+base::Duration Steering::WithoutNetwork(const Target& target, base::Duration latency) const {
+  const auto here = view_->directory->PlaceOf(data_centre_);
+  if (!here) return latency;
+  const auto round_trip = view_->directory->topology()->RoundTrip(*here, target.key.place);
+  return std::max(latency - round_trip, base::Duration::zero());
+}
+
 void Steering::RecordRefusal(const Target& target, base::MonotonicTime now) {
   if (IsRemote(target)) table_->RecordShed(target.key, target.chosen_at, now);
 }
--- a/src/libs/entry/steering.h
+++ b/src/libs/entry/steering.h
@@ -73,6 +73,8 @@
                                                  const std::string& region);
   void BuildTable();
   const Member* MemberOf(routing::EntryId id) const;
+  /// Returns `latency` without the network's round trip to the target.
+  base::Duration WithoutNetwork(const Target& target, base::Duration latency) const;
   bool IsRemote(const Target& target) const { return target.vm != vm_; }
 
   std::string vm_;
