Keep the names of a target, not the indexes of an old bundle

Cause: a target held a key of the routing tables. A bundle that comes into force while the request runs renumbers places and services, so that the answer or the refusal counted for another service, the pools that had refused the request were taken for others, and an index beyond the new list of services threw on the dispatcher's loop.

Change: a target holds the names of its entry, data centre and service and the answer's bytes that were reserved; Steering looks the key up in the tables of the current bundle, and ignores a target that has none.

Measured: steering::records_an_answer_after_a_bundle_with_fewer_services (vector::_M_range_check before) and steering::records_a_refusal_after_a_bundle_that_renumbers_services (the refusal of one service closed the other) failed and pass now.

Conclusion: no index outlives its bundle in entry/.

--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -203,7 +203,7 @@
   if (value.has_summary()) steering_.ApplySummary(value.summary(), now);
   if (VerdictOf(value) == base::Verdict::kNotRun) {
     steering_.RecordRefusal(flow->target, now);
-    flow->attempted.push_back(flow->target.key);
+    flow->attempted.push_back(flow->target);
     if (MayRetry(*flow, value)) return Route(flow);
   } else {
     steering_.RecordAnswer(flow->target, now - flow->sent, value.body().size(), now);
@@ -221,7 +221,7 @@
   lost.set_retry_after_ms(kLostRetryMs);
   safety::LostConnection connection;
   connection.event_id = base::RandomId();
-  connection.owner_session = std::to_string(flow->target.key.entry);
+  connection.owner_session = std::to_string(flow->target.entry);
   suspects_.RecordStrike(FingerprintOf(flow->request.forward), connection,
                          [this, flow, lost] { Finish(flow, lost); });
 }
--- a/src/libs/entry/request_flow.h
+++ b/src/libs/entry/request_flow.h
@@ -20,8 +20,8 @@
   /// Target of the last attempt, which was sent at `sent`.
   Target target;
   base::MonotonicTime sent;
-  /// Owned pools whose owner has refused the request.
-  std::vector<routing::OwnedPoolKey> attempted;
+  /// Targets that have refused the request.
+  std::vector<Target> attempted;
   /// Set for requests with an idempotency key.
   claims::ClaimRequest claim;
   /// Whether the claim was granted.
--- a/src/libs/entry/steering.cpp
+++ b/src/libs/entry/steering.cpp
@@ -107,7 +107,7 @@
 
 std::optional<Target> Steering::Choose(const rpc::ForwardRequest& request,
                                        const std::string& caller,
-                                       const std::vector<routing::OwnedPoolKey>& attempted,
+                                       const std::vector<Target>& attempted,
                                        base::MonotonicTime now, std::string& reason) {
   const auto& directory = *view_->directory;
   const auto here = directory.PlaceOf(data_centre_);
@@ -124,7 +124,8 @@
   const auto expected = view_->bundle.FindService(request.service())->expected_answer_bytes;
   choice_request.link_bytes = static_cast<std::uint32_t>(request.body().size()) +
                               static_cast<std::uint32_t>(expected) + kHeaderBytes;
-  choice_request.attempted = attempted;
+  const auto attempted_pools = KeysOf(attempted);
+  choice_request.attempted = attempted_pools;
   const auto choice = chooser_->Choose(
       choice_request, *table_, [this] { return random_(); }, now);
   if (choice.count == 0) {
@@ -137,36 +138,58 @@
     reason = "unknown_entry";
     return std::nullopt;
   }
-  Target target{vm->second,        directory.PlaceName(candidate.key.place),
-                candidate.shifted, candidate.crosses_link,
-                candidate.key,     now};
+  Target target;
+  target.vm = vm->second;
+  target.entry = candidate.key.entry;
+  target.data_centre = directory.PlaceName(candidate.key.place);
+  target.service = request.service();
+  target.shifted = candidate.shifted;
+  target.crosses_link = candidate.crosses_link;
+  target.expected_answer_bytes = static_cast<std::uint64_t>(expected);
+  target.chosen_at = now;
   if (IsRemote(target)) table_->RecordForward(candidate.key, now);
   return target;
 }
 
+std::optional<routing::OwnedPoolKey> Steering::KeyOf(const Target& target) const {
+  const auto place = view_->directory->PlaceOf(target.data_centre);
+  const auto service = view_->directory->ServiceOf(target.service);
+  if (!place || !service) return std::nullopt;
+  return routing::OwnedPoolKey{target.entry, *place, *service};
+}
+
+std::vector<routing::OwnedPoolKey> Steering::KeysOf(const std::vector<Target>& targets) const {
+  std::vector<routing::OwnedPoolKey> keys;
+  for (const auto& target : targets) {
+    if (const auto key = KeyOf(target)) keys.push_back(*key);
+  }
+  return keys;
+}
+
 void Steering::RecordAnswer(const Target& target, base::Duration latency,
                             std::uint64_t answer_bytes, base::MonotonicTime now) {
   if (!IsRemote(target)) return;
-  table_->RecordAnswer(target.key, target.chosen_at, WithoutNetwork(target, latency), now);
-  if (!target.crosses_link) return;
+  const auto key = KeyOf(target);
+  if (!key) return;
+  table_->RecordAnswer(*key, target.chosen_at, WithoutNetwork(key->place, latency), now);
+  if (!target.crosses_link || answer_bytes <= target.expected_answer_bytes) return;
   const auto& directory = *view_->directory;
-  const auto expected = static_cast<std::uint64_t>(
-      view_->bundle.services.at(target.key.service).expected_answer_bytes);
-  if (answer_bytes <= expected) return;
-  const auto region = directory.topology()->RegionOf(target.key.place);
-  shares_.ChargeLink(directory.RegionName(region), region_, answer_bytes - expected, now);
+  const auto region = directory.topology()->RegionOf(key->place);
+  shares_.ChargeLink(directory.RegionName(region), region_,
+                     answer_bytes - target.expected_answer_bytes, now);
 }
 
 // The choice adds the round trip to the latency of the table.
-base::Duration Steering::WithoutNetwork(const Target& target, base::Duration latency) const {
+base::Duration Steering::WithoutNetwork(routing::PlaceId place, base::Duration latency) const {
   const auto here = view_->directory->PlaceOf(data_centre_);
   if (!here) return latency;
-  const auto round_trip = view_->directory->topology()->RoundTrip(*here, target.key.place);
+  const auto round_trip = view_->directory->topology()->RoundTrip(*here, place);
   return std::max(latency - round_trip, base::Duration::zero());
 }
 
 void Steering::RecordRefusal(const Target& target, base::MonotonicTime now) {
-  if (IsRemote(target)) table_->RecordShed(target.key, target.chosen_at, now);
+  if (!IsRemote(target)) return;
+  if (const auto key = KeyOf(target)) table_->RecordShed(*key, target.chosen_at, now);
 }
 
 void Steering::Tick(base::MonotonicTime now) {
--- a/src/libs/entry/steering.h
+++ b/src/libs/entry/steering.h
@@ -18,16 +18,20 @@
 
 namespace wagtailpick::entry {
 
-/// Entry and data centre to which a request is sent.
+/// Entry and data centre to which a request is sent. Holds names and no indexes of the routing
+/// tables, as a bundle that comes while the request runs renumbers them.
 struct Target {
   /// Entry that owns the upstreams.
   std::string vm;
+  routing::EntryId entry = 0;
   std::string data_centre;
+  std::string service;
   /// Whether the data centre is outside the caller's home region.
   bool shifted = false;
   /// Whether the data centre is outside this entry's region.
   bool crosses_link = false;
-  routing::OwnedPoolKey key;
+  /// Bytes that were reserved on the link for the body of the answer.
+  std::uint64_t expected_answer_bytes = 0;
   base::MonotonicTime chosen_at;
 };
 
@@ -47,11 +51,11 @@
   /// Sets the exact counts of this entry's own slots.
   void SetLocal(const std::vector<rpc::PlaceSummary>& places, base::MonotonicTime now);
 
-  /// Chooses a target other than the pools in `attempted`, which have refused the request. `caller`
-  /// is the caller's IP address. Returns nothing and sets `reason` if there is no target.
+  /// Chooses a target other than those in `attempted`, which have refused the request. `caller` is
+  /// the caller's IP address. Returns nothing and sets `reason` if there is no target.
   std::optional<Target> Choose(const rpc::ForwardRequest& request, const std::string& caller,
-                               const std::vector<routing::OwnedPoolKey>& attempted,
-                               base::MonotonicTime now, std::string& reason);
+                               const std::vector<Target>& attempted, base::MonotonicTime now,
+                               std::string& reason);
 
   /// Records that a request to `target` was answered. `latency` is the time from sending it to the
   /// answer, `answer_bytes` the size of the answer's body.
@@ -73,8 +77,11 @@
                                                  const std::string& region);
   void BuildTable();
   const Member* MemberOf(routing::EntryId id) const;
-  /// Returns `latency` without the network's round trip to the target.
-  base::Duration WithoutNetwork(const Target& target, base::Duration latency) const;
+  /// Returns the target's pool in the tables of the current bundle; nothing if it has none.
+  std::optional<routing::OwnedPoolKey> KeyOf(const Target& target) const;
+  std::vector<routing::OwnedPoolKey> KeysOf(const std::vector<Target>& targets) const;
+  /// Returns `latency` without the network's round trip to `place`.
+  base::Duration WithoutNetwork(routing::PlaceId place, base::Duration latency) const;
   bool IsRemote(const Target& target) const { return target.vm != vm_; }
 
   std::string vm_;
--- a/tests/auto/entry/steering_test.cpp
+++ b/tests/auto/entry/steering_test.cpp
@@ -117,3 +117,32 @@
   const auto target = fixture.Choose("listings");
   cr_expect(target && target->data_centre == "mvd-1");
 }
+
+// Guards against an answer that is recorded by the indexes of a bundle that is no longer in force:
+// it read outside the list of services, or counted for another service.
+Test(steering, records_an_answer_after_a_bundle_with_fewer_services) {
+  SteeringFixture fixture;
+  fixture.SetServices(1, {"accounts", "listings"});
+  fixture.Summarize(2, "mvd-1", "listings", milliseconds(10));
+  const auto target = fixture.Choose("listings");
+  cr_assert(target.has_value());
+  fixture.SetServices(2, {"listings"});
+  fixture.steering().RecordAnswer(*target, kRoundTrip, kLinkBytes, fixture.now());
+  fixture.Summarize(2, "mvd-1", "listings", milliseconds(10));
+  cr_expect(!fixture.Choose("listings"), "the answer used up the link");
+}
+
+// Guards against a refusal that counts for another service once a bundle has renumbered them.
+Test(steering, records_a_refusal_after_a_bundle_that_renumbers_services) {
+  SteeringFixture fixture;
+  fixture.SetServices(1, {"accounts", "listings"});
+  fixture.Summarize(2, "mvd-1", "accounts", milliseconds(10));
+  const auto target = fixture.Choose("accounts");
+  cr_assert(target.has_value());
+  fixture.SetServices(2, {"listings", "accounts"});
+  fixture.Summarize(2, "mvd-1", "listings", milliseconds(10));
+  fixture.Summarize(2, "mvd-1", "accounts", milliseconds(10));
+  fixture.steering().RecordRefusal(*target, fixture.now());
+  cr_expect(fixture.Choose("listings").has_value());
+  cr_expect(!fixture.Choose("accounts").has_value());
+}
