Soak: name the last limit when no upstream crashes any more

Cause: the request that crashes upstreams is blocked after three crashes.

Change: before the last limit is named, the soak waits until the crashes have ended, up to 10 s. All checks stay as they are.

Conclusion: a fault of the harness; wagtailpick is not changed.

--- a/tests/soak/promise_checker.cpp
+++ b/tests/soak/promise_checker.cpp
@@ -134,6 +134,11 @@
   last_entry_fault_ = base::MonotonicNow();
 }
 
+bool PromiseChecker::CrashesHaveEnded() const {
+  const std::lock_guard lock(mutex_);
+  return crashes_ >= kCrashesUntilBlocked && base::MonotonicNow() - third_crash_ > kBlockTimeLimit;
+}
+
 void PromiseChecker::RecordCrash() {
   const std::lock_guard lock(mutex_);
   const auto now = base::MonotonicNow();
--- a/tests/soak/promise_checker.h
+++ b/tests/soak/promise_checker.h
@@ -28,6 +28,9 @@
   /// An upstream crashed under the request that crashes upstreams. Violated if more than three
   /// crashes follow later than three seconds after the third.
   void RecordCrash();
+  /// Whether the request that crashes upstreams has been blocked for long enough that it crashes no
+  /// further one.
+  bool CrashesHaveEnded() const;
   /// `upstream` received a request while it was backing off. Violated if more than two for each
   /// entry arrive later than half a second after the first and after the last fault.
   void RecordBackOffArrival(const std::string& upstream, base::MonotonicTime now);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -43,6 +43,8 @@
 constexpr int kDeadlineMs = 1'800;
 constexpr int kObjects = 20;
 constexpr milliseconds kCrashRequestInterval{300};
+/// If the first catalog comes only after the faults, the request starts to crash upstreams then.
+constexpr base::Duration kMaxCrashWait = std::chrono::seconds(10);
 constexpr std::array kIdleTimeouts{milliseconds(15'000), milliseconds(3'000), milliseconds(1'000)};
 /// Requests per second that upstreams name as their limits.
 constexpr std::array kLimits{0.5, 2.0, 5.0};
@@ -289,6 +291,7 @@
     service.set_lost_share(0);
     service.LeaveWithoutAnnouncement(0);
     service.StartBackOff(1);
+    WaitForLastCrash();
     const auto limited = service.StartLimitOfLasting(kFirstLimited, kLimitAfterFaults);
     std::this_thread::sleep_for(kRecoveryTime);
     checker_.BeginMeasuring();
@@ -299,6 +302,14 @@
     for (std::size_t i = 0; i < service.size(); ++i) service.EndLimit(i);
   }
 
+  /// An upstream that crashes after it was chosen for the limit would leave the limit unused.
+  void WaitForLastCrash() const {
+    const auto end = base::MonotonicNow() + kMaxCrashWait;
+    while (!checker_.CrashesHaveEnded() && base::MonotonicNow() < end) {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+
   /// Waits until a config with timeouts for long requests is in force.
   void WaitForLongTimeouts() const {
     // The next version may have been drawn before.
