Remove rules and members that only tests used

Cause: admission::ShiftFitsHeadroom and shift::MayAdmitShifted were one rule written twice, the second used by tests and a benchmark only. Only a test called SlotTable::SetRemoteStats, so that the statistics of other entries' upstreams were always 0. History::round_trip was never read.

Change: ShiftFitsHeadroom stays, the routing test and benchmark call it, and its test has the case of a pool without a free slot from the other one. slot_table::ejects_at_most_a_third owns the further upstreams of its pool itself; it asserts the same.

Conclusion: one rule for the headroom of shifts.

--- a/src/libs/admission/pool.h
+++ b/src/libs/admission/pool.h
@@ -30,17 +30,6 @@
   std::uint32_t in_doubt = 0;
 };
 
-/// Upstreams of a pool that other entries own. All 0 until set; then ejection and slow start rely
-/// on this entry's own upstreams only.
-struct RemotePoolStats {
-  /// Number of upstreams owned by other entries.
-  std::uint32_t upstreams = 0;
-  /// How many of them are ejected.
-  std::uint32_t ejected = 0;
-  /// Median latency of those whose caches are warm; 0 when unknown.
-  base::Duration warm_median{};
-};
-
 /// Reports that no request runs any more at a draining upstream.
 struct IdleNotice {
   std::string address;
--- a/src/libs/admission/slot_table.cpp
+++ b/src/libs/admission/slot_table.cpp
@@ -33,10 +33,6 @@
   }
 }
 
-void SlotTable::SetRemoteStats(const PoolKey& pool, const RemotePoolStats& remote_stats) {
-  FindOrAddPool(pool).remote_stats = remote_stats;
-}
-
 GrantEffect SlotTable::Grant(OwnershipGrant grant, const LocalTime& now) {
   const auto ended = ended_grants_.find(grant.address);
   if (ended != ended_grants_.end() && grant.grant_id <= ended->second) {
@@ -195,7 +191,7 @@
     const base::Duration median = upstreams_[member].upstream->WarmMedian();
     if (member != index && median.count() > 0) medians.push_back(median);
   }
-  if (medians.empty()) return pool.remote_stats.warm_median;
+  if (medians.empty()) return base::Duration::zero();
   const auto middle = medians.begin() + static_cast<std::ptrdiff_t>(medians.size() / 2);
   std::nth_element(medians.begin(), middle, medians.end());
   return *middle;
@@ -203,11 +199,11 @@
 
 void SlotTable::EjectIfNeeded(const Pool& pool, OwnedUpstream& upstream, base::MonotonicTime now) {
   if (!upstream.ErrorShareTooHigh() || upstream.ejected(now)) return;
-  std::uint32_t ejected = pool.remote_stats.ejected;
+  std::uint32_t ejected = 0;
   for (const std::uint32_t member : pool.members) {
     if (upstreams_[member].upstream->ejected(now)) ++ejected;
   }
-  const auto total = static_cast<std::uint32_t>(pool.members.size()) + pool.remote_stats.upstreams;
+  const auto total = static_cast<std::uint32_t>(pool.members.size());
   if (MayEjectOneMore(ejected, total)) upstream.Eject(now);
 }
 
--- a/src/libs/admission/slot_table.h
+++ b/src/libs/admission/slot_table.h
@@ -45,9 +45,6 @@
   /// Starts or ends the drain of a pool, as given in the bundle.
   void SetDrained(const PoolKey& pool, bool drained, const membership::LocalTime& now);
 
-  /// Sets the statistics of the pool's upstreams that other entries own.
-  void SetRemoteStats(const PoolKey& pool, const RemotePoolStats& remote_stats);
-
   /// Adds an upstream that this entry owns from now on. A grant with a higher `grant_id` replaces
   /// an earlier one of the same address.
   GrantEffect Grant(OwnershipGrant grant, const membership::LocalTime& now);
@@ -103,7 +100,6 @@
  private:
   struct Pool {
     std::optional<ServiceLimits> limits;
-    RemotePoolStats remote_stats;
     bool drained = false;
     /// Indices into `upstreams_`.
     std::vector<std::uint32_t> members;
--- a/src/libs/routing/summary_table.cpp
+++ b/src/libs/routing/summary_table.cpp
@@ -85,7 +85,6 @@
   const bool silent = now - row.received > kStaleSummary;
   if (summary.sequence <= history.sequence && !silent) return false;
   history.sequence = summary.sequence;
-  history.round_trip = round_trip;
   // Requests sent within the last round trip had not reached the owner when it made the summary.
   std::erase_if(history.forwards, [&](auto sent_at) { return sent_at <= now - round_trip; });
   row.forwarded_since = static_cast<float>(history.forwards.size());
--- a/src/libs/routing/summary_table.h
+++ b/src/libs/routing/summary_table.h
@@ -67,7 +67,6 @@
   // Data that a choice does not read, stored separately so that a scan touches fewer cache lines.
   struct History {
     std::uint64_t sequence = 0;
-    base::Duration round_trip{0};
     float observed_us = 0;
     std::uint32_t observed = 0;
     base::MonotonicTime observed_at;
--- a/tests/auto/admission/limits_test.cpp
+++ b/tests/auto/admission/limits_test.cpp
@@ -103,6 +103,7 @@
 // Guards against a shift into a pool that is full or of which this entry owns no upstream.
 Test(shift_headroom, needs_more_free_slots_than_the_percentage) {
   cr_expect(!ShiftFitsHeadroom(0, 0, 0));
+  cr_expect(!ShiftFitsHeadroom(0, 10, 0));
   cr_expect(!ShiftFitsHeadroom(2, 10, 20));
   cr_expect(ShiftFitsHeadroom(3, 10, 20));
   cr_expect(ShiftFitsHeadroom(1, 10, 0));
--- a/tests/auto/admission/slot_table_test.cpp
+++ b/tests/auto/admission/slot_table_test.cpp
@@ -182,13 +182,16 @@
 // Guards against an upstream that keeps getting requests despite its errors, and against the
 // ejection of more than a third of a pool.
 Test(slot_table, ejects_at_most_a_third) {
-  for (const std::uint32_t remote_upstreams : {1U, 2U}) {
+  for (const std::uint32_t others : {1U, 2U}) {
     Fixture fixture;
-    fixture.table.SetRemoteStats({"payment", "mvd-1"}, {remote_upstreams, 0, {}});
+    for (std::uint32_t i = 1; i <= others; ++i) {
+      const std::string address = "127.0.0.1:" + std::to_string(9'000 + i);
+      fixture.table.Grant({address, "payment", "mvd-1", 2, i, true, true}, At(0));
+    }
     for (int i = 0; i < 11; ++i) {
       fixture.Release(fixture.Acquire(10).ticket, 10, SlotOutcome::kErrorAnswer);
     }
-    const Refusal expected = remote_upstreams == 2 ? Refusal::kEjected : Refusal::kNone;
+    const Refusal expected = others == 2 ? Refusal::kEjected : Refusal::kNone;
     cr_expect(fixture.Acquire(20).refusal == expected);
   }
 }
--- a/tests/auto/routing/choice_schedule.cpp
+++ b/tests/auto/routing/choice_schedule.cpp
@@ -8,10 +8,10 @@
 #include <random>
 #include <vector>
 
+#include "admission/shift_headroom.h"
 #include "fixtures.h"
 #include "routing/link_budget.h"
 #include "routing/place_chooser.h"
-#include "shift/headroom.h"
 #include "shift/shift_controller.h"
 
 namespace wagtailpick::routing {
@@ -206,7 +206,7 @@
     const bool overloads = candidate.shifted && !above;
     if (exact_ && overloads) ++counts_.region_overloaded;
     const bool admitted =
-        candidate.shifted ? shift::MayAdmitShifted(free, slots_[place], kHeadroom) : free > 0;
+        candidate.shifted ? admission::ShiftFitsHeadroom(free, slots_[place], kHeadroom) : free > 0;
     if (!admitted) {
       entry.table.RecordShed(candidate.key, now_, now_);
       return;
--- a/tests/auto/shift/forced_shift_test.cpp
+++ b/tests/auto/shift/forced_shift_test.cpp
@@ -7,8 +7,6 @@
 #include <random>
 #include <string>
 
-#include "shift/headroom.h"
-
 namespace wagtailpick::shift {
 namespace {
 
@@ -98,8 +96,6 @@
   cr_expect(SustainableRate(1, 10, 20, kSlotTime) == 0);
   cr_expect(SustainableRate(3, 11, 20, kSlotTime) == 0);
   cr_expect(SustainableRate(10, 10, 20, base::Duration::zero()) == 0);
-  cr_expect(!MayAdmitShifted(2, 10, 20) && MayAdmitShifted(3, 10, 20));
-  cr_expect(!MayAdmitShifted(0, 0, 0) && !MayAdmitShifted(0, 10, 0));
 }
 
 }  // namespace wagtailpick::shift
--- a/tests/benchmarks/routing/load_model.cpp
+++ b/tests/benchmarks/routing/load_model.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "shift/headroom.h"
+#include "admission/shift_headroom.h"
 
 namespace wagtailpick::benchmarks {
 namespace {
@@ -237,9 +237,9 @@
   const auto back = Network(key.place, cluster_.entries()[request->entry].place);
   OwnedGroup& group = cluster_.GroupOf(key);
   const bool open = cluster_.entries()[key.entry].alive &&
-                    (!candidate.shifted ||
-                     shift::MayAdmitShifted(cluster_.FreeSlots(group, now_),
-                                            cluster_.TotalSlots(group), kShiftHeadroomPercent));
+                    (!candidate.shifted || admission::ShiftFitsHeadroom(
+                                               cluster_.FreeSlots(group, now_),
+                                               cluster_.TotalSlots(group), kShiftHeadroomPercent));
   const auto index =
       open ? steering_->PickUpstream(group, cluster_.RegionOf(request->home), now_) : std::nullopt;
   if (!index) {
