Wait until a paused process has stopped

Cause: control_failure::resumed_leader_accepts_and_grants_nothing failed once at load 20 ("the resumed leader extended a lease"). It sends a renewal right after SIGSTOP, and took it for granted that the process no longer runs. kill returns earlier.

So a renewal can be granted before the stop, and be counted as granted by the resumed leader. The failed run kept no events; that it was this race is not shown by it. The lease itself reads the clock when it is asked (LogDriver::HasLease), so a pause ends it.

Change: Child::Pause waits until all threads have stopped. All checks of the three tests that pause a process stay as they are.

Conclusion: a fault of the test; what it sends now meets a stopped process.

--- a/tests/auto/processes/control_failure_test.cpp
+++ b/tests/auto/processes/control_failure_test.cpp
@@ -135,7 +135,7 @@
     const std::string competing = tool.Sign(2, 1);
     const auto elected = cluster.CountEvents(paused, "leader_elected");
 
-    paused.process->Signal(SIGSTOP);
+    paused.process->Pause();
     // Both requests wait in the socket, so the resumed process handles them before any message of
     // its successor.
     const auto renewal = StartRenewal(*client);
--- a/tests/auto/processes/entry_failure_test.cpp
+++ b/tests/auto/processes/entry_failure_test.cpp
@@ -95,7 +95,7 @@
       return running == kSlots;
     });
     const auto owned = CountOwnershipsOfOtherEntries(cluster);
-    cluster.entry(0).process->Signal(SIGSTOP);
+    cluster.entry(0).process->Pause();
     WaitUntil("the upstream has a new owner",
               [&] { return CountOwnershipsOfOtherEntries(cluster) > owned; });
     WaitUntil("the new owner sends it a request", [&] {
@@ -118,7 +118,7 @@
     ChargeLoad load(cluster, "charge");
     load.WaitForMore(kSomeCharges);
     const auto owned = CountOwnershipsOfOtherEntries(cluster);
-    cluster.entry(0).process->Signal(SIGSTOP);
+    cluster.entry(0).process->Pause();
     WaitUntil("its upstreams have new owners",
               [&] { return CountOwnershipsOfOtherEntries(cluster) >= owned + 2; });
     load.WaitForMore(kSomeCharges);
--- a/tests/auto/processes/harness/child.cpp
+++ b/tests/auto/processes/harness/child.cpp
@@ -52,6 +52,17 @@
   if (!status_) kill(pid_, signal);
 }
 
+// On a busy machine a thread goes on for some milliseconds after `kill` has returned, and may still
+// answer a request.
+void Child::Pause() const {
+  Signal(SIGSTOP);
+  WaitUntil("a process stops", [this] {
+    siginfo_t info{};
+    return waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WNOHANG) == 0 &&
+           info.si_pid == pid_;
+  });
+}
+
 void Child::Kill() {
   Signal(SIGKILL);
   if (status_) return;
--- a/tests/auto/processes/harness/child.h
+++ b/tests/auto/processes/harness/child.h
@@ -25,6 +25,10 @@
   /// Sends `signal` unless the process has been reaped.
   void Signal(int signal) const;
 
+  /// Sends SIGSTOP and waits until all threads of the process have stopped. Throws after
+  /// `kWaitLimit`.
+  void Pause() const;
+
   /// Kills the process by SIGKILL and reaps it.
   void Kill();
 
