Bound the objects recorded of an upstream

Cause: above 256 objects, a request removed those that had expired; if none had, the record grew by one all the same and each request scanned all of it. Below 256, expired objects were never removed, at any of the upstreams.

Change: the objects are a base::ExpiringMap of 256 entries and 20 s. At the cap the object handled longest ago is dropped, which the upstream has evicted from its own cache long before.

--- a/src/libs/placement/upstream_condition.cpp
+++ b/src/libs/placement/upstream_condition.cpp
@@ -9,10 +9,6 @@
 /// Time constant for the decay of the load from other entries, whose requests finish at about the
 /// rate at which the upstream works.
 constexpr double kLoadDecayMs = 700.0;
-/// How long an upstream stays warm for an object while it handles others.
-constexpr base::Duration kObjectLifetime = std::chrono::seconds(20);
-/// Above this number of objects, expired ones are removed.
-constexpr std::size_t kMaxObjects = 256;
 /// Weight of the newest answer in the moving average of the failure share.
 constexpr double kFailureWeight = 0.15;
 /// After this many consecutive failures, an upstream is excluded for `kFirstExclusion`, and for
@@ -45,7 +41,7 @@
       break;
     case Outcome::kUnreachable:
       unreachable_at_ = now;
-      objects_.clear();
+      objects_.Clear();
       break;
     case Outcome::kShed:
       // It is alive and answers at once, so the refusal adds to its cost but does not exclude it.
@@ -82,16 +78,11 @@
 }
 
 void UpstreamCondition::RecordObject(std::uint64_t object, base::MonotonicTime now) {
-  if (objects_.size() >= kMaxObjects) {
-    std::erase_if(objects_,
-                  [now](const auto& item) { return now - item.second > kObjectLifetime; });
-  }
-  objects_[object] = now;
+  objects_.Set(object, {}, now);
 }
 
 bool UpstreamCondition::IsWarmFor(std::uint64_t object, base::MonotonicTime now) const {
-  const auto found = objects_.find(object);
-  return found != objects_.end() && now - found->second < kObjectLifetime;
+  return objects_.Find(object, now) != nullptr;
 }
 
 double UpstreamCondition::Load(base::MonotonicTime now) const {
--- a/src/libs/placement/upstream_condition.h
+++ b/src/libs/placement/upstream_condition.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
+#include "base/expiring_map.h"
 #include "base/monotonic_time.h"
 
 namespace wagtailpick::placement {
@@ -46,6 +46,8 @@
 
   /// Returns whether it has recently handled `object` for this entry.
   bool IsWarmFor(std::uint64_t object, base::MonotonicTime now) const;
+  /// Number of objects that are recorded, including expired ones that have not been removed.
+  std::size_t recorded_objects() const { return objects_.size(); }
 
   /// Returns the estimated requests at the upstream: this entry's own, and those of other entries
   /// as last reported, which decay with time.
@@ -68,6 +70,13 @@
   bool IsUsable(base::MonotonicTime last_seen, base::MonotonicTime now) const;
 
  private:
+  struct Nothing {};
+  using ObjectSet = base::ExpiringMap<std::uint64_t, Nothing>;
+
+  static constexpr std::size_t kMaxObjects = 256;
+  /// How long an upstream stays warm for an object while it handles others.
+  static constexpr base::Duration kObjectLifetime = std::chrono::seconds(20);
+
   /// Counts a failure and excludes the upstream after several in a row.
   void ApplyFailure(base::MonotonicTime now);
 
@@ -81,7 +90,9 @@
   base::MonotonicTime excluded_until_ = base::MonotonicTime::min();
   std::optional<base::MonotonicTime> unreachable_at_;
   base::MonotonicTime back_off_until_ = base::MonotonicTime::min();
-  std::unordered_map<std::uint64_t, base::MonotonicTime> objects_;
+  /// The objects that it has recently handled. At the cap, the one handled longest ago is dropped:
+  /// an upstream stays warm for far fewer objects, so it has evicted that one itself.
+  ObjectSet objects_{kMaxObjects, kObjectLifetime};
 };
 
 }  // namespace wagtailpick::placement
