Count objects in use while their table is full

Cause: a full table of a service's objects took no update, not even of objects it already held. After 30 s all of them expired at once although each was in use, and the next requests found an almost empty table: every object could use two upstreams, one of them cold for it, and the rate of one object seemed to be that of all.

Change: the objects are a base::ExpiringMap of 20,000 entries and 30 s. At the cap the object whose last request was the longest ago is no longer counted. Objects now leave the count 30 s after their last request; before, they were removed every 30 s and stayed for up to 60 s. base::ExpiringSet is the map without values, for both records of objects.

Conclusion: the number of upstreams for one object no longer jumps at the limit.

--- a/src/libs/base/expiring_map.h
+++ b/src/libs/base/expiring_map.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 
 #include "base/monotonic_time.h"
 
@@ -107,4 +108,8 @@
   std::unordered_map<Key, typename std::list<Entry>::iterator, Hash> index_;
 };
 
+/// Set of a bounded size whose elements expire, see `ExpiringMap`.
+template <typename Key, typename Hash = std::hash<Key>>
+using ExpiringSet = ExpiringMap<Key, std::monostate, Hash>;
+
 }  // namespace wagtailpick::base
--- a/src/libs/placement/object_tracker.h
+++ b/src/libs/placement/object_tracker.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <unordered_map>
 
+#include "base/expiring_map.h"
 #include "base/monotonic_time.h"
 
 namespace wagtailpick::placement {
@@ -34,12 +34,19 @@
   std::size_t UpstreamsPerObject(const std::string& service, std::size_t upstreams,
                                  std::size_t regions) const;
 
+  /// Number of objects that are counted for the service.
+  std::size_t object_count(const std::string& service) const;
+
  private:
+  /// Objects that are counted for each service.
+  static constexpr std::size_t kMaxObjects = 20'000;
+  /// Objects without a request for this long no longer count.
+  static constexpr base::Duration kObjectLifetime = std::chrono::seconds(30);
+
   struct ServiceObjects {
-    /// Time of the last request by object.
-    std::unordered_map<std::uint64_t, base::MonotonicTime> last_seen;
-    /// When expired objects are removed next.
-    base::MonotonicTime expire_due;
+    /// Objects with a recent request. At the cap, the one whose last request was the longest ago
+    /// is no longer counted: the count stays at the cap, and objects in use stay in it.
+    base::ExpiringSet<std::uint64_t> objects{kMaxObjects, kObjectLifetime};
     base::MonotonicTime window_start;
     std::uint32_t requests_in_window = 0;
     /// Requests per second in the last complete window.
--- a/src/libs/placement/upstream_condition.h
+++ b/src/libs/placement/upstream_condition.h
@@ -70,9 +70,6 @@
   bool IsUsable(base::MonotonicTime last_seen, base::MonotonicTime now) const;
 
  private:
-  struct Nothing {};
-  using ObjectSet = base::ExpiringMap<std::uint64_t, Nothing>;
-
   static constexpr std::size_t kMaxObjects = 256;
   /// How long an upstream stays warm for an object while it handles others.
   static constexpr base::Duration kObjectLifetime = std::chrono::seconds(20);
@@ -92,7 +89,7 @@
   base::MonotonicTime back_off_until_ = base::MonotonicTime::min();
   /// The objects that it has recently handled. At the cap, the one handled longest ago is dropped:
   /// an upstream stays warm for far fewer objects, so it has evicted that one itself.
-  ObjectSet objects_{kMaxObjects, kObjectLifetime};
+  base::ExpiringSet<std::uint64_t> objects_{kMaxObjects, kObjectLifetime};
 };
 
 }  // namespace wagtailpick::placement
