Keep each crashed run until its strikes have ended

Cause: the entry noted the runs that it took for crashed and cleared all of them at 1,000. An upstream that had only refused a connection, and answered after that, no longer had its strikes withdrawn, so that a harmless request stayed blocked. The loss of one data centre with 1,000 upstreams is enough.

Change: the runs are a base::ExpiringMap of 6,000 entries, the crashes that all suspects together can count before they are blocked, and 24 h. At the cap, the run found longest ago is dropped; its strikes then end with their block.

Measured: withdraws_strikes_of_a_run_that_answers_after_many_crashes (1,100 other crashes) failed before ("The expression !fixture.guard().IsBlocked(Request()) is false") and passes now; the six tests of crash_guard pass.

Conclusion: a false crash is withdrawn beside the loss of a large data centre.

--- a/src/libs/relay/crash_guard.cpp
+++ b/src/libs/relay/crash_guard.cpp
@@ -21,7 +21,10 @@
 /// A crashed upstream announces its restart within a few seconds.
 constexpr base::Duration kMaxUnresolvedAge = std::chrono::seconds(30);
 constexpr std::size_t kMaxUnresolvedLosses = 256;
-constexpr std::size_t kMaxCrashedRuns = 1'000;
+/// Enough for all crashes that the suspects can count before they are blocked.
+constexpr std::size_t kMaxCrashedRuns = kMaxSuspects * kCrashesToBlock;
+/// A block lasts as long as callers renew it, so the answer that withdraws it may come late.
+constexpr base::Duration kCrashedRunLifetime = std::chrono::hours(24);
 /// Enough to distinguish requests in logs.
 constexpr std::size_t kLoggedFingerprintDigits = 16;
 
@@ -31,6 +34,10 @@
 
 }  // namespace
 
+std::size_t CrashGuard::RunHash::operator()(const safety::UpstreamRun& run) const {
+  return std::hash<std::string>()(run.address) ^ std::hash<std::uint64_t>()(run.incarnation);
+}
+
 safety::SuspectLimits CrashLimits() {
   safety::SuspectLimits limits;
   limits.max_fingerprints = kMaxSuspects;
@@ -41,7 +48,11 @@
 }
 
 CrashGuard::CrashGuard(asio::io_context& loop, DecisionLog& log, metrics::Registry& registry)
-    : probe_(loop), log_(log), metrics_(registry), table_(CrashLimits()) {}
+    : probe_(loop),
+      log_(log),
+      metrics_(registry),
+      table_(CrashLimits()),
+      crashed_runs_(kMaxCrashedRuns, kCrashedRunLifetime) {}
 
 bool CrashGuard::IsBlocked(const safety::Fingerprint& fingerprint) {
   return table_.Check(fingerprint, base::WallNowMillis()).action == safety::Action::kBlocked;
@@ -91,17 +102,17 @@
   const std::string id = lost.run.address + "/" + std::to_string(lost.run.incarnation) + "/" +
                          lost.request_id + "/" + std::to_string(now);
   table_.AddStrike(lost.fingerprint, {id, lost.run, 0, {}}, now);
-  if (crashed_runs_.size() >= kMaxCrashedRuns) crashed_runs_.clear();
-  crashed_runs_[{lost.run.address, lost.run.incarnation}] = base::MonotonicNow();
+  const auto seen_at = base::MonotonicNow();
+  crashed_runs_.Set(lost.run, seen_at, seen_at);
 }
 
 // A refused connection does not always mean a crash: an upstream also refuses connections beyond
 // its limit.
 void CrashGuard::HandleAnswer(const safety::UpstreamRun& run, base::MonotonicTime sent_at) {
   if (crashed_runs_.empty()) return;
-  const auto found = crashed_runs_.find({run.address, run.incarnation});
-  if (found == crashed_runs_.end() || sent_at <= found->second) return;
-  crashed_runs_.erase(found);
+  const auto* seen_at = crashed_runs_.Find(run, base::MonotonicNow());
+  if (seen_at == nullptr || sent_at <= *seen_at) return;
+  crashed_runs_.Erase(run);
   const auto withdrawn =
       table_.WithdrawStrikes(run, std::numeric_limits<std::uint64_t>::max(), base::WallNowMillis());
   log_.Write(Level::kInfo, "upstream_had_not_ended", run.address,
--- a/src/libs/relay/crash_guard.h
+++ b/src/libs/relay/crash_guard.h
@@ -3,11 +3,11 @@
 #include <asio/io_context.hpp>
 #include <deque>
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/expiring_map.h"
 #include "base/monotonic_time.h"
 #include "metrics/registry.h"
 #include "net/liveness_probe.h"
@@ -85,6 +85,10 @@
     base::MonotonicTime at;
   };
 
+  struct RunHash {
+    std::size_t operator()(const safety::UpstreamRun& run) const;
+  };
+
   void HandleProbeVerdict(const LostExchange& lost, net::ProbeVerdict verdict);
   void AddStrike(const LostExchange& lost);
 
@@ -92,8 +96,9 @@
   DecisionLog& log_;
   metrics::Registry& metrics_;
   safety::SuspectTable table_;
-  /// When this entry found that a run had crashed, by address and incarnation.
-  std::map<std::pair<std::string, std::uint64_t>, base::MonotonicTime> crashed_runs_;
+  /// When this entry found that a run had crashed. At the cap, the run found longest ago is
+  /// dropped: an answer of it withdraws no strikes any more, and they end with their block.
+  base::ExpiringMap<safety::UpstreamRun, base::MonotonicTime, RunHash> crashed_runs_;
   /// Oldest first.
   std::deque<UnresolvedLoss> unresolved_losses_;
   std::multiset<std::string> upstreams_running_suspects_;
--- a/tests/auto/relay/crash_guard_test.cpp
+++ b/tests/auto/relay/crash_guard_test.cpp
@@ -25,8 +25,9 @@
 
   /// Reports that the connection to a run of the upstream at `address` was lost during `Request()`,
   /// and waits for the probe.
-  void LoseExchange(const std::string& address, std::uint64_t incarnation) {
-    guard_.ExamineLoss({"1", Request(), "i-1", {address, incarnation}}, [] {});
+  void LoseExchange(const std::string& address, std::uint64_t incarnation,
+                    const safety::Fingerprint& request = Request()) {
+    guard_.ExamineLoss({"1", request, "i-1", {address, incarnation}}, [] {});
     loop_.restart();
     loop_.run();
   }
@@ -69,6 +70,22 @@
   cr_expect(!fixture.guard().IsBlocked(Request()));
 }
 
+// Guards against a harmless request that stays blocked because many upstreams crashed after the one
+// that was taken for crashed, as when a data centre is lost.
+Test(crash_guard, withdraws_strikes_of_a_run_that_answers_after_many_crashes) {
+  constexpr std::uint64_t kOtherCrashes = 1'100;
+  GuardFixture fixture;
+  for (std::uint64_t run = 1; run <= 3; ++run) fixture.LoseExchange(fixture.closed_address(), run);
+  cr_expect(fixture.guard().IsBlocked(Request()));
+  const auto other = safety::FingerprintOf("h", "GET", "/other", "");
+  for (std::uint64_t run = 1; run <= kOtherCrashes; ++run) {
+    fixture.LoseExchange(fixture.closed_address(), 100 + run, other);
+  }
+  fixture.guard().HandleAnswer({fixture.closed_address(), 2},
+                               base::MonotonicNow() + std::chrono::seconds(1));
+  cr_expect(!fixture.guard().IsBlocked(Request()));
+}
+
 // Guards against a harmless request that stays blocked or suspect after it was served.
 Test(crash_guard, clears_a_request_that_was_served) {
   GuardFixture fixture;
