Count crashes beside many unresolved losses

Cause: a lost exchange whose probe times out waits 30 s for the next run of its upstream, which proves the crash. Only 256 could wait; each further one dropped the oldest. When a data centre cannot be reached, that many requests are lost in a moment, and a request that crashes upstreams ran once more before its block.

At the cap the oldest is dropped, as before. The address that answers no connection attempt moves into a class of the test, for two tests.

Measured: counts_a_crash_that_the_next_run_proves_beside_many_losses (300 other losses) failed before ("The expression fixture.guard().IsSuspect(Request()) is false") and passes now; the seven tests of crash_guard pass.

Conclusion: the bound is that of the table that the losses lead to.

--- a/src/libs/relay/crash_guard.cpp
+++ b/src/libs/relay/crash_guard.cpp
@@ -20,7 +20,8 @@
 constexpr safety::WallMillis kRenewalStepMs = 30'000;
 /// A crashed upstream announces its restart within a few seconds.
 constexpr base::Duration kMaxUnresolvedAge = std::chrono::seconds(30);
-constexpr std::size_t kMaxUnresolvedLosses = 256;
+/// The suspects hold no more requests. At the cap, the oldest loss is dropped and does not count.
+constexpr std::size_t kMaxUnresolvedLosses = kMaxSuspects;
 /// Enough for all crashes that the suspects can count before they are blocked.
 constexpr std::size_t kMaxCrashedRuns = kMaxSuspects * kCrashesToBlock;
 /// A block lasts as long as callers renew it, so the answer that withdraws it may come late.
--- a/tests/auto/relay/crash_guard_test.cpp
+++ b/tests/auto/relay/crash_guard_test.cpp
@@ -28,6 +28,11 @@
   void LoseExchange(const std::string& address, std::uint64_t incarnation,
                     const safety::Fingerprint& request = Request()) {
     guard_.ExamineLoss({"1", request, "i-1", {address, incarnation}}, [] {});
+    RunProbes();
+  }
+
+  /// Waits for all probes.
+  void RunProbes() {
     loop_.restart();
     loop_.run();
   }
@@ -40,6 +45,30 @@
   std::string closed_address_;
 };
 
+/// An address that answers no connection attempt, as its accept queue is full.
+class SilentAddress {
+ public:
+  SilentAddress() : acceptor_(loop_) {
+    acceptor_.open(asio::ip::tcp::v4());
+    acceptor_.bind({asio::ip::make_address(kLoopback), 0});
+    acceptor_.listen(0);
+    for (int i = 0; i < 3; ++i) {
+      filling_.emplace_back(loop_);
+      filling_.back().async_connect(acceptor_.local_endpoint(), [](asio::error_code) {});
+    }
+    loop_.poll();
+  }
+
+  std::string address() const {
+    return std::string(kLoopback) + ":" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  asio::io_context loop_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<asio::ip::tcp::socket> filling_;
+};
+
 }  // namespace
 
 // Guards against a request that is blocked too early or too late, and against a crash of one run
@@ -99,24 +128,28 @@
 // announcement of the next run at the address proves the crash.
 Test(crash_guard, counts_a_crash_that_the_next_run_proves) {
   GuardFixture fixture;
-  asio::io_context loop;
-  asio::ip::tcp::acceptor full(loop);
-  full.open(asio::ip::tcp::v4());
-  full.bind({asio::ip::make_address(kLoopback), 0});
-  full.listen(0);
-  // Fills the accept queue, so that the probe gets no answer.
-  std::vector<asio::ip::tcp::socket> filling;
-  for (int i = 0; i < 3; ++i) {
-    filling.emplace_back(loop);
-    filling.back().async_connect(full.local_endpoint(), [](asio::error_code) {});
-  }
-  loop.poll();
-  const auto address = std::string(kLoopback) + ":" + std::to_string(full.local_endpoint().port());
-  fixture.LoseExchange(address, 5);
+  const SilentAddress silent;
+  fixture.LoseExchange(silent.address(), 5);
   cr_expect(!fixture.guard().IsSuspect(Request()));
-  fixture.guard().HandleRunStart(address, 5);
+  fixture.guard().HandleRunStart(silent.address(), 5);
   cr_expect(!fixture.guard().IsSuspect(Request()));
-  fixture.guard().HandleRunStart(address, 6);
+  fixture.guard().HandleRunStart(silent.address(), 6);
+  cr_expect(fixture.guard().IsSuspect(Request()));
+}
+
+// Guards against a crash that is not counted because many other exchanges were lost within the same
+// seconds, as when a data centre cannot be reached.
+Test(crash_guard, counts_a_crash_that_the_next_run_proves_beside_many_losses) {
+  constexpr int kOtherLosses = 300;
+  GuardFixture fixture;
+  const SilentAddress silent;
+  fixture.LoseExchange(silent.address(), 5);
+  for (int i = 0; i < kOtherLosses; ++i) {
+    const auto other = safety::FingerprintOf("h", "GET", "/" + std::to_string(i), "");
+    fixture.guard().ExamineLoss({"1", other, "i-2", {silent.address(), 7}}, [] {});
+  }
+  fixture.RunProbes();
+  fixture.guard().HandleRunStart(silent.address(), 6);
   cr_expect(fixture.guard().IsSuspect(Request()));
 }
 
