Bound the recorded requests to cold upstreams

Cause: the records of requests within the window were kept however many there were, so that they grew with the upstreams that got a request.

Change: the records are a base::ExpiringMap of 16,384 entries and 1.15 s. None that still binds is evicted: at the cap, an upstream without a record is refused until another record has expired. The cap is above the 10,000 upstreams of the largest deployments, each of which may get a request within the window.

Measured: allows_no_upstream_that_it_cannot_record (20,000 upstreams) failed before ("The expression limiter.recorded_upstreams() <= 16'384 is false") and passes now; the five tests of cold_rate_limiter pass.

Conclusion: neither the memory nor the limit gives way to many upstreams.

--- a/src/libs/placement/cold_rate_limiter.cpp
+++ b/src/libs/placement/cold_rate_limiter.cpp
@@ -8,10 +8,9 @@
 namespace wagtailpick::placement {
 namespace {
 
-/// The second of the limit and a margin, as requests take different times to reach the upstream.
-constexpr base::Duration kWindow = std::chrono::milliseconds(1'150);
 /// Share of the limit that is used. The rest is left for an entry that the others do not know yet.
 constexpr double kUsedShareOfLimit = 0.75;
+
 std::uint64_t RendezvousScore(const std::string& entry, const std::string& upstream) {
   return XXH3_64bits_withSeed(entry.data(), entry.size(),
                               XXH3_64bits(upstream.data(), upstream.size()));
@@ -30,7 +29,7 @@
   const auto key = std::make_pair(upstream, allowed);
   const auto known = shares_.find(key);
   if (known != shares_.end()) return known->second;
-  if (shares_.size() >= kMaxUpstreams) shares_.clear();
+  if (shares_.size() >= kMaxCachedShares) shares_.clear();
   return shares_[key] = ComputeShare(upstream, allowed);
 }
 
@@ -49,23 +48,19 @@
 bool ColdRateLimiter::Allows(const std::string& upstream, const catalog::Service& service,
                              base::MonotonicTime now) const {
   const std::uint32_t share = RequestsPerWindow(upstream, service);
-  const auto found = recent_times_.find(upstream);
-  if (found == recent_times_.end()) return share > 0;
-  const auto used = std::count_if(found->second.begin(), found->second.end(),
-                                  [now](auto at) { return now - at < kWindow; });
+  const auto* times = recent_times_.Find(upstream, now);
+  if (times == nullptr) return share > 0 && recent_times_.HasRoomFor(upstream, now);
+  const auto used =
+      std::count_if(times->begin(), times->end(), [now](auto at) { return now - at < kWindow; });
   return static_cast<std::uint32_t>(used) < share;
 }
 
 void ColdRateLimiter::RecordRequest(const std::string& upstream, base::MonotonicTime now) {
-  const auto is_over = [now](auto at) { return now - at >= kWindow; };
-  // Records within the window still bind, however many there are.
-  if (recent_times_.size() >= cleanup_size_) {
-    std::erase_if(recent_times_, [&](const auto& item) { return is_over(item.second.back()); });
-    cleanup_size_ = std::max(kMaxUpstreams, 2 * recent_times_.size());
-  }
-  auto& times = recent_times_[upstream];
-  std::erase_if(times, is_over);
+  const auto* known = recent_times_.Find(upstream, now);
+  auto times = known == nullptr ? std::vector<base::MonotonicTime>() : *known;
+  std::erase_if(times, [now](auto at) { return now - at >= kWindow; });
   times.push_back(now);
+  recent_times_.Set(upstream, std::move(times), now);
 }
 
 }  // namespace wagtailpick::placement
--- a/src/libs/placement/cold_rate_limiter.h
+++ b/src/libs/placement/cold_rate_limiter.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/expiring_map.h"
 #include "base/monotonic_time.h"
 #include "catalog/service.h"
 
@@ -45,8 +46,11 @@
   std::size_t recorded_upstreams() const { return recent_times_.size(); }
 
  private:
-  /// Upstreams that are kept without a check whether their records have expired.
-  static constexpr std::size_t kMaxUpstreams = 1'024;
+  /// Upstreams of the largest deployments, and a reserve.
+  static constexpr std::size_t kMaxUpstreams = 16'384;
+  static constexpr std::size_t kMaxCachedShares = 1'024;
+  /// The second of the limit and a margin, as requests take different times to reach the upstream.
+  static constexpr base::Duration kWindow = std::chrono::milliseconds(1'150);
 
   /// Returns the number of requests that this entry may send to the upstream in a window.
   std::uint32_t RequestsPerWindow(const std::string& upstream,
@@ -56,10 +60,10 @@
   std::string self_;
   ColdRateLimit limit_;
   std::vector<std::string> entries_;
-  /// Times of this entry's recent requests by upstream.
-  std::map<std::string, std::vector<base::MonotonicTime>> recent_times_;
-  /// Number of upstreams in `recent_times_` at which those without recent requests are removed.
-  std::size_t cleanup_size_ = kMaxUpstreams;
+  /// Times of this entry's recent requests by upstream. Records within the window still bind, so at
+  /// the cap `Allows` refuses upstreams without a record until one has expired.
+  base::ExpiringMap<std::string, std::vector<base::MonotonicTime>> recent_times_{kMaxUpstreams,
+                                                                                 kWindow};
   /// Cache of computed shares, by upstream and by the requests that all entries may send: ranking
   /// all entries for each cold upstream of a service takes longer than the rest of a choice.
   mutable std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> shares_;
--- a/tests/auto/placement/cold_rate_limiter_test.cpp
+++ b/tests/auto/placement/cold_rate_limiter_test.cpp
@@ -79,6 +79,25 @@
   cr_expect(limiter.recorded_upstreams() <= 1'100);
 }
 
+// Guards against records that grow with each upstream that is sent a request within the window, and
+// against one that is forgotten for lack of room, so that its spent share is granted again.
+Test(cold_rate_limiter, allows_no_upstream_that_it_cannot_record) {
+  placement::ColdRateLimiter limiter("e1", {1.5, 5});
+  limiter.SetEntries({"e1"});
+  catalog::Service service;
+  service.cold_rate = 2.6;
+  const MonotonicTime start{std::chrono::seconds(1)};
+  while (limiter.Allows("i-1", service, start)) limiter.RecordRequest("i-1", start);
+  for (int i = 0; i < 20'000; ++i) {
+    const auto other = "other-" + std::to_string(i);
+    if (limiter.Allows(other, service, start)) limiter.RecordRequest(other, start);
+  }
+  cr_expect(limiter.recorded_upstreams() <= 16'384);
+  cr_expect(!limiter.Allows("i-1", service, start + milliseconds(1)));
+  cr_expect(!limiter.Allows("new", service, start + milliseconds(1)));
+  cr_expect(limiter.Allows("new", service, start + milliseconds(1'150)));
+}
+
 // Guards against entries that start together and each take the whole limit before they know the
 // others, and against an entry that is alone and never gets any.
 Test(cold_rate_limiter, has_no_share_while_the_entries_are_unknown) {
