Keep the computed shares of all cold upstreams

Cause: the cache of shares was cleared whole at 1,024 upstreams. With more cold ones, as when a large service starts, each choice computed the shares of all of them again, and each share ranks all entries.

Change: the cache is a base::ExpiringMap of 16,384 upstreams and 60 s. At the cap, the share computed longest ago is dropped and computed again when needed.

--- a/src/libs/placement/cold_rate_limiter.cpp
+++ b/src/libs/placement/cold_rate_limiter.cpp
@@ -22,15 +22,17 @@
     : self_(std::move(self)), limit_(limit) {}
 
 std::uint32_t ColdRateLimiter::RequestsPerWindow(const std::string& upstream,
-                                                 const catalog::Service& service) const {
+                                                 const catalog::Service& service,
+                                                 base::MonotonicTime now) const {
   if (entries_.empty()) return 0;
   const double total = (service.cold_rate * limit_.factor + limit_.slack) * kUsedShareOfLimit;
   const auto allowed = static_cast<std::uint32_t>(std::max(total, 1.0));
-  const auto key = std::make_pair(upstream, allowed);
-  const auto known = shares_.find(key);
-  if (known != shares_.end()) return known->second;
-  if (shares_.size() >= kMaxCachedShares) shares_.clear();
-  return shares_[key] = ComputeShare(upstream, allowed);
+  const auto* known = shares_.Find(upstream, now);
+  if (known != nullptr && known->allowed == allowed) return known->own;
+  ++computed_shares_;
+  const std::uint32_t own = ComputeShare(upstream, allowed);
+  shares_.Set(upstream, {allowed, own}, now);
+  return own;
 }
 
 std::uint32_t ColdRateLimiter::ComputeShare(const std::string& upstream,
@@ -47,7 +49,7 @@
 
 bool ColdRateLimiter::Allows(const std::string& upstream, const catalog::Service& service,
                              base::MonotonicTime now) const {
-  const std::uint32_t share = RequestsPerWindow(upstream, service);
+  const std::uint32_t share = RequestsPerWindow(upstream, service, now);
   const auto* times = recent_times_.Find(upstream, now);
   if (times == nullptr) return share > 0 && recent_times_.HasRoomFor(upstream, now);
   const auto used =
--- a/src/libs/placement/cold_rate_limiter.h
+++ b/src/libs/placement/cold_rate_limiter.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,7 +31,7 @@
   /// Sets the names of all entries of the system, this one included.
   void SetEntries(std::vector<std::string> entries) {
     entries_ = std::move(entries);
-    shares_.clear();
+    shares_.Clear();
   }
 
   /// Returns whether one more request may be sent to the cold upstream now.
@@ -44,17 +43,26 @@
 
   /// Number of upstreams whose requests are recorded.
   std::size_t recorded_upstreams() const { return recent_times_.size(); }
+  /// Number of shares that were computed rather than found in the cache.
+  std::uint64_t computed_shares() const { return computed_shares_; }
 
  private:
   /// Upstreams of the largest deployments, and a reserve.
   static constexpr std::size_t kMaxUpstreams = 16'384;
-  static constexpr std::size_t kMaxCachedShares = 1'024;
+  /// After this time, which is longer than most upstreams stay cold, a share is computed again.
+  static constexpr base::Duration kShareLifetime = std::chrono::seconds(60);
   /// The second of the limit and a margin, as requests take different times to reach the upstream.
   static constexpr base::Duration kWindow = std::chrono::milliseconds(1'150);
 
+  /// Requests per window that this entry may send if all entries may send `allowed`.
+  struct Share {
+    std::uint32_t allowed = 0;
+    std::uint32_t own = 0;
+  };
+
   /// Returns the number of requests that this entry may send to the upstream in a window.
-  std::uint32_t RequestsPerWindow(const std::string& upstream,
-                                  const catalog::Service& service) const;
+  std::uint32_t RequestsPerWindow(const std::string& upstream, const catalog::Service& service,
+                                  base::MonotonicTime now) const;
   std::uint32_t ComputeShare(const std::string& upstream, std::uint32_t allowed) const;
 
   std::string self_;
@@ -64,9 +72,11 @@
   /// the cap `Allows` refuses upstreams without a record until one has expired.
   base::ExpiringMap<std::string, std::vector<base::MonotonicTime>> recent_times_{kMaxUpstreams,
                                                                                  kWindow};
-  /// Cache of computed shares, by upstream and by the requests that all entries may send: ranking
-  /// all entries for each cold upstream of a service takes longer than the rest of a choice.
-  mutable std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> shares_;
+  /// Cache of computed shares by upstream: ranking all entries for each cold upstream of a service
+  /// takes longer than the rest of a choice. At the cap, the share computed longest ago is dropped
+  /// and computed again when needed.
+  mutable base::ExpiringMap<std::string, Share> shares_{kMaxUpstreams, kShareLifetime};
+  mutable std::uint64_t computed_shares_ = 0;
 };
 
 }  // namespace wagtailpick::placement
--- a/tests/auto/placement/cold_rate_limiter_test.cpp
+++ b/tests/auto/placement/cold_rate_limiter_test.cpp
@@ -98,6 +98,37 @@
   cr_expect(limiter.Allows("new", service, start + milliseconds(1'150)));
 }
 
+// Guards against a choice that ranks all entries for each upstream again, because the shares of
+// more than 1,024 cold upstreams did not stay in the cache.
+Test(cold_rate_limiter, computes_the_share_of_each_of_many_upstreams_once) {
+  constexpr std::size_t kUpstreams = 10'000;
+  placement::ColdRateLimiter limiter("e1", {1.5, 5});
+  limiter.SetEntries({"e1", "e2"});
+  catalog::Service service;
+  service.cold_rate = 2.6;
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      limiter.Allows("i-" + std::to_string(i), service, MonotonicTime() + milliseconds(round));
+    }
+  }
+  cr_expect(limiter.computed_shares() == kUpstreams);
+}
+
+// Guards against a share that stays that of the entries or of the rate that were known before.
+Test(cold_rate_limiter, follows_changes_of_entries_and_rate) {
+  placement::ColdRateLimiter limiter("e1", {1.0, 0});
+  limiter.SetEntries({"e1"});
+  catalog::Service service;
+  service.cold_rate = 4;
+  const MonotonicTime start{std::chrono::seconds(1)};
+  for (int i = 0; i < 3; ++i) limiter.RecordRequest("i-1", start);
+  cr_expect(!limiter.Allows("i-1", service, start));
+  service.cold_rate = 8;
+  cr_expect(limiter.Allows("i-1", service, start));
+  limiter.SetEntries({"e1", "e2"});
+  cr_expect(!limiter.Allows("i-1", service, start));
+}
+
 // Guards against entries that start together and each take the whole limit before they know the
 // others, and against an entry that is alone and never gets any.
 Test(cold_rate_limiter, has_no_share_while_the_entries_are_unknown) {
