Refuse a stored vote that can't be read

A replica that starts without its vote, or with another one, can vote twice in one term. A name with a line feed, which a vote request of another process can hold, was written but could not be read.

Change: only an empty text means that no vote was cast. Anything else must be a name, a line feed and the digits of the incarnation; an error (kCorrupt) names the log file, the text and this form, so the start fails as OPERATIONS.md says of a damaged data folder. The last line feed is the separator.

Conclusion: a damaged vote stops the replica instead of its safety.

--- a/src/libs/replica/replica_disk.cpp
+++ b/src/libs/replica/replica_disk.cpp
@@ -1,8 +1,12 @@
 #include "replica/replica_disk.h"
 
+#include <algorithm>
+#include <charconv>
 #include <memory>
+#include <system_error>
 #include <utility>
 
+#include "base/printable_text.h"
 #include "consensus/replica.h"
 #include "storage/file_ops.h"
 
@@ -32,15 +36,28 @@
   return snapshot;
 }
 
-// The store keeps a vote as one string. The separator is a line feed, which no address contains.
+// The store keeps a vote as one string. The last line feed is the separator, so that any name,
+// which comes from another process, can be read back.
 std::string EncodeVote(const consensus::ReplicaKey& key) {
   return key.name.empty() ? "" : key.name + "\n" + std::to_string(key.incarnation);
 }
 
-consensus::ReplicaKey DecodeVote(const std::string& text) {
-  const auto end = text.find('\n');
-  if (end == std::string::npos) return {};
-  return {text.substr(0, end), std::stoull(text.substr(end + 1))};
+/// Reads a vote from the log at `path`. An unreadable vote is an error and never "has not voted":
+/// the replica could vote twice in one term.
+Result<consensus::ReplicaKey> DecodeVote(const std::string& path, const std::string& text) {
+  if (text.empty()) return consensus::ReplicaKey();
+  const auto separator = text.rfind('\n');
+  const auto end_of_name = separator == std::string::npos ? text.size() : separator;
+  const char* const digits = text.data() + std::min(end_of_name + 1, text.size());
+  const char* const end = text.data() + text.size();
+  consensus::ReplicaKey key{text.substr(0, end_of_name), 0};
+  const auto parsed = std::from_chars(digits, end, key.incarnation);
+  if (key.name.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return Fail(ErrorCode::kCorrupt, path + ": the vote \"" + base::ToPrintable(text) +
+                                         "\" is not a replica's name, a line feed and its "
+                                         "incarnation");
+  }
+  return key;
 }
 
 /// Creates the empty stores of a folder.
@@ -108,7 +125,8 @@
     BOOST_OUTCOME_TRY(snapshot, FromStored(*stored));
     recovered_.snapshot = std::move(snapshot);
   }
-  recovered_.hard_state = {log_.hard_state().term, DecodeVote(log_.hard_state().voted_for)};
+  BOOST_OUTCOME_TRY(vote, DecodeVote(folder_.log_path(), log_.hard_state().voted_for));
+  recovered_.hard_state = {log_.hard_state().term, std::move(vote)};
   BOOST_OUTCOME_TRY(entries, log_.ReadAll());
   for (auto& entry : entries) {
     recovered_.entries.push_back({entry.index, entry.term,
