Refuse a committed bundle that can't be read

Cause: HandleBundleAccepted took the value of a failed result when the bytes of a committed AcceptBundle command were no signed bundle, which is undefined behaviour. If only the bundle's content was unreadable, the version counted as accepted while the limits of the previous bundle stayed in force.

Change: a record is decoded as a whole, with its bundle, before the state machine gets it. One that can't be read changes nothing, as all replicas skip it, its proposer gets the error, and record_unreadable is logged with the log index. An index that the state machine refuses is now logged too.

Result: a log with a valid bundle of version 7 and an unreadable one of version 8 ended the process ("Unexpected signal caught", CRASH).

Conclusion: entries and limits always hold the same, readable bundle.

--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -50,6 +50,12 @@
   bundle::Bundle parsed;
 };
 
+/// Reads the bundle of a committed command or of a snapshot.
+Result<bundle::Bundle> ReadBundle(const std::string& signed_bytes) {
+  BOOST_OUTCOME_TRY(stored, bundle::DecodeSignedBundle(signed_bytes));
+  return bundle::ParseBundle(stored.payload);
+}
+
 Result<CheckedBundle> CheckBundle(const std::string& bytes, const std::vector<std::string>& keys) {
   BOOST_OUTCOME_TRY(stored, bundle::DecodeSignedBundle(bytes));
   BOOST_OUTCOME_TRY(bundle::Verify(stored, keys));
@@ -117,14 +123,22 @@
 }
 
 void ControlService::Apply(std::uint64_t index, const std::string& data) {
-  const auto command = control::DecodeCommand(data);
-  if (!command) {
-    logging::Write(logging::Level::kError, "record_unreadable", command.error().message);
-    last_outcome_ = command.error();
-    return;
+  last_outcome_ = ApplyRecord(index, data);
+  if (last_outcome_) return;
+  logging::Write(logging::Level::kError, "record_unreadable", last_outcome_.error().message,
+                 {{"index", std::to_string(index)}});
+}
+
+Result<control::Outcome> ControlService::ApplyRecord(std::uint64_t index, const std::string& data) {
+  BOOST_OUTCOME_TRY(command, control::DecodeCommand(data));
+  bundle::Bundle accepted;
+  if (const auto* accept = std::get_if<control::AcceptBundle>(&command)) {
+    BOOST_OUTCOME_TRY(parsed, ReadBundle(accept->signed_bytes));
+    accepted = std::move(parsed);
   }
-  last_outcome_ = state_.Apply(index, command.value());
-  if (last_outcome_) HandleOutcome(command.value(), last_outcome_.value());
+  BOOST_OUTCOME_TRY(outcome, state_.Apply(index, command));
+  HandleOutcome(command, outcome, std::move(accepted));
+  return outcome;
 }
 
 void ControlService::Restore(const std::string& snapshot) {
@@ -157,12 +171,12 @@
   members_ = members;
 }
 
-void ControlService::HandleOutcome(const control::Command& command,
-                                   const control::Outcome& outcome) {
+void ControlService::HandleOutcome(const control::Command& command, const control::Outcome& outcome,
+                                   bundle::Bundle accepted) {
   const auto now = base::MonotonicNow();
   if (const auto* bundle = std::get_if<control::BundleOutcome>(&outcome)) {
     if (bundle->verdict == control::BundleVerdict::kAccepted) {
-      HandleBundleAccepted(std::get<control::AcceptBundle>(command));
+      HandleBundleAccepted(std::get<control::AcceptBundle>(command), std::move(accepted));
     }
   } else if (const auto* session = std::get_if<control::SessionOutcome>(&outcome)) {
     for (const auto ended : session->ended) HandleSessionEnded(ended);
@@ -174,10 +188,9 @@
   view_version_ = state_.applied_index();
 }
 
-void ControlService::HandleBundleAccepted(const control::AcceptBundle& command) {
-  const auto stored = bundle::DecodeSignedBundle(command.signed_bytes);
-  auto parsed = bundle::ParseBundle(stored.value().payload);
-  if (parsed) bundle_ = std::move(parsed.value());
+void ControlService::HandleBundleAccepted(const control::AcceptBundle& command,
+                                          bundle::Bundle accepted) {
+  bundle_ = std::move(accepted);
   shares_.SetLimits(LimitsOf(bundle_), base::MonotonicNow());
   events_.Record(base::WallNowMillis(), EventKind::kBundleAccepted, std::to_string(command.version),
                  command.digest);
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -68,8 +68,12 @@
   void SendToReplica(const std::string& name, const std::vector<consensus::Message>& messages);
   void Apply(std::uint64_t index, const std::string& data);
   void Restore(const std::string& snapshot);
-  void HandleOutcome(const control::Command& command, const control::Outcome& outcome);
-  void HandleBundleAccepted(const control::AcceptBundle& command);
+  /// Applies a record. One that can't be read changes nothing; all replicas skip it.
+  base::Result<control::Outcome> ApplyRecord(std::uint64_t index, const std::string& data);
+  /// `accepted` is the bundle of an `AcceptBundle` command.
+  void HandleOutcome(const control::Command& command, const control::Outcome& outcome,
+                     bundle::Bundle accepted);
+  void HandleBundleAccepted(const control::AcceptBundle& command, bundle::Bundle accepted);
   void HandleSessionEnded(control::SessionId session);
   template <typename Outcome>
   void Propose(const control::Command& command, std::function<void(base::Result<Outcome>)> done);
