Limit the length of a catalog transfer

Cause: the fetcher kept every piece until the announced total was reached, and the total is any number that another process sends. A piece could also go beyond the end. Such a piece replaced the transfer that was running.

The running transfer and the held catalog stay.

Result: three new tests.

--- a/src/libs/distribution/catalog_fetcher.cpp
+++ b/src/libs/distribution/catalog_fetcher.cpp
@@ -14,6 +14,21 @@
 constexpr base::Duration kFirstTimeout = std::chrono::milliseconds(1'200);
 constexpr std::uint32_t kMaxDoublings = 2;
 
+base::Result<void> CheckSize(const CatalogPiece& piece) {
+  if (piece.total > kMaxCatalogBytes) {
+    return base::Fail(base::ErrorCode::kLimitExceeded,
+                      "the transfer has " + std::to_string(piece.total) + " bytes, the limit is " +
+                          std::to_string(kMaxCatalogBytes));
+  }
+  if (piece.offset > piece.total || piece.bytes.size() > piece.total - piece.offset) {
+    return base::Fail(base::ErrorCode::kLimitExceeded,
+                      "a piece of " + std::to_string(piece.bytes.size()) + " bytes at " +
+                          std::to_string(piece.offset) + " goes beyond the transfer of " +
+                          std::to_string(piece.total));
+  }
+  return base::Ok();
+}
+
 }  // namespace
 
 void CatalogFetcher::HandleOffer(const std::string& replica, std::uint64_t version, int distance) {
@@ -36,6 +51,7 @@
   };
   for (auto offer = offers_.begin(); offer != offers_.end(); ++offer) {
     if (offer->second.version < min_version) continue;
+    if (offer->second.version <= offer->second.refused_version) continue;
     if (best == offers_.end() || priority(offer->second) < priority(best->second)) best = offer;
   }
   return best;
@@ -80,6 +96,11 @@
   if (outstanding_ && outstanding_->replica == replica) RecordAnswer(piece.bytes.size(), now);
   const auto none = std::optional<FetchedCatalog>();
   if (piece.key.version <= held_.version || piece.bytes.empty()) return none;
+  if (const auto checked = CheckSize(piece); !checked) {
+    const auto offer = offers_.find(replica);
+    if (offer != offers_.end()) offer->second.refused_version = piece.key.version;
+    return checked.error();
+  }
   const bool continues = piece.key == transfer_.key && piece.base == transfer_.base &&
                          piece.total == transfer_.total && piece.offset == transfer_.bytes.size();
   if (continues) {
--- a/src/libs/distribution/catalog_fetcher.h
+++ b/src/libs/distribution/catalog_fetcher.h
@@ -42,7 +42,9 @@
   /// Adds a piece to the transfer; returns the version when this completes it. Pieces of old
   /// versions and of other transfers are ignored. Fails with `kCorrupt` if the content of the
   /// finished transfer does not match its digest; the next request then asks for the complete
-  /// catalog.
+  /// catalog. Fails with `kLimitExceeded`, and keeps the running transfer, if the piece belongs to
+  /// a transfer above `kMaxCatalogBytes` or goes beyond its end; this replica is then asked only
+  /// for later versions.
   base::Result<std::optional<FetchedCatalog>> HandlePiece(const std::string& replica,
                                                           const CatalogPiece& piece,
                                                           base::MonotonicTime now);
@@ -58,6 +60,8 @@
   struct Offer {
     std::uint64_t version = 0;
     int distance = 0;
+    /// The version of this replica whose transfer was refused last; 0 for none.
+    std::uint64_t refused_version = 0;
     /// Consecutive requests that this replica has not answered in time.
     std::uint32_t unanswered = 0;
   };
--- a/tests/auto/distribution/catalog_transfer_test.cpp
+++ b/tests/auto/distribution/catalog_transfer_test.cpp
@@ -218,3 +218,52 @@
   cr_expect(!result.value());
   cr_expect(world.fetcher.version() == 5);
 }
+
+// Guards against a transfer whose announced length is not bounded: the entry would keep every piece
+// of it in memory, and drop the transfer that it has begun.
+Test(catalog_transfer, refuses_a_transfer_above_the_size_limit) {
+  World world;
+  world.Commit(1, CatalogText(1, 10));
+  world.RunUntil(kStart + seconds(1));
+  world.Commit(2, CatalogText(2, 4'000));
+  const auto next = world.fetcher.NextRequest(world.now);
+  cr_assert(next.has_value());
+  const auto first = world.near.Answer(next->request);
+  cr_assert(first && world.fetcher.HandlePiece("near", *first, world.now));
+  const distribution::CatalogPiece endless{{9, 1}, {}, ~std::uint64_t{0}, 0, "x"};
+  const auto refused = world.fetcher.HandlePiece("far", endless, world.now);
+  cr_expect(!refused && refused.error().code == base::ErrorCode::kLimitExceeded);
+  cr_expect(!refused && refused.error().message ==
+                            "the transfer has 18446744073709551615 bytes, the limit is 67108864");
+  world.now += seconds(1);
+  const auto resumed = world.fetcher.NextRequest(world.now);
+  cr_assert(resumed.has_value());
+  cr_expect(resumed->request.wanted.version == 2);
+  cr_expect(resumed->request.offset == first->bytes.size());
+  cr_expect(world.fetcher.version() == 1);
+}
+
+// Guards against a piece that goes beyond the end of its transfer and is kept.
+Test(catalog_transfer, refuses_a_piece_beyond_the_end) {
+  World world;
+  const distribution::CatalogPiece piece{{1, 1}, {}, 4, 0, "12345"};
+  const auto refused = world.fetcher.HandlePiece("near", piece, world.now);
+  cr_expect(!refused && refused.error().code == base::ErrorCode::kLimitExceeded);
+}
+
+// Guards against an endless exchange, with a log line each, with a replica that offers a version
+// whose transfer is refused. A later version of this replica is fetched.
+Test(catalog_transfer, asks_once_for_a_version_that_is_refused) {
+  World world;
+  world.fetcher.HandleOffer("near", 1, 0);
+  const auto next = world.fetcher.NextRequest(world.now);
+  cr_assert(next.has_value());
+  const distribution::CatalogPiece endless{{1, 1}, {}, ~std::uint64_t{0}, 0, "x"};
+  cr_expect(!world.fetcher.HandlePiece("near", endless, world.now));
+  world.fetcher.HandleOffer("near", 1, 0);
+  cr_expect(!world.fetcher.NextRequest(world.now + seconds(60)));
+  world.Commit(2, CatalogText(2, 10));
+  world.fetcher.HandleReplicaLost("far");
+  world.RunUntil(world.now + seconds(1));
+  cr_expect(world.fetcher.version() == 2);
+}
