--- a/src/libs/consensus/replica.cpp
+++ b/src/libs/consensus/replica.cpp
@@ -116,6 +116,8 @@
 
 void Replica::SyncFailed() { core_->Stop(base::ErrorCode::kIo, "a write or sync failed"); }
 
+void Replica::Halt(base::Error fault) { core_->Stop(fault.code, std::move(fault.message)); }
+
 bool Replica::LedSince(base::MonotonicTime since, base::MonotonicTime now) const {
   return core_->LedSince(since, now);
 }
--- a/src/libs/consensus/replica.h
+++ b/src/libs/consensus/replica.h
@@ -98,6 +98,9 @@
   /// Reports that a write or sync failed. As the content of the disk is then unknown, the replica
   /// stops; it has to be created again from what can be read back.
   void SyncFailed();
+  /// Stops the replica for another fault of its driver, such as a snapshot that can't be read: it
+  /// votes, acknowledges and applies nothing from then on.
+  void Halt(base::Error fault);
 
   /// Whether this replica holds the leader lease and so may serve reads from its applied state: it
   /// is the leader, a quorum answered a message sent within `leader_lease`, and an entry of its own
--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -95,6 +95,7 @@
   }
   BOOST_OUTCOME_TRY(log, replica::LogDriver::Create(service->self_, std::move(log_options),
                                                     std::move(disk), service->LogHooks(loop)));
+  if (service->state_failure_) return *service->state_failure_;
   service->log_ = std::move(log);
   return service;
 }
@@ -142,17 +143,26 @@
 }
 
 void ControlService::Restore(const std::string& snapshot) {
-  auto state = control::ControlState::DecodeSnapshot(snapshot);
-  if (!state) {
-    logging::Write(logging::Level::kError, "snapshot_unreadable", state.error().message);
-    return;
+  const auto restored = RestoreState(snapshot);
+  if (restored) return;
+  state_failure_ =
+      base::Error{restored.error().code, "the snapshot can't be read: " + restored.error().message};
+  logging::Write(logging::Level::kError, "snapshot_unreadable", state_failure_->message);
+  // `Create` returns the error of the snapshot on this disk.
+  if (log_ != nullptr) log_->Halt(*state_failure_);
+}
+
+Result<void> ControlService::RestoreState(const std::string& snapshot) {
+  BOOST_OUTCOME_TRY(state, control::ControlState::DecodeSnapshot(snapshot));
+  bundle::Bundle parsed;
+  if (state.bundle().version > 0) {
+    BOOST_OUTCOME_TRY(read, ReadBundle(state.bundle().signed_bytes));
+    parsed = std::move(read);
   }
-  state_ = std::move(state.value());
+  state_ = std::move(state);
+  bundle_ = std::move(parsed);
   view_version_ = state_.applied_index();
-  const auto stored = bundle::DecodeSignedBundle(state_.bundle().signed_bytes);
-  if (!stored) return;
-  auto parsed = bundle::ParseBundle(stored.value().payload);
-  if (parsed) bundle_ = std::move(parsed.value());
+  return base::Ok();
 }
 
 void ControlService::HandleMembership(const consensus::Membership& members) {
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/event_loop.h"
@@ -23,7 +24,8 @@
 /// event loop only.
 class ControlService {
  public:
-  /// Recovers from `disk`. Fails as `LogDriver::Create` does.
+  /// Recovers from `disk`. Fails as `LogDriver::Create` does, and with `kCorrupt` or
+  /// `kInvalidArgument` if its snapshot or the bundle in it can't be read.
   static base::Result<std::unique_ptr<ControlService>> Create(const ControllerOptions& options,
                                                               replica::ReplicaDisk disk,
                                                               base::EventLoop& loop,
@@ -67,7 +69,10 @@
   replica::LogDriver::Hooks LogHooks(base::EventLoop& loop);
   void SendToReplica(const std::string& name, const std::vector<consensus::Message>& messages);
   void Apply(std::uint64_t index, const std::string& data);
+  /// Replaces the state by a snapshot. Halts the log if the snapshot can't be read, as this replica
+  /// would otherwise go on with another state than its group.
   void Restore(const std::string& snapshot);
+  base::Result<void> RestoreState(const std::string& snapshot);
   /// Applies a record. One that can't be read changes nothing; all replicas skip it.
   base::Result<control::Outcome> ApplyRecord(std::uint64_t index, const std::string& data);
   /// `accepted` is the bundle of an `AcceptBundle` command.
@@ -95,6 +100,8 @@
   timeline::EventRing& events_;
   std::string self_;
   std::unique_ptr<replica::LogDriver> log_;
+  /// Why the snapshot can't be read.
+  std::optional<base::Error> state_failure_;
   control::ControlState state_;
   control::SessionTable sessions_;
   control::ShareLedger shares_;
--- a/src/libs/replica/log_driver.cpp
+++ b/src/libs/replica/log_driver.cpp
@@ -99,6 +99,7 @@
   consensus::Output output = replica_.ConsumeOutput(!writer_.busy());
   Send(output.messages);
   Apply(output);
+  if (replica_.fault()) return FailPending();
   if (!output.sync.empty()) writer_.Start(std::move(output.sync));
   TakeSnapshotWhenDue();
   if (replica_.role() != consensus::Role::kLeader) FailPending();
@@ -121,6 +122,7 @@
 void LogDriver::Apply(const consensus::Output& output) {
   if (output.restore && output.restore->data != nullptr) {
     hooks_.restore(*output.restore->data);
+    if (replica_.fault()) return;
     applied_ = output.restore->index;
   }
   for (const auto& entry : output.committed) {
--- a/src/libs/replica/log_driver.h
+++ b/src/libs/replica/log_driver.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/result.h"
@@ -23,7 +24,7 @@
     /// Applies the data of a committed entry. Indexes rise but need not be consecutive, as other
     /// kinds of entry are not passed.
     std::function<void(std::uint64_t index, const std::string& data)> apply;
-    /// Replaces the applied state by a snapshot.
+    /// Replaces the applied state by a snapshot. Calls `Halt` if it can't be read.
     std::function<void(const std::string& snapshot)> restore;
     /// Encodes the applied state as a snapshot.
     std::function<std::string()> snapshot;
@@ -66,6 +67,10 @@
   /// Adds names of replicas that are asked to admit this one to the group.
   void AddPeers(const std::vector<std::string>& names) { replica_.AddPeers(names); }
 
+  /// Stops the replica, as its owner can't apply what was committed: it votes, acknowledges and
+  /// applies nothing from then on and takes no snapshot. It has to be created again.
+  void Halt(base::Error fault) { replica_.Halt(std::move(fault)); }
+
   /// Handles messages from other replicas.
   void Step(const std::vector<consensus::Message>& messages);
   /// Handles timeouts; must be called every 10 to 20 ms.
