Log a failed append to the claim log

Cause: ClaimService::Store kept the error of a failed append and wrote no log line, and Flush logs only while there is no earlier error. All claims were refused from then on for a reason that nobody could see.

Change: one function records the first error of the claim log, for appends, syncs and rewrites, and logs claim_log_failed with what follows from it.

Conclusion: the refusal was right and stays; its reason is logged.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -80,15 +80,18 @@
   ++records_stored_;
   if (failure_) return;
   const auto offset = log_.Append(rpc::ToWire(record).SerializeAsString());
-  if (!offset) {
-    failure_ = offset.error();
-    return;
-  }
+  if (!offset) return HandleLogFailure(offset.error());
   if (record.kind == claims::RecordKind::kCompleted && !record.answer.empty()) {
     store_.SetAnswerPosition(record.table, record.key, record.attempt, offset.value());
   }
 }
 
+void ClaimService::HandleLogFailure(const base::Error& error) {
+  failure_ = error;
+  logging::Write(logging::Level::kError, "claim_log_failed",
+                 error.message + "; claims are refused until a restart");
+}
+
 void ClaimService::ReplyAfterSync(const claims::Mutation& mutation,
                                   std::function<void(Result<void>)> reply) {
   if (mutation.record) Store(*mutation.record);
@@ -103,8 +106,7 @@
     if (result) {
       records_synced_ = records_stored_;
     } else {
-      failure_ = result.error();
-      logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
+      HandleLogFailure(result.error());
     }
   }
   auto replies = std::move(pending_replies_);
@@ -206,10 +208,7 @@
     store_.SetAnswerPosition(record.table, record.key, record.attempt, to);
   };
   const auto done = log_.Compact(is_live, moved);
-  if (!done) {
-    failure_ = done.error();
-    logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
-  }
+  if (!done) HandleLogFailure(done.error());
   compact_at_bytes_ = std::max(options_.claim_log_rewrite_bytes, 2 * log_.file_bytes());
 }
 
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -64,6 +64,8 @@
 
   void Recover(const RecoveredClaims& recovered);
   void Store(const claims::Record& record);
+  /// Logs the first error of the claim log; nothing is confirmed after it.
+  void HandleLogFailure(const base::Error& error);
   void ReplyAfterSync(const claims::Mutation& mutation,
                       std::function<void(base::Result<void>)> reply);
   void Flush();
--- a/tests/auto/controller/claim_service_test.cpp
+++ b/tests/auto/controller/claim_service_test.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "base/monotonic_time.h"
 #include "claims/claim_messages.h"
+#include "logging/log.h"
 #include "rpc/claim_codec.h"
 #include "rpc/server.h"
 #include "storage/file_ops.h"
@@ -255,3 +257,51 @@
   cr_expect(first.requests + second.requests <= 2 * ticks);
   std::filesystem::remove_all(folder);
 }
+
+// Guards against a claim log that can't be appended to and leaves no log line: all claims are
+// refused from then on, for a reason that nobody can see.
+Test(claim_service, logs_a_failed_append) {
+  const LogFile file;
+  auto ops = std::make_shared<wagtailpick::storage::FileOps>(*wagtailpick::storage::PosixFileOps());
+  cr_assert(ClaimLog::Create(ops, file.path()));
+  ops->write = [](int, std::uint64_t, std::string_view) -> Result<std::size_t> {
+    return wagtailpick::base::Fail(wagtailpick::base::ErrorCode::kIo, "no space left on device");
+  };
+  const std::string lines_path = file.path() + ".lines";
+  cr_assert(wagtailpick::logging::Start({"vm", "dc", lines_path, false}).has_value());
+  auto log = ClaimLog::Open(ops, file.path(), [](std::uint64_t, std::string_view) {
+    return Result<void>(wagtailpick::base::Ok());
+  });
+  cr_assert(log.has_value());
+  ControllerOptions options;
+  options.replicas = {"127.0.0.1:1"};
+  EventLoop loop(1'024);
+  wagtailpick::timeline::EventRing events("vm", 16);
+  ClaimService service(options, std::move(log.value()), {}, loop, events);
+  int replies = 0;
+  int failures = 0;
+  // Answers of 64 KiB, more of them than the log buffers until the next sync.
+  for (int key = 0; key < kKeys; ++key) {
+    rpc::CompleteRequest request;
+    request.set_key(std::string(32, static_cast<char>(key + 1)));
+    request.set_body(std::string(16, 'b'));
+    request.set_attempt(std::string(16, static_cast<char>(key + 1)));
+    request.set_deadline(wagtailpick::base::WallNowMillis() + 60'000);
+    request.set_answer(std::string(65'536, 'a'));
+    service.Complete(request, [&](const Result<rpc::Empty>& result) {
+      ++replies;
+      if (!result) ++failures;
+    });
+  }
+  service.Tick();
+  cr_expect(replies == kKeys && failures == kKeys, "%d of %d replies are errors", failures,
+            replies);
+  std::ifstream lines(lines_path);
+  int logged = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.find("claim_log_failed") == std::string::npos) continue;
+    ++logged;
+    cr_expect(line.find("no space left on device") != std::string::npos, "%s", line.c_str());
+  }
+  cr_expect(logged == 1, "%d lines", logged);
+}
