Refuse to start without a claim that can't be read

Cause: ClaimService::Recover skipped a record of the claim log that was no ClaimRecord or had a field out of range, without a log line. The claim was lost, so its request could run a second time.

Change: ClaimService is created by a function that can fail. It names the offset and what is wrong, and wagtailpickd then doesn't start, as with any damaged data folder; the replica can be started with an empty folder and copies the claims of the others.

Conclusion: a claim that was confirmed is held or the replica is down.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -31,6 +31,14 @@
   return rpc::ToWire(identity).SerializeAsString();
 }
 
+Result<claims::Record> DecodeRecord(const std::string& bytes) {
+  rpc::ClaimRecord wire;
+  if (!wire.ParseFromString(bytes)) {
+    return base::Fail(base::ErrorCode::kCorrupt, "no message of the type ClaimRecord");
+  }
+  return rpc::FromWire(wire);
+}
+
 claims::ReplicaIdentity IdentityOf(const ControllerOptions& options, std::uint64_t incarnation) {
   return {static_cast<claims::ReplicaIndex>(options.replica_id - 1),
           static_cast<claims::Incarnation>(incarnation)};
@@ -38,19 +46,31 @@
 
 }  // namespace
 
+Result<std::unique_ptr<ClaimService>> ClaimService::Create(const ControllerOptions& options,
+                                                           storage::ClaimLog log,
+                                                           const RecoveredClaims& recovered,
+                                                           base::EventLoop& loop,
+                                                           timeline::EventRing& events) {
+  std::unique_ptr<ClaimService> service(
+      new ClaimService(options, std::move(log), recovered.incarnation, loop, events));
+  BOOST_OUTCOME_TRY(service->Recover(recovered));
+  if (!service->store_.ready()) service->BecomeReady();
+  return service;
+}
+
 ClaimService::ClaimService(const ControllerOptions& options, storage::ClaimLog log,
-                           const RecoveredClaims& recovered, base::EventLoop& loop,
+                           std::uint64_t incarnation, base::EventLoop& loop,
                            timeline::EventRing& events)
     : options_(options),
       log_(std::move(log)),
-      store_({}, IdentityOf(options, recovered.incarnation)),
+      store_({}, IdentityOf(options, incarnation)),
       source_(kKeysPerPage),
       loop_(loop),
       events_(events),
-      compact_at_bytes_(options.claim_log_rewrite_bytes) {
-  Recover(recovered);
-  if (store_.ready()) return;
-  if (recovered.incarnation == 1) {
+      compact_at_bytes_(options.claim_log_rewrite_bytes) {}
+
+void ClaimService::BecomeReady() {
+  if (store_.identity().incarnation == 1) {
     // A new group has no claims yet, so there is nothing to copy from the other replicas.
     const auto mutation = store_.MarkReady();
     if (mutation.record) Store(*mutation.record);
@@ -61,19 +81,22 @@
   for (const auto& address : options_.replicas) peers_.push_back(rpc::Client::Create(address));
 }
 
-void ClaimService::Recover(const RecoveredClaims& recovered) {
+Result<void> ClaimService::Recover(const RecoveredClaims& recovered) {
   std::vector<claims::Record> records;
   records.reserve(recovered.records.size());
   for (std::size_t i = 0; i < recovered.records.size(); ++i) {
-    rpc::ClaimRecord wire;
-    if (!wire.ParseFromString(recovered.records[i])) continue;
-    auto record = rpc::FromWire(wire);
-    if (!record) continue;
+    auto record = DecodeRecord(recovered.records[i]);
+    if (!record) {
+      return base::Fail(record.error().code, "the claim record at offset " +
+                                                 std::to_string(recovered.offsets[i]) +
+                                                 " can't be read: " + record.error().message);
+    }
     if (!record.value().answer.empty()) record.value().answer_position = recovered.offsets[i];
     record.value().answer.clear();
     records.push_back(std::move(record.value()));
   }
   store_.Recover(records, base::WallNowMillis());
+  return base::Ok();
 }
 
 void ClaimService::Store(const claims::Record& record) {
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -33,9 +33,13 @@
 /// on are synced to disk; one sync covers all queued requests. Must be used on one event loop only.
 class ClaimService {
  public:
-  ClaimService(const ControllerOptions& options, storage::ClaimLog log,
-               const RecoveredClaims& recovered, base::EventLoop& loop,
-               timeline::EventRing& events);
+  /// Rebuilds the claims from `recovered`. Fails with `kCorrupt` or `kInvalidArgument` if one of
+  /// the records can't be read: without it a request that has run could run again.
+  static base::Result<std::unique_ptr<ClaimService>> Create(const ControllerOptions& options,
+                                                            storage::ClaimLog log,
+                                                            const RecoveredClaims& recovered,
+                                                            base::EventLoop& loop,
+                                                            timeline::EventRing& events);
 
   /// Claims an idempotency key. Replies with an error when the request is invalid, and with `kIo`
   /// when the claim log cannot be synced.
@@ -62,7 +66,12 @@
     std::function<void(base::Result<void>)> reply;
   };
 
-  void Recover(const RecoveredClaims& recovered);
+  ClaimService(const ControllerOptions& options, storage::ClaimLog log, std::uint64_t incarnation,
+               base::EventLoop& loop, timeline::EventRing& events);
+
+  base::Result<void> Recover(const RecoveredClaims& recovered);
+  /// Accepts claims at once in a new group, or starts to copy those of the other replicas.
+  void BecomeReady();
   void Store(const claims::Record& record);
   /// Logs the first error of the claim log; nothing is confirmed after it.
   void HandleLogFailure(const base::Error& error);
--- a/src/libs/controller/controller.cpp
+++ b/src/libs/controller/controller.cpp
@@ -60,8 +60,9 @@
                 options.data_folder, options.replicas.at(options.replica_id - 1), new_incarnation));
   const RecoveredClaims recovered{disk.ConsumeClaimRecords(), disk.ConsumeClaimOffsets(),
                                   disk.incarnation()};
-  state->claims = std::make_unique<ClaimService>(options, disk.ReleaseClaimLog(), recovered,
-                                                 state->claim_loop, events);
+  BOOST_OUTCOME_TRY(claims, ClaimService::Create(options, disk.ReleaseClaimLog(), recovered,
+                                                 state->claim_loop, events));
+  state->claims = std::move(claims);
   BOOST_OUTCOME_TRY(control,
                     ControlService::Create(options, std::move(disk), state->log_loop, events));
   state->control = std::move(control);
--- a/tests/auto/controller/claim_service_test.cpp
+++ b/tests/auto/controller/claim_service_test.cpp
@@ -49,8 +49,12 @@
     ControllerOptions options;
     options.replicas = {"127.0.0.1:1"};
     options.claim_log_rewrite_bytes = 1;
-    service_ =
-        std::make_unique<ClaimService>(options, std::move(log.value()), recovered, loop_, events_);
+    auto service = ClaimService::Create(options, std::move(log.value()), recovered, loop_, events_);
+    if (!service) {
+      error_ = service.error().message;
+      return;
+    }
+    service_ = std::move(service.value());
     loop_.Start(std::chrono::hours(1), [] {});
   }
 
@@ -94,6 +98,9 @@
     done.get_future().wait();
   }
 
+  /// The error with which the service could not be created; empty if it could.
+  const std::string& error() const { return error_; }
+
   std::size_t recovered_count = 0;
 
  private:
@@ -115,6 +122,7 @@
   EventLoop loop_;
   wagtailpick::timeline::EventRing events_;
   std::unique_ptr<ClaimService> service_;
+  std::string error_;
 };
 
 int StatusOf(ClaimStatus status) { return static_cast<int>(status); }
@@ -245,7 +253,10 @@
   recovered.incarnation = 2;
   EventLoop loop(1'024);
   wagtailpick::timeline::EventRing events("vm", 16);
-  ClaimService service(options, std::move(log.value()), recovered, loop, events);
+  const auto created =
+      ClaimService::Create(options, std::move(log.value()), recovered, loop, events);
+  cr_assert(created.has_value());
+  ClaimService& service = *created.value();
   std::atomic<int> ticks = 0;
   loop.Start(std::chrono::milliseconds(100), [&] {
     ++ticks;
@@ -277,7 +288,9 @@
   options.replicas = {"127.0.0.1:1"};
   EventLoop loop(1'024);
   wagtailpick::timeline::EventRing events("vm", 16);
-  ClaimService service(options, std::move(log.value()), {}, loop, events);
+  const auto created = ClaimService::Create(options, std::move(log.value()), {}, loop, events);
+  cr_assert(created.has_value());
+  ClaimService& service = *created.value();
   int replies = 0;
   int failures = 0;
   // Answers of 64 KiB, more of them than the log buffers until the next sync.
@@ -305,3 +318,28 @@
   }
   cr_expect(logged == 1, "%d lines", logged);
 }
+
+// Guards against a start without a claim whose record can't be read: its request could run twice.
+Test(claim_service, does_not_start_without_a_claim_that_it_cannot_read) {
+  const LogFile file;
+  {
+    ClaimServiceRunner service(file.path(), true);
+    service.Claim(1, 'a');
+  }
+  rpc::ClaimRecord of_unknown_kind;
+  of_unknown_kind.set_kind(99);
+  for (const std::string& record :
+       {std::string("no record"), of_unknown_kind.SerializeAsString()}) {
+    std::filesystem::copy_file(file.path(), file.path() + ".damaged",
+                               std::filesystem::copy_options::overwrite_existing);
+    {
+      auto log = ClaimLog::Open(
+          wagtailpick::storage::PosixFileOps(), file.path() + ".damaged",
+          [](std::uint64_t, std::string_view) { return Result<void>(wagtailpick::base::Ok()); });
+      cr_assert(log.has_value() && log.value().Append(record) && log.value().Sync());
+    }
+    const ClaimServiceRunner service(file.path() + ".damaged", false);
+    cr_expect(service.error().starts_with("the claim record at offset "), "\"%s\"",
+              service.error().c_str());
+  }
+}
