--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -31,6 +31,14 @@
   return rpc::ToWire(identity).SerializeAsString();
 }
 
+Result<claims::Record> DecodeRecord(const std::string& bytes) {
+  rpc::ClaimRecord wire;
+  if (!wire.ParseFromString(bytes)) {
+    return base::Fail(base::ErrorCode::kCorrupt, "no message of the type ClaimRecord");
+  }
+  return rpc::FromWire(wire);
+}
+
 claims::ReplicaIdentity IdentityOf(const ControllerOptions& options, std::uint64_t incarnation) {
   return {static_cast<claims::ReplicaIndex>(options.replica_id - 1),
           static_cast<claims::Incarnation>(incarnation)};
@@ -38,19 +46,31 @@
 
 }  // namespace
 
+Result<std::unique_ptr<ClaimService>> ClaimService::Create(const ControllerOptions& options,
+                                                           storage::ClaimLog log,
+                                                           const RecoveredClaims& recovered,
+                                                           base::EventLoop& loop,
+                                                           timeline::EventRing& events) {
+  std::unique_ptr<ClaimService> service(
+      new ClaimService(options, std::move(log), recovered.incarnation, loop, events));
+  BOOST_OUTCOME_TRY(service->Recover(recovered));
+  if (!service->store_.ready()) service->BecomeReady();
+  return service;
+}
+
 ClaimService::ClaimService(const ControllerOptions& options, storage::ClaimLog log,
-                           const RecoveredClaims& recovered, base::EventLoop& loop,
+                           std::uint64_t incarnation, base::EventLoop& loop,
                            timeline::EventRing& events)
     : options_(options),
       log_(std::move(log)),
-      store_({}, IdentityOf(options, recovered.incarnation)),
+      store_({}, IdentityOf(options, incarnation)),
       source_(kKeysPerPage),
       loop_(loop),
       events_(events),
-      compact_at_bytes_(options.claim_log_rewrite_bytes) {
-  Recover(recovered);
-  if (store_.ready()) return;
-  if (recovered.incarnation == 1) {
+      compact_at_bytes_(options.claim_log_rewrite_bytes) {}
+
+void ClaimService::BecomeReady() {
+  if (store_.identity().incarnation == 1) {
     // A new group has no claims yet, so there is nothing to copy from the other replicas.
     const auto mutation = store_.MarkReady();
     if (mutation.record) Store(*mutation.record);
@@ -61,34 +81,40 @@
   for (const auto& address : options_.replicas) peers_.push_back(rpc::Client::Create(address));
 }
 
-void ClaimService::Recover(const RecoveredClaims& recovered) {
+Result<void> ClaimService::Recover(const RecoveredClaims& recovered) {
   std::vector<claims::Record> records;
   records.reserve(recovered.records.size());
   for (std::size_t i = 0; i < recovered.records.size(); ++i) {
-    rpc::ClaimRecord wire;
-    if (!wire.ParseFromString(recovered.records[i])) continue;
-    auto record = rpc::FromWire(wire);
-    if (!record) continue;
+    auto record = DecodeRecord(recovered.records[i]);
+    if (!record) {
+      return base::Fail(record.error().code, "the claim record at offset " +
+                                                 std::to_string(recovered.offsets[i]) +
+                                                 " can't be read: " + record.error().message);
+    }
     if (!record.value().answer.empty()) record.value().answer_position = recovered.offsets[i];
     record.value().answer.clear();
     records.push_back(std::move(record.value()));
   }
   store_.Recover(records, base::WallNowMillis());
+  return base::Ok();
 }
 
 void ClaimService::Store(const claims::Record& record) {
   ++records_stored_;
   if (failure_) return;
   const auto offset = log_.Append(rpc::ToWire(record).SerializeAsString());
-  if (!offset) {
-    failure_ = offset.error();
-    return;
-  }
+  if (!offset) return HandleLogFailure(offset.error());
   if (record.kind == claims::RecordKind::kCompleted && !record.answer.empty()) {
     store_.SetAnswerPosition(record.table, record.key, record.attempt, offset.value());
   }
 }
 
+void ClaimService::HandleLogFailure(const base::Error& error) {
+  failure_ = error;
+  logging::Write(logging::Level::kError, "claim_log_failed",
+                 error.message + "; claims are refused until a restart");
+}
+
 void ClaimService::ReplyAfterSync(const claims::Mutation& mutation,
                                   std::function<void(Result<void>)> reply) {
   if (mutation.record) Store(*mutation.record);
@@ -103,8 +129,7 @@
     if (result) {
       records_synced_ = records_stored_;
     } else {
-      failure_ = result.error();
-      logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
+      HandleLogFailure(result.error());
     }
   }
   auto replies = std::move(pending_replies_);
@@ -206,10 +231,7 @@
     store_.SetAnswerPosition(record.table, record.key, record.attempt, to);
   };
   const auto done = log_.Compact(is_live, moved);
-  if (!done) {
-    failure_ = done.error();
-    logging::Write(logging::Level::kError, "claim_log_failed", failure_->message);
-  }
+  if (!done) HandleLogFailure(done.error());
   compact_at_bytes_ = std::max(options_.claim_log_rewrite_bytes, 2 * log_.file_bytes());
 }
 
