Send a replica the reports that it lacks when a link to it opens

Cause: each pair of replicas has two links, one opened by each side. A replica requests the reports that it lacks when its own link opens, and sends an announcement once, over its own link. When replica B's link to A was open already and A's link to B was not, an upstream that announced itself to A was never reported to B: the broadcast skipped B, and B had made its request before. Heartbeats do not carry a report, so B and the entries that follow it did not know the upstream until it changed. The same happened when only A's link was lost for a while.

Change: the answer to a request already names the parts of the tables that differ, and all reports of its sender in them. The replica that receives the answer now sends back the reports that its sender lacks. There is one request for each opened link, so one such message. The messages and their fields are those that exist, so that an older replica understands them. The receiver applies the reports as any others: an old one neither makes an upstream ready that has left nor ends a later run.

Conclusion: after both links of a pair have opened, both replicas know what either of them received before.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -135,7 +135,8 @@
   };
   hooks.ping = [](const std::string&) { return cluster::Ping{}; };
   // Either process may have just started, so this one requests the reports that it lacks and sends
-  // all its suspects; the other one does the same over its own link.
+  // all its suspects; the other one does the same over its own link. The answer to the request
+  // shows which reports the other one lacks.
   hooks.up = [this](const std::string& replica) {
     replica_links_->Send(replica, MakeReportsRequest(upstreams_));
     const cluster::Suspects suspects{suspects_.reports(base::WallNowMillis())};
--- a/src/libs/node/control_node_announcements.cpp
+++ b/src/libs/node/control_node_announcements.cpp
@@ -36,7 +36,12 @@
 void ControlNode::HandleReplicaMessage(const std::string& replica,
                                        const cluster::Message& message) {
   if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
-    return HandleReports(*reports, cluster::NodeRole::kReplica);
+    HandleReports(*reports, cluster::NodeRole::kReplica);
+    // The other replica may have opened its own link, and requested what it lacks over it, before
+    // this one received an announcement that it could not send yet.
+    const auto missing = MakeMissingReports(upstreams_, *reports, base::MonotonicNow());
+    if (!missing.reports.empty()) replica_links_->Send(replica, missing);
+    return;
   }
   const auto* ack = std::get_if<cluster::ReportsAck>(&message);
   if (ack == nullptr) return;
--- a/src/libs/node/upstream_sync.cpp
+++ b/src/libs/node/upstream_sync.cpp
@@ -13,6 +13,13 @@
 /// Largest number of liveness messages with a differing digest between two requests.
 constexpr std::uint32_t kMaxMessagesBetweenRequests = 16;
 
+/// Whether an answer holds every report that its sender has in the part of the upstream `id`.
+bool CoversPartOf(const cluster::Reports& answer, const std::string& id) {
+  const auto part = static_cast<std::uint8_t>(upstreams::TableDigests::PartOf(id));
+  const auto& parts = *answer.complete_parts;
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
 }  // namespace
 
 cluster::AgedReport MakeAgedReport(const upstreams::KnownUpstream& known, base::MonotonicTime now) {
@@ -48,6 +55,21 @@
   return reports;
 }
 
+cluster::Reports MakeMissingReports(const upstreams::UpstreamTable& table,
+                                    const cluster::Reports& answer, base::MonotonicTime now) {
+  cluster::Reports missing;
+  if (!answer.complete_parts) return missing;
+  std::map<std::string, const upstreams::UpstreamReport*> answered;
+  for (const auto& aged : answer.reports) answered[aged.report.id] = &aged.report;
+  for (const auto& [id, known] : table.all()) {
+    if (!CoversPartOf(answer, id)) continue;
+    const auto found = answered.find(id);
+    if (found != answered.end() && upstreams::IsSameState(*found->second, known.report)) continue;
+    missing.reports.push_back(MakeAgedReport(known, now));
+  }
+  return missing;
+}
+
 cluster::UpstreamLiveness MakeLiveness(const upstreams::UpstreamTable& table,
                                        base::MonotonicTime now) {
   cluster::UpstreamLiveness liveness{table.digests().total(), {}};
@@ -92,11 +114,8 @@
   if (!answer.complete_parts) return;
   answered_ = true;
   unknown_to_replica_.clear();
-  const std::set<std::uint8_t> parts(answer.complete_parts->begin(), answer.complete_parts->end());
   for (const auto& [id, known] : table_.all()) {
-    if (parts.contains(static_cast<std::uint8_t>(upstreams::TableDigests::PartOf(id)))) {
-      unknown_to_replica_.insert(id);
-    }
+    if (CoversPartOf(answer, id)) unknown_to_replica_.insert(id);
   }
   for (const auto& aged : answer.reports) unknown_to_replica_.erase(aged.report.id);
 }
--- a/src/libs/node/upstream_sync.h
+++ b/src/libs/node/upstream_sync.h
@@ -23,6 +23,11 @@
 cluster::Reports MakeReportsAnswer(const upstreams::UpstreamTable& table,
                                    const cluster::ReportsRequest& request, base::MonotonicTime now);
 
+/// Returns the reports that the sender of `answer` lacks in the parts that the answer covers. The
+/// reports of the answer must have been applied to `table` before.
+cluster::Reports MakeMissingReports(const upstreams::UpstreamTable& table,
+                                    const cluster::Reports& answer, base::MonotonicTime now);
+
 /// Returns the upstreams of `table` that are silent, and the digest of the table.
 cluster::UpstreamLiveness MakeLiveness(const upstreams::UpstreamTable& table,
                                        base::MonotonicTime now);
--- a/src/libs/upstreams/upstream_report.h
+++ b/src/libs/upstreams/upstream_report.h
@@ -40,4 +40,7 @@
   friend bool operator==(const UpstreamReport&, const UpstreamReport&) = default;
 };
 
+/// Whether two reports of an upstream differ only in fields that change with each announcement.
+bool IsSameState(const UpstreamReport& a, const UpstreamReport& b);
+
 }  // namespace wagtailpick::upstreams
--- a/src/libs/upstreams/upstream_table.cpp
+++ b/src/libs/upstreams/upstream_table.cpp
@@ -13,11 +13,6 @@
   return std::make_tuple(report.started_unix_ms, report.sequence, report.state);
 }
 
-bool HasSameState(const UpstreamReport& a, const UpstreamReport& b) {
-  return a.started_unix_ms == b.started_unix_ms && a.state == b.state && a.service == b.service &&
-         a.address == b.address && a.slots == b.slots && a.data_centre == b.data_centre;
-}
-
 template <typename Pointer>
 using Index = std::map<std::string, std::vector<Pointer>>;
 
@@ -108,7 +103,7 @@
     if (IsSuperseded(report)) return Change::kStale;
     const bool cold_changed =
         report.cold_left > base::Duration::zero() && cold_until > known.cold_until + kColdTolerance;
-    const bool is_unchanged = HasSameState(known.report, report) && !cold_changed;
+    const bool is_unchanged = IsSameState(known.report, report) && !cold_changed;
     Put({report, std::max(known.last_seen, last_seen),
          same_run ? std::max(known.cold_until, cold_until) : cold_until});
     if (is_unchanged) return Change::kHeartbeat;
--- /dev/null
+++ b/tests/auto/node/control_node_test.cpp
@@ -0,0 +1,197 @@
+#include "node/control_node.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "cluster/acceptor.h"
+#include "cluster/dialer.h"
+#include "node/upstream_sync.h"
+
+namespace {
+
+using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kOrdersPort = 17'831;
+constexpr std::uint16_t kClusterPort = 17'832;
+constexpr milliseconds kTick{50};
+/// Links are dialled again every 300 ms.
+constexpr seconds kTimeout{5};
+
+/// Addresses of different test processes must differ, as they run at the same time.
+std::string AddressOf(int node) {
+  const auto process = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(128 + process % 64) + "." + std::to_string(process / 64 % 250) +
+         "." + std::to_string(10 + node);
+}
+
+std::string MakeFolder() {
+  std::string path = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
+  cr_assert(mkdtemp(path.data()) != nullptr);
+  return path;
+}
+
+upstreams::UpstreamReport Report(std::uint64_t sequence) {
+  upstreams::UpstreamReport report;
+  report.id = "i-1";
+  report.started_unix_ms = 1'000;
+  report.sequence = sequence;
+  report.service = "menu";
+  report.address = "10.128.0.1:9080";
+  report.data_centre = "dc-0";
+  report.slots = 3;
+  return report;
+}
+
+/// A replica, and a stand-in for another one which speaks the protocol of their links. The two
+/// links of the pair open and close independently.
+class ReplicaPair {
+ public:
+  ReplicaPair() : folder_(MakeFolder()) {
+    node::ControlOptions options;
+    options.node.vm = "replica-0";
+    options.node.data_centre = "dc-0";
+    options.node.regions = {{"dc-0", "east"}, {"dc-1", "west"}};
+    options.node.ip = AddressOf(0);
+    options.node.cluster_port = kClusterPort;
+    options.node.seeds = {{AddressOf(0), kOrdersPort}, {AddressOf(1), kOrdersPort}};
+    options.orders = {AddressOf(0), kOrdersPort};
+    options.directory = options.orders;
+    options.data_folder = folder_;
+    auto started = node::ControlNode::Start(loop_, options, {});
+    cr_assert(started.has_value());
+    replica = std::move(started.value());
+  }
+
+  ~ReplicaPair() {
+    CloseInbound();
+    outbound_.reset();
+    replica.reset();
+    std::filesystem::remove_all(folder_);
+  }
+  ReplicaPair(const ReplicaPair&) = delete;
+  ReplicaPair& operator=(const ReplicaPair&) = delete;
+
+  /// Opens the stand-in's link to the replica.
+  bool OpenOutbound() {
+    cluster::Dialer::Hooks hooks;
+    hooks.hello = [] {
+      return cluster::Hello{cluster::NodeRole::kReplica,
+                            "replica-1",
+                            "dc-1",
+                            base::ToString(PeerEndpoint()),
+                            base::ToString({AddressOf(1), kOrdersPort}),
+                            7};
+    };
+    hooks.ping = [] { return cluster::Ping{}; };
+    hooks.up = [] {};
+    hooks.down = [](const std::string& /*reason*/) {};
+    hooks.message = [](const cluster::Message& /*message*/) {};
+    outbound_ = std::make_unique<cluster::Dialer>(loop_, base::Endpoint{AddressOf(0), kClusterPort},
+                                                  std::move(hooks));
+    return RunUntil([this] { return outbound_->up(); });
+  }
+
+  /// Accepts the replica's link to the stand-in and waits until it is open.
+  bool OpenInbound() {
+    cluster::Acceptor::Hooks hooks;
+    hooks.opened = [this](const cluster::Session& session) {
+      acceptor_->Send(session.id, cluster::Replicas{});
+    };
+    hooks.closed = [](const cluster::Session& /*session*/, const std::string& /*reason*/) {};
+    hooks.message = [this](const cluster::Session& session, const cluster::Message& message) {
+      HandleMessage(session, message);
+    };
+    hooks.pinged = [this](const cluster::Session& /*session*/) { ++pings_; };
+    hooks.ready_changed = [](const cluster::Session& /*session*/) {};
+    hooks.followed = [](const cluster::Session& /*session*/) {};
+    auto acceptor = cluster::Acceptor::Start(loop_, PeerEndpoint(), std::move(hooks));
+    cr_assert(acceptor.has_value());
+    acceptor_ = std::move(acceptor.value());
+    pings_ = 0;
+    return RunUntil([this] { return pings_ > 1; });
+  }
+
+  void CloseInbound() { acceptor_.reset(); }
+
+  /// Runs the loop until `condition` holds; returns false after `kTimeout`.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end = base::MonotonicNow() + kTimeout;
+    while (!condition()) {
+      const auto now = base::MonotonicNow();
+      if (now >= end) return false;
+      if (outbound_ != nullptr) outbound_->Tick(now);
+      loop_.restart();
+      loop_.run_for(kTick);
+    }
+    return true;
+  }
+
+  void Announce(const upstreams::UpstreamReport& report) {
+    replica->HandleAnnouncement(report, [](bool /*done*/) {});
+  }
+
+  /// Whether the stand-in gets to know the announced run.
+  bool LearnsRun() {
+    return RunUntil([this] { return table.RunOf(Report(1).id) == Report(1).started_unix_ms; });
+  }
+
+  std::unique_ptr<node::ControlNode> replica;
+  /// The stand-in's upstreams.
+  upstreams::UpstreamTable table;
+  /// Requests for reports that the stand-in received.
+  int requests = 0;
+
+ private:
+  static base::Endpoint PeerEndpoint() { return {AddressOf(1), kClusterPort}; }
+
+  void HandleMessage(const cluster::Session& session, const cluster::Message& message) {
+    const auto now = base::MonotonicNow();
+    if (const auto* request = std::get_if<cluster::ReportsRequest>(&message)) {
+      ++requests;
+      acceptor_->Send(session.id, node::MakeReportsAnswer(table, *request, now));
+    }
+    if (const auto* reports = std::get_if<cluster::Reports>(&message)) {
+      for (const auto& aged : reports->reports) table.Apply(aged.report, aged.age, now);
+    }
+  }
+
+  std::string folder_;
+  asio::io_context loop_{1};
+  std::unique_ptr<cluster::Dialer> outbound_;
+  std::unique_ptr<cluster::Acceptor> acceptor_;
+  int pings_ = 0;
+};
+
+}  // namespace
+
+// Guards against an upstream that a replica never learns of because the upstream announced itself
+// to another replica between the openings of the two links between them.
+Test(control_node, sends_a_new_link_the_reports_that_its_receiver_lacks) {
+  ReplicaPair pair;
+  cr_assert(pair.OpenOutbound());
+  pair.Announce(Report(1));
+  cr_assert(pair.OpenInbound());
+  cr_expect(pair.LearnsRun());
+  cr_expect(pair.requests == 1, "%d requests", pair.requests);
+}
+
+// Guards against the same loss when only one of the two links is lost for a while.
+Test(control_node, sends_a_reopened_link_the_reports_that_its_receiver_lacks) {
+  ReplicaPair pair;
+  cr_assert(pair.OpenOutbound());
+  cr_assert(pair.OpenInbound());
+  pair.CloseInbound();
+  pair.Announce(Report(1));
+  cr_assert(pair.OpenInbound());
+  cr_expect(pair.LearnsRun());
+}
--- a/tests/auto/node/upstream_sync_test.cpp
+++ b/tests/auto/node/upstream_sync_test.cpp
@@ -67,6 +67,17 @@
   }
 };
 
+/// Does what happens when the link from replica `from` to replica `to` opens. Returns the bytes of
+/// the answer and of the reports that follow it.
+std::size_t SyncReplicas(UpstreamTable& from, UpstreamTable& to, base::MonotonicTime now) {
+  const auto answer = node::MakeReportsAnswer(to, node::MakeReportsRequest(from), now);
+  for (const auto& aged : answer.reports) from.Apply(aged.report, aged.age, now);
+  const auto missing = node::MakeMissingReports(from, answer, now);
+  for (const auto& aged : missing.reports) to.Apply(aged.report, aged.age, now);
+  const auto missing_bytes = missing.reports.empty() ? 0 : cluster::Encode(missing).size();
+  return cluster::Encode(answer).size() + missing_bytes;
+}
+
 }  // namespace
 
 // Guards against sending the reports of all upstreams whenever the followed replica changes: for
@@ -175,6 +186,53 @@
   cr_expect(late.report.cold_left == seconds(0));
 }
 
+// Guards against a link between replicas that carries all reports whenever it opens, and against a
+// report that stays unknown to one of them.
+Test(upstream_sync, sends_to_a_replica_what_it_lacks) {
+  UpstreamTable replica;
+  UpstreamTable other;
+  Fill(replica, kUpstreams);
+  Fill(other, kUpstreams - 1);
+  const auto bytes = SyncReplicas(replica, other, kStart + seconds(1));
+  cr_expect(bytes < 2'000, "%zu bytes for one report", bytes);
+  cr_expect(replica.digests().total() == other.digests().total());
+  cr_expect(SyncReplicas(replica, other, kStart + seconds(2)) < 50);
+}
+
+// Guards against an old report that makes a leaving upstream ready again or ends its next run,
+// whichever of the two replicas has it.
+Test(upstream_sync, keeps_the_newest_state_of_both_replicas) {
+  auto left = Report(1);
+  left.sequence = 5;
+  left.state = upstreams::State::kLeft;
+  auto next_run = Report(2);
+  next_run.started_unix_ms = 9'000;
+  auto draining = Report(3);
+  draining.sequence = 2;
+  draining.state = upstreams::State::kDraining;
+  for (const bool newer_at_requester : {false, true}) {
+    UpstreamTable newer;
+    UpstreamTable older;
+    Fill(newer, 4);
+    Fill(older, 4);
+    for (const auto& report : {left, next_run, draining}) newer.Apply(report, {}, kStart);
+    auto late_left = Report(2);
+    late_left.sequence = 7;
+    late_left.state = upstreams::State::kLeft;
+    older.Apply(late_left, {}, kStart);
+    auto late_ready = left;
+    late_ready.sequence = 4;
+    late_ready.state = upstreams::State::kReady;
+    older.Apply(late_ready, {}, kStart);
+    SyncReplicas(newer_at_requester ? newer : older, newer_at_requester ? older : newer, kStart);
+    for (const auto* table : {&newer, &older}) {
+      cr_expect(table->Find(left.id)->report.state == upstreams::State::kLeft);
+      cr_expect(table->Find(next_run.id)->report == next_run);
+      cr_expect(table->Find(draining.id)->report.state == upstreams::State::kDraining);
+    }
+  }
+}
+
 // Guards against a replica that is busy for seconds when all processes start at once: 60 entries
 // request the same 807 reports, and encoding one answer takes milliseconds on a small VM.
 Test(report_answer_cache, encodes_one_answer_for_many_entries) {
