Request the report of a run that is known by its heartbeats only

Cause: the replica that receives an announcement sends it to the others. When it ended after only some of them had it, its upstream announced itself to one of these, for which it was a heartbeat. Replicas apply no heartbeat of a run that they do not know, so the remaining replicas did not know the upstream until it changed or one of their links opened.

Change: a replica that receives a heartbeat of an unknown or newer run requests the reports in which it differs from the sender, over its own link and at most once in 2 s. A link without an answer is closed within 1.6 s, so at most one request is unanswered on a link. No message or field is new.

Measured: control_node::requests_the_report_of_an_unknown_run failed before ("The expression pair.ReplicaLearnsRun() is false" after 5 s) and passes now. control_node::has_one_request_at_a_time_on_a_link counts requests during 3 s of heartbeats: 1 before, 2 or 3 now. All 4 tests of control_node pass.

Conclusion: a replica learns of every upstream that announces itself to a replica that it has a link to.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -138,7 +138,8 @@
   // all its suspects; the other one does the same over its own link. The answer to the request
   // shows which reports the other one lacks.
   hooks.up = [this](const std::string& replica) {
-    replica_links_->Send(replica, MakeReportsRequest(upstreams_));
+    reports_requested_at_.erase(replica);
+    RequestReports(replica, base::MonotonicNow());
     const cluster::Suspects suspects{suspects_.reports(base::WallNowMillis())};
     if (!suspects.reports.empty()) replica_links_->Send(replica, suspects);
     const cluster::LimitReports limits{limits_.reports(base::MonotonicNow())};
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -114,6 +114,9 @@
   void HandleSessionMessage(const cluster::Session& session, const cluster::Message& message);
   void HandlePing(const cluster::Session& session);
   void HandleReports(const cluster::Reports& reports, cluster::NodeRole from);
+  void HandleHeartbeats(const cluster::Session& session, const cluster::Heartbeats& message);
+  /// Requests the reports in which this replica differs from `replica`, unless it did so just now.
+  void RequestReports(const std::string& replica, base::MonotonicTime now);
   void HandleReplicaMessage(const std::string& replica, const cluster::Message& message);
   void LoadCache();
   void ApplyCachedState(const CachedState& cached);
@@ -166,6 +169,8 @@
   consensus::Membership members_;
   upstreams::UpstreamTable upstreams_;
   std::vector<cluster::Heartbeat> unsent_heartbeats_;
+  /// By replica: when reports were last requested over the current link.
+  std::map<std::string, base::MonotonicTime> reports_requested_at_;
   std::map<std::uint64_t, PendingDrain> drains_;
   std::uint64_t next_ack_id_ = 1;
   std::map<std::string, std::uint64_t> incarnations_;
--- a/src/libs/node/control_node_announcements.cpp
+++ b/src/libs/node/control_node_announcements.cpp
@@ -13,6 +13,9 @@
 
 /// Shorter than the 1 s after which an upstream retries at another replica.
 constexpr base::Duration kDrainTimeout = std::chrono::milliseconds(800);
+/// A link without an answer is closed as silent before this time has passed, so at most one request
+/// is unanswered on a link.
+constexpr base::Duration kReportsRequestInterval = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -149,6 +152,26 @@
   if (!heartbeats.heartbeats.empty()) replica_links_->Broadcast(heartbeats);
 }
 
+// A run is unknown when the replica that received its announcement ended before it had sent it to
+// all others.
+void ControlNode::HandleHeartbeats(const cluster::Session& session,
+                                   const cluster::Heartbeats& message) {
+  const auto now = base::MonotonicNow();
+  bool unknown = false;
+  for (const auto& heartbeat : message.heartbeats) {
+    upstreams_.ApplyHeartbeat(heartbeat.id, heartbeat.started_unix_ms, heartbeat.sequence, now);
+    const auto run = upstreams_.RunOf(heartbeat.id);
+    unknown = unknown || !run || *run < heartbeat.started_unix_ms;
+  }
+  if (unknown) RequestReports(session.hello.cluster_address, now);
+}
+
+void ControlNode::RequestReports(const std::string& replica, base::MonotonicTime now) {
+  auto& requested_at = reports_requested_at_[replica];
+  if (now - requested_at < kReportsRequestInterval) return;
+  if (replica_links_->Send(replica, MakeReportsRequest(upstreams_))) requested_at = now;
+}
+
 cluster::Reports ControlNode::AllReports() const {
   cluster::Reports all;
   const auto now = base::MonotonicNow();
--- a/src/libs/node/control_node_sessions.cpp
+++ b/src/libs/node/control_node_sessions.cpp
@@ -70,11 +70,7 @@
     return AcknowledgeReports(session.id, *reports);
   }
   if (const auto* heartbeats = std::get_if<cluster::Heartbeats>(&message)) {
-    const auto now = base::MonotonicNow();
-    for (const auto& heartbeat : heartbeats->heartbeats) {
-      upstreams_.ApplyHeartbeat(heartbeat.id, heartbeat.started_unix_ms, heartbeat.sequence, now);
-    }
-    return;
+    return HandleHeartbeats(session, *heartbeats);
   }
   if (const auto* observations = std::get_if<cluster::Observations>(&message)) {
     return HandleObservations(session, *observations);
--- a/tests/auto/node/control_node_test.cpp
+++ b/tests/auto/node/control_node_test.cpp
@@ -95,7 +95,10 @@
     hooks.ping = [] { return cluster::Ping{}; };
     hooks.up = [] {};
     hooks.down = [](const std::string& /*reason*/) {};
-    hooks.message = [](const cluster::Message& /*message*/) {};
+    hooks.message = [this](const cluster::Message& message) {
+      const auto* reports = std::get_if<cluster::Reports>(&message);
+      if (reports != nullptr) replica_knows_run_ = !reports->reports.empty();
+    };
     outbound_ = std::make_unique<cluster::Dialer>(loop_, base::Endpoint{AddressOf(0), kClusterPort},
                                                   std::move(hooks));
     return RunUntil([this] { return outbound_->up(); });
@@ -121,6 +124,21 @@
     return RunUntil([this] { return pings_ > 1; });
   }
 
+  /// Sends the replica a heartbeat of the announced run, as a replica that knows it does.
+  void SendHeartbeat(std::uint64_t sequence) {
+    outbound_->Send(cluster::Heartbeats{{{Report(1).id, Report(1).started_unix_ms, sequence}}});
+  }
+
+  /// Whether the replica gets to know an upstream while heartbeats of it arrive.
+  bool ReplicaLearnsRun() {
+    std::uint64_t sequence = 1;
+    return RunUntil([this, &sequence] {
+      SendHeartbeat(++sequence);
+      outbound_->Send(cluster::ReportsRequest{});
+      return replica_knows_run_;
+    });
+  }
+
   void CloseInbound() { acceptor_.reset(); }
 
   /// Runs the loop until `condition` holds; returns false after `kTimeout`.
@@ -170,6 +188,7 @@
   std::unique_ptr<cluster::Dialer> outbound_;
   std::unique_ptr<cluster::Acceptor> acceptor_;
   int pings_ = 0;
+  bool replica_knows_run_ = false;
 };
 
 }  // namespace
@@ -195,3 +214,28 @@
   cr_assert(pair.OpenInbound());
   cr_expect(pair.LearnsRun());
 }
+
+// Guards against an upstream that a replica never learns of because the replica that received its
+// announcement has ended: the others know it and send heartbeats only.
+Test(control_node, requests_the_report_of_an_unknown_run) {
+  ReplicaPair pair;
+  cr_assert(pair.OpenOutbound());
+  cr_assert(pair.OpenInbound());
+  pair.table.Apply(Report(1), {}, base::MonotonicNow());
+  cr_expect(pair.ReplicaLearnsRun());
+}
+
+// Guards against a link that is filled with requests: heartbeats of a run that the other replica
+// does not send a report of arrive every 150 ms.
+Test(control_node, has_one_request_at_a_time_on_a_link) {
+  ReplicaPair pair;
+  cr_assert(pair.OpenOutbound());
+  cr_assert(pair.OpenInbound());
+  const auto end = base::MonotonicNow() + seconds(3);
+  std::uint64_t sequence = 2;
+  pair.RunUntil([&] {
+    pair.SendHeartbeat(++sequence);
+    return base::MonotonicNow() >= end;
+  });
+  cr_expect(pair.requests >= 2 && pair.requests <= 3, "%d requests in 3 s", pair.requests);
+}
