Refresh no upstream that the followed replica may have forgotten

Cause: while an entry's table differs from that of its replica, for example as the replica does not know one of the upstreams, the entry refreshes all upstreams that are neither listed as silent nor missing from the last answer. Requests are repeated every 16 s then. A crashed upstream is listed as silent for 60 s and then forgotten by the replica, so that the entry took it as announced again until the next answer.

Change: while the tables differ, an upstream that is not listed as silent any more is not refreshed, and the entry requests the reports at once. The answer shows whether the upstream was heard or forgotten. A liveness message comes once a second, so there is at most one request a second.

Conclusion: an entry keeps no upstream fresh that its replica has forgotten. A replica that starts again within the entry's tick of 200 ms is still taken for the one before until the tables are compared.

--- a/src/libs/node/upstream_sync.cpp
+++ b/src/libs/node/upstream_sync.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace wagtailpick::node {
 namespace {
@@ -83,6 +84,7 @@
 cluster::ReportsRequest UpstreamSync::StartFollowing() {
   mismatch_count_ = 0;
   answered_ = false;
+  silent_.clear();
   unknown_to_replica_.clear();
   return MakeReportsRequest(table_);
 }
@@ -94,22 +96,39 @@
     mismatch_count_ = 0;
     unknown_to_replica_.clear();
   }
-  if (same || answered_) {
-    std::map<std::string, base::Duration> silent;
-    for (const auto& id : unknown_to_replica_) silent[id] = base::Duration::max();
-    for (const auto& upstream : liveness.silent) silent[upstream.id] = upstream.silence;
-    table_.ApplyLastSeenTimes(kSilenceThreshold, silent, now);
-  }
+  const bool maybe_forgotten = RecordSilent(liveness, same);
+  if (same || answered_) ApplySilence(now);
   answered_ = answered_ && !same;
   if (same) return std::nullopt;
   ++mismatch_count_;
   const bool due = mismatch_count_ % kMaxMessagesBetweenRequests == 0 ||
                    (mismatch_count_ > 1 && mismatch_count_ < kMaxMessagesBetweenRequests &&
                     std::has_single_bit(mismatch_count_));
-  if (!due) return std::nullopt;
+  if (!due && !maybe_forgotten) return std::nullopt;
   return MakeReportsRequest(table_);
 }
 
+// While the tables differ, an upstream that is not listed as silent any more may have been heard or
+// forgotten. The answer to the next request shows which.
+bool UpstreamSync::RecordSilent(const cluster::UpstreamLiveness& liveness, bool same) {
+  const auto before = std::exchange(silent_, {});
+  for (const auto& upstream : liveness.silent) silent_[upstream.id] = upstream.silence;
+  if (same) return false;
+  bool maybe_forgotten = false;
+  for (const auto& [id, silence] : before) {
+    if (silent_.contains(id)) continue;
+    unknown_to_replica_.insert(id);
+    maybe_forgotten = true;
+  }
+  return maybe_forgotten;
+}
+
+void UpstreamSync::ApplySilence(base::MonotonicTime now) {
+  auto silent = silent_;
+  for (const auto& id : unknown_to_replica_) silent.try_emplace(id, base::Duration::max());
+  table_.ApplyLastSeenTimes(kSilenceThreshold, silent, now);
+}
+
 void UpstreamSync::ApplyAnswer(const cluster::Reports& answer) {
   if (!answer.complete_parts) return;
   answered_ = true;
--- a/src/libs/node/upstream_sync.h
+++ b/src/libs/node/upstream_sync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -51,12 +52,20 @@
   void ApplyAnswer(const cluster::Reports& answer);
 
  private:
+  /// Stores the silent upstreams of a liveness message. Returns whether the replica may have
+  /// forgotten one that was silent before.
+  bool RecordSilent(const cluster::UpstreamLiveness& liveness, bool same);
+  /// Updates the last-seen times in the table.
+  void ApplySilence(base::MonotonicTime now);
+
   upstreams::UpstreamTable& table_;
   /// Consecutive liveness messages whose digest differed from the table's.
   std::uint32_t mismatch_count_ = 0;
   /// Whether the followed replica has answered a request since the tables began to differ.
   bool answered_ = false;
-  /// Upstreams that the followed replica does not know, so its liveness messages do not cover them.
+  /// Silent upstreams of the last liveness message and how long they had been silent.
+  std::map<std::string, base::Duration> silent_;
+  /// Upstreams that the followed replica may not know, so its liveness messages do not cover them.
   std::set<std::string> unknown_to_replica_;
 };
 
--- a/tests/auto/node/upstream_sync_test.cpp
+++ b/tests/auto/node/upstream_sync_test.cpp
@@ -56,12 +56,12 @@
     if (const auto request = sync.HandleLiveness(liveness, now)) Answer(*request, now);
   }
 
-  /// Applies a heartbeat of every upstream to the replica's table.
-  void HeartbeatAll(base::MonotonicTime now) {
+  /// Applies a heartbeat of every upstream but `crashed` to the replica's table.
+  void HeartbeatAll(base::MonotonicTime now, const std::string& crashed = {}) {
     for (int i = 0; i < kUpstreams; ++i) {
       const auto report = Report(i);
       const auto* known = replica.Find(report.id);
-      if (known == nullptr) continue;
+      if (known == nullptr || report.id == crashed) continue;
       replica.ApplyHeartbeat(report.id, report.started_unix_ms, known->report.sequence + 1, now);
     }
   }
@@ -149,6 +149,27 @@
   cr_expect(pair.entry.SilenceOf(*pair.entry.Find(Report(4).id)) <= seconds(4));
 }
 
+// Guards against a crashed upstream that becomes fresh when the replica forgets it while the tables
+// differ for another reason: the replica does not list it as silent any more.
+Test(upstream_sync, refreshes_no_upstream_that_the_replica_has_forgotten) {
+  constexpr seconds kForgetAfter{60};
+  SyncPair pair;
+  Fill(pair.replica, 10);
+  Fill(pair.entry, 11);
+  pair.Follow(kStart);
+  const auto crashed = Report(3).id;
+  for (int second = 1; second <= 90; ++second) {
+    const auto now = kStart + seconds(second);
+    pair.HeartbeatAll(now, crashed);
+    pair.replica.Expire(kForgetAfter, now);
+    pair.SendLiveness(now);
+    const auto silence = pair.entry.SilenceOf(*pair.entry.Find(crashed));
+    cr_assert(silence >= seconds(second - 4), "%d s silent after %d s",
+              static_cast<int>(base::ToSeconds(silence)), second);
+    cr_assert(pair.entry.SilenceOf(*pair.entry.Find(Report(4).id)) <= seconds(4));
+  }
+}
+
 // Guards against tables that keep differing after a report was lost.
 Test(upstream_sync, requests_a_lost_report) {
   SyncPair pair;
