Count ejected upstreams by conditions that are still valid

Cause: an entry uses the conditions that its replica sends for 3 s. The gauge wagtailpick_upstreams_spared showed the number of the last message however old it was. After the replicas became silent, the page named upstreams as ejected that received requests again.

Change: SharedConditions::ejected_count takes the time and counts valid conditions only. The log field "spared" uses the same count.

Measured: entry_node::counts_no_ejected_upstream_without_valid_conditions (an entry whose replica sends two ejected upstreams and then no more conditions) failed before: the gauge was not 0 within 8 s. It passes now. test_node: 38 of 38, test_observation: 12 of 12.

Conclusion: the gauge falls to 0 about 3 s after the last conditions.

--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -167,7 +167,7 @@
   SendLimits(relay_->limits().table().reports(base::MonotonicNow()));
 }
 
-void EntryNode::UpdateGauges(base::MonotonicTime /*now*/) {
+void EntryNode::UpdateGauges(base::MonotonicTime now) {
   const auto version = routing_state_.catalog == nullptr ? 0 : routing_state_.catalog->version();
   metrics_.GaugeAt("wagtailpick_catalog_version").Set(static_cast<std::int64_t>(version));
   metrics_.GaugeAt("wagtailpick_replicas_reached")
@@ -175,7 +175,7 @@
   metrics_.GaugeAt("wagtailpick_upstreams_known")
       .Set(static_cast<std::int64_t>(routing_state_.upstreams.all().size()));
   metrics_.GaugeAt("wagtailpick_upstreams_spared")
-      .Set(static_cast<std::int64_t>(routing_state_.shared.ejected_count()));
+      .Set(static_cast<std::int64_t>(routing_state_.shared.ejected_count(now)));
   metrics_.GaugeAt("wagtailpick_requests_suspect")
       .Set(static_cast<std::int64_t>(relay_->crash_guard().size()));
   metrics_.GaugeAt("wagtailpick_upstreams_limited")
@@ -315,7 +315,7 @@
   for (const auto& condition : message.conditions) {
     if (!condition.ejected || routing_state_.shared.IsEjected(condition.upstream, now)) continue;
     logging::Write(Level::kInfo, "upstream_spared", condition.upstream,
-                   {{"spared", std::to_string(routing_state_.shared.ejected_count())}});
+                   {{"spared", std::to_string(routing_state_.shared.ejected_count(now))}});
   }
   routing_state_.shared.Apply(message.conditions, now);
 }
--- a/src/libs/observation/shared_conditions.h
+++ b/src/libs/observation/shared_conditions.h
@@ -25,14 +25,15 @@
   /// Whether the upstream is ejected by a condition that is still valid.
   bool IsEjected(const std::string& upstream, base::MonotonicTime now) const;
 
-  /// Number of ejected upstreams in the last message, valid or not.
-  std::size_t ejected_count() const { return ejected_count_; }
+  /// Number of upstreams that are ejected by conditions that are still valid.
+  std::size_t ejected_count(base::MonotonicTime now) const;
 
  private:
+  /// Whether the last message is recent enough.
+  bool IsValid(base::MonotonicTime now) const;
   const Condition* Find(const std::string& upstream, base::MonotonicTime now) const;
 
   std::map<std::string, Condition> conditions_;
-  std::size_t ejected_count_ = 0;
   base::MonotonicTime received_at_;
 };
 
