--- a/src/libs/node/upstream_sync.cpp
+++ b/src/libs/node/upstream_sync.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace wagtailpick::node {
 namespace {
@@ -13,6 +14,13 @@
 /// Largest number of liveness messages with a differing digest between two requests.
 constexpr std::uint32_t kMaxMessagesBetweenRequests = 16;
 
+/// Whether an answer holds every report that its sender has in the part of the upstream `id`.
+bool CoversPartOf(const cluster::Reports& answer, const std::string& id) {
+  const auto part = static_cast<std::uint8_t>(upstreams::TableDigests::PartOf(id));
+  const auto& parts = *answer.complete_parts;
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
 }  // namespace
 
 cluster::AgedReport MakeAgedReport(const upstreams::KnownUpstream& known, base::MonotonicTime now) {
@@ -48,6 +56,21 @@
   return reports;
 }
 
+cluster::Reports MakeMissingReports(const upstreams::UpstreamTable& table,
+                                    const cluster::Reports& answer, base::MonotonicTime now) {
+  cluster::Reports missing;
+  if (!answer.complete_parts) return missing;
+  std::map<std::string, const upstreams::UpstreamReport*> answered;
+  for (const auto& aged : answer.reports) answered[aged.report.id] = &aged.report;
+  for (const auto& [id, known] : table.all()) {
+    if (!CoversPartOf(answer, id)) continue;
+    const auto found = answered.find(id);
+    if (found != answered.end() && upstreams::IsSameState(*found->second, known.report)) continue;
+    missing.reports.push_back(MakeAgedReport(known, now));
+  }
+  return missing;
+}
+
 cluster::UpstreamLiveness MakeLiveness(const upstreams::UpstreamTable& table,
                                        base::MonotonicTime now) {
   cluster::UpstreamLiveness liveness{table.digests().total(), {}};
@@ -61,6 +84,7 @@
 cluster::ReportsRequest UpstreamSync::StartFollowing() {
   mismatch_count_ = 0;
   answered_ = false;
+  silent_.clear();
   unknown_to_replica_.clear();
   return MakeReportsRequest(table_);
 }
@@ -72,31 +96,45 @@
     mismatch_count_ = 0;
     unknown_to_replica_.clear();
   }
-  if (same || answered_) {
-    std::map<std::string, base::Duration> silent;
-    for (const auto& id : unknown_to_replica_) silent[id] = base::Duration::max();
-    for (const auto& upstream : liveness.silent) silent[upstream.id] = upstream.silence;
-    table_.ApplyLastSeenTimes(kSilenceThreshold, silent, now);
-  }
+  const bool maybe_forgotten = RecordSilent(liveness, same);
+  if (same || answered_) ApplySilence(now);
   answered_ = answered_ && !same;
   if (same) return std::nullopt;
   ++mismatch_count_;
   const bool due = mismatch_count_ % kMaxMessagesBetweenRequests == 0 ||
                    (mismatch_count_ > 1 && mismatch_count_ < kMaxMessagesBetweenRequests &&
                     std::has_single_bit(mismatch_count_));
-  if (!due) return std::nullopt;
+  if (!due && !maybe_forgotten) return std::nullopt;
   return MakeReportsRequest(table_);
 }
 
+// While the tables differ, an upstream that is not listed as silent any more may have been heard or
+// forgotten. The answer to the next request shows which.
+bool UpstreamSync::RecordSilent(const cluster::UpstreamLiveness& liveness, bool same) {
+  const auto before = std::exchange(silent_, {});
+  for (const auto& upstream : liveness.silent) silent_[upstream.id] = upstream.silence;
+  if (same) return false;
+  bool maybe_forgotten = false;
+  for (const auto& [id, silence] : before) {
+    if (silent_.contains(id)) continue;
+    unknown_to_replica_.insert(id);
+    maybe_forgotten = true;
+  }
+  return maybe_forgotten;
+}
+
+void UpstreamSync::ApplySilence(base::MonotonicTime now) {
+  auto silent = silent_;
+  for (const auto& id : unknown_to_replica_) silent.try_emplace(id, base::Duration::max());
+  table_.ApplyLastSeenTimes(kSilenceThreshold, silent, now);
+}
+
 void UpstreamSync::ApplyAnswer(const cluster::Reports& answer) {
   if (!answer.complete_parts) return;
   answered_ = true;
   unknown_to_replica_.clear();
-  const std::set<std::uint8_t> parts(answer.complete_parts->begin(), answer.complete_parts->end());
   for (const auto& [id, known] : table_.all()) {
-    if (parts.contains(static_cast<std::uint8_t>(upstreams::TableDigests::PartOf(id)))) {
-      unknown_to_replica_.insert(id);
-    }
+    if (CoversPartOf(answer, id)) unknown_to_replica_.insert(id);
   }
   for (const auto& aged : answer.reports) unknown_to_replica_.erase(aged.report.id);
 }
--- a/tests/auto/node/upstream_sync_test.cpp
+++ b/tests/auto/node/upstream_sync_test.cpp
@@ -56,17 +56,28 @@
     if (const auto request = sync.HandleLiveness(liveness, now)) Answer(*request, now);
   }
 
-  /// Applies a heartbeat of every upstream to the replica's table.
-  void HeartbeatAll(base::MonotonicTime now) {
+  /// Applies a heartbeat of every upstream but `crashed` to the replica's table.
+  void HeartbeatAll(base::MonotonicTime now, const std::string& crashed = {}) {
     for (int i = 0; i < kUpstreams; ++i) {
       const auto report = Report(i);
       const auto* known = replica.Find(report.id);
-      if (known == nullptr) continue;
+      if (known == nullptr || report.id == crashed) continue;
       replica.ApplyHeartbeat(report.id, report.started_unix_ms, known->report.sequence + 1, now);
     }
   }
 };
 
+/// Does what happens when the link from replica `from` to replica `to` opens. Returns the bytes of
+/// the answer and of the reports that follow it.
+std::size_t SyncReplicas(UpstreamTable& from, UpstreamTable& to, base::MonotonicTime now) {
+  const auto answer = node::MakeReportsAnswer(to, node::MakeReportsRequest(from), now);
+  for (const auto& aged : answer.reports) from.Apply(aged.report, aged.age, now);
+  const auto missing = node::MakeMissingReports(from, answer, now);
+  for (const auto& aged : missing.reports) to.Apply(aged.report, aged.age, now);
+  const auto missing_bytes = missing.reports.empty() ? 0 : cluster::Encode(missing).size();
+  return cluster::Encode(answer).size() + missing_bytes;
+}
+
 }  // namespace
 
 // Guards against sending the reports of all upstreams whenever the followed replica changes: for
@@ -138,6 +149,27 @@
   cr_expect(pair.entry.SilenceOf(*pair.entry.Find(Report(4).id)) <= seconds(4));
 }
 
+// Guards against a crashed upstream that becomes fresh when the replica forgets it while the tables
+// differ for another reason: the replica does not list it as silent any more.
+Test(upstream_sync, refreshes_no_upstream_that_the_replica_has_forgotten) {
+  constexpr seconds kForgetAfter{60};
+  SyncPair pair;
+  Fill(pair.replica, 10);
+  Fill(pair.entry, 11);
+  pair.Follow(kStart);
+  const auto crashed = Report(3).id;
+  for (int second = 1; second <= 90; ++second) {
+    const auto now = kStart + seconds(second);
+    pair.HeartbeatAll(now, crashed);
+    pair.replica.Expire(kForgetAfter, now);
+    pair.SendLiveness(now);
+    const auto silence = pair.entry.SilenceOf(*pair.entry.Find(crashed));
+    cr_assert(silence >= seconds(second - 4), "%d s silent after %d s",
+              static_cast<int>(base::ToSeconds(silence)), second);
+    cr_assert(pair.entry.SilenceOf(*pair.entry.Find(Report(4).id)) <= seconds(4));
+  }
+}
+
 // Guards against tables that keep differing after a report was lost.
 Test(upstream_sync, requests_a_lost_report) {
   SyncPair pair;
@@ -175,6 +207,53 @@
   cr_expect(late.report.cold_left == seconds(0));
 }
 
+// Guards against a link between replicas that carries all reports whenever it opens, and against a
+// report that stays unknown to one of them.
+Test(upstream_sync, sends_to_a_replica_what_it_lacks) {
+  UpstreamTable replica;
+  UpstreamTable other;
+  Fill(replica, kUpstreams);
+  Fill(other, kUpstreams - 1);
+  const auto bytes = SyncReplicas(replica, other, kStart + seconds(1));
+  cr_expect(bytes < 2'000, "%zu bytes for one report", bytes);
+  cr_expect(replica.digests().total() == other.digests().total());
+  cr_expect(SyncReplicas(replica, other, kStart + seconds(2)) < 50);
+}
+
+// Guards against an old report that makes a leaving upstream ready again or ends its next run,
+// whichever of the two replicas has it.
+Test(upstream_sync, keeps_the_newest_state_of_both_replicas) {
+  auto left = Report(1);
+  left.sequence = 5;
+  left.state = upstreams::State::kLeft;
+  auto next_run = Report(2);
+  next_run.started_unix_ms = 9'000;
+  auto draining = Report(3);
+  draining.sequence = 2;
+  draining.state = upstreams::State::kDraining;
+  for (const bool newer_at_requester : {false, true}) {
+    UpstreamTable newer;
+    UpstreamTable older;
+    Fill(newer, 4);
+    Fill(older, 4);
+    for (const auto& report : {left, next_run, draining}) newer.Apply(report, {}, kStart);
+    auto late_left = Report(2);
+    late_left.sequence = 7;
+    late_left.state = upstreams::State::kLeft;
+    older.Apply(late_left, {}, kStart);
+    auto late_ready = left;
+    late_ready.sequence = 4;
+    late_ready.state = upstreams::State::kReady;
+    older.Apply(late_ready, {}, kStart);
+    SyncReplicas(newer_at_requester ? newer : older, newer_at_requester ? older : newer, kStart);
+    for (const auto* table : {&newer, &older}) {
+      cr_expect(table->Find(left.id)->report.state == upstreams::State::kLeft);
+      cr_expect(table->Find(next_run.id)->report == next_run);
+      cr_expect(table->Find(draining.id)->report.state == upstreams::State::kDraining);
+    }
+  }
+}
+
 // Guards against a replica that is busy for seconds when all processes start at once: 60 entries
 // request the same 807 reports, and encoding one answer takes milliseconds on a small VM.
 Test(report_answer_cache, encodes_one_answer_for_many_entries) {
