Move the scenes of the request ends table into files of their own

Cause: request_ends_test.cpp holds the states, the events, the scene that drives a request and the expected results in 337 lines, and more states and events are to come. Change: states, events, caller and scene are in request_scene.h and .cpp; the table of expected results and the tests stay. No state, event or check changes.

--- /dev/null
+++ b/tests/auto/relay/request_scene.cpp
@@ -0,0 +1,163 @@
+#include "request_scene.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <asio/write.hpp>
+#include <thread>
+
+namespace wagtailpick::relay_test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration kPollInterval = milliseconds(2);
+constexpr base::Duration kGrace = milliseconds(6'000);
+
+/// Returns the script of the upstreams, which count in `arrivals` together.
+FakeUpstream::Script ScriptFor(State state, std::atomic<int>& arrivals) {
+  return [state, &arrivals](const std::string&, int) -> RawAnswer {
+    const bool first = arrivals++ == 0;
+    if (state == State::kAwaitsToken && first) {
+      return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: 1\r\nContent-Length: 3\r\n\r\nEND", false};
+    }
+    if (state == State::kSentAgain && first) return {"", true};
+    if (state == State::kAnswerHalfRead) {
+      return {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\nhalf", false};
+    }
+    return {"", false};
+  };
+}
+
+}  // namespace
+
+bool IsSent(State state) { return state != State::kAwaitsToken && state != State::kConnecting; }
+
+bool IsIdempotent(State state) { return state == State::kHedged || state == State::kSentAgain; }
+
+bool WaitFor(const std::function<bool()>& condition, base::Duration time) {
+  const auto end = base::MonotonicNow() + time;
+  while (base::MonotonicNow() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return condition();
+}
+
+Caller::Caller(const RelayHost& host) : socket_(loop_) {
+  socket_.connect({asio::ip::make_address(host.endpoint().address), host.endpoint().port});
+  asio::write(socket_, asio::buffer(Request("1")));
+}
+
+void Caller::Close() { socket_.close(); }
+
+void Caller::Reset() {
+  socket_.set_option(asio::socket_base::linger(true, 0));
+  socket_.close();
+}
+
+void Caller::EndStream() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
+
+std::string Caller::ReadAll() {
+  std::string received;
+  if (!socket_.is_open()) return received;
+  socket_.non_blocking(true);
+  const auto end = base::MonotonicNow() + kWait;
+  while (base::MonotonicNow() < end) {
+    std::array<char, 4'096> buffer{};
+    asio::error_code error;
+    const auto length = socket_.read_some(asio::buffer(buffer), error);
+    received.append(buffer.data(), length);
+    if (error && error != asio::error::would_block) return received;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  cr_expect(false, "the connection is still open");
+  return received;
+}
+
+SilentAddress::SilentAddress() : acceptor_(loop_, {asio::ip::make_address("127.0.0.1"), 0}) {
+  acceptor_.listen(0);
+  constexpr int kQueuedConnections = 4;
+  for (int i = 0; i < kQueuedConnections; ++i) {
+    // The loop never runs: connecting only begins.
+    queued_.emplace_back(loop_).async_connect(acceptor_.local_endpoint(), [](asio::error_code) {});
+  }
+}
+
+std::string SilentAddress::address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+Scene::Scene(State state)
+    : state_(state), upstream_(ScriptFor(state, requests_)), other_(ScriptFor(state, requests_)) {
+  std::vector<std::string> addresses{state == State::kConnecting ? silent_.address()
+                                                                 : upstream_.address()};
+  if (IsIdempotent(state)) addresses.push_back(other_.address());
+  host_ = std::make_unique<RelayHost>(addresses, IsIdempotent(state));
+  host_->AnswerTokenRequests([](const auto&) { return std::nullopt; });
+  if (state == State::kAwaitsToken) {
+    cr_assert(StatusOf(host_->Exchange(Request("1"), kWait)) == 200);
+  }
+  requests_before_ = requests_;
+  caller_ = std::make_unique<Caller>(*host_);
+  cr_assert(WaitFor([this] { return IsReached(); }), "the state is not reached");
+}
+
+void Scene::Apply(Event event) {
+  switch (event) {
+    case Event::kDrainEarly:
+      return host_->StartDraining(milliseconds(0), kGrace);
+    case Event::kDrainLate:
+      return host_->StartDraining(kGrace, kGrace);
+    case Event::kSecondSignal:
+      host_->StartDraining(milliseconds(0), kGrace);
+      return host_->StartDraining(milliseconds(100), kGrace);
+    case Event::kUnsentRefused:
+      host_->StartDraining(kGrace, kGrace);
+      cr_expect(host_->RefuseUnsentRequests() == (IsSent(state_) ? 0 : 1));
+      return;
+    case Event::kGraceTimeOver:
+      host_->StartDraining(kGrace, kGrace);
+      cr_expect(host_->EndRequests() == 1);
+      cr_expect(host_->EndRequests() == 0);
+      return;
+    case Event::kClientReset:
+      return caller_->Reset();
+    case Event::kClientClosed:
+      return caller_->Close();
+    case Event::kClientStreamEnded:
+      return caller_->EndStream();
+    case Event::kCatalogChanged:
+      return host_->SetRouteTimeout(milliseconds(100));
+    case Event::kUpstreamLeft:
+      return host_->RemoveUpstream(upstream_.address());
+    case Event::kReplicasLost:
+      return host_->LoseReplicas();
+  }
+}
+
+std::string Scene::ReadAll() { return caller_->ReadAll(); }
+
+bool Scene::EndsWithin(base::Duration time) {
+  return WaitFor([this] { return host_->running() == 0; }, time);
+}
+
+int Scene::arrivals() const { return requests_ - requests_before_; }
+
+bool Scene::IsReached() {
+  switch (state_) {
+    case State::kAwaitsToken:
+      return host_->token_requests() == 1;
+    case State::kConnecting:
+      return host_->running() == 1;
+    case State::kSent:
+    case State::kAnswerHalfRead:
+      return arrivals() == 1;
+    case State::kHedged:
+    case State::kSentAgain:
+      return arrivals() == 2;
+  }
+  return false;
+}
+
+}  // namespace wagtailpick::relay_test
--- /dev/null
+++ b/tests/auto/relay/request_scene.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "relay_fixture.h"
+
+namespace wagtailpick::relay_test {
+
+/// Longest time until a state is reached, and until an event has ended a request at once.
+constexpr base::Duration kSoon = std::chrono::milliseconds(900);
+/// Requests of the test route end after 1.2 s.
+constexpr base::Duration kWait = std::chrono::seconds(3);
+
+/// State of a request when an event comes.
+enum class State {
+  kAwaitsToken,
+  kConnecting,
+  kSent,
+  kHedged,
+  kSentAgain,
+  kAnswerHalfRead,
+};
+
+constexpr std::array<base::EnumName<State>, 6> kStateNames{{
+    {State::kAwaitsToken, "awaits token"},
+    {State::kConnecting, "connecting"},
+    {State::kSent, "sent"},
+    {State::kHedged, "hedged"},
+    {State::kSentAgain, "sent again"},
+    {State::kAnswerHalfRead, "answer half read"},
+}};
+
+/// What happens to a request in a state.
+enum class Event {
+  kDrainEarly,
+  kDrainLate,
+  kSecondSignal,
+  kUnsentRefused,
+  kGraceTimeOver,
+  kClientReset,
+  kClientClosed,
+  kClientStreamEnded,
+  kCatalogChanged,
+  kUpstreamLeft,
+  kReplicasLost,
+};
+
+constexpr std::array<base::EnumName<Event>, 11> kEventNames{{
+    {Event::kDrainEarly, "drain, early"},
+    {Event::kDrainLate, "drain, late"},
+    {Event::kSecondSignal, "second signal"},
+    {Event::kUnsentRefused, "unsent requests refused"},
+    {Event::kGraceTimeOver, "grace time over"},
+    {Event::kClientReset, "client reset the connection"},
+    {Event::kClientClosed, "client closed the connection"},
+    {Event::kClientStreamEnded, "client stream ended"},
+    {Event::kCatalogChanged, "catalog changed"},
+    {Event::kUpstreamLeft, "upstream left"},
+    {Event::kReplicasLost, "replicas lost"},
+}};
+
+bool IsSent(State state);
+
+bool IsIdempotent(State state);
+
+/// Waits until `condition` holds. Returns whether it does.
+bool WaitFor(const std::function<bool()>& condition, base::Duration time = kSoon);
+
+/// A caller that has sent a request.
+class Caller {
+ public:
+  explicit Caller(const RelayHost& host);
+  void Close();
+  void Reset();
+  void EndStream();
+
+  /// Reads until the relay closes the connection.
+  std::string ReadAll();
+
+ private:
+  asio::io_context loop_;
+  asio::ip::tcp::socket socket_;
+};
+
+/// An address at which connections are neither accepted nor refused: the queue of its listening
+/// socket is full.
+class SilentAddress {
+ public:
+  SilentAddress();
+  std::string address() const;
+
+ private:
+  asio::io_context loop_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<asio::ip::tcp::socket> queued_;
+};
+
+/// A request that has reached a state.
+class Scene {
+ public:
+  explicit Scene(State state);
+
+  void Apply(Event event);
+  std::string ReadAll();
+  /// Whether the request ends within `time`.
+  bool EndsWithin(base::Duration time);
+  /// Number of times that the request has reached an upstream.
+  int arrivals() const;
+
+ private:
+  bool IsReached();
+
+  State state_;
+  std::atomic<int> requests_ = 0;
+  SilentAddress silent_;
+  FakeUpstream upstream_;
+  FakeUpstream other_;
+  std::unique_ptr<RelayHost> host_;
+  std::unique_ptr<Caller> caller_;
+  int requests_before_ = 0;
+};
+
+}  // namespace wagtailpick::relay_test
