Answer 503 at the deadline if no upstream can have run the request

Cause: RequestRun::HandleTimeout answered 504 in all cases, also while the first connection was still being opened, or was opened after an upstream had refused the request. 504 tells the caller that the request may have run, so one that isn't idempotent is lost although it could be sent again. Change: HandleTimeout answers 503 with Retry-After if no attempt may have run or still runs (reason unsent_at_deadline), else 504 as before. The table of ends has three states more (an attempt that connects at the deadline: the first one, after a refusal, after a loss) and two events (the deadline, a blocked loop), and it checks that each 503 has a Retry-After. Conclusion: the deadline no longer makes an unsent request one that may have run.

--- a/src/libs/relay/request_run.cpp
+++ b/src/libs/relay/request_run.cpp
@@ -38,6 +38,8 @@
 
 /// Reason, in logs and metrics, of requests that are not sent again as their client may have left.
 constexpr std::string_view kClientStreamEndedReason = "client_stream_ended";
+/// Reason, in logs and metrics, of requests that no upstream can have run by their deadline.
+constexpr std::string_view kUnsentAtDeadlineReason = "unsent_at_deadline";
 
 http::Response Plain(int status) {
   http::Response response;
@@ -171,7 +173,9 @@
 
 void RequestRun::HandleTimeout() {
   if (finished_) return;
+  const bool may_have_run = MayHaveRun();
   EndAllAttempts("timeout");
+  if (!may_have_run) return Refuse(kUnsentAtDeadlineReason);
   Finish(Plain(504), "failed", "timeout");
 }
 
--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -91,6 +91,7 @@
   bool HasTimeForAttempt() const;
   /// Answers 502. The request may have run, unless `reason` states otherwise.
   void Fail(std::string_view reason = "may_have_run");
+  /// Answers 504 at the deadline, or 503 if no upstream can have run the request.
   void HandleTimeout();
   void HandleClientLeft();
   /// Handles a client that ended its stream: it has closed the connection, or waits for the answer.
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -289,6 +289,10 @@
   });
 }
 
+void RelayHost::BlockLoop(base::Duration time) {
+  RunOnLoop([time] { std::this_thread::sleep_for(time); });
+}
+
 std::size_t RelayHost::running() {
   std::size_t running = 0;
   RunOnLoop([&] { running = relay_->running(); });
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -103,6 +103,8 @@
   void RemoveUpstream(const std::string& address);
   /// Simulates that no replica can be reached any more.
   void LoseReplicas();
+  /// Makes the relay's loop run nothing else for `time`.
+  void BlockLoop(base::Duration time);
   /// Number of requests that have not ended.
   std::size_t running();
   /// Where the relay accepts requests.
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -18,11 +18,11 @@
 using wagtailpick::relay_test::Event;
 using wagtailpick::relay_test::FakeUpstream;
 using wagtailpick::relay_test::IsIdempotent;
-using wagtailpick::relay_test::IsSent;
 using wagtailpick::relay_test::kEventNames;
 using wagtailpick::relay_test::kSoon;
 using wagtailpick::relay_test::kStateNames;
 using wagtailpick::relay_test::kWait;
+using wagtailpick::relay_test::MayHaveRun;
 using wagtailpick::relay_test::RawAnswer;
 using wagtailpick::relay_test::RelayHost;
 using wagtailpick::relay_test::Scene;
@@ -37,12 +37,12 @@
 
 /// Whether the request goes on after the end of its client's stream. The entry cannot tell a close
 /// from a client that waits for its answer.
-bool ContinuesWithoutStream(State state) { return IsSent(state) && !IsIdempotent(state); }
+bool ContinuesWithoutStream(State state) { return MayHaveRun(state) && !IsIdempotent(state); }
 
 /// Returns the status that the caller gets. None of the upstreams answers in time.
 int ExpectedStatus(State state, Event event) {
   if (event == Event::kClientReset || event == Event::kClientClosed) return kNoAnswer;
-  if (!IsSent(state)) return kNotRun;
+  if (!MayHaveRun(state)) return kNotRun;
   if (event == Event::kClientStreamEnded && !ContinuesWithoutStream(state)) return kNoAnswer;
   return event == Event::kGraceTimeOver ? kMayHaveRun : kTimedOut;
 }
@@ -71,7 +71,10 @@
               StatusOf(received), expected);
     const bool continues = event == Event::kClientClosed && ContinuesWithoutStream(state);
     cr_expect(scene.EndsWithin(continues ? kWait : kSoon), "%s: still running", label.c_str());
-    if (!IsSent(state)) cr_expect(scene.arrivals() == 0, "%s: has run", label.c_str());
+    const int refused = state == State::kRefusedBefore ? 1 : 0;
+    if (!MayHaveRun(state)) cr_expect(scene.arrivals() == refused, "%s: has run", label.c_str());
+    cr_expect(expected != kNotRun || received.find("Retry-After: ") != std::string::npos, "%s",
+              label.c_str());
   }
 }
 
@@ -95,6 +98,19 @@
   MeetAllEvents(State::kAnswerHalfRead);
 }
 
+// Guards also against 502 or 504 for a request that no upstream has run.
+Test(request_ends, while_it_connects_after_a_refusal, .timeout = 60) {
+  MeetAllEvents(State::kRefusedBefore);
+}
+
+Test(request_ends, while_it_connects_after_a_loss, .timeout = 60) {
+  MeetAllEvents(State::kLostBefore);
+}
+
+Test(request_ends, while_it_connects_at_its_deadline, .timeout = 60) {
+  MeetAllEvents(State::kConnectingAtDeadline);
+}
+
 // Guards against an attempt for a client that has ended its stream and may have left: no more may
 // reach an upstream then, and what has not run is refused.
 Test(request_ends, sends_nothing_again_after_the_client_ended_its_stream) {
--- a/tests/auto/relay/request_scene.cpp
+++ b/tests/auto/relay/request_scene.cpp
@@ -13,6 +13,19 @@
 
 constexpr base::Duration kPollInterval = milliseconds(2);
 constexpr base::Duration kGrace = milliseconds(6'000);
+/// Longer than the timeout of the test route, 1.2 s.
+constexpr base::Duration kBlockedTime = milliseconds(1'300);
+/// Shorter than the connect timeout of 400 ms.
+constexpr base::Duration kShortRouteTimeout = milliseconds(350);
+
+bool IsConnectingAtDeadline(State state) {
+  return state == State::kRefusedBefore || state == State::kLostBefore ||
+         state == State::kConnectingAtDeadline;
+}
+
+bool HasSilentAddress(State state) {
+  return state == State::kConnecting || IsConnectingAtDeadline(state);
+}
 
 /// Returns the script of the upstreams, which count in `arrivals` together.
 FakeUpstream::Script ScriptFor(State state, std::atomic<int>& arrivals) {
@@ -21,6 +34,10 @@
     if (state == State::kAwaitsToken && first) {
       return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: 1\r\nContent-Length: 3\r\n\r\nEND", false};
     }
+    if (state == State::kRefusedBefore) {
+      return {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false};
+    }
+    if (state == State::kLostBefore) return {"", true};
     if (state == State::kSentAgain && first) return {"", true};
     if (state == State::kAnswerHalfRead) {
       return {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\nhalf", false};
@@ -31,9 +48,14 @@
 
 }  // namespace
 
-bool IsSent(State state) { return state != State::kAwaitsToken && state != State::kConnecting; }
+bool MayHaveRun(State state) {
+  return state != State::kAwaitsToken && state != State::kConnecting &&
+         state != State::kRefusedBefore && state != State::kConnectingAtDeadline;
+}
 
-bool IsIdempotent(State state) { return state == State::kHedged || state == State::kSentAgain; }
+bool IsIdempotent(State state) {
+  return state == State::kHedged || state == State::kSentAgain || state == State::kLostBefore;
+}
 
 bool WaitFor(const std::function<bool()>& condition, base::Duration time) {
   const auto end = base::MonotonicNow() + time;
@@ -90,11 +112,9 @@
 
 Scene::Scene(State state)
     : state_(state), upstream_(ScriptFor(state, requests_)), other_(ScriptFor(state, requests_)) {
-  std::vector<std::string> addresses{state == State::kConnecting ? silent_.address()
-                                                                 : upstream_.address()};
-  if (IsIdempotent(state)) addresses.push_back(other_.address());
-  host_ = std::make_unique<RelayHost>(addresses, IsIdempotent(state));
+  host_ = std::make_unique<RelayHost>(Addresses(), IsIdempotent(state));
   host_->AnswerTokenRequests([](const auto&) { return std::nullopt; });
+  if (IsConnectingAtDeadline(state)) host_->SetRouteTimeout(kShortRouteTimeout);
   if (state == State::kAwaitsToken) {
     cr_assert(StatusOf(host_->Exchange(Request("1"), kWait)) == 200);
   }
@@ -103,6 +123,18 @@
   cr_assert(WaitFor([this] { return IsReached(); }), "the state is not reached");
 }
 
+// Of upstreams that are alike, the first one gets the first attempt.
+std::vector<std::string> Scene::Addresses() const {
+  std::vector<std::string> addresses;
+  const bool connects_only = state_ == State::kConnecting || state_ == State::kConnectingAtDeadline;
+  if (!connects_only) addresses.push_back(upstream_.address());
+  if (state_ == State::kHedged || state_ == State::kSentAgain) {
+    addresses.push_back(other_.address());
+  }
+  if (HasSilentAddress(state_)) addresses.push_back(silent_.address());
+  return addresses;
+}
+
 void Scene::Apply(Event event) {
   switch (event) {
     case Event::kDrainEarly:
@@ -114,7 +146,7 @@
       return host_->StartDraining(milliseconds(100), kGrace);
     case Event::kUnsentRefused:
       host_->StartDraining(kGrace, kGrace);
-      cr_expect(host_->RefuseUnsentRequests() == (IsSent(state_) ? 0 : 1));
+      cr_expect(host_->RefuseUnsentRequests() == (MayHaveRun(state_) ? 0 : 1));
       return;
     case Event::kGraceTimeOver:
       host_->StartDraining(kGrace, kGrace);
@@ -133,6 +165,10 @@
       return host_->RemoveUpstream(upstream_.address());
     case Event::kReplicasLost:
       return host_->LoseReplicas();
+    case Event::kDeadline:
+      return;
+    case Event::kLoopBlocked:
+      return host_->BlockLoop(kBlockedTime);
   }
 }
 
@@ -149,7 +185,11 @@
     case State::kAwaitsToken:
       return host_->token_requests() == 1;
     case State::kConnecting:
+    case State::kConnectingAtDeadline:
       return host_->running() == 1;
+    case State::kRefusedBefore:
+    case State::kLostBefore:
+      return arrivals() == 1 && host_->running() == 1;
     case State::kSent:
     case State::kAnswerHalfRead:
       return arrivals() == 1;
--- a/tests/auto/relay/request_scene.h
+++ b/tests/auto/relay/request_scene.h
@@ -28,15 +28,24 @@
   kHedged,
   kSentAgain,
   kAnswerHalfRead,
+  /// The first attempt was refused. The second one is connecting when the time is up.
+  kRefusedBefore,
+  /// The first attempt was lost. The second one is connecting when the time is up.
+  kLostBefore,
+  /// The first attempt is connecting when the time is up.
+  kConnectingAtDeadline,
 };
 
-constexpr std::array<base::EnumName<State>, 6> kStateNames{{
+constexpr std::array<base::EnumName<State>, 9> kStateNames{{
     {State::kAwaitsToken, "awaits token"},
     {State::kConnecting, "connecting"},
     {State::kSent, "sent"},
     {State::kHedged, "hedged"},
     {State::kSentAgain, "sent again"},
     {State::kAnswerHalfRead, "answer half read"},
+    {State::kRefusedBefore, "refused before"},
+    {State::kLostBefore, "lost before"},
+    {State::kConnectingAtDeadline, "connecting at the deadline"},
 }};
 
 /// What happens to a request in a state.
@@ -52,9 +61,13 @@
   kCatalogChanged,
   kUpstreamLeft,
   kReplicasLost,
+  /// Nothing but the end of the request's time.
+  kDeadline,
+  /// The loop runs nothing until the request's time is over.
+  kLoopBlocked,
 };
 
-constexpr std::array<base::EnumName<Event>, 11> kEventNames{{
+constexpr std::array<base::EnumName<Event>, 13> kEventNames{{
     {Event::kDrainEarly, "drain, early"},
     {Event::kDrainLate, "drain, late"},
     {Event::kSecondSignal, "second signal"},
@@ -66,9 +79,12 @@
     {Event::kCatalogChanged, "catalog changed"},
     {Event::kUpstreamLeft, "upstream left"},
     {Event::kReplicasLost, "replicas lost"},
+    {Event::kDeadline, "deadline"},
+    {Event::kLoopBlocked, "loop blocked"},
 }};
 
-bool IsSent(State state);
+/// Whether an upstream may have run the request, or may run it.
+bool MayHaveRun(State state);
 
 bool IsIdempotent(State state);
 
@@ -108,7 +124,6 @@
 class Scene {
  public:
   explicit Scene(State state);
-
   void Apply(Event event);
   std::string ReadAll();
   /// Whether the request ends within `time`.
@@ -117,6 +132,7 @@
   int arrivals() const;
 
  private:
+  std::vector<std::string> Addresses() const;
   bool IsReached();
 
   State state_;
