Answer 502 to a request whose upstream failed with 503

Cause: an answer of the kind "server failure" (the upstream ran the request and failed) was passed on with its own status. With 503 the caller takes the request for not run, after a lost attempt too, and may send it a second time. Change: RequestRun::HandleUnusedAnswer answers 502 if the status of such an answer is one of those that state "not run" (408, 421, 429, 503); other failures are passed on as before. The table of ends has three events more: one upstream refuses, all upstreams that run the request refuse, one fails with 503. Conclusion: an upstream's 503 reaches a caller as 503 only if the upstream states that it has not run the request. The body of such a failure is no longer passed on.

--- a/src/libs/relay/request_run_answers.cpp
+++ b/src/libs/relay/request_run_answers.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "relay/request_run.h"
@@ -5,9 +7,21 @@
 // The part of RequestRun that handles the answers of upstreams.
 
 namespace wagtailpick::relay {
+namespace {
 
 using placement::Outcome;
 
+/// Statuses by which callers take a request for not run.
+constexpr std::array<int, 4> kNotRunStatuses{408, 421, 429, 503};
+/// Reason in logs and metrics.
+constexpr std::string_view kServerFailureReason = "server_failure";
+
+bool StatesNotRun(int status) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
+}
+
+}  // namespace
+
 void RequestRun::HandleAnswer(const Attempt& attempt, http::Response response) {
   const auto classified = relay_.dialect_.classify_answer(response, attributes_);
   ApplyUpstreamStatus(attempt, classified);
@@ -60,7 +74,9 @@
       classified.kind == AnswerKind::kNotRun || classified.kind == AnswerKind::kOtherUpstream;
   if (TryAcquireRetry(not_run)) return StartAttempt();
   if (classified.kind == AnswerKind::kServerFailure) {
-    return Finish(std::move(response), "failed", "server_failure");
+    // The upstream has run the request, which its status would deny.
+    if (StatesNotRun(response.status)) return Fail(kServerFailureReason);
+    return Finish(std::move(response), "failed", kServerFailureReason);
   }
   if (not_run) return Refuse("upstream_refused");
   Fail();
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -129,6 +129,22 @@
 
 std::string FakeUpstream::address() const { return address_; }
 
+bool FakeUpstream::AnswerRunning(const std::string& text) {
+  std::promise<bool> answered;
+  asio::post(loop_, [&] {
+    for (const auto& weak : open_connections_) {
+      const auto connection = weak.lock();
+      if (connection == nullptr || !connection->running) continue;
+      connection->running = false;
+      asio::error_code ignored;
+      asio::write(connection->socket, asio::buffer(text), ignored);
+      return answered.set_value(true);
+    }
+    answered.set_value(false);
+  });
+  return answered.get_future().get();
+}
+
 void FakeUpstream::Crash() {
   crashed_ = true;
   asio::error_code ignored;
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -44,6 +44,8 @@
   FakeUpstream& operator=(const FakeUpstream&) = delete;
 
   std::string address() const;
+  /// Sends `text` as the answer to a request that runs. Returns false if none does.
+  bool AnswerRunning(const std::string& text);
   /// Number of requests that have arrived.
   int requests() const { return requests_; }
   /// Number of connections that were accepted.
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -8,8 +8,8 @@
 #include "relay_fixture.h"
 #include "request_scene.h"
 
-// Each state of a request meets each event around a stop. All tests guard against a request that
-// ends without an answer, with two, or with 503 although it has run.
+// Each state of a request meets each event that can come in it. All tests guard against a request
+// that ends without an answer, with two, or with 503 although it has run.
 
 namespace {
 
@@ -17,7 +17,9 @@
 using wagtailpick::relay_test::Caller;
 using wagtailpick::relay_test::Event;
 using wagtailpick::relay_test::FakeUpstream;
+using wagtailpick::relay_test::IsAnswer;
 using wagtailpick::relay_test::IsIdempotent;
+using wagtailpick::relay_test::IsPossible;
 using wagtailpick::relay_test::kEventNames;
 using wagtailpick::relay_test::kSoon;
 using wagtailpick::relay_test::kStateNames;
@@ -39,8 +41,17 @@
 /// from a client that waits for its answer.
 bool ContinuesWithoutStream(State state) { return MayHaveRun(state) && !IsIdempotent(state); }
 
-/// Returns the status that the caller gets. None of the upstreams answers in time.
+/// Returns the status that the caller gets after an answer of an upstream. The other upstream of a
+/// hedged request still runs it, and a request that is sent again may have run before.
+int ExpectedAfterAnswer(State state, Event event) {
+  if (state == State::kHedged && event != Event::kAllRefused) return kTimedOut;
+  if (state == State::kSentAgain || event == Event::kFailedWith503) return kMayHaveRun;
+  return kNotRun;
+}
+
+/// Returns the status that the caller gets. None of the upstreams answers in time, but by `event`.
 int ExpectedStatus(State state, Event event) {
+  if (IsAnswer(event)) return ExpectedAfterAnswer(state, event);
   if (event == Event::kClientReset || event == Event::kClientClosed) return kNoAnswer;
   if (!MayHaveRun(state)) return kNotRun;
   if (event == Event::kClientStreamEnded && !ContinuesWithoutStream(state)) return kNoAnswer;
@@ -59,6 +70,7 @@
 
 void MeetAllEvents(State state) {
   for (const auto& [event, event_name] : kEventNames) {
+    if (!IsPossible(state, event)) continue;
     const auto label =
         std::string(wagtailpick::base::NameOf(kStateNames, state)) + ", " + std::string(event_name);
     Scene scene(state);
--- a/tests/auto/relay/request_scene.cpp
+++ b/tests/auto/relay/request_scene.cpp
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view kRefusal =
+    "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view kOwn503 = "HTTP/1.1 503 Failed\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr base::Duration kPollInterval = milliseconds(2);
 constexpr base::Duration kGrace = milliseconds(6'000);
 /// Longer than the timeout of the test route, 1.2 s.
@@ -35,7 +38,7 @@
       return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: 1\r\nContent-Length: 3\r\n\r\nEND", false};
     }
     if (state == State::kRefusedBefore) {
-      return {"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false};
+      return {std::string(kRefusal), false};
     }
     if (state == State::kLostBefore) return {"", true};
     if (state == State::kSentAgain && first) return {"", true};
@@ -57,6 +60,15 @@
   return state == State::kHedged || state == State::kSentAgain || state == State::kLostBefore;
 }
 
+bool IsAnswer(Event event) {
+  return event == Event::kRefused || event == Event::kAllRefused || event == Event::kFailedWith503;
+}
+
+bool IsPossible(State state, Event event) {
+  return !IsAnswer(event) || state == State::kSent || state == State::kHedged ||
+         state == State::kSentAgain;
+}
+
 bool WaitFor(const std::function<bool()>& condition, base::Duration time) {
   const auto end = base::MonotonicNow() + time;
   while (base::MonotonicNow() < end) {
@@ -169,9 +181,22 @@
       return;
     case Event::kLoopBlocked:
       return host_->BlockLoop(kBlockedTime);
+    case Event::kRefused:
+      cr_expect(Answer(std::string(kRefusal)));
+      return;
+    case Event::kAllRefused:
+      while (Answer(std::string(kRefusal))) continue;
+      return;
+    case Event::kFailedWith503:
+      cr_expect(Answer(std::string(kOwn503)));
+      return;
   }
 }
 
+bool Scene::Answer(const std::string& text) {
+  return upstream_.AnswerRunning(text) || other_.AnswerRunning(text);
+}
+
 std::string Scene::ReadAll() { return caller_->ReadAll(); }
 
 bool Scene::EndsWithin(base::Duration time) {
--- a/tests/auto/relay/request_scene.h
+++ b/tests/auto/relay/request_scene.h
@@ -65,9 +65,15 @@
   kDeadline,
   /// The loop runs nothing until the request's time is over.
   kLoopBlocked,
+  /// An upstream states that it has not run the request.
+  kRefused,
+  /// All upstreams that still run the request state that they have not run it.
+  kAllRefused,
+  /// An upstream that has run the request answers 503, its own failure.
+  kFailedWith503,
 };
 
-constexpr std::array<base::EnumName<Event>, 13> kEventNames{{
+constexpr std::array<base::EnumName<Event>, 16> kEventNames{{
     {Event::kDrainEarly, "drain, early"},
     {Event::kDrainLate, "drain, late"},
     {Event::kSecondSignal, "second signal"},
@@ -81,6 +87,9 @@
     {Event::kReplicasLost, "replicas lost"},
     {Event::kDeadline, "deadline"},
     {Event::kLoopBlocked, "loop blocked"},
+    {Event::kRefused, "refused"},
+    {Event::kAllRefused, "all refused"},
+    {Event::kFailedWith503, "failed with 503"},
 }};
 
 /// Whether an upstream may have run the request, or may run it.
@@ -88,6 +97,13 @@
 
 bool IsIdempotent(State state);
 
+/// Whether `event` is an answer of an upstream.
+bool IsAnswer(Event event);
+
+/// Whether `event` can come in `state`: answers come only where an upstream runs the request and
+/// has not begun to answer.
+bool IsPossible(State state, Event event);
+
 /// Waits until `condition` holds. Returns whether it does.
 bool WaitFor(const std::function<bool()>& condition, base::Duration time = kSoon);
 
@@ -134,6 +150,8 @@
  private:
   std::vector<std::string> Addresses() const;
   bool IsReached();
+  /// Makes one of the upstreams that run the request answer. Returns false if none does.
+  bool Answer(const std::string& text);
 
   State state_;
   std::atomic<int> requests_ = 0;
