Pass on no 408, 421, 429 or 503 while another attempt may have run

Cause: an upstream's own final answer ends a request at once. If it is one of the statuses by which callers take a request for not run, such as 429, that was false after a lost attempt, and while the other attempt of a hedged request ran: the caller may send the request again, and the effects come twice. Change: RequestRun::HandleAnswer treats such an answer as a refusal of its upstream if another attempt may have run or runs. The other attempt goes on; with none left the request is sent again within its limits, or ends with 502. With no other attempt the answer is passed on as before. The table of ends has the event "answered with 429". Conclusion: a status that states "not run" holds for all attempts of a request.

--- a/src/libs/relay/request_run_answers.cpp
+++ b/src/libs/relay/request_run_answers.cpp
@@ -23,7 +23,11 @@
 }  // namespace
 
 void RequestRun::HandleAnswer(const Attempt& attempt, http::Response response) {
-  const auto classified = relay_.dialect_.classify_answer(response, attributes_);
+  auto classified = relay_.dialect_.classify_answer(response, attributes_);
+  // Passed on, the status would deny what another attempt has run or still runs.
+  if (classified.kind == AnswerKind::kFinal && StatesNotRun(response.status) && MayHaveRun()) {
+    classified.kind = AnswerKind::kNotRun;
+  }
   ApplyUpstreamStatus(attempt, classified);
   EndAnsweredAttempt(attempt, classified);
   // A duplicate of the answer may follow on the connection. A refusal without a request id would
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -35,6 +35,7 @@
 constexpr int kTimedOut = 504;
 constexpr int kMayHaveRun = 502;
 constexpr int kNotRun = 503;
+constexpr int kTooManyRequests = 429;
 constexpr int kNoAnswer = 0;
 
 /// Whether the request goes on after the end of its client's stream. The entry cannot tell a close
@@ -46,7 +47,7 @@
 int ExpectedAfterAnswer(State state, Event event) {
   if (state == State::kHedged && event != Event::kAllRefused) return kTimedOut;
   if (state == State::kSentAgain || event == Event::kFailedWith503) return kMayHaveRun;
-  return kNotRun;
+  return event == Event::kAnsweredWith429 ? kTooManyRequests : kNotRun;
 }
 
 /// Returns the status that the caller gets. None of the upstreams answers in time, but by `event`.
--- a/tests/auto/relay/request_scene.cpp
+++ b/tests/auto/relay/request_scene.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view kRefusal =
     "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view kOwn503 = "HTTP/1.1 503 Failed\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view kOwn429 = "HTTP/1.1 429 Later\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr base::Duration kPollInterval = milliseconds(2);
 constexpr base::Duration kGrace = milliseconds(6'000);
 /// Longer than the timeout of the test route, 1.2 s.
@@ -61,7 +62,8 @@
 }
 
 bool IsAnswer(Event event) {
-  return event == Event::kRefused || event == Event::kAllRefused || event == Event::kFailedWith503;
+  return event == Event::kRefused || event == Event::kAllRefused ||
+         event == Event::kFailedWith503 || event == Event::kAnsweredWith429;
 }
 
 bool IsPossible(State state, Event event) {
@@ -148,6 +150,22 @@
 }
 
 void Scene::Apply(Event event) {
+  if (IsAnswer(event)) return ApplyAnswer(event);
+  switch (event) {
+    case Event::kClientReset:
+      return caller_->Reset();
+    case Event::kClientClosed:
+      return caller_->Close();
+    case Event::kClientStreamEnded:
+      return caller_->EndStream();
+    case Event::kDeadline:
+      return;
+    default:
+      return ApplyToHost(event);
+  }
+}
+
+void Scene::ApplyToHost(Event event) {
   switch (event) {
     case Event::kDrainEarly:
       return host_->StartDraining(milliseconds(0), kGrace);
@@ -165,34 +183,26 @@
       cr_expect(host_->EndRequests() == 1);
       cr_expect(host_->EndRequests() == 0);
       return;
-    case Event::kClientReset:
-      return caller_->Reset();
-    case Event::kClientClosed:
-      return caller_->Close();
-    case Event::kClientStreamEnded:
-      return caller_->EndStream();
     case Event::kCatalogChanged:
       return host_->SetRouteTimeout(milliseconds(100));
     case Event::kUpstreamLeft:
       return host_->RemoveUpstream(upstream_.address());
     case Event::kReplicasLost:
       return host_->LoseReplicas();
-    case Event::kDeadline:
-      return;
     case Event::kLoopBlocked:
       return host_->BlockLoop(kBlockedTime);
-    case Event::kRefused:
-      cr_expect(Answer(std::string(kRefusal)));
-      return;
-    case Event::kAllRefused:
-      while (Answer(std::string(kRefusal))) continue;
-      return;
-    case Event::kFailedWith503:
-      cr_expect(Answer(std::string(kOwn503)));
-      return;
+    default:
+      cr_assert_fail("no event of the entry");
   }
 }
 
+void Scene::ApplyAnswer(Event event) {
+  const std::string_view refusal_or_429 = event == Event::kAnsweredWith429 ? kOwn429 : kRefusal;
+  const std::string text(event == Event::kFailedWith503 ? kOwn503 : refusal_or_429);
+  cr_expect(Answer(text));
+  while (event == Event::kAllRefused && Answer(text)) continue;
+}
+
 bool Scene::Answer(const std::string& text) {
   return upstream_.AnswerRunning(text) || other_.AnswerRunning(text);
 }
--- a/tests/auto/relay/request_scene.h
+++ b/tests/auto/relay/request_scene.h
@@ -71,9 +71,11 @@
   kAllRefused,
   /// An upstream that has run the request answers 503, its own failure.
   kFailedWith503,
+  /// An upstream answers 429.
+  kAnsweredWith429,
 };
 
-constexpr std::array<base::EnumName<Event>, 16> kEventNames{{
+constexpr std::array<base::EnumName<Event>, 17> kEventNames{{
     {Event::kDrainEarly, "drain, early"},
     {Event::kDrainLate, "drain, late"},
     {Event::kSecondSignal, "second signal"},
@@ -90,6 +92,7 @@
     {Event::kRefused, "refused"},
     {Event::kAllRefused, "all refused"},
     {Event::kFailedWith503, "failed with 503"},
+    {Event::kAnsweredWith429, "answered with 429"},
 }};
 
 /// Whether an upstream may have run the request, or may run it.
@@ -150,6 +153,8 @@
  private:
   std::vector<std::string> Addresses() const;
   bool IsReached();
+  void ApplyToHost(Event event);
+  void ApplyAnswer(Event event);
   /// Makes one of the upstreams that run the request answer. Returns false if none does.
   bool Answer(const std::string& text);
 
