--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -44,6 +44,8 @@
   FakeUpstream& operator=(const FakeUpstream&) = delete;
 
   std::string address() const;
+  /// Sends `text` as the answer to a request that runs. Returns false if none does.
+  bool AnswerRunning(const std::string& text);
   /// Number of requests that have arrived.
   int requests() const { return requests_; }
   /// Number of connections that were accepted.
@@ -103,6 +105,8 @@
   void RemoveUpstream(const std::string& address);
   /// Simulates that no replica can be reached any more.
   void LoseReplicas();
+  /// Makes the relay's loop run nothing else for `time`.
+  void BlockLoop(base::Duration time);
   /// Number of requests that have not ended.
   std::size_t running();
   /// Where the relay accepts requests.
