--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr const char* kLoopback = "127.0.0.1";
+constexpr std::uint32_t kAnnouncedSlots = 4;
 constexpr base::Duration kRouteTimeout = std::chrono::milliseconds(1'200);
 
 std::string HeaderOf(const http::Headers& headers, const char* name) {
@@ -79,6 +80,15 @@
   return {1, {route}, {service}, {}};
 }
 
+upstreams::UpstreamReport ReportOf(const std::string& address) {
+  upstreams::UpstreamReport report;
+  report.id = address;
+  report.service = "s";
+  report.address = address;
+  report.data_centre = "dc";
+  return report;
+}
+
 int ConnectTo(const base::Endpoint& endpoint) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -199,12 +209,7 @@
   routing_state_.catalog =
       std::make_shared<const catalog::Catalog>(TestCatalog(idempotent_, kRouteTimeout));
   for (const auto& address : upstreams) {
-    upstreams::UpstreamReport report;
-    report.id = address;
-    report.service = "s";
-    report.address = address;
-    report.data_centre = "dc";
-    routing_state_.upstreams.Apply(report, {}, base::MonotonicNow());
+    routing_state_.upstreams.Apply(ReportOf(address), {}, base::MonotonicNow());
   }
   relay::RelayOptions options;
   options.vm = "e1";
@@ -287,11 +292,7 @@
 
 void RelayHost::RemoveUpstream(const std::string& address) {
   RunOnLoop([&] {
-    upstreams::UpstreamReport report;
-    report.id = address;
-    report.service = "s";
-    report.address = address;
-    report.data_centre = "dc";
+    auto report = ReportOf(address);
     report.sequence = 1;
     report.state = upstreams::State::kLeft;
     routing_state_.upstreams.Apply(report, {}, base::MonotonicNow());
@@ -299,6 +300,17 @@
   });
 }
 
+void RelayHost::Announce(const std::string& address, std::int64_t started_unix_ms,
+                         std::uint64_t sequence) {
+  RunOnLoop([&] {
+    auto report = ReportOf(address);
+    report.slots = kAnnouncedSlots;
+    report.started_unix_ms = started_unix_ms;
+    report.sequence = sequence;
+    routing_state_.upstreams.Apply(report, {}, base::MonotonicNow());
+  });
+}
+
 void RelayHost::LoseReplicas() {
   RunOnLoop([this] {
     relay_->token_requests().set_sender([](const limits::TokenRequest&) { return false; });
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -103,6 +103,9 @@
   void SetRouteTimeout(base::Duration timeout);
   /// Reports that the upstream at `address` has left.
   void RemoveUpstream(const std::string& address);
+  /// Applies an announcement of a ready upstream with four slots, whose process started at
+  /// `started_unix_ms`.
+  void Announce(const std::string& address, std::int64_t started_unix_ms, std::uint64_t sequence);
   /// Simulates that no replica can be reached any more.
   void LoseReplicas();
   /// Makes the relay's loop run nothing else for `time`.
