Compare the expiring map with a plain model

Cause: the map keeps an order and an index of its entries, and its tests showed single cases only.

Change: a test makes 500 random calls with each of 200 seeds on the map and on a model that looks at all entries, and compares every result.

Conclusion: order and index agree under any sequence of these calls.

--- a/tests/auto/base/expiring_map_test.cpp
+++ b/tests/auto/base/expiring_map_test.cpp
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
 #include <string>
 
 using std::chrono::seconds;
@@ -11,6 +14,59 @@
 namespace {
 
 constexpr MonotonicTime kStart{seconds(1'000)};
+constexpr seconds kLifetime{10};
+constexpr std::size_t kCapacity = 8;
+
+/// The plainest form of the map: looks at all entries each time.
+class Model {
+ public:
+  /// Returns the key that was evicted although it still binds; -1 for none.
+  int Set(int key, int value, MonotonicTime now) {
+    std::erase_if(entries_, [&](const auto& item) {
+      return item.first != key && now - item.second.set_at >= kLifetime;
+    });
+    int evicted = -1;
+    if (!entries_.contains(key) && entries_.size() >= kCapacity) {
+      const auto oldest = std::min_element(
+          entries_.begin(), entries_.end(),
+          [](const auto& a, const auto& b) { return a.second.number < b.second.number; });
+      evicted = oldest->first;
+      entries_.erase(oldest);
+    }
+    entries_[key] = {value, now, ++number_};
+    return evicted;
+  }
+
+  const int* Find(int key, MonotonicTime now) const {
+    const auto found = entries_.find(key);
+    if (found == entries_.end() || now - found->second.set_at >= kLifetime) return nullptr;
+    return &found->second.value;
+  }
+
+  bool Erase(int key) { return entries_.erase(key) > 0; }
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    int value = 0;
+    MonotonicTime set_at;
+    int number = 0;
+  };
+
+  std::map<int, Entry> entries_;
+  int number_ = 0;
+};
+
+/// Makes one random call of the map and of the model; returns whether both did the same.
+bool StepsAlike(ExpiringMap<int, int>& map, Model& model, std::mt19937& random, MonotonicTime now) {
+  const int key = static_cast<int>(random() % (2 * kCapacity));
+  if (random() % 4 == 0) return map.Erase(key) == model.Erase(key);
+  const bool has_room = map.HasRoomFor(key, now);
+  const int value = static_cast<int>(random() % 1'000);
+  const auto evicted = map.Set(key, value, now);
+  return model.Set(key, value, now) == (evicted ? evicted->key : -1) &&
+         has_room == !evicted.has_value();
+}
 
 }  // namespace
 
@@ -82,3 +138,24 @@
     cr_assert(map.size() <= 100);
   }
 }
+
+// Guards against an order of the entries or an index that goes wrong after some sequence of calls.
+Test(expiring_map, does_the_same_as_a_plain_model) {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    ExpiringMap<int, int> map(kCapacity, kLifetime);
+    Model model;
+    auto now = kStart;
+    for (int step = 0; step < 500; ++step) {
+      now += std::chrono::milliseconds(random() % 2'000);
+      cr_assert(StepsAlike(map, model, random, now), "seed %u, step %d", seed, step);
+      cr_assert(map.size() == model.size(), "seed %u, step %d", seed, step);
+      for (int key = 0; key < static_cast<int>(2 * kCapacity); ++key) {
+        const auto* found = map.Find(key, now);
+        const auto* expected = model.Find(key, now);
+        cr_assert((found == nullptr) == (expected == nullptr), "seed %u, step %d", seed, step);
+        if (found != nullptr) cr_assert(*found == *expected, "seed %u, step %d", seed, step);
+      }
+    }
+  }
+}
