Measure the records that a choice makes

Cause: bench_placement showed the time of one choice, not its memory.

Change: it also prints the memory of the records that the first choice makes.

--- a/tests/benchmarks/placement/bench_placement.cpp
+++ b/tests/benchmarks/placement/bench_placement.cpp
@@ -113,10 +113,13 @@
 
 void MeasureChoices(const char* name, base::Duration cold_left, bool sticky) {
   World world(cold_left);
+  const double before = AllocatedMegabytes();
+  // The first choice makes the records of all upstreams.
   world.Choose(1);
+  const double records = AllocatedMegabytes() - before;
   const auto micros = MicrosPerCall(
       kChoices, [&](int i) { world.Choose(sticky ? static_cast<std::uint64_t>(i) + 1 : 0); });
-  std::printf("one choice, %s: %.0f us\n", name, micros);
+  std::printf("one choice, %s: %.0f us, %.1f MB of records\n", name, micros, records);
 }
 
 /// Each request is for an object of its own, as the requests of a crawler are.
