Refuse numbers in messages that don't fit their fields

Cause: the codecs of messages between processes read numbers with json::get, which wraps. Unknown roles, states and kinds of messages and log entries were accepted; an entry of an unknown kind is acknowledged, and its content is dropped when it is applied. Spans of time near the limits of 64 bits overflow when they are added to a time.

Change: base::IntegerFrom and base::EnumFrom read a number only if it is one of the field's type. Wall times of strikes are refused beyond 142,000 years, and spans of time are limited to 100 years; one of Duration::max(), for an unknown silence, is kept. An unreadable message ends its link with an error, as before.

Result: a test replaces each number of each of the 20 kinds of message by 12 others.

Conclusion: a decoded message holds what was sent.

--- a/src/libs/cluster/consensus_codec.cpp
+++ b/src/libs/cluster/consensus_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
+
 namespace wagtailpick::cluster {
 namespace {
 
@@ -15,7 +17,7 @@
 }
 
 consensus::ReplicaKey KeyFromFields(const json& fields) {
-  return {fields.at(0).get<std::string>(), fields.at(1).get<std::uint64_t>()};
+  return {fields.at(0).get<std::string>(), base::IntegerFrom<std::uint64_t>(fields.at(1))};
 }
 
 json EntriesOf(const consensus::Message& message) {
@@ -49,25 +51,31 @@
 
 consensus::Message ConsensusFromFields(const json& fields) {
   consensus::Message message;
-  message.kind = static_cast<consensus::MessageKind>(fields.at(0).get<std::uint8_t>());
+  message.kind =
+      base::EnumFrom(fields.at(0), consensus::MessageKind::kPreVote, consensus::MessageKind::kJoin);
   message.from = KeyFromFields(fields.at(1));
   message.to = KeyFromFields(fields.at(2));
-  message.term = fields.at(3).get<std::uint64_t>();
-  message.log_index = fields.at(4).get<std::uint64_t>();
-  message.log_term = fields.at(5).get<std::uint64_t>();
-  message.commit = fields.at(6).get<std::uint64_t>();
-  message.sent_at = fields.at(7).get<std::int64_t>();
+  message.term = base::IntegerFrom<std::uint64_t>(fields.at(3));
+  message.log_index = base::IntegerFrom<std::uint64_t>(fields.at(4));
+  message.log_term = base::IntegerFrom<std::uint64_t>(fields.at(5));
+  message.commit = base::IntegerFrom<std::uint64_t>(fields.at(6));
+  message.sent_at = base::IntegerFrom<std::int64_t>(fields.at(7));
   message.accepted = fields.at(8).get<bool>();
-  message.match = fields.at(9).get<std::uint64_t>();
+  message.match = base::IntegerFrom<std::uint64_t>(fields.at(9));
   for (const auto& entry : fields.at(10)) {
-    message.entries.push_back({entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>(),
-                               static_cast<consensus::EntryKind>(entry.at(2).get<std::uint8_t>()),
+    message.entries.push_back({base::IntegerFrom<std::uint64_t>(entry.at(0)),
+                               base::IntegerFrom<std::uint64_t>(entry.at(1)),
+                               base::EnumFrom(entry.at(2), consensus::EntryKind::kNoop,
+                                              consensus::EntryKind::kMembership),
                                BytesFrom(entry.at(3))});
   }
   const auto& chunk = fields.at(11);
-  message.chunk = {chunk.at(0).get<std::uint64_t>(), chunk.at(1).get<std::uint64_t>(),
-                   chunk.at(2).get<std::string>(),   chunk.at(3).get<std::uint64_t>(),
-                   BytesFrom(chunk.at(4)),           chunk.at(5).get<bool>()};
+  message.chunk = {base::IntegerFrom<std::uint64_t>(chunk.at(0)),
+                   base::IntegerFrom<std::uint64_t>(chunk.at(1)),
+                   chunk.at(2).get<std::string>(),
+                   base::IntegerFrom<std::uint64_t>(chunk.at(3)),
+                   BytesFrom(chunk.at(4)),
+                   chunk.at(5).get<bool>()};
   return message;
 }
 
--- a/src/libs/cluster/limit_codec.cpp
+++ b/src/libs/cluster/limit_codec.cpp
@@ -3,20 +3,21 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
+#include "cluster/time_fields.h"
+
 namespace wagtailpick::cluster {
 namespace {
 
 using nlohmann::json;
 
-/// Error id of nlohmann::json for a number out of range.
-constexpr int kOutOfRange = 406;
-
 /// Returns a rate in requests per second; throws if it is negative or not finite, which no process
 /// sends.
 double RateFromField(const json& field) {
-  const auto rate = field.get<double>();
+  const auto rate = field.is_number() ? field.get<double>() : -1;
   if (!std::isfinite(rate) || rate < 0) {
-    throw json::out_of_range::create(kOutOfRange, "requests per second out of range", nullptr);
+    throw json::out_of_range::create(base::kJsonOutOfRange, "requests per second out of range",
+                                     nullptr);
   }
   return rate;
 }
@@ -41,24 +42,23 @@
 }
 
 limits::LimitReport LimitReportFromFields(const json& fields) {
-  return {fields.at(0).get<std::string>(), fields.at(1).get<std::int64_t>(),
-          RateFromField(fields.at(2)), fields.at(3).get<bool>(),
-          base::Duration(fields.at(4).get<std::int64_t>())};
+  return {fields.at(0).get<std::string>(), base::IntegerFrom<std::int64_t>(fields.at(1)),
+          RateFromField(fields.at(2)), fields.at(3).get<bool>(), DurationFrom(fields.at(4))};
 }
 
 limits::TokenRequest TokenRequestFromFields(const json& fields) {
-  return {fields.at(0).get<std::uint64_t>(), LimitReportFromFields(fields.at(1)),
+  return {base::IntegerFrom<std::uint64_t>(fields.at(0)), LimitReportFromFields(fields.at(1)),
           fields.at(2).get<bool>()};
 }
 
 limits::TokenAnswer TokenAnswerFromFields(const json& fields) {
-  return {fields.at(0).get<std::uint64_t>(), fields.at(1).get<bool>(),
-          base::Duration(fields.at(2).get<std::int64_t>())};
+  return {base::IntegerFrom<std::uint64_t>(fields.at(0)), fields.at(1).get<bool>(),
+          DurationFrom(fields.at(2))};
 }
 
 limits::IssuedTokens IssuedTokensFromFields(const json& fields) {
-  return {fields.at(0).get<std::string>(), fields.at(1).get<std::int64_t>(),
-          fields.at(2).get<std::uint32_t>()};
+  return {fields.at(0).get<std::string>(), base::IntegerFrom<std::int64_t>(fields.at(1)),
+          base::IntegerFrom<std::uint32_t>(fields.at(2))};
 }
 
 }  // namespace wagtailpick::cluster
--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -2,12 +2,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
 #include "base/printable_text.h"
 #include "cluster/consensus_codec.h"
 #include "cluster/limit_codec.h"
 #include "cluster/nesting_check.h"
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
+#include "cluster/time_fields.h"
 #include "compress/zstd_codec.h"
 
 namespace wagtailpick::cluster {
@@ -137,13 +139,20 @@
   throw json::other_error::create(kUnprintableName, "a name is not printable", &field);
 }
 
+template <typename T>
+std::vector<T> IntegersFrom(const json& list) {
+  std::vector<T> numbers;
+  for (const auto& one : list) numbers.push_back(base::IntegerFrom<T>(one));
+  return numbers;
+}
+
 void Read(const json& fields, Hello& out) {
-  out.role = static_cast<NodeRole>(fields.at(0).get<std::uint8_t>());
+  out.role = base::EnumFrom(fields.at(0), NodeRole::kEntry, NodeRole::kReplica);
   out.vm = NameFrom(fields.at(1));
   out.data_centre = NameFrom(fields.at(2));
   out.cluster_address = NameFrom(fields.at(3));
   out.service_address = NameFrom(fields.at(4));
-  out.incarnation = fields.at(5).get<std::uint64_t>();
+  out.incarnation = base::IntegerFrom<std::uint64_t>(fields.at(5));
 }
 
 void Read(const json& fields, Replicas& out) {
@@ -157,23 +166,26 @@
 }
 
 void Read(const json& fields, Reports& out) {
-  out.ack_id = fields.at(0).get<std::uint64_t>();
+  out.ack_id = base::IntegerFrom<std::uint64_t>(fields.at(0));
   for (const auto& one : fields.at(1)) out.reports.push_back(ReportFromFields(one));
-  if (!fields.at(2).is_null()) out.complete_parts = fields.at(2).get<std::vector<std::uint8_t>>();
+  if (!fields.at(2).is_null()) out.complete_parts = IntegersFrom<std::uint8_t>(fields.at(2));
 }
 
-void Read(const json& fields, ReportsAck& out) { out.ack_id = fields.at(0).get<std::uint64_t>(); }
+void Read(const json& fields, ReportsAck& out) {
+  out.ack_id = base::IntegerFrom<std::uint64_t>(fields.at(0));
+}
 
 void Read(const json& fields, Heartbeats& out) {
   for (const auto& one : fields.at(0)) {
-    out.heartbeats.push_back({one.at(0).get<std::string>(), one.at(1).get<std::int64_t>(),
-                              one.at(2).get<std::uint64_t>()});
+    out.heartbeats.push_back({one.at(0).get<std::string>(),
+                              base::IntegerFrom<std::int64_t>(one.at(1)),
+                              base::IntegerFrom<std::uint64_t>(one.at(2))});
   }
 }
 
 void Read(const json& fields, OrderSummary& out) {
-  out.changed_index = fields.at(0).get<std::uint64_t>();
-  out.catalog_version = fields.at(1).get<std::uint64_t>();
+  out.changed_index = base::IntegerFrom<std::uint64_t>(fields.at(0));
+  out.catalog_version = base::IntegerFrom<std::uint64_t>(fields.at(1));
   out.evacuated = fields.at(2).get<std::vector<std::string>>();
 }
 
@@ -184,21 +196,22 @@
 }
 
 CatalogKey KeyFromFields(const json& fields) {
-  return {fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>()};
+  return {base::IntegerFrom<std::uint64_t>(fields.at(0)),
+          base::IntegerFrom<std::uint64_t>(fields.at(1))};
 }
 
 void Read(const json& fields, CatalogRequest& out) {
   out.held = KeyFromFields(fields.at(0));
   out.wanted = KeyFromFields(fields.at(1));
   out.base = KeyFromFields(fields.at(2));
-  out.offset = fields.at(3).get<std::uint64_t>();
+  out.offset = base::IntegerFrom<std::uint64_t>(fields.at(3));
 }
 
 void Read(const json& fields, CatalogPiece& out) {
   out.key = KeyFromFields(fields.at(0));
   out.base = KeyFromFields(fields.at(1));
-  out.total = fields.at(2).get<std::uint64_t>();
-  out.offset = fields.at(3).get<std::uint64_t>();
+  out.total = base::IntegerFrom<std::uint64_t>(fields.at(2));
+  out.offset = base::IntegerFrom<std::uint64_t>(fields.at(3));
   const auto& bytes = fields.at(4).get_binary();
   out.bytes.assign(bytes.begin(), bytes.end());
 }
@@ -206,27 +219,27 @@
 void Read(const json& fields, Ping& out) {
   out.ready = fields.at(0).get<bool>();
   out.follows = fields.at(1).get<bool>();
-  out.orders_index = fields.at(2).get<std::uint64_t>();
-  out.catalog_version = fields.at(3).get<std::uint64_t>();
+  out.orders_index = base::IntegerFrom<std::uint64_t>(fields.at(2));
+  out.catalog_version = base::IntegerFrom<std::uint64_t>(fields.at(3));
 }
 
 void Read(const json& fields, ReportsRequest& out) {
-  out.digests = fields.at(0).get<std::vector<std::uint64_t>>();
+  out.digests = IntegersFrom<std::uint64_t>(fields.at(0));
 }
 
 void Read(const json& fields, UpstreamLiveness& out) {
-  out.digest = fields.at(0).get<std::uint64_t>();
+  out.digest = base::IntegerFrom<std::uint64_t>(fields.at(0));
   for (const auto& one : fields.at(1)) {
-    out.silent.push_back(
-        {one.at(0).get<std::string>(), base::Duration(one.at(1).get<std::int64_t>())});
+    out.silent.push_back({one.at(0).get<std::string>(), DurationFrom(one.at(1), true)});
   }
 }
 
 void Read(const json& fields, Observations& out) {
   for (const auto& one : fields.at(0)) {
-    out.observations.push_back({one.at(0).get<std::string>(), one.at(1).get<std::uint32_t>(),
-                                one.at(2).get<std::uint32_t>(), one.at(3).get<std::uint32_t>(),
-                                one.at(4).get<std::uint32_t>()});
+    out.observations.push_back(
+        {one.at(0).get<std::string>(), base::IntegerFrom<std::uint32_t>(one.at(1)),
+         base::IntegerFrom<std::uint32_t>(one.at(2)), base::IntegerFrom<std::uint32_t>(one.at(3)),
+         base::IntegerFrom<std::uint32_t>(one.at(4))});
   }
 }
 
--- a/src/libs/cluster/report_codec.cpp
+++ b/src/libs/cluster/report_codec.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
+#include "cluster/time_fields.h"
+
 namespace wagtailpick::cluster {
 
 nlohmann::json ToFields(const AgedReport& aged) {
@@ -18,16 +21,16 @@
   AgedReport aged;
   auto& report = aged.report;
   report.id = fields.at(0).get<std::string>();
-  report.started_unix_ms = fields.at(1).get<std::int64_t>();
-  report.sequence = fields.at(2).get<std::uint64_t>();
-  report.state = static_cast<upstreams::State>(fields.at(3).get<std::uint8_t>());
+  report.started_unix_ms = base::IntegerFrom<std::int64_t>(fields.at(1));
+  report.sequence = base::IntegerFrom<std::uint64_t>(fields.at(2));
+  report.state = base::EnumFrom(fields.at(3), upstreams::State::kReady, upstreams::State::kLeft);
   report.service = fields.at(4).get<std::string>();
   report.address = fields.at(5).get<std::string>();
   report.data_centre = fields.at(6).get<std::string>();
   report.version = fields.at(7).get<std::string>();
-  report.slots = fields.at(8).get<std::uint32_t>();
-  report.cold_left = base::Duration(fields.at(9).get<std::int64_t>());
-  aged.age = base::Duration(fields.at(10).get<std::int64_t>());
+  report.slots = base::IntegerFrom<std::uint32_t>(fields.at(8));
+  report.cold_left = DurationFrom(fields.at(9));
+  aged.age = DurationFrom(fields.at(10));
   return aged;
 }
 
--- a/src/libs/cluster/suspect_codec.cpp
+++ b/src/libs/cluster/suspect_codec.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
+#include "cluster/time_fields.h"
+
 namespace wagtailpick::cluster {
 namespace {
 
@@ -17,8 +20,8 @@
   safety::Strike strike;
   strike.id = fields.at(0).get<std::string>();
   strike.upstream.address = fields.at(1).get<std::string>();
-  strike.upstream.incarnation = fields.at(2).get<std::uint64_t>();
-  strike.at = fields.at(3).get<safety::WallMillis>();
+  strike.upstream.incarnation = base::IntegerFrom<std::uint64_t>(fields.at(2));
+  strike.at = WallMillisFrom(fields.at(3));
   strike.is_void = fields.at(4).get<bool>();
   return strike;
 }
@@ -46,9 +49,9 @@
   for (const auto& strike : fields.at(1)) safety::AddStrike(report, StrikeFromFields(strike));
   for (const auto& success : fields.at(2)) {
     safety::AddSuccess(report.successes,
-                       {success.at(0).get<std::string>(), success.at(1).get<safety::WallMillis>()});
+                       {success.at(0).get<std::string>(), WallMillisFrom(success.at(1))});
   }
-  report.renewed_at = fields.at(3).get<safety::WallMillis>();
+  report.renewed_at = WallMillisFrom(fields.at(3));
   return report;
 }
 
--- /dev/null
+++ b/tests/auto/cluster/hostile_message_test.cpp
@@ -0,0 +1,148 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "cluster/message_codec.h"
+#include "message_mutator.h"
+#include "mutation_settings.h"
+
+namespace {
+
+using namespace wagtailpick;           // NOLINT(google-build-using-namespace)
+using namespace wagtailpick::cluster;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+using platform_test::MessageMutator;
+
+/// Changed messages of one run; takes about a second.
+constexpr std::uint64_t kMutations = 40'000;
+
+/// One message of each kind with all its fields.
+std::vector<Message> SampleMessages() {
+  consensus::Message append;
+  append.from = {"a:1", 1};
+  append.to = {"b:1", 1};
+  append.entries = {{7, 5, consensus::EntryKind::kData, "data"}};
+  append.chunk = {1, 2, "members", 3, "part", true};
+  AgedReport aged;
+  aged.report = {"i-1", 123, 9, upstreams::State::kDraining, "menu", "10.0.0.9:80",
+                 "dc",  "v", 4, std::chrono::seconds(2)};
+  const limits::LimitReport limit{"i-1", 17, 2.5, true, std::chrono::milliseconds(30)};
+  safety::SuspectReport suspect;
+  safety::AddStrike(suspect, {"s", {"10.0.0.9:80", 3}, "", 0, 1'700'000'000'000, true});
+  safety::AddSuccess(suspect.successes, {"10.0.0.9:80", 1'700'000'000'000});
+  suspect.renewed_at = 1'700'000'000'000;
+  return {Hello{NodeRole::kReplica, "vm", "dc", "a:1", "a:2", 99},
+          Replicas{{{"a:1", "a:2", "dc"}}},
+          Consensus{{append}},
+          Reports{17, {aged}, std::vector<std::uint8_t>{1, 2}},
+          ReportsAck{5},
+          Heartbeats{{{"i-1", 5, 6}}},
+          OrderSummary{3, 4, {"dc"}},
+          EntryNames{true, {"a"}, {"b"}},
+          CatalogRequest{{1, 2}, {3, 4}, {5, 6}, 7},
+          CatalogPiece{{1, 2}, {3, 4}, 9, 0, "piece"},
+          Ping{true, false, 1, 2},
+          ReportsRequest{{1, 2, 3}},
+          UpstreamLiveness{4, {{"i-1", std::chrono::seconds(3)}}},
+          Observations{{{"i-1", 1, 2, 3, 4}}},
+          Conditions{{{"i-1", true}}},
+          Suspects{{suspect}},
+          LimitReports{{limit}},
+          TokenRequest{7, limit, true},
+          TokenAnswer{7, true, std::chrono::seconds(2)},
+          TokensIssued{{{"i-1", 17, 3}}}};
+}
+
+json FieldsOf(const std::string& frame) { return json::from_msgpack(frame.substr(1)); }
+
+void CollectNumbers(json& field, std::vector<json*>& numbers) {
+  if (field.is_number()) numbers.push_back(&field);
+  if (!field.is_array()) return;
+  for (auto& part : field) CollectNumbers(part, numbers);
+}
+
+/// Whether a number that a process has sent is the one that was read. Times are limited to 100
+/// years.
+bool IsSameNumber(const json& sent, const json& read) {
+  constexpr std::int64_t kLongestSpanMicros = 3'153'600'000'000'000;
+  if (sent.is_number_float() || read.is_number_float()) {
+    return sent.get<double>() == read.get<double>();
+  }
+  if (sent.dump() == read.dump()) return true;
+  return read == kLongestSpanMicros || read == -kLongestSpanMicros;
+}
+
+/// Successes are kept in an order of their own, and the oldest ones are dropped.
+bool HasOnlySentNumbers(const std::vector<json*>& sent, const std::vector<json*>& read) {
+  return std::all_of(read.begin(), read.end(), [&](const json* number) {
+    return *number == 0 || std::any_of(sent.begin(), sent.end(), [&](const json* other) {
+      return IsSameNumber(*other, *number);
+    });
+  });
+}
+
+/// Expects that a message with these fields is refused, or that number `changed` is read as sent.
+void CheckIsReadAsSent(char kind, json fields, std::size_t changed) {
+  std::string frame(1, kind);
+  json::to_msgpack(fields, frame);
+  const auto decoded = Decode(frame);
+  if (!decoded) return;
+  json read = FieldsOf(Encode(decoded.value()));
+  std::vector<json*> numbers;
+  std::vector<json*> read_numbers;
+  CollectNumbers(fields, numbers);
+  CollectNumbers(read, read_numbers);
+  const bool same = std::holds_alternative<Suspects>(decoded.value())
+                        ? HasOnlySentNumbers(numbers, read_numbers)
+                        : read_numbers.size() == numbers.size() &&
+                              IsSameNumber(*numbers[changed], *read_numbers[changed]);
+  cr_expect(same, "kind %d, %s read as %s", kind, fields.dump().c_str(), read.dump().c_str());
+}
+
+}  // namespace
+
+// Guards against a message kind that the other tests of this file leave out.
+Test(hostile_message, samples_have_every_kind) {
+  const auto samples = SampleMessages();
+  cr_assert(samples.size() == std::variant_size_v<Message>);
+  for (std::size_t kind = 0; kind < samples.size(); ++kind) {
+    cr_expect(samples[kind].index() == kind, "kind %zu", kind);
+  }
+}
+
+// Guards against a number that is read as another one: 257 as state 1, -1 as 18446744073709551615,
+// and a fraction or a truth value as an integer.
+Test(hostile_message, reads_each_number_as_sent_or_refuses_it) {
+  const std::vector<json> values{-1,        257,        3,   70'000, 4'294'967'296, INT64_MIN,
+                                 INT64_MAX, UINT64_MAX, 4.5, 1e308,  -1e308,        true};
+  for (const auto& message : SampleMessages()) {
+    const auto frame = Encode(message);
+    json fields = FieldsOf(frame);
+    std::vector<json*> numbers;
+    CollectNumbers(fields, numbers);
+    for (std::size_t changed = 0; changed < numbers.size(); ++changed) {
+      const json original = *numbers[changed];
+      for (const auto& value : values) {
+        *numbers[changed] = value;
+        CheckIsReadAsSent(frame[0], fields, changed);
+      }
+      *numbers[changed] = original;
+    }
+  }
+}
+
+// Guards against bytes of another process that end this one, and against a message that is accepted
+// and can't be sent on.
+Test(hostile_message, survives_changed_frames) {
+  MessageMutator mutator(platform_test::MutationSeed());
+  const auto samples = SampleMessages();
+  for (std::uint64_t i = 0; i < platform_test::MutationCount(kMutations); ++i) {
+    const auto changed = mutator.Mutate(Encode(samples[mutator.Pick(samples.size())]));
+    const auto decoded = Decode(changed);
+    if (decoded) cr_expect(Decode(Encode(decoded.value())).has_value(), "message %lu", i);
+  }
+}
--- a/tests/auto/platform/hostile_input_test.cpp
+++ b/tests/auto/platform/hostile_input_test.cpp
@@ -1,11 +1,11 @@
 #include <criterion/criterion.h>
 
-#include <cstdlib>
 #include <string>
 
 #include "cluster/message_codec.h"
 #include "control_group.h"
 #include "message_mutator.h"
+#include "mutation_settings.h"
 #include "platform/standin_wire.h"
 
 namespace {
@@ -14,18 +14,11 @@
 using platform_test::ControlGroup;
 using platform_test::MessageMutator;
 
-/// Changed messages of one run. `WAGTAILPICK_MUTATIONS` sets another number, and
-/// `WAGTAILPICK_SEED` another seed.
+/// Changed messages of one run.
 constexpr std::uint64_t kMutations = 1'500;
-constexpr std::uint64_t kSeed = 1;
 /// After so many changed messages, a sound server announces itself.
 constexpr std::uint64_t kAnnounceEvery = 50;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 upstreams::UpstreamReport ServerReport(std::uint64_t sequence) {
   return {"i-7f3a91c2",
           1'700'000'000'000,
@@ -125,8 +118,8 @@
 Test(hostile_input, control_group_survives_changed_messages, .timeout = 3'600) {
   const ControlGroup group;
   cr_assert(group.CallUntilAccepted(platform::PutConfig(platform::TwoRouteConfig(1, "menu"))));
-  MessageMutator mutator(FromEnvironment("WAGTAILPICK_SEED", kSeed));
-  const auto mutations = FromEnvironment("WAGTAILPICK_MUTATIONS", kMutations);
+  MessageMutator mutator(platform_test::MutationSeed());
+  const auto mutations = platform_test::MutationCount(kMutations);
   for (std::uint64_t i = 0; i < mutations; ++i) {
     SendMutated(group, mutator);
     if (i % kAnnounceEvery != 0) continue;
