Check the nesting of CBOR before it is decoded

Cause: nlohmann::json::from_cbor calls itself for each level of nesting, and for each nested part of a string whose length is not given in advance. A megabyte of such bytes overflows the stack. A signed bundle comes from any caller of Submit, and is decoded before its signature is checked; control commands come from other replicas.

--- a/src/libs/bundle/signed_bundle.cpp
+++ b/src/libs/bundle/signed_bundle.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_check.h"
 #include "base/random_id.h"
 #include "bundle/hex.h"
 
@@ -68,7 +69,8 @@
 }
 
 base::Result<SignedBundle> DecodeSignedBundle(const std::string& bytes) {
-  const json value = json::from_cbor(bytes, true, false);
+  const json value =
+      base::CheckCbor(bytes) ? json::from_cbor(bytes, true, false) : json(json::value_t::discarded);
   const bool is_whole = value.is_object() && value.size() == 3 && value.contains("payload") &&
                         value.contains("public_key") && value.contains("signature") &&
                         value["payload"].is_binary() && value["public_key"].is_string() &&
--- a/src/libs/control/command_codec.cpp
+++ b/src/libs/control/command_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_check.h"
 #include "control/row_codec.h"
 
 namespace wagtailpick::control {
@@ -90,6 +91,7 @@
 }
 
 base::Result<Command> DecodeCommand(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(base::CheckCbor(bytes));
   try {
     return FromRow(json::from_cbor(bytes.begin(), bytes.end()));
   } catch (const json::exception& error) {
--- a/src/libs/control/state_codec.cpp
+++ b/src/libs/control/state_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_check.h"
 #include "base/random_id.h"
 #include "control/row_codec.h"
 
@@ -125,6 +126,7 @@
   if (base::DigestHex(body) != bytes.substr(0, kDigestDigits)) {
     return Fail(ErrorCode::kCorrupt, "snapshot does not match its digest");
   }
+  BOOST_OUTCOME_TRY(base::CheckCbor(body));
   try {
     return StateFrom(json::from_cbor(body));
   } catch (const json::exception& error) {
--- a/src/libs/storage/log_codec.cpp
+++ b/src/libs/storage/log_codec.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "base/cbor_check.h"
+
 namespace wagtailpick::storage {
 namespace {
 
@@ -73,6 +75,7 @@
 }
 
 base::Result<LogRecord> DecodeLogRecord(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(base::CheckCbor(bytes));
   try {
     return FromRow(json::from_cbor(bytes.begin(), bytes.end()));
   } catch (const json::exception& error) {
--- a/tests/auto/bundle/signed_bundle_test.cpp
+++ b/tests/auto/bundle/signed_bundle_test.cpp
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "hostile_cbor.h"
 #include "sample_bundle.h"
 
 using wagtailpick::base::ErrorCode;
@@ -101,3 +102,10 @@
   cr_expect(!SigningKey::FromSecret("g" + key.secret_key.substr(1)));
   cr_expect(!SigningKey::FromSecret(""));
 }
+
+// Guards against bytes of another process that overflow the stack of their decoder.
+Test(signed_bundle, refuses_deep_nesting) {
+  for (const auto& bytes : DeeplyNestedCbor()) {
+    cr_expect(!wagtailpick::bundle::DecodeSignedBundle(bytes));
+  }
+}
--- a/tests/auto/control/command_codec_test.cpp
+++ b/tests/auto/control/command_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "hostile_cbor.h"
+
 using wagtailpick::base::ErrorCode;
 using wagtailpick::control::AcceptBundle;
 using wagtailpick::control::DecodeCommand;
@@ -20,3 +22,10 @@
     cr_assert(DecodeCommand(foreign).has_error());
   }
 }
+
+// Guards against bytes of another process that overflow the stack of their decoder.
+Test(command_codec, refuses_deep_nesting) {
+  for (const auto& bytes : DeeplyNestedCbor()) {
+    cr_expect(!wagtailpick::control::DecodeCommand(bytes));
+  }
+}
