Take a request of which no byte was written for not sent

Cause: UpstreamConnection ended each loss after the opening of a connection as kBroken, also when the first write failed: a kept connection that the upstream had reset, or a new one that it reset at once. The request counted as one that may have run and got 502, and the loss was examined as a possible crash. Change: the exchange ends with kNotSent if the write fails without a byte taken by the kernel. A loss that is read while the write is running waits for the write's result, as the read may be handled before it. Any byte that the kernel has taken, also on a connection that the upstream has closed, stays kBroken. Conclusion: a request counts as possibly run only from its first byte on.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -86,17 +86,27 @@
   std::array<asio::const_buffer, 2> parts{asio::buffer(output_.head), {}};
   if (output_.body != nullptr) parts[1] = asio::buffer(*output_.body);
   asio::async_write(socket_, parts,
-                    [self = shared_from_this()](asio::error_code error, std::size_t /*length*/) {
-                      self->writing_ = false;
-                      // The upstream may have answered before it read the whole body, so the
-                      // pending
-                      // read determines the outcome.
-                      if (!error || self->reading_) return;
-                      self->Fail(ExchangeOutcome::kBroken, error.message());
+                    [self = shared_from_this()](asio::error_code error, std::size_t length) {
+                      self->HandleWritten(error, length);
                     });
   Read();
 }
 
+void UpstreamConnection::HandleWritten(asio::error_code error, std::size_t length) {
+  writing_ = false;
+  if (!done_) return;
+  if (error && length == 0) {
+    return Fail(ExchangeOutcome::kNotSent, "lost before the request was written");
+  }
+  if (pending_failure_) {
+    return Fail(pending_failure_->first, std::move(pending_failure_->second));
+  }
+  // The upstream may have answered before it read the whole body, so the pending read determines
+  // the outcome.
+  if (!error || reading_) return;
+  Fail(ExchangeOutcome::kBroken, error.message());
+}
+
 void UpstreamConnection::Read() {
   if (reading_ || closed_) return;
   reading_ = true;
@@ -188,6 +198,10 @@
 }
 
 void UpstreamConnection::Fail(ExchangeOutcome outcome, std::string detail) {
+  if (writing_) {
+    pending_failure_ = {outcome, std::move(detail)};
+    return CloseSocket();
+  }
   ExchangeResult result;
   result.outcome = outcome;
   result.answer_started = parser_.started();
@@ -200,11 +214,15 @@
 }
 
 void UpstreamConnection::Close() {
-  if (closed_) return;
-  closed_ = true;
   done_ = nullptr;
   may_send = nullptr;
   wants_body = nullptr;
+  CloseSocket();
+}
+
+void UpstreamConnection::CloseSocket() {
+  if (closed_) return;
+  closed_ = true;
   connect_timer_.cancel();
   asio::error_code ignored;
   socket_.close(ignored);
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -5,8 +5,10 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/monotonic_time.h"
@@ -20,7 +22,8 @@
   kAnswered,
   /// Connecting failed, so no byte of the request was sent.
   kNotConnected,
-  /// The connection was opened, but `may_send` returned false, so no byte of the request was sent.
+  /// The connection was open, but no byte of the request was written: `may_send` returned false, or
+  /// the connection had been lost before.
   kNotSent,
   /// The connection was lost before a complete answer, or the answer was malformed or exceeded a
   /// limit. The upstream may have run the request.
@@ -98,13 +101,17 @@
  private:
   void Connect();
   void Send();
+  void HandleWritten(asio::error_code error, std::size_t length);
   void Read();
   void CheckHead();
   void HandleNoMemory();
   void HandleBytes(std::string_view bytes);
   void HandleReadError(asio::error_code error);
   void Complete(bool reusable);
+  /// Ends the exchange without an answer. While the request is being written, waits until it is
+  /// known whether a byte of it was written.
   void Fail(ExchangeOutcome outcome, std::string detail);
+  void CloseSocket();
   /// Sets `keep_alive_` from the `Keep-Alive` field of the answer.
   void ReadKeepAlive();
 
@@ -118,6 +125,8 @@
   bool connected_ = false;
   bool closed_ = false;
   bool writing_ = false;
+  /// End of the exchange that waits for the end of the write.
+  std::optional<std::pair<ExchangeOutcome, std::string>> pending_failure_;
   bool reading_ = false;
   bool reused_ = false;
   /// `wants_body` was called for the answer, or there is nothing to ask.
--- a/tests/auto/net/upstream_connection_test.cpp
+++ b/tests/auto/net/upstream_connection_test.cpp
@@ -2,10 +2,14 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace {
 
@@ -29,6 +33,66 @@
   return result;
 }
 
+/// One connection to an upstream that the test plays.
+class Link {
+ public:
+  Link()
+      : acceptor_(loop_, {asio::ip::make_address(kLoopback), 0}),
+        upstream_(loop_),
+        connection_(std::make_shared<net::UpstreamConnection>(
+            loop_, base::Endpoint{kLoopback, acceptor_.local_endpoint().port()},
+            net::MessageLimits{1'024, 1'024})) {}
+
+  /// Runs one exchange whose answer keeps the connection open.
+  void ExchangeOnce() {
+    StartExchange();
+    Accept();
+    RunFor(std::chrono::milliseconds(5));
+    // Closing a socket with unread bytes resets its connection.
+    std::array<char, 1'024> request{};
+    cr_assert(upstream_.read_some(asio::buffer(request)) > 0);
+    asio::write(upstream_, asio::buffer("HTTP/1.1 204 No Content\r\n\r\n", 27));
+    cr_assert(RunExchange() == net::ExchangeOutcome::kAnswered);
+  }
+  void StartExchange(std::size_t body_bytes = 0) {
+    result_.reset();
+    const auto body = std::make_shared<const std::string>(body_bytes, 'b');
+    connection_->Exchange({"GET / HTTP/1.1\r\n\r\n", body, false},
+                          [this](net::ExchangeResult done) { result_ = std::move(done); });
+  }
+  /// Makes `action` come between the opening of the connection and the first write.
+  void BeforeFirstWrite(std::function<void()> action) {
+    connection_->may_send = [action = std::move(action)] {
+      action();
+      return true;
+    };
+  }
+  void Accept() { acceptor_.accept(upstream_); }
+  void Reset() {
+    upstream_.set_option(asio::socket_base::linger(true, 0));
+    upstream_.close();
+  }
+  void Close() { upstream_.close(); }
+  void RunFor(std::chrono::milliseconds time) {
+    loop_.restart();
+    loop_.run_for(time);
+  }
+  std::optional<net::ExchangeOutcome> RunExchange() {
+    const auto end = base::MonotonicNow() + kMaxTime;
+    while (!result_ && base::MonotonicNow() < end) RunFor(std::chrono::milliseconds(5));
+    return result_ ? std::optional(result_->outcome) : std::nullopt;
+  }
+  bool has_result() const { return result_.has_value(); }
+  std::shared_ptr<net::UpstreamConnection>& connection() { return connection_; }
+
+ private:
+  asio::io_context loop_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket upstream_;
+  std::shared_ptr<net::UpstreamConnection> connection_;
+  std::optional<net::ExchangeResult> result_;
+};
+
 }  // namespace
 
 // Guards against an upstream that is taken for unreachable because a request for it was withdrawn
@@ -46,3 +110,58 @@
   cr_assert(refused);
   cr_expect(net::ToString(refused->outcome) == "not_connected");
 }
+
+// Guards against a request that is taken for one that may have run although its kept connection had
+// been reset before a byte of it was written.
+Test(upstream_connection, has_not_sent_on_a_kept_connection_that_was_reset) {
+  Link link;
+  link.ExchangeOnce();
+  link.Reset();
+  link.StartExchange();
+  cr_expect(link.RunExchange() == net::ExchangeOutcome::kNotSent);
+}
+
+// Guards against the same on a new connection, which an upstream beyond its limit of connections
+// resets at once.
+Test(upstream_connection, has_not_sent_on_a_new_connection_that_was_reset) {
+  Link link;
+  link.BeforeFirstWrite([&link] {
+    link.Accept();
+    link.Reset();
+  });
+  link.StartExchange();
+  cr_expect(link.RunExchange() == net::ExchangeOutcome::kNotSent);
+}
+
+// Guards against a request that is taken for not sent although the kernel has taken bytes of it:
+// the connection was closed, not reset, so the write succeeds.
+Test(upstream_connection, may_have_sent_on_a_kept_connection_that_was_closed) {
+  Link link;
+  link.ExchangeOnce();
+  link.Close();
+  link.StartExchange();
+  cr_expect(link.RunExchange() == net::ExchangeOutcome::kBroken);
+}
+
+// Guards against the same while the rest of a large body is still to be written.
+Test(upstream_connection, may_have_sent_a_part_before_the_connection_was_lost) {
+  constexpr std::size_t kMoreThanBuffers = 64UL * 1024 * 1024;
+  Link link;
+  link.StartExchange(kMoreThanBuffers);
+  link.Accept();
+  link.RunFor(std::chrono::milliseconds(50));
+  link.Reset();
+  cr_expect(link.RunExchange() == net::ExchangeOutcome::kBroken);
+}
+
+// Guards against a callback after the connection was closed while the end of its write was to be
+// handled.
+Test(upstream_connection, calls_nothing_back_after_its_close) {
+  Link link;
+  link.ExchangeOnce();
+  link.Reset();
+  link.StartExchange();
+  link.connection()->Close();
+  link.RunFor(std::chrono::milliseconds(50));
+  cr_expect(!link.has_result());
+}
