Send no request to an upstream after its deadline

Cause: when the loop was delayed beyond a request's deadline, the answer to its token request was handled before the timer of the deadline. The request was then sent on a kept connection, and its caller got 504 at once: a request that nobody waited for ran, and "may have run" became true only by that. Change: RequestRun::Send ends a request whose deadline has passed as the timer would, and MaySend lets none go out on a connection that was opened too late. Result: before, test_relay request_ends::sends_nothing_after_its_deadline failed: not 503, and the request reached the upstream. Now it passes, with all of request_ends. The check in MaySend has no test of its own. Conclusion: a request that hasn't been sent by its deadline is answered 503.

--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -89,6 +89,7 @@
   /// Whether the request may be sent again. Consumes retry budget if it may.
   bool TryAcquireRetry(bool known_not_run);
   bool HasTimeForAttempt() const;
+  bool IsPastDeadline() const { return base::MonotonicNow() >= deadline_; }
   /// Answers 502. The request may have run, unless `reason` states otherwise.
   void Fail(std::string_view reason = "may_have_run");
   /// Answers 504 at the deadline, or 503 if no upstream can have run the request.
--- a/src/libs/relay/request_run_attempts.cpp
+++ b/src/libs/relay/request_run_attempts.cpp
@@ -32,6 +32,8 @@
 
 void RequestRun::Send(const placement::Choice& choice) {
   choice_ = choice;
+  // After a delay of the loop, a token may be handled before the timer of the deadline.
+  if (IsPastDeadline()) return HandleTimeout();
   if (!MayStartWhileDraining(choice)) {
     // A hedge that is not sent leaves the first attempt running.
     if (attempts_.empty()) RefuseStopping();
@@ -89,7 +91,7 @@
   // The upstream may have named a limit while the connection was being opened.
   const bool lacks_token =
       !choice.needs_token && relay_.IsLimited(choice.upstream, started_unix_ms);
-  return !lacks_token && MayStartWhileDraining(choice) &&
+  return !lacks_token && !IsPastDeadline() && MayStartWhileDraining(choice) &&
          relay_.MaySend(choice.upstream, started_unix_ms);
 }
 
--- a/tests/auto/relay/request_ends_test.cpp
+++ b/tests/auto/relay/request_ends_test.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using wagtailpick::limits::TokenAnswer;
 using wagtailpick::relay_test::Caller;
 using wagtailpick::relay_test::Event;
 using wagtailpick::relay_test::FakeUpstream;
@@ -27,6 +28,7 @@
 using wagtailpick::relay_test::MayHaveRun;
 using wagtailpick::relay_test::RawAnswer;
 using wagtailpick::relay_test::RelayHost;
+using wagtailpick::relay_test::Request;
 using wagtailpick::relay_test::Scene;
 using wagtailpick::relay_test::State;
 using wagtailpick::relay_test::StatusOf;
@@ -139,3 +141,19 @@
   cr_expect(StatusOf(caller.ReadAll()) == kNotRun);
   cr_expect(upstream.requests() == 1);
 }
+
+// Guards against a request that reaches an upstream after its deadline: its token comes while the
+// loop is blocked, and is handled before the deadline's timer.
+Test(request_ends, sends_nothing_after_its_deadline) {
+  FakeUpstream limited([](const std::string&, int) -> RawAnswer {
+    return {"HTTP/1.1 200 OK\r\nId: 1\r\nLimit: 1\r\nContent-Length: 3\r\n\r\nEND", false};
+  });
+  RelayHost host({limited.address()});
+  host.AnswerTokenRequests([](const auto&) { return TokenAnswer{0, true, {}}; }, milliseconds(150));
+  cr_assert(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  Caller caller(host);
+  cr_assert(WaitFor([&host] { return host.token_requests() == 1; }));
+  host.BlockLoop(milliseconds(1'300));
+  cr_expect(StatusOf(caller.ReadAll()) == kNotRun);
+  cr_expect(limited.requests() == 1);
+}
