Take a refusal whose body has no memory for what its head states

Cause: the parser ends an answer as "no memory" when it reserves the declared body, before the relay has been asked whether it wants the body. A refusal of an upstream, whose body is never passed on, became "no memory", that is 502 and "may have run", although its head states that the request has not run. Change: UpstreamConnection::HandleNoMemory asks first; an answer that isn't wanted ends at its head, as it does with memory. Conclusion: the verdict on a refused request does not depend on free memory.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -150,6 +150,9 @@
 
 // An answer without a declared length may never end, so its upstream is at fault.
 void UpstreamConnection::HandleNoMemory() {
+  // An answer that is not passed on needs no memory for its body.
+  CheckHead();
+  if (!done_) return;
   if (parser_.has_open_body()) {
     return Fail(ExchangeOutcome::kBroken, "no memory for an answer without a declared length");
   }
--- a/tests/auto/relay/relay_memory_test.cpp
+++ b/tests/auto/relay/relay_memory_test.cpp
@@ -141,3 +141,15 @@
   cr_expect(upstream.requests() == 1);
   cr_expect(host.memory_held() == 0);
 }
+
+// Guards against 502 for a request that an upstream refused, as there was no memory for the
+// refusal's body.
+Test(relay_memory, takes_a_refusal_without_memory_for_its_body) {
+  FakeUpstream upstream([](const std::string&, int) {
+    return RawAnswer{"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 3000000\r\n\r\nstart",
+                     false};
+  });
+  RelayHost host({upstream.address()}, false, kMemoryBudget);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+  cr_expect(host.memory_held() == 0);
+}
