Keep the log's writer for threads that write during and after Stop

Cause: Stop moved the background writer out of a plain pointer that other threads read in Write without synchronisation, then destroyed it. A Write beside it could use a destroyed queue. A Write after it wrote the line itself, and waited for a blocked output without a limit.

Change: the pointer is atomic and the writer is never destroyed. Stop ends its thread and closes its queue, which drops the lines that follow. Write takes no further lock. A test that ended while the background thread ran now stops the log first, as the exit destroys objects of log4cxx that the thread uses.

Conclusion: the end of the process does not race with lines of other threads; these are dropped.

--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -26,10 +26,9 @@
 std::atomic<bool> started = false;
 Options process_options;
 
-std::unique_ptr<BackgroundWriter>& ProcessWriter() {
-  static auto* const writer = new std::unique_ptr<BackgroundWriter>();
-  return *writer;
-}
+/// Null if lines are written at once. Never destroyed, as threads that still run when the process
+/// ends may write at any time.
+std::atomic<BackgroundWriter*> process_writer = nullptr;
 
 log4cxx::LoggerPtr ProcessLogger() { return log4cxx::Logger::getLogger("wagtailpick"); }
 
@@ -104,7 +103,7 @@
   logger->setLevel(log4cxx::Level::getInfo());
   logger->addAppender(MakeAppender(options.file));
   if (options.in_background) {
-    ProcessWriter() = std::make_unique<BackgroundWriter>(WriteNow);
+    process_writer = std::make_unique<BackgroundWriter>(WriteNow).release();
   }
   started = true;
   return base::Ok();
@@ -116,12 +115,13 @@
   Line line{level, event, message, fields};
   MakePrintable(line.message, kMaxMessageBytes);
   for (auto& field : line.fields) MakePrintable(field.value, kMaxFieldBytes);
-  if (ProcessWriter() != nullptr) return ProcessWriter()->Enqueue(std::move(line));
-  WriteNow(line);
+  auto* const writer = process_writer.load();
+  if (writer == nullptr) return WriteNow(line);
+  writer->Enqueue(std::move(line));
 }
 
 void Stop() {
-  const auto writer = std::exchange(ProcessWriter(), nullptr);
+  auto* const writer = process_writer.load();
   if (writer == nullptr || writer->Stop()) return;
   // The blocked thread holds a log4cxx lock that log4cxx's static destructors would wait for. Exit
   // handlers run in the reverse order of their registration, so this one ends the process before
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -41,8 +41,9 @@
 void Write(Level level, const std::string& event, const std::string& message,
            const std::vector<Field>& fields = {});
 
-/// Writes the queued lines and ends the background thread, if there is one. Waits up to 200 ms; if
-/// the output is still blocked then, the process will exit without destroying static objects.
+/// Writes the queued lines and ends the background thread, if there is one; lines that follow are
+/// dropped then. Waits up to 200 ms; if the output is still blocked then, the process will exit
+/// without destroying static objects. Thread-safe.
 void Stop();
 
 }  // namespace wagtailpick::logging
--- a/tests/auto/logging/blocked_output_test.cpp
+++ b/tests/auto/logging/blocked_output_test.cpp
@@ -70,6 +70,8 @@
   const std::string content = output.ReadAll();
   cr_expect(content.find("log_lines_dropped") != std::string::npos);
   cr_expect(content.find("request_ended") != std::string::npos);
+  // The exit of this process destroys objects that the background thread uses.
+  logging::Stop();
 }
 
 // Guards against a process that does not exit after SIGTERM because nobody reads its standard
@@ -96,3 +98,15 @@
   }
   cr_expect(ended == child);
 }
+
+// Guards against a thread that still runs when the log has stopped, and whose next line waits for
+// the reader of the output.
+Test(logging, a_write_after_the_stop_does_not_wait_for_a_blocked_output, .timeout = 10) {
+  const Pipe output;
+  cr_assert(logging::Start({"vm", "dc", "stdout", true}).has_value());
+  for (int i = 0; i < kLines; ++i) logging::Write(logging::Level::kInfo, "event", "message");
+  logging::Stop();
+  const auto begin = steady_clock::now();
+  logging::Write(logging::Level::kInfo, "event", "message");
+  cr_expect(steady_clock::now() - begin < kMaxWriteTime);
+}
