Make the incarnation of the order log safe to read from the node

Cause: the log's thread assigns OrderLog::incarnation_ whenever it opens a failed disk again, while the node's loop reads it for the greeting of each link, without synchronisation.

Change: the member is atomic. That is enough: it is one number, nothing else is published with it, and a greeting needs only its newest value. An intact disk keeps its incarnation, so the assigned value differs only for an emptied folder.

Conclusion: the greeting of a link no longer races with the recovery from a disk error.

--- a/src/libs/node/order_log.h
+++ b/src/libs/node/order_log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -97,7 +99,8 @@
   Options options_;
   Hooks hooks_;
   std::string self_;
-  std::uint64_t incarnation_ = 0;
+  /// Written by the log's thread when it opens the disk again.
+  std::atomic<std::uint64_t> incarnation_ = 0;
   base::MonotonicTime started_at_;
   base::EventLoop loop_;
   /// Null after a disk error or an exception, until the disk is opened again.
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <future>
 #include <new>
+#include <thread>
 
 #include "node/state_cache.h"
 
@@ -141,6 +142,38 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against a data race on the incarnation while the log opens a failed disk again.
+Test(order_log, tells_its_incarnation_while_it_opens_its_disk_again) {
+  const std::string folder = MakeFolder();
+  std::atomic<bool> failing = false;
+  std::atomic<int> opened = 0;
+  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
+  files->sync = [&failing](int file) -> base::Result<void> {
+    if (failing.exchange(false)) return base::Fail(base::ErrorCode::kIo, "input/output error");
+    return storage::PosixFileOps()->sync(file);
+  };
+  files->lock = [&opened](int file) {
+    ++opened;
+    return storage::PosixFileOps()->lock(file);
+  };
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
+  cr_assert(log.has_value());
+  const auto incarnation = log.value()->incarnation();
+  // The election of the single replica syncs its vote.
+  failing = true;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (opened < 2 && std::chrono::steady_clock::now() < end) {
+    cr_assert(log.value()->incarnation() == incarnation);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  cr_assert(opened == 2);
+  // The log answers a call only after it has opened the disk.
+  Read(*log.value());
+  cr_expect(log.value()->incarnation() == incarnation);
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against losing an acknowledged catalog: two proposals in flight are patches to the same
 // version, and the second one no longer applies once the first is committed.
 Test(order_log, applies_catalogs_that_are_submitted_at_the_same_time) {
