Keep an HTTP server until its last connection is destroyed

Cause: a connection of RESTinio counts itself out at its server when it is destroyed. Pending operations and late answers hold connections, but the server was destroyed before them: ~Server with an open connection, and an answer given after ~Server, used freed memory.

Change: the server and its io_context are one object that the sinks share. It destroys the pending operations before the server. The new test gives an answer after the server has been destroyed.

--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -28,6 +28,24 @@
 
 using HttpServer = restinio::http_server_t<ServerTraits>;
 
+class IoContext : public restinio::asio_ns::io_context {
+ public:
+  /// Destroys all pending operations.
+  using restinio::asio_ns::execution_context::shutdown;
+};
+
+/// Shared with the sinks, which may be called after the server has stopped. A connection uses
+/// `server` when it is destroyed; pending operations and sinks hold open connections.
+struct Core {
+  Core() = default;
+  ~Core() { io.shutdown(); }
+  Core(const Core&) = delete;
+  Core& operator=(const Core&) = delete;
+
+  IoContext io;
+  std::unique_ptr<HttpServer> server;
+};
+
 Request ToRequest(const restinio::request_handle_t& handle) {
   Request request;
   const auto& header = handle->header();
@@ -67,30 +85,28 @@
 /// answer is written, and read it twice.
 class PendingAnswer {
  public:
-  /// `io` is shared, as the answer may be given after the server has stopped.
-  PendingAnswer(std::shared_ptr<restinio::asio_ns::io_context> io,
-                restinio::request_handle_t handle,
+  PendingAnswer(std::shared_ptr<Core> core, restinio::request_handle_t handle,
                 std::function<void(const std::string& cause)> on_failure)
-      : io_(std::move(io)), handle_(std::move(handle)), on_failure_(std::move(on_failure)) {}
+      : core_(std::move(core)), handle_(std::move(handle)), on_failure_(std::move(on_failure)) {}
   PendingAnswer(const PendingAnswer&) = delete;
   PendingAnswer& operator=(const PendingAnswer&) = delete;
 
   // A handler that threw, or dropped its sink, would leave the client waiting.
   ~PendingAnswer() {
-    if (answered_ || io_ == nullptr) return;
+    if (answered_ || core_ == nullptr) return;
     if (on_failure_) on_failure_("the request was dropped without an answer");
     Answer(JsonErrorAnswer(kInternalError, "internal error"));
   }
 
   void Answer(Response response) {
     answered_ = true;
-    restinio::asio_ns::post(*io_, [to = handle_, answer = std::move(response)]() mutable {
+    restinio::asio_ns::post(core_->io, [to = handle_, answer = std::move(response)]() mutable {
       SendResponse(to, std::move(answer));
     });
   }
 
  private:
-  std::shared_ptr<restinio::asio_ns::io_context> io_;
+  std::shared_ptr<Core> core_;
   restinio::request_handle_t handle_;
   std::function<void(const std::string& cause)> on_failure_;
   bool answered_ = false;
@@ -120,10 +136,7 @@
 }  // namespace
 
 struct Server::State {
-  /// Shared with the sinks, which may be called after the server has stopped.
-  std::shared_ptr<restinio::asio_ns::io_context> io =
-      std::make_shared<restinio::asio_ns::io_context>();
-  std::unique_ptr<HttpServer> server;
+  std::shared_ptr<Core> core = std::make_shared<Core>();
   std::unique_ptr<restinio::on_pool_runner_t<HttpServer>> runner;
 };
 
@@ -144,14 +157,14 @@
         .max_parallel_connections(options.max_connections)
         .read_next_http_message_timelimit(options.read_timeout)
         .handle_request_timeout(options.handle_timeout)
-        .request_handler([io = std::weak_ptr(state->io), on_failure = options.on_failure,
+        .request_handler([core = std::weak_ptr(state->core), on_failure = options.on_failure,
                           handler = std::move(handler)](const restinio::request_handle_t& handle) {
           Request request = ToRequest(handle);
           const auto& headers = request.headers;
           if (!std::all_of(headers.begin(), headers.end(), IsWellFormed)) {
             return RejectMalformedFields(handle);
           }
-          const auto pending = std::make_shared<PendingAnswer>(io.lock(), handle, on_failure);
+          const auto pending = std::make_shared<PendingAnswer>(core.lock(), handle, on_failure);
           try {
             handler(std::move(request),
                     [pending](Response response) { pending->Answer(std::move(response)); });
@@ -161,10 +174,10 @@
           return restinio::request_accepted();
         });
   };
-  state->server =
-      std::make_unique<HttpServer>(restinio::external_io_context(*state->io), configure);
+  auto& core = *state->core;
+  core.server = std::make_unique<HttpServer>(restinio::external_io_context(core.io), configure);
   state->runner =
-      std::make_unique<restinio::on_pool_runner_t<HttpServer>>(options.threads, *state->server);
+      std::make_unique<restinio::on_pool_runner_t<HttpServer>>(options.threads, *core.server);
   // The address is bound on a thread of the pool, so a failure is reported only by the callback.
   std::promise<void> opened;
   try {
@@ -183,7 +196,7 @@
 
 void Server::StopAccepting() {
   std::promise<void> closed;
-  state_->server->close_async(
+  state_->core->server->close_async(
       [&closed]() noexcept { closed.set_value(); },
       [&closed](const std::exception_ptr&) noexcept { closed.set_value(); });
   closed.get_future().wait();
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -272,3 +272,16 @@
   cr_assert(field != std::string::npos, "%s", answer.c_str());
   cr_assert(answer.find("Connection:", field + 1) == std::string::npos, "%s", answer.c_str());
 }
+
+// Guards against a connection that uses its server after the server was destroyed, as an answer
+// that is given late keeps the connection.
+Test(server, can_be_destroyed_before_its_last_answer) {
+  std::promise<ResponseSink> received;
+  auto running =
+      StartServer([&](const Request&, const ResponseSink& sink) { received.set_value(sink); });
+  auto connection = RawConnection::Connect(running.port);
+  connection.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto sink = received.get_future().get();
+  running.server.reset();
+  sink({200, {}, "late"});
+}
