--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -46,9 +46,9 @@
 /// Longest wait of `Stop`, so that a blocked output does not delay the end of the process.
 inline constexpr base::Duration kStopTimeout = std::chrono::milliseconds(100);
 
-/// Writes the queued lines and ends the background thread, if there is one. Waits up to
-/// `kStopTimeout`; if the output is still blocked then, the process will exit without destroying
-/// static objects.
+/// Writes the queued lines and ends the background thread, if there is one; lines that follow are
+/// dropped then. Waits up to `kStopTimeout`; if the output is still blocked then, the process will
+/// exit without destroying static objects. Thread-safe.
 void Stop();
 
 }  // namespace wagtailpick::logging
