--- a/src/libs/cluster/nesting_check.cpp
+++ b/src/libs/base/msgpack_check.cpp
@@ -1,8 +1,8 @@
-#include "cluster/nesting_check.h"
+#include "base/msgpack_check.h"
 
 #include <nlohmann/json.hpp>
 
-namespace wagtailpick::cluster {
+namespace wagtailpick::base {
 namespace {
 
 using nlohmann::json;
@@ -47,11 +47,12 @@
 
 }  // namespace
 
-bool IsNestedTooDeep(const std::string& packed) {
-  if (packed.size() < kMinBytesToOverflow) return false;
+Result<void> CheckMessagePack(const std::string& packed) {
+  if (packed.size() < kMinBytesToOverflow) return Ok();
   NestingCounter counter;
   json::sax_parse(packed, &counter, json::input_format_t::msgpack);
-  return counter.is_too_deep();
+  if (counter.is_too_deep()) return Fail(ErrorCode::kCorrupt, "nested too deep");
+  return Ok();
 }
 
-}  // namespace wagtailpick::cluster
+}  // namespace wagtailpick::base
--- a/src/libs/cluster/message_codec.cpp
+++ b/src/libs/cluster/message_codec.cpp
@@ -3,10 +3,10 @@
 #include <nlohmann/json.hpp>
 
 #include "base/json_number.h"
+#include "base/msgpack_check.h"
 #include "base/printable_text.h"
 #include "cluster/consensus_codec.h"
 #include "cluster/limit_codec.h"
-#include "cluster/nesting_check.h"
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
 #include "cluster/time_fields.h"
@@ -299,7 +299,7 @@
     BOOST_OUTCOME_TRY(content, compress::Decompress(packed, kMaxMessageBytes));
     packed = std::move(content);
   }
-  if (IsNestedTooDeep(packed)) return base::Fail(base::ErrorCode::kCorrupt, "nested too deep");
+  BOOST_OUTCOME_TRY(base::CheckMessagePack(packed));
   try {
     return DecodeAs(first & ~kCompressed, json::from_msgpack(packed));
   } catch (const json::exception& error) {
--- a/src/libs/orders/order_codec.cpp
+++ b/src/libs/orders/order_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/msgpack_check.h"
+
 namespace wagtailpick::orders {
 namespace {
 
@@ -30,6 +32,7 @@
 }
 
 base::Result<Order> DecodeOrder(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
   try {
     const auto fields = nlohmann::json::from_msgpack(bytes);
     switch (fields.at(0).get<OrderKind>()) {
--- a/src/libs/orders/order_state.cpp
+++ b/src/libs/orders/order_state.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/msgpack_check.h"
 #include "compress/zstd_codec.h"
 
 namespace wagtailpick::orders {
@@ -69,6 +70,7 @@
 }
 
 base::Result<OrderState> OrderState::DecodeSnapshot(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
   try {
     const auto fields = nlohmann::json::from_msgpack(bytes);
     OrderState state;
--- a/tests/auto/orders/order_state_test.cpp
+++ b/tests/auto/orders/order_state_test.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 #include "orders/order_codec.h"
 
@@ -92,3 +94,11 @@
   cr_expect(decoded_patch.version == 7 && decoded_patch.compressed == patch.compressed);
   cr_expect(decoded_patch.base == patch.base);
 }
+
+// Guards against bytes of another process or a disk that overflow the stack of their decoder.
+Test(order_codec, refuses_deep_nesting) {
+  constexpr char kArrayOfOne = '\x91';
+  const std::string bytes = std::string(1'000'000, kArrayOfOne) + '\xc0';
+  cr_expect(!DecodeOrder(bytes));
+  cr_expect(!OrderState::DecodeSnapshot(bytes));
+}
