--- a/tests/auto/cluster/hostile_message_test.cpp
+++ b/tests/auto/cluster/hostile_message_test.cpp
@@ -146,3 +146,12 @@
     if (decoded) cr_expect(Decode(Encode(decoded.value())).has_value(), "message %lu", i);
   }
 }
+
+// Guards against a short frame that takes gigabytes to decode: a compressed list of small values
+// grows a hundredfold when it is expanded, and sixteenfold again when it is decoded.
+Test(hostile_message, refuses_a_frame_with_too_many_values) {
+  const std::vector<std::uint64_t> digests(4'000'000);
+  const auto frame = Encode(ReportsRequest{digests});
+  cr_assert(frame.size() < 10'000, "%zu bytes", frame.size());
+  cr_expect(!Decode(frame));
+}
