Refuse numbers in records that don't fit their fields

Cause: log records and orders were read with json::get, which wraps: a record of type 257 was one of type 1, a term of -1 the highest term, a catalog of version -1 one that no later version replaces, and a fraction or a truth value was an integer.

Change: they are read with base::IntegerFrom and base::EnumFrom.

Conclusion: a record is read as it was written, or is an error.

--- a/src/libs/orders/order_codec.cpp
+++ b/src/libs/orders/order_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_number.h"
 #include "base/msgpack_check.h"
 
 namespace wagtailpick::orders {
@@ -35,20 +36,20 @@
   BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
   try {
     const auto fields = nlohmann::json::from_msgpack(bytes);
-    switch (fields.at(0).get<OrderKind>()) {
+    switch (base::EnumFrom(fields.at(0), OrderKind::kPutCatalog, OrderKind::kCatalogPatch)) {
       case OrderKind::kPutCatalog: {
         const auto& content = fields.at(2).get_binary();
-        return Order(PutCatalog{fields.at(1).get<std::uint64_t>(),
+        return Order(PutCatalog{base::IntegerFrom<std::uint64_t>(fields.at(1)),
                                 std::string(content.begin(), content.end())});
       }
       case OrderKind::kSetEvacuation:
         return Order(SetEvacuation{fields.at(1).get<std::string>(), fields.at(2).get<bool>()});
       case OrderKind::kCatalogPatch: {
         const auto& compressed = fields.at(4).get_binary();
-        return Order(
-            CatalogPatch{fields.at(1).get<std::uint64_t>(),
-                         {fields.at(2).get<std::uint64_t>(), fields.at(3).get<std::uint64_t>()},
-                         std::string(compressed.begin(), compressed.end())});
+        return Order(CatalogPatch{base::IntegerFrom<std::uint64_t>(fields.at(1)),
+                                  {base::IntegerFrom<std::uint64_t>(fields.at(2)),
+                                   base::IntegerFrom<std::uint64_t>(fields.at(3))},
+                                  std::string(compressed.begin(), compressed.end())});
       }
     }
   } catch (const nlohmann::json::exception& error) {
--- a/src/libs/orders/order_state.cpp
+++ b/src/libs/orders/order_state.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/json_number.h"
 #include "base/msgpack_check.h"
 #include "compress/zstd_codec.h"
 
@@ -74,8 +75,8 @@
   try {
     const auto fields = nlohmann::json::from_msgpack(bytes);
     OrderState state;
-    state.changed_index_ = fields.at(0).get<std::uint64_t>();
-    state.catalog_version_ = fields.at(1).get<std::uint64_t>();
+    state.changed_index_ = base::IntegerFrom<std::uint64_t>(fields.at(0));
+    state.catalog_version_ = base::IntegerFrom<std::uint64_t>(fields.at(1));
     if (state.catalog_version_ > 0) {
       const auto& stored = fields.at(2).get_binary();
       std::string content(stored.begin(), stored.end());
--- a/src/libs/storage/log_codec.cpp
+++ b/src/libs/storage/log_codec.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/cbor_check.h"
+#include "base/json_number.h"
 
 namespace wagtailpick::storage {
 namespace {
@@ -46,21 +47,22 @@
 
 LogEntry ReadEntry(const json& row) {
   const auto& data = row.at(4).get_binary();
-  return {row.at(1).get<std::uint64_t>(), row.at(2).get<std::uint64_t>(),
-          row.at(3).get<std::uint32_t>(), std::string(data.begin(), data.end())};
+  return {base::IntegerFrom<std::uint64_t>(row.at(1)), base::IntegerFrom<std::uint64_t>(row.at(2)),
+          base::IntegerFrom<std::uint32_t>(row.at(3)), std::string(data.begin(), data.end())};
 }
 
 LogRecord FromRow(const json& row) {
-  switch (static_cast<RecordType>(row.at(0).get<std::uint8_t>())) {
+  switch (base::EnumFrom(row.at(0), RecordType::kEntry, RecordType::kHardState)) {
     case RecordType::kEntry:
       return ReadEntry(row);
     case RecordType::kTruncate:
-      return TruncateRecord{row.at(1).get<std::uint64_t>()};
+      return TruncateRecord{base::IntegerFrom<std::uint64_t>(row.at(1))};
     case RecordType::kTrim:
-      return TrimRecord{{row.at(1).get<std::uint64_t>(), row.at(2).get<std::uint64_t>()}};
+      return TrimRecord{{base::IntegerFrom<std::uint64_t>(row.at(1)),
+                         base::IntegerFrom<std::uint64_t>(row.at(2))}};
     case RecordType::kHardState:
-      return HardState{row.at(1).get<std::uint64_t>(), row.at(2).get<std::string>(),
-                       row.at(3).get<std::uint64_t>()};
+      return HardState{base::IntegerFrom<std::uint64_t>(row.at(1)), row.at(2).get<std::string>(),
+                       base::IntegerFrom<std::uint64_t>(row.at(3))};
   }
   throw json::other_error::create(599, "unknown record type", &row);
 }
--- a/tests/auto/orders/order_state_test.cpp
+++ b/tests/auto/orders/order_state_test.cpp
@@ -102,3 +102,21 @@
   cr_expect(!DecodeOrder(bytes));
   cr_expect(!OrderState::DecodeSnapshot(bytes));
 }
+
+// Guards against a number that is read as another one: 257 as the kind of an order, or -1 as the
+// highest version, after which no catalog is accepted.
+Test(order_codec, refuses_numbers_that_do_not_fit) {
+  const auto binary = nlohmann::json::binary({'a'});
+  const std::vector<nlohmann::json> orders{{257, 5, binary},
+                                           {1, -1, binary},
+                                           {1, 4.5, binary},
+                                           {true, 5, binary},
+                                           {3, 5, -1, 2, binary}};
+  for (const auto& fields : orders) {
+    const auto bytes = nlohmann::json::to_msgpack(fields);
+    cr_expect(!DecodeOrder({bytes.begin(), bytes.end()}), "%s", fields.dump().c_str());
+  }
+  const nlohmann::json snapshot = {1, -1, binary, nlohmann::json::array(), false};
+  const auto bytes = nlohmann::json::to_msgpack(snapshot);
+  cr_expect(!OrderState::DecodeSnapshot({bytes.begin(), bytes.end()}));
+}
