Refuse claim messages of replicas that don't exist

Cause: the number of a replica, 32 bits in messages, was cut to 8 bits. A reply of replica 257 counted as one of replica 1, towards the majority that a claim needs, and the 258th known incarnation was that of replica 1, whose votes would then no longer count.

Conclusion: a vote counts only for the replica that cast it.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -187,7 +187,9 @@
 
 void ClaimService::Copy(const rpc::CopyRequest& request,
                         const rpc::Responder<rpc::CopyReply>& done) {
-  auto outcome = source_.Handle(rpc::FromWire(request), store_, base::WallNowMillis());
+  const auto copy = rpc::FromWire(request);
+  if (!copy) return done(boost::outcome_v2::failure(copy.error()));
+  auto outcome = source_.Handle(copy.value(), store_, base::WallNowMillis());
   for (auto& record : outcome.page.records) ReadAnswer(record.answer_position, record.answer);
   ReplyAfterSync(outcome.mutation,
                  [done, page = rpc::ToWire(outcome.page)](const Result<void>& ok) {
--- a/src/libs/rpc/claim_codec.cpp
+++ b/src/libs/rpc/claim_codec.cpp
@@ -35,6 +35,14 @@
   return static_cast<claims::Table>(table);
 }
 
+Result<claims::ReplicaIndex> ReadReplica(std::uint32_t replica) {
+  if (replica >= claims::kMaxReplicas) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      "replica: unknown number " + std::to_string(replica));
+  }
+  return static_cast<claims::ReplicaIndex>(replica);
+}
+
 /// Writes the fields that identify a claim in all messages and records.
 template <typename Claim, typename Wire>
 void WriteIdentity(const Claim& claim, Wire& wire) {
@@ -59,9 +67,8 @@
 template <typename Wire>
 claims::Incarnations ReadKnown(const Wire& wire) {
   claims::Incarnations known;
-  for (int i = 0; i < wire.known_size(); ++i) {
-    known.Raise(static_cast<claims::ReplicaIndex>(i), wire.known(i));
-  }
+  const int size = std::min(wire.known_size(), static_cast<int>(claims::kMaxReplicas));
+  for (int i = 0; i < size; ++i) known.Raise(static_cast<claims::ReplicaIndex>(i), wire.known(i));
   return known;
 }
 
@@ -96,7 +103,8 @@
   record.refused_at = wire.refused_at();
   record.answer_kept = wire.answer_kept();
   record.answer = wire.answer();
-  record.replica = static_cast<claims::ReplicaIndex>(wire.replica());
+  BOOST_OUTCOME_TRY(replica, ReadReplica(wire.replica()));
+  record.replica = replica;
   record.incarnation = wire.incarnation();
   return record;
 }
@@ -135,7 +143,8 @@
 
 Result<claims::ClaimReply> FromWire(const ClaimReply& wire) {
   claims::ClaimReply reply;
-  reply.replica = static_cast<claims::ReplicaIndex>(wire.replica());
+  BOOST_OUTCOME_TRY(replica, ReadReplica(wire.replica()));
+  reply.replica = replica;
   reply.incarnation = wire.incarnation();
   reply.known = ReadKnown(wire);
   BOOST_OUTCOME_TRY(ReadBytes(wire.attempt(), "attempt", reply.attempt));
@@ -192,9 +201,9 @@
   return wire;
 }
 
-claims::CopyRequest FromWire(const CopyRequest& wire) {
-  return {static_cast<claims::ReplicaIndex>(wire.replica()), wire.incarnation(), wire.copy_id(),
-          wire.page()};
+Result<claims::CopyRequest> FromWire(const CopyRequest& wire) {
+  BOOST_OUTCOME_TRY(replica, ReadReplica(wire.replica()));
+  return claims::CopyRequest{replica, wire.incarnation(), wire.copy_id(), wire.page()};
 }
 
 CopyReply ToWire(const claims::CopyPage& page) {
@@ -213,7 +222,8 @@
 
 Result<claims::CopyPage> FromWire(const CopyReply& wire) {
   claims::CopyPage page;
-  page.source = static_cast<claims::ReplicaIndex>(wire.source());
+  BOOST_OUTCOME_TRY(source, ReadReplica(wire.source()));
+  page.source = source;
   page.source_incarnation = wire.source_incarnation();
   page.known = ReadKnown(wire);
   page.for_incarnation = wire.for_incarnation();
--- a/src/libs/rpc/claim_codec.h
+++ b/src/libs/rpc/claim_codec.h
@@ -12,7 +12,7 @@
 
 /// Conversions of claim records and messages to and from protobuf messages, which are sent and, for
 /// records, stored on disk. `FromWire` fails with `kInvalidArgument` when a byte field has the
-/// wrong length or an enum value is unknown.
+/// wrong length or an enum value or the number of a replica is unknown.
 ClaimRecord ToWire(const claims::Record& record);
 base::Result<claims::Record> FromWire(const ClaimRecord& wire);
 
@@ -27,7 +27,7 @@
 base::Result<claims::ReleaseRequest> FromWire(const ReleaseRequest& wire);
 
 CopyRequest ToWire(const claims::CopyRequest& request);
-claims::CopyRequest FromWire(const CopyRequest& wire);
+base::Result<claims::CopyRequest> FromWire(const CopyRequest& wire);
 CopyReply ToWire(const claims::CopyPage& page);
 base::Result<claims::CopyPage> FromWire(const CopyReply& wire);
 
