Refuse consensus messages of unknown kinds

Cause: the number of a kind, 32 bits in messages between control replicas, was cut to 8 bits: a message of kind 256 was a vote request, an entry of kind 257 one with data. An entry of an unknown kind was acknowledged, and nothing was applied for it.

Change: a message is refused if its kind or that of an entry is unknown; it is dropped with a log line, and consensus repeats lost messages.

Conclusion: a replica acknowledges only entries that it can apply.

--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -216,7 +216,15 @@
   rpc::ApplyStamp(events_, batch);
   std::vector<consensus::Message> messages;
   messages.reserve(static_cast<std::size_t>(batch.messages_size()));
-  for (const auto& message : batch.messages()) messages.push_back(FromWire(message));
+  for (const auto& wire : batch.messages()) {
+    auto message = FromWire(wire);
+    if (!message) {
+      logging::Write(logging::Level::kError, "message_unreadable", message.error().message,
+                     {{"replica", wire.from().name()}});
+      continue;
+    }
+    messages.push_back(std::move(message.value()));
+  }
   log_->Step(messages);
 }
 
--- a/src/libs/controller/message_codec.cpp
+++ b/src/libs/controller/message_codec.cpp
@@ -1,8 +1,13 @@
 #include "controller/message_codec.h"
 
+#include <cstdint>
+#include <string>
+
 namespace wagtailpick::controller {
 namespace {
 
+using base::Result;
+
 void Fill(rpc::ReplicaKey& wire, const consensus::ReplicaKey& key) {
   wire.set_name(key.name);
   wire.set_incarnation(key.incarnation);
@@ -25,6 +30,15 @@
   return {wire.index(), wire.term(), wire.membership(), wire.offset(), wire.data(), wire.last()};
 }
 
+/// Returns the kind with this number, of the kinds up to `last`.
+template <typename Kind>
+Result<Kind> KindFrom(std::uint32_t number, Kind last, const std::string& of) {
+  if (number > static_cast<std::uint32_t>(last)) {
+    return base::Fail(base::ErrorCode::kCorrupt, of + " of unknown kind " + std::to_string(number));
+  }
+  return static_cast<Kind>(number);
+}
+
 }  // namespace
 
 rpc::ConsensusMessage ToWire(const consensus::Message& message) {
@@ -50,9 +64,11 @@
   return wire;
 }
 
-consensus::Message FromWire(const rpc::ConsensusMessage& wire) {
+Result<consensus::Message> FromWire(const rpc::ConsensusMessage& wire) {
   consensus::Message message;
-  message.kind = static_cast<consensus::MessageKind>(wire.kind());
+  BOOST_OUTCOME_TRY(kind,
+                    KindFrom(wire.kind(), consensus::MessageKind::kJoin, "consensus message"));
+  message.kind = kind;
   message.from = KeyFrom(wire.from());
   message.to = KeyFrom(wire.to());
   message.term = wire.term();
@@ -63,8 +79,9 @@
   message.accepted = wire.accepted();
   message.match = wire.match();
   for (const auto& entry : wire.entries()) {
-    message.entries.push_back({entry.index(), entry.term(),
-                               static_cast<consensus::EntryKind>(entry.kind()), entry.data()});
+    BOOST_OUTCOME_TRY(entry_kind,
+                      KindFrom(entry.kind(), consensus::EntryKind::kMembership, "log entry"));
+    message.entries.push_back({entry.index(), entry.term(), entry_kind, entry.data()});
   }
   message.chunk = ChunkFrom(wire.chunk());
   return message;
--- a/src/libs/controller/message_codec.h
+++ b/src/libs/controller/message_codec.h
@@ -2,6 +2,7 @@
 
 #include <wagtailpick.pb.h>
 
+#include "base/result.h"
 #include "consensus/message.h"
 
 namespace wagtailpick::controller {
@@ -9,8 +10,8 @@
 /// Converts a consensus message to its wire format.
 rpc::ConsensusMessage ToWire(const consensus::Message& message);
 
-/// Converts a message from its wire format. A message of unknown kind is converted as well;
-/// replicas ignore it.
-consensus::Message FromWire(const rpc::ConsensusMessage& wire);
+/// Converts a message from its wire format. Fails with `kCorrupt` when the kind of the message or
+/// of one of its entries is unknown.
+base::Result<consensus::Message> FromWire(const rpc::ConsensusMessage& wire);
 
 }  // namespace wagtailpick::controller
--- a/tests/auto/controller/message_codec_test.cpp
+++ b/tests/auto/controller/message_codec_test.cpp
@@ -23,5 +23,22 @@
   message.match = 10;
   message.entries = {{11, 12, EntryKind::kData, std::string("a\0b", 3)}};
   message.chunk = {13, 14, "members", 15, "data", true};
-  cr_assert(FromWire(ToWire(message)) == message);
+  const auto decoded = FromWire(ToWire(message));
+  cr_assert(decoded.has_value());
+  cr_assert(decoded.value() == message);
+}
+
+// Guards against a kind that is cut to eight bits, such as 256 as a vote request, and against an
+// entry of an unknown kind, which would be acknowledged and dropped when it is applied.
+Test(message_codec, refuses_unknown_kinds) {
+  for (const std::uint32_t kind : {9U, 255U, 256U, 4'294'967'295U}) {
+    auto wire = ToWire(Message{});
+    wire.set_kind(kind);
+    cr_expect(!FromWire(wire), "message of kind %u", kind);
+  }
+  for (const std::uint32_t kind : {3U, 256U}) {
+    auto wire = ToWire(Message{});
+    wire.add_entries()->set_kind(kind);
+    cr_expect(!FromWire(wire), "entry of kind %u", kind);
+  }
 }
