Refuse a stored log entry of an unknown kind

Cause: ReplicaDisk cut the number of an entry's kind from 32 to 8 bits and took any result for a kind. Such an entry is skipped when it is applied, without a word, so that the replica's state differs from its group's.

Change: opening the folder fails with kCorrupt and names the log, the index and the kind.

Conclusion: a replica applies every entry of its log or doesn't start.

--- a/src/libs/replica/replica_disk.cpp
+++ b/src/libs/replica/replica_disk.cpp
@@ -60,6 +60,16 @@
   return key;
 }
 
+/// Reads the kind of an entry of the log at `path`. An entry of an unknown kind would be skipped
+/// when it is applied.
+Result<consensus::EntryKind> KindOf(const std::string& path, const storage::LogEntry& entry) {
+  if (entry.kind > static_cast<std::uint32_t>(consensus::EntryKind::kMembership)) {
+    return Fail(ErrorCode::kCorrupt, path + ": the entry at index " + std::to_string(entry.index) +
+                                         " has the unknown kind " + std::to_string(entry.kind));
+  }
+  return static_cast<consensus::EntryKind>(entry.kind);
+}
+
 /// Creates the empty stores of a folder.
 Result<void> CreateStores(const storage::FileOpsPtr& ops, const storage::DataFolder& folder) {
   BOOST_OUTCOME_TRY(storage::LogStore::Create(ops, folder.log_path()));
@@ -129,9 +139,8 @@
   recovered_.hard_state = {log_.hard_state().term, std::move(vote)};
   BOOST_OUTCOME_TRY(entries, log_.ReadAll());
   for (auto& entry : entries) {
-    recovered_.entries.push_back({entry.index, entry.term,
-                                  static_cast<consensus::EntryKind>(entry.kind),
-                                  std::move(entry.data)});
+    BOOST_OUTCOME_TRY(kind, KindOf(folder_.log_path(), entry));
+    recovered_.entries.push_back({entry.index, entry.term, kind, std::move(entry.data)});
   }
   return base::Ok();
 }
--- a/tests/auto/replica/replica_disk_test.cpp
+++ b/tests/auto/replica/replica_disk_test.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <string>
+#include <vector>
 
 #include "storage/log_store.h"
 
@@ -96,3 +97,18 @@
     cr_expect(state.term == kTerm && state.voted_for == vote, "vote for %s", vote.name.c_str());
   }
 }
+
+// Guards against an entry of an unknown kind, whose number was cut to eight bits or which is
+// skipped when it is applied: the replica would go on without it.
+Test(replica_disk, refuses_an_entry_of_an_unknown_kind) {
+  for (const std::uint32_t kind : {3U, 257U}) {
+    const Folder folder;
+    {
+      auto log = storage::LogStore::Open(storage::PosixFileOps(), folder.log_path());
+      const std::vector<storage::LogEntry> entries{{1, 1, kind, "data"}};
+      cr_assert(log.has_value() && log.value().Append(entries) && log.value().Sync());
+    }
+    const auto disk = replica::ReplicaDisk::Open(folder.path(), kSelf, 1);
+    cr_expect(!disk && disk.error().code == ErrorCode::kCorrupt, "kind %u", kind);
+  }
+}
