Log a cache that can't be read, and check its nesting

Cause: StateCache::Load dropped the error of a damaged file and of unreadable orders in it without a log line, so that a replica started without its catalog for no visible reason. A record that nests deeply overflowed the stack.

Change: each cause is logged as cache_unreadable; a missing file is not one. The bytes pass CheckMessagePack before they are decoded.

Result: before, no line for unreadable orders and for a file that is no record file, and the deep record ended the process (CRASH); now one line for each of the three.

Conclusion: the cache may still be lost, but not silently.

--- a/src/libs/node/state_cache.cpp
+++ b/src/libs/node/state_cache.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/msgpack_check.h"
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
 #include "logging/log.h"
@@ -31,21 +32,20 @@
   return bytes;
 }
 
-std::optional<CachedState> Decode(const std::string& bytes) {
+base::Result<CachedState> Decode(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
   try {
     const auto fields = json::from_msgpack(bytes);
     const auto& packed = fields.at(0).get_binary();
-    auto orders = orders::OrderState::DecodeSnapshot({packed.begin(), packed.end()});
-    if (!orders) return std::nullopt;
-    CachedState state{std::move(orders.value()), {}, {}};
+    BOOST_OUTCOME_TRY(orders, orders::OrderState::DecodeSnapshot({packed.begin(), packed.end()}));
+    CachedState state{std::move(orders), {}, {}};
     for (const auto& one : fields.at(1)) state.reports.push_back(cluster::ReportFromFields(one));
     // Files written by earlier versions have no suspects.
     if (fields.size() < 3) return state;
     for (const auto& one : fields.at(2)) state.suspects.push_back(cluster::SuspectFromFields(one));
     return state;
   } catch (const json::exception& error) {
-    logging::Write(logging::Level::kWarning, "cache_unreadable", error.what());
-    return std::nullopt;
+    return base::Fail(base::ErrorCode::kCorrupt, error.what());
   }
 }
 
@@ -73,11 +73,16 @@
   const auto opened = storage::RecordLog::Open(
       storage::PosixFileOps(), path_,
       [&state](std::uint64_t /*offset*/, std::string_view bytes) -> base::Result<void> {
-        state = Decode(std::string(bytes));
+        BOOST_OUTCOME_TRY(decoded, Decode(std::string(bytes)));
+        state = std::move(decoded);
         return base::Ok();
       });
-  if (!opened) return std::nullopt;
-  return state;
+  if (opened) return state;
+  // A replica that starts for the first time has no file.
+  if (opened.error().code != base::ErrorCode::kNotFound) {
+    logging::Write(logging::Level::kWarning, "cache_unreadable", opened.error().message);
+  }
+  return std::nullopt;
 }
 
 void StateCache::Save(const CachedState& state) {
