--- a/src/libs/orders/order_state.cpp
+++ b/src/libs/orders/order_state.cpp
@@ -4,6 +4,8 @@
 #include <string_view>
 #include <utility>
 
+#include "base/json_number.h"
+#include "base/msgpack_check.h"
 #include "compress/zstd_codec.h"
 
 namespace wagtailpick::orders {
@@ -69,11 +71,12 @@
 }
 
 base::Result<OrderState> OrderState::DecodeSnapshot(const std::string& bytes) {
+  BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
   try {
     const auto fields = nlohmann::json::from_msgpack(bytes);
     OrderState state;
-    state.changed_index_ = fields.at(0).get<std::uint64_t>();
-    state.catalog_version_ = fields.at(1).get<std::uint64_t>();
+    state.changed_index_ = base::IntegerFrom<std::uint64_t>(fields.at(0));
+    state.catalog_version_ = base::IntegerFrom<std::uint64_t>(fields.at(1));
     if (state.catalog_version_ > 0) {
       const auto& stored = fields.at(2).get_binary();
       std::string content(stored.begin(), stored.end());
