Send a new entry the list of entries once few are still connecting

Cause: entries divide the limits that they share by the list of entries. A replica sent the list as soon as an entry followed it, without the entries of its current tick, and later the changes. After a start of the replica or of all entries, the first entries thus counted none or few others and took shares that were too large. The retry slack and the shares without a replica use the same list.

Change: EntryListGate closes when the number of connected entries grows by more than a quarter (the part of the limit for cold upstreams that is left for unknown entries) and opens after 1 s without such growth, or 5 s after the growth began. Replicas send the list to entries that have none while the gate is open. Until then these have no share, as before their first list. Entries with a list get the changes as before, and one that changes its replica keeps the names it knows for 20 s. An entry does not use changes that arrive before its first complete list. No message or field is new.

An entry that is alone has its share after about 1 s; in a group of less than five, an entry that starts again waits about 1 s.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -163,6 +163,7 @@
   ExpireDrains(now);
   SendHeartbeats();
   if (std::exchange(entries_changed_, false)) SendEntryChanges();
+  SendEntryLists(now);
   if (now >= liveness_due_) {
     liveness_due_ = now + kLivenessInterval;
     acceptor_->BroadcastToFollowers(MakeLiveness(upstreams_, now));
@@ -305,6 +306,15 @@
   acceptor_->BroadcastToFollowers(changes);
 }
 
+void ControlNode::SendEntryLists(base::MonotonicTime now) {
+  entry_list_gate_.Update(published_entries_.size(), now);
+  if (!entry_list_gate_.IsOpen(now)) return;
+  const cluster::EntryNames list{true, {published_entries_.begin(), published_entries_.end()}, {}};
+  for (const auto session : std::exchange(entries_without_list_, {})) {
+    acceptor_->Send(session, list);
+  }
+}
+
 cluster::OrderSummary ControlNode::Summary() const {
   return {state_.changed_index(),
           state_.catalog_version(),
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -18,6 +18,7 @@
 #include "metrics/registry.h"
 #include "net/http_listener.h"
 #include "node/departure_log.h"
+#include "node/entry_list_gate.h"
 #include "node/lookup.h"
 #include "node/node_options.h"
 #include "node/order_log.h"
@@ -132,6 +133,8 @@
   void ExpireDrains(base::MonotonicTime now);
   void SendHeartbeats();
   void SendEntryChanges();
+  /// Sends the list of entries to the followers that have none, unless many entries are connecting.
+  void SendEntryLists(base::MonotonicTime now);
   void HandleObservations(const cluster::Session& session, const cluster::Observations& message);
   std::string MergingReplica(const std::string& upstream) const;
   void SendObservations(base::MonotonicTime now);
@@ -177,6 +180,9 @@
   bool entries_changed_ = false;
   /// Names of the connected entries as last sent to the followers.
   std::set<std::string> published_entries_;
+  EntryListGate entry_list_gate_;
+  /// Sessions of followers to which the list of entries was not sent yet.
+  std::set<std::uint64_t> entries_without_list_;
   base::MonotonicTime liveness_due_;
   distribution::CatalogSource catalog_source_;
   ReportAnswerCache answer_cache_;
--- a/src/libs/node/control_node_sessions.cpp
+++ b/src/libs/node/control_node_sessions.cpp
@@ -22,9 +22,7 @@
   };
   hooks.pinged = [this](const cluster::Session& session) { HandlePing(session); };
   hooks.followed = [this](const cluster::Session& session) {
-    acceptor_->Send(
-        session.id,
-        cluster::EntryNames{true, {published_entries_.begin(), published_entries_.end()}, {}});
+    entries_without_list_.insert(session.id);
     const auto blocked = BlockedSuspects();
     if (!blocked.reports.empty()) acceptor_->Send(session.id, blocked);
     const cluster::LimitReports limits{limits_.reports(base::MonotonicNow())};
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -142,7 +142,7 @@
     for (const auto& id : routing_state_.upstreams.Expire(kForgetUpstreamAfter, last_seen)) {
       logging::Write(Level::kInfo, "upstream_forgotten", id);
     }
-    if (roster_.Expire(now)) relay_->SetEntries(roster_.names());
+    if (roster_.Expire(now) && roster_.is_known()) relay_->SetEntries(roster_.names());
     UpdateGauges(now);
   }
   if (drain_) drain_->Check(now);
@@ -356,7 +356,7 @@
 
 void EntryNode::ApplyEntryNames(const cluster::EntryNames& names) {
   roster_.Apply(names, base::MonotonicNow());
-  relay_->SetEntries(roster_.names());
+  if (roster_.is_known()) relay_->SetEntries(roster_.names());
 }
 
 void EntryNode::Drain(std::function<void()> done) {
--- a/src/libs/node/entry_roster.cpp
+++ b/src/libs/node/entry_roster.cpp
@@ -17,6 +17,7 @@
     disconnected_at = std::min(disconnected_at, now);
   };
   if (names.complete) {
+    known_ = true;
     for (auto& [name, disconnected_at] : disconnected_at_) mark_disconnected(disconnected_at);
   }
   for (const auto& name : names.added) disconnected_at_[name] = kConnected;
--- a/src/libs/node/entry_roster.h
+++ b/src/libs/node/entry_roster.h
@@ -23,11 +23,14 @@
   /// Removes the names of entries that disconnected long ago. Returns whether any was removed.
   bool Expire(base::MonotonicTime now);
 
+  /// Whether a complete list has arrived. Changes that arrive before it name only some entries.
+  bool is_known() const { return known_; }
   /// All names in sorted order, this entry's own included.
   std::vector<std::string> names() const;
 
  private:
   std::string self_;
+  bool known_ = false;
   /// By entry name: when the entry disconnected; `MonotonicTime::max()` while it is connected.
   std::map<std::string, base::MonotonicTime> disconnected_at_;
 };
--- a/tests/auto/node/control_node_test.cpp
+++ b/tests/auto/node/control_node_test.cpp
@@ -8,8 +8,10 @@
 #include <filesystem>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cluster/acceptor.h"
 #include "cluster/dialer.h"
@@ -74,6 +76,7 @@
 
   ~ReplicaPair() {
     CloseInbound();
+    dialers_.clear();
     outbound_.reset();
     replica.reset();
     std::filesystem::remove_all(folder_);
@@ -99,8 +102,7 @@
       const auto* reports = std::get_if<cluster::Reports>(&message);
       if (reports != nullptr) replica_knows_run_ = !reports->reports.empty();
     };
-    outbound_ = std::make_unique<cluster::Dialer>(loop_, base::Endpoint{AddressOf(0), kClusterPort},
-                                                  std::move(hooks));
+    outbound_ = Dial(std::move(hooks));
     return RunUntil([this] { return outbound_->up(); });
   }
 
@@ -124,6 +126,13 @@
     return RunUntil([this] { return pings_ > 1; });
   }
 
+  /// Opens a link to the replica, which lasts as long as the pair.
+  std::shared_ptr<cluster::Dialer> Dial(cluster::Dialer::Hooks hooks) {
+    dialers_.push_back(std::make_shared<cluster::Dialer>(
+        loop_, base::Endpoint{AddressOf(0), kClusterPort}, std::move(hooks)));
+    return dialers_.back();
+  }
+
   /// Sends the replica a heartbeat of the announced run, as a replica that knows it does.
   void SendHeartbeat(std::uint64_t sequence) {
     outbound_->Send(cluster::Heartbeats{{{Report(1).id, Report(1).started_unix_ms, sequence}}});
@@ -147,7 +156,7 @@
     while (!condition()) {
       const auto now = base::MonotonicNow();
       if (now >= end) return false;
-      if (outbound_ != nullptr) outbound_->Tick(now);
+      for (const auto& dialer : dialers_) dialer->Tick(now);
       loop_.restart();
       loop_.run_for(kTick);
     }
@@ -185,12 +194,40 @@
 
   std::string folder_;
   asio::io_context loop_{1};
-  std::unique_ptr<cluster::Dialer> outbound_;
+  std::vector<std::shared_ptr<cluster::Dialer>> dialers_;
+  std::shared_ptr<cluster::Dialer> outbound_;
   std::unique_ptr<cluster::Acceptor> acceptor_;
   int pings_ = 0;
   bool replica_knows_run_ = false;
 };
 
+/// A stand-in for an entry that follows the replica of a pair.
+class EntryLink {
+ public:
+  EntryLink(ReplicaPair& pair, const std::string& vm) {
+    cluster::Dialer::Hooks hooks;
+    hooks.hello = [vm] {
+      return cluster::Hello{cluster::NodeRole::kEntry, vm, "dc-0", "", "127.0.0.1:1", 0};
+    };
+    hooks.ping = [] { return cluster::Ping{true, true, 0, 0}; };
+    hooks.up = [] {};
+    hooks.down = [](const std::string& /*reason*/) {};
+    hooks.message = [this](const cluster::Message& message) {
+      const auto* names = std::get_if<cluster::EntryNames>(&message);
+      if (names != nullptr && names->complete && !list) list = names->added;
+    };
+    dialer_ = pair.Dial(std::move(hooks));
+  }
+
+  bool up() const { return dialer_->up(); }
+
+  /// The first list of entries that arrived.
+  std::optional<std::vector<std::string>> list;
+
+ private:
+  std::shared_ptr<cluster::Dialer> dialer_;
+};
+
 }  // namespace
 
 // Guards against an upstream that a replica never learns of because the upstream announced itself
@@ -239,3 +276,24 @@
   });
   cr_expect(pair.requests >= 2 && pair.requests <= 3, "%d requests in 3 s", pair.requests);
 }
+
+// Guards against an entry that divides limits among too few entries because the replica that it
+// follows has just started and the other entries have not connected to it yet.
+Test(control_node, sends_the_list_of_entries_once_they_have_connected) {
+  ReplicaPair pair;
+  const EntryLink first(pair, "entry-1");
+  cr_assert(pair.RunUntil([&first] { return first.up(); }));
+  pair.RunUntil(
+      [end = base::MonotonicNow() + milliseconds(300)] { return base::MonotonicNow() >= end; });
+  const EntryLink second(pair, "entry-2");
+  cr_assert(pair.RunUntil([&first] { return first.list.has_value(); }));
+  cr_expect(first.list->size() == 2, "%zu entries in the first list", first.list->size());
+}
+
+// Guards against an entry that is alone and gets no list.
+Test(control_node, sends_the_list_to_a_single_entry) {
+  ReplicaPair pair;
+  const EntryLink entry(pair, "entry-1");
+  cr_assert(pair.RunUntil([&entry] { return entry.list.has_value(); }));
+  cr_expect(entry.list->size() == 1);
+}
--- a/tests/auto/node/entry_roster_test.cpp
+++ b/tests/auto/node/entry_roster_test.cpp
@@ -35,3 +35,12 @@
   roster.Expire(kStart + seconds(60));
   cr_expect(roster.names() == Names({"a", "b", "self"}));
 }
+
+// Guards against dividing a limit by a list that holds only the changes which arrived before it.
+Test(entry_roster, is_known_once_a_complete_list_has_arrived) {
+  node::EntryRoster roster("self");
+  roster.Apply({false, {"a"}, {}}, kStart);
+  cr_expect(!roster.is_known());
+  roster.Apply({true, {"a", "b"}, {}}, kStart);
+  cr_expect(roster.is_known());
+}
