Keep the records that two tests of the storage compare

Cause: cr_assert_str_eq keeps the pointer of c_str() beyond the statement in which the temporary string lives.

Change: the string is a variable of the test. The comparison is the same.

Measured under the address sanitizer, before: SUMMARY: AddressSanitizer: stack-use-after-scope in strcmp claim_log::compaction_keeps_live_records_and_reports_their_new_offsets record_log::reads_only_at_offsets_of_records Tested: 21 | Passing: 19 | Failing: 2 After: 21 of 21 under it, and 21 of 21 without it.

Conclusion: a fault of the tests only.

--- a/tests/auto/storage/claim_log_test.cpp
+++ b/tests/auto/storage/claim_log_test.cpp
@@ -87,6 +87,7 @@
     moved_to = to;
   };
   cr_assert(!log.Compact(keep, move).has_error());
-  cr_assert_str_eq(log.Read(moved_to).value().c_str(), "held");
+  const std::string record = log.Read(moved_to).value();
+  cr_assert_str_eq(record.c_str(), "held");
   cr_assert(log.file_bytes() < live + 100);
 }
--- a/tests/auto/storage/record_log_test.cpp
+++ b/tests/auto/storage/record_log_test.cpp
@@ -142,7 +142,8 @@
   FakeDisk disk(1);
   auto log = RecordLog::Create(disk.Ops(), "d/file").value();
   const auto offset = log.Append("a record").value();
-  cr_assert_str_eq(log.Read(offset).value().c_str(), "a record");
+  const std::string record = log.Read(offset).value();
+  cr_assert_str_eq(record.c_str(), "a record");
   cr_assert(log.Read(offset + 1).error().code == ErrorCode::kCorrupt);
   cr_assert(log.Read(10'000).error().code == ErrorCode::kCorrupt);
 }
