Wait in the tests until a second attempt has begun

The scene took its state for reached when the upstream's script had counted the request. The relay had not read the refusal then. If it reads it between StartDraining and EndRequests, the second attempt is not started, as it cannot end in time, and the request has ended with 503 before EndRequests.

Change: the scene waits until the relay has recorded the end of the first attempt. The relay starts the second one in the same turn of its loop. No check changed.

Conclusion: a race of the test.

--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -13,6 +13,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <future>
+#include <string_view>
 
 namespace wagtailpick::relay_test {
 namespace {
@@ -327,6 +328,15 @@
   return running;
 }
 
+// Read on the loop, which never runs between the end of an attempt and the start of the next one.
+std::size_t RelayHost::ended_attempts() {
+  constexpr std::string_view kCount = "wagtailpick_upstream_seconds_count ";
+  std::string text;
+  RunOnLoop([&] { text = metrics_.RenderText(); });
+  const auto at = text.find(kCount);
+  return at == std::string::npos ? 0 : std::stoul(text.substr(at + kCount.size()));
+}
+
 std::size_t RelayHost::memory_held() {
   std::size_t sum = 0;
   RunOnLoop([&] {
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -112,6 +112,8 @@
   void BlockLoop(base::Duration time);
   /// Number of requests that have not ended.
   std::size_t running();
+  /// Number of attempts that have ended. What the relay does next with their requests has begun.
+  std::size_t ended_attempts();
   /// Where the relay accepts requests.
   const base::Endpoint& endpoint() const { return endpoint_; }
   /// Bytes that the budget counts for all uses.
--- a/tests/auto/relay/request_scene.cpp
+++ b/tests/auto/relay/request_scene.cpp
@@ -224,7 +224,7 @@
       return host_->running() == 1;
     case State::kRefusedBefore:
     case State::kLostBefore:
-      return arrivals() == 1 && host_->running() == 1;
+      return host_->ended_attempts() == 1 && host_->running() == 1;
     case State::kSent:
     case State::kAnswerHalfRead:
       return arrivals() == 1;
