Give the operator of the soak a file of its own

Change: ConfigOperator stores and reads configs; the run only asks it for its findings. The sequence of drawn configs of a seed stays.

Conclusion: clean-up only.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -3,10 +3,9 @@
 #include <array>
 #include <csignal>
 #include <iostream>
-#include <nlohmann/json.hpp>
-#include <optional>
 
 #include "platform/standin_wire.h"
+#include "soak/config_operator.h"
 #include "soak/http_call.h"
 #include "soak/mixed_caller.h"
 #include "soak/stop_series.h"
@@ -19,7 +18,6 @@
 constexpr int kFirstNetwork = 20;
 constexpr int kNetworks = 200;
 constexpr base::Duration kCallerTimeout = milliseconds(2'000);
-constexpr base::Duration kOrderTimeout = milliseconds(1'000);
 constexpr milliseconds kFormationTime{6'000};
 constexpr milliseconds kRecoveryTime{8'000};
 constexpr milliseconds kMeasuringTime{3'000};
@@ -39,13 +37,11 @@
 constexpr std::uint64_t kShortTimesOneIn = 4;
 /// How much longer than its grace time a process may take to end while other faults are injected.
 constexpr base::Duration kExtraStopTime = std::chrono::seconds(1);
-constexpr int kMaxRedirects = 2;
 constexpr int kDeadlineMs = 1'800;
 constexpr int kObjects = 20;
 constexpr milliseconds kCrashRequestInterval{300};
 /// If the first catalog comes only after the faults, the request starts to crash upstreams then.
 constexpr base::Duration kMaxCrashWait = std::chrono::seconds(10);
-constexpr std::array kIdleTimeouts{milliseconds(15'000), milliseconds(3'000), milliseconds(1'000)};
 /// Requests per second that upstreams name as their limits.
 constexpr std::array kLimits{0.5, 2.0, 5.0};
 /// The first upstream that may be limited after the faults, and its limit. The ones before it leave
@@ -65,7 +61,8 @@
         grace_(has_short_times_ ? kShortGrace : kGrace),
         long_deadline_(has_short_times_ ? kShortLongDeadline : kLongDeadline),
         stops_(grace_),
-        deployment_(options.program, network_, options.replicas, options.entries, grace_) {}
+        deployment_(options.program, network_, options.replicas, options.entries, grace_),
+        operator_({options.seed, options.replicas, long_deadline_}, deployment_, checker_) {}
 
   std::vector<std::string> Execute() {
     checker_.set_entries(options_.entries);
@@ -75,7 +72,7 @@
       replicas.push_back(deployment_.OrdersAddress(i));
     }
     StandinService service(network_, options_.upstreams, replicas, checker_, stops_, options_.seed);
-    std::thread operator_thread([this] { OperatorLoop(); });
+    std::thread operator_thread([this] { operator_.RunUntil(stopping_, faults_are_over_); });
     std::this_thread::sleep_for(kFormationTime);
     std::vector<std::thread> caller_threads;
     for (std::size_t i = 0; i < options_.callers; ++i) {
@@ -93,71 +90,6 @@
   }
 
  private:
-  /// Sends an order to the replica `first` (modulo their number) and follows redirects. Returns the
-  /// answer, or `nullopt` if a call fails or the redirects exceed `kMaxRedirects`.
-  std::optional<http::Response> SendOrder(const http::Request& request, std::size_t first) {
-    std::string address = deployment_.OrdersAddress(first % options_.replicas);
-    for (int i = 0; i <= kMaxRedirects; ++i) {
-      auto answer = Call(address, request, kOrderTimeout);
-      if (!answer || answer->status != 307) return answer;
-      const auto* location = http::FindHeader(answer->headers, "Location");
-      if (location == nullptr) return std::nullopt;
-      const auto begin = location->find("//") + 2;
-      address = location->substr(begin, location->find('/', begin) - begin);
-    }
-    return std::nullopt;
-  }
-
-  void OperatorLoop() {
-    std::mt19937_64 random(options_.seed + 1);
-    std::uint64_t version = 1;
-    while (!stopping_) {
-      const auto values = faults_are_over_ ? DrawConfig(random) : platform::ConfigValues();
-      const auto put = platform::PutConfig(platform::TwoRouteConfig(version, "s", values));
-      const auto answer = SendOrder(put, random());
-      if (answer && answer->status == 200) checker_.RecordCatalogAcknowledged(version++);
-      if (answer && answer->status >= 400 && answer->status < 500) {
-        std::cout << "a valid catalog was refused with " << answer->status << "\n";
-        valid_catalog_refused_ = true;
-      }
-      ReadCatalog(random());
-      std::this_thread::sleep_for(milliseconds(100 + random() % 200));
-    }
-  }
-
-  /// The callers' deadline always ends before the route's timeout.
-  platform::ConfigValues DrawConfig(std::mt19937_64& random) const {
-    platform::ConfigValues values;
-    values.route_timeout = long_deadline_ + milliseconds(500 * (random() % 4));
-    values.idle_timeout = kIdleTimeouts.at(random() % kIdleTimeouts.size());
-    values.max_header_bytes = random() % 2 == 0 ? 16'384 : 4'096;
-    values.max_body_bytes = random() % 2 == 0 ? 65'536 : 1'024;
-    return values;
-  }
-
-  std::optional<std::uint64_t> ReadCatalog(std::size_t first) {
-    const auto acknowledged = checker_.acknowledged_catalog();
-    const auto answer = SendOrder(platform::GetConfig(), first);
-    if (!answer || answer->status != 200) {
-      last_read_ = answer ? std::to_string(answer->status) + " " + answer->body : "no answer";
-      return std::nullopt;
-    }
-    const auto version = nlohmann::json::parse(answer->body).at("version").get<std::uint64_t>();
-    checker_.RecordCatalogRead(version, acknowledged);
-    return version;
-  }
-
-  /// Reads the catalog until a read succeeds or `end` has passed, as the last stop may have been
-  /// that of the leader.
-  std::optional<std::uint64_t> ReadCatalogUntil(std::size_t first, base::MonotonicTime end) {
-    auto version = ReadCatalog(first);
-    while (!version && base::MonotonicNow() < end) {
-      std::this_thread::sleep_for(milliseconds(100));
-      version = ReadCatalog(first);
-    }
-    return version;
-  }
-
   void CallLoop(std::size_t caller) {
     std::mt19937_64 random(options_.seed * 100 + caller);
     for (int i = 0; !faults_are_over_; ++i) {
@@ -348,7 +280,7 @@
     auto broken = checker_.violations();
     const auto stop_violations = stops_.Violations();
     broken.insert(broken.end(), stop_violations.begin(), stop_violations.end());
-    if (valid_catalog_refused_) broken.emplace_back("a valid catalog was refused");
+    if (operator_.valid_config_refused()) broken.emplace_back("a valid catalog was refused");
     if (stop_timed_out_) broken.emplace_back("a process did not stop 1 s after its grace time");
     if (checker_.served_share() < kMinServedAfterRecovery) {
       broken.emplace_back("only " + std::to_string(checker_.served_share()) +
@@ -356,9 +288,9 @@
     }
     const auto recovered_by = base::MonotonicNow() + kRecoveryTime;
     for (std::size_t i = 0; i < options_.replicas; ++i) {
-      if (ReadCatalogUntil(i, recovered_by)) continue;
+      if (operator_.ReadUntil(i, recovered_by)) continue;
       broken.emplace_back("no catalog can be read at replica " + std::to_string(i) + ": " +
-                          last_read_);
+                          operator_.last_failed_read());
     }
     for (std::size_t i = 0; i < deployment_.size(); ++i) {
       if (deployment_.ExitCode(i)) broken.emplace_back("process " + std::to_string(i) + " ended");
@@ -383,15 +315,13 @@
   PromiseChecker checker_;
   StopChecker stops_;
   Deployment deployment_;
+  ConfigOperator operator_;
   std::atomic<bool> faults_are_over_ = false;
   std::atomic<bool> stops_are_over_ = false;
   std::atomic<bool> stopping_ = false;
-  std::atomic<bool> valid_catalog_refused_ = false;
   bool stop_timed_out_ = false;
   /// Whether the latest fault killed, paused or restarted an entry.
   bool fault_hits_entry_ = false;
-  /// Answer of the last catalog read that failed.
-  std::string last_read_;
   base::MonotonicTime disk_loss_due_;
   /// Each injected fault, most with their Unix time in milliseconds; printed if a promise was
   /// broken.
