--- a/tests/auto/cluster/acceptor_accept_test.cpp
+++ b/tests/auto/cluster/acceptor_accept_test.cpp
@@ -1,5 +1,4 @@
 #include <criterion/criterion.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <asio/buffer.hpp>
@@ -17,31 +16,16 @@
 #include "cluster/message_codec.h"
 #include "logging/log.h"
 #include "net/frame_link.h"
+#include "testing/no_file_descriptors.h"
 
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
 using asio::ip::tcp;
 using std::chrono::milliseconds;
+using wagtailpick::testing::NoFileDescriptors;
 
-/// Leaves the process no further file descriptor until it is destroyed.
-class NoFileDescriptors {
- public:
-  NoFileDescriptors() {
-    getrlimit(RLIMIT_NOFILE, &before_);
-    const int lowest_free = dup(STDERR_FILENO);
-    close(lowest_free);
-    auto none = before_;
-    none.rlim_cur = static_cast<rlim_t>(lowest_free);
-    setrlimit(RLIMIT_NOFILE, &none);
-  }
-  ~NoFileDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
-  NoFileDescriptors(const NoFileDescriptors&) = delete;
-  NoFileDescriptors& operator=(const NoFileDescriptors&) = delete;
-
- private:
-  rlimit before_{};
-};
+;
 
 /// An acceptor and a client whose connection it has not accepted yet.
 struct Fixture {
--- a/tests/auto/net/http_listener_accept_test.cpp
+++ b/tests/auto/net/http_listener_accept_test.cpp
@@ -1,5 +1,4 @@
 #include <criterion/criterion.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <asio/ip/tcp.hpp>
@@ -13,6 +12,7 @@
 
 #include "http_listener_fixture.h"
 #include "logging/log.h"
+#include "testing/no_file_descriptors.h"
 
 namespace {
 
@@ -20,6 +20,7 @@
 using asio::ip::tcp;
 using net::HttpListenerFixture;
 using net::Send;
+using wagtailpick::testing::NoFileDescriptors;
 
 constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr int kRounds = 6;
@@ -28,24 +29,7 @@
 constexpr std::chrono::milliseconds kBeyondTimeoutCheck{600};
 constexpr std::chrono::milliseconds kBeyondAcceptPause{250};
 
-/// Leaves the process no further file descriptor until it is destroyed.
-class NoFileDescriptors {
- public:
-  NoFileDescriptors() {
-    getrlimit(RLIMIT_NOFILE, &before_);
-    const int lowest_free = dup(STDERR_FILENO);
-    close(lowest_free);
-    auto none = before_;
-    none.rlim_cur = static_cast<rlim_t>(lowest_free);
-    setrlimit(RLIMIT_NOFILE, &none);
-  }
-  ~NoFileDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
-  NoFileDescriptors(const NoFileDescriptors&) = delete;
-  NoFileDescriptors& operator=(const NoFileDescriptors&) = delete;
-
- private:
-  rlimit before_{};
-};
+;
 
 /// Runs the listener for a fixed time: it accepts again and again while that fails.
 void RunFor(HttpListenerFixture& fixture, std::chrono::milliseconds span) {
--- a/tests/auto/node/control_node_test.cpp
+++ b/tests/auto/node/control_node_test.cpp
@@ -16,26 +16,24 @@
 #include "cluster/acceptor.h"
 #include "cluster/dialer.h"
 #include "node/upstream_sync.h"
+#include "testing/loopback_address.h"
 
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using wagtailpick::testing::LoopbackAddress;
 
+/// The last bytes of the addresses of the node and of its peer.
+constexpr int kOwnNode = 10;
+constexpr int kPeerNode = 11;
 constexpr std::uint16_t kOrdersPort = 17'831;
 constexpr std::uint16_t kClusterPort = 17'832;
 constexpr milliseconds kTick{50};
 /// Links are dialled again every 300 ms.
 constexpr seconds kTimeout{5};
 
-/// Addresses of different test processes must differ, as they run at the same time.
-std::string AddressOf(int node) {
-  const auto process = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(128 + process % 64) + "." + std::to_string(process / 64 % 250) +
-         "." + std::to_string(10 + node);
-}
-
 std::string MakeFolder() {
   std::string path = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
   cr_assert(mkdtemp(path.data()) != nullptr);
@@ -63,10 +61,11 @@
     options.node.vm = "replica-0";
     options.node.data_centre = "dc-0";
     options.node.regions = {{"dc-0", "east"}, {"dc-1", "west"}};
-    options.node.ip = AddressOf(0);
+    options.node.ip = LoopbackAddress(kOwnNode);
     options.node.cluster_port = kClusterPort;
-    options.node.seeds = {{AddressOf(0), kOrdersPort}, {AddressOf(1), kOrdersPort}};
-    options.orders = {AddressOf(0), kOrdersPort};
+    options.node.seeds = {{LoopbackAddress(kOwnNode), kOrdersPort},
+                          {LoopbackAddress(kPeerNode), kOrdersPort}};
+    options.orders = {LoopbackAddress(kOwnNode), kOrdersPort};
     options.directory = options.orders;
     options.data_folder = folder_;
     auto started = node::ControlNode::Start(loop_, options, {});
@@ -92,7 +91,7 @@
                             "replica-1",
                             "dc-1",
                             base::ToString(PeerEndpoint()),
-                            base::ToString({AddressOf(1), kOrdersPort}),
+                            base::ToString({LoopbackAddress(kPeerNode), kOrdersPort}),
                             7};
     };
     hooks.ping = [] { return cluster::Ping{}; };
@@ -129,7 +128,7 @@
   /// Opens a link to the replica, which lasts as long as the pair.
   std::shared_ptr<cluster::Dialer> Dial(cluster::Dialer::Hooks hooks) {
     dialers_.push_back(std::make_shared<cluster::Dialer>(
-        loop_, base::Endpoint{AddressOf(0), kClusterPort}, std::move(hooks)));
+        loop_, base::Endpoint{LoopbackAddress(kOwnNode), kClusterPort}, std::move(hooks)));
     return dialers_.back();
   }
 
@@ -179,7 +178,7 @@
   int requests = 0;
 
  private:
-  static base::Endpoint PeerEndpoint() { return {AddressOf(1), kClusterPort}; }
+  static base::Endpoint PeerEndpoint() { return {LoopbackAddress(kPeerNode), kClusterPort}; }
 
   void HandleMessage(const cluster::Session& session, const cluster::Message& message) {
     const auto now = base::MonotonicNow();
--- a/tests/auto/node/entry_node_test.cpp
+++ b/tests/auto/node/entry_node_test.cpp
@@ -1,7 +1,6 @@
 #include "node/entry_node.h"
 
 #include <criterion/criterion.h>
-#include <unistd.h>
 
 #include <array>
 #include <asio/buffer.hpp>
@@ -14,13 +13,18 @@
 #include <utility>
 
 #include "cluster/acceptor.h"
+#include "testing/loopback_address.h"
 
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using wagtailpick::testing::LoopbackAddress;
 
+/// The last bytes of the addresses of the node and of its peer.
+constexpr int kOwnNode = 20;
+constexpr int kPeerNode = 21;
 constexpr std::uint16_t kClusterPort = 17'833;
 constexpr std::uint16_t kOrdersPort = 17'834;
 constexpr std::uint16_t kCallersPort = 17'835;
@@ -29,13 +33,6 @@
 constexpr milliseconds kTick{50};
 constexpr seconds kTimeout{8};
 
-/// Addresses of different test processes must differ, as they run at the same time.
-std::string AddressOf(int node) {
-  const auto process = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(128 + process % 64) + "." + std::to_string(process / 64 % 250) +
-         "." + std::to_string(20 + node);
-}
-
 /// An entry, and a stand-in for the replica that it follows.
 class FollowingEntry {
  public:
@@ -47,20 +44,20 @@
     hooks.pinged = [](const cluster::Session& /*session*/) {};
     hooks.ready_changed = [](const cluster::Session& /*session*/) {};
     hooks.followed = [this](const cluster::Session& session) { session_ = session.id; };
-    auto acceptor =
-        cluster::Acceptor::Start(loop_, base::Endpoint{AddressOf(1), kClusterPort}, hooks);
+    auto acceptor = cluster::Acceptor::Start(
+        loop_, base::Endpoint{LoopbackAddress(kPeerNode), kClusterPort}, hooks);
     cr_assert(acceptor.has_value());
     acceptor_ = std::move(acceptor.value());
     node::EntryOptions options;
     options.node.vm = "entry-0";
     options.node.data_centre = "dc-0";
     options.node.regions = {{"dc-0", "east"}};
-    options.node.ip = AddressOf(0);
+    options.node.ip = LoopbackAddress(kOwnNode);
     options.node.cluster_port = kClusterPort;
-    options.node.seeds = {{AddressOf(1), kOrdersPort}};
-    options.node.metrics = base::Endpoint{AddressOf(0), kMetricsPort};
-    options.callers = {AddressOf(0), kCallersPort};
-    options.readiness = {AddressOf(0), kReadinessPort};
+    options.node.seeds = {{LoopbackAddress(kPeerNode), kOrdersPort}};
+    options.node.metrics = base::Endpoint{LoopbackAddress(kOwnNode), kMetricsPort};
+    options.callers = {LoopbackAddress(kOwnNode), kCallersPort};
+    options.readiness = {LoopbackAddress(kOwnNode), kReadinessPort};
     auto started = node::EntryNode::Start(loop_, options, {});
     cr_assert(started.has_value());
     entry_ = std::move(started.value());
@@ -100,7 +97,7 @@
   std::string MetricsPage() {
     asio::ip::tcp::socket socket(loop_);
     asio::error_code error;
-    socket.connect({asio::ip::make_address(AddressOf(0)), kMetricsPort}, error);
+    socket.connect({asio::ip::make_address(LoopbackAddress(kOwnNode)), kMetricsPort}, error);
     const std::string request = "GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n";
     if (!error) asio::write(socket, asio::buffer(request), error);
     RunFor(kTick);
