End request bodies that come byte by byte

Cause: nothing but the idle timeout ended a body, and each byte began it anew. A client that sends a byte now and then held its connection, and up to 64 MB that were counted for its body, for as long as it liked: bodies, chunk extensions and trailers alike. Four such clients take the whole memory for requests, and all others are refused.

Change: a body ends with 408 if it takes longer than 30 s and a second for each 1,000 bytes that have arrived. 408 is true, as the request is handed over only when it is complete. Uploads over slow links stay: deadlines end after a few seconds, and a body that keeps the rate may take any time.

--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -48,6 +48,7 @@
   message.max_body_bytes = std::max(message.max_body_bytes, granted.message.max_body_bytes);
   policy.header_timeout = std::max(policy.header_timeout, granted.header_timeout);
   policy.idle_timeout = std::max(policy.idle_timeout, granted.idle_timeout);
+  policy.body_timeout = std::max(policy.body_timeout, granted.body_timeout);
   return policy;
 }
 
@@ -319,14 +320,19 @@
   if (phase_ == Phase::kLingering && idle > kLingerTimeout) return Close();
   if (phase_ == Phase::kWriting && idle > policy.idle_timeout) return Close();
   if (phase_ != Phase::kReading) return;
-  const bool slow_headers = parser_.started() && !parser_.headers_complete() &&
-                            now - request_started_ > policy.header_timeout;
-  if (slow_headers) return Refuse(408);
+  if (parser_.started() && IsTooSlow(policy, now)) return Refuse(408);
   if (idle <= policy.idle_timeout) return;
   if (parser_.started()) return Refuse(408);
   Close();
 }
 
+bool ServerConnection::IsTooSlow(const ServerPolicy& policy, base::MonotonicTime now) {
+  const auto elapsed = now - request_started_;
+  if (!parser_.headers_complete()) return elapsed > policy.header_timeout;
+  const std::chrono::seconds earned(parser_.request().body.size() / kMinBodyBytesPerSecond);
+  return elapsed > policy.body_timeout + earned;
+}
+
 // A request that crosses the close stays unread, so that its client may send it again.
 void ServerConnection::CloseIfIdle(base::MonotonicTime now) {
   if (phase_ != Phase::kReading || parser_.started() || HasUnreadBytes()) return;
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -12,6 +12,10 @@
 
 namespace wagtailpick::net {
 
+/// Average rate below which the body of a request is not awaited for long; see
+/// `ServerPolicy::body_timeout`.
+inline constexpr std::size_t kMinBodyBytesPerSecond = 1'000;
+
 /// Limits and timeouts of a server. Changes apply to open connections. A request that has begun,
 /// and a connection that has become idle, keep the limits and timeouts of that moment if they are
 /// wider.
@@ -22,6 +26,10 @@
   /// Longest time without received bytes between two requests and within a body, and without sent
   /// bytes while an answer is being sent.
   base::Duration idle_timeout = std::chrono::seconds(15);
+  /// Longest time from the first byte of a request to the end of its body, beside a second for each
+  /// `kMinBodyBytesPerSecond` of the body that have arrived. Ends bodies that come byte by byte and
+  /// hold their memory meanwhile.
+  base::Duration body_timeout = std::chrono::seconds(30);
   /// Whether the connection is closed after an answer, once all requests that were read are
   /// answered.
   bool close_after_answer = false;
@@ -76,6 +84,8 @@
   void Serve();
   void ReportFailure(const std::string& cause, const Inbound& inbound);
   void Refuse(int status);
+  /// Whether the head or the body of the current request comes too slowly.
+  bool IsTooSlow(const ServerPolicy& policy, base::MonotonicTime now);
   /// Refuses a request whose body does not fit into the memory budget.
   void RefuseForMemory();
   bool ClosesAfterAnswer();
