Take the disk and the formation time out of the tests of the order log

order_log::recovers_from_an_exception_while_it_applies_an_order failed once at load 30. Traced with delayed syncs (trial): of its 15 s, 8 s went to the time in which a group of fewer than three voters accepts no orders, although no other replica can join in this test. To open the log takes 4 syncs of files and 5 of folders, the vote, the leader's first entry and the order one each; after the exception all 12 come again. With 1.4 s for each sync of a file the first order was applied after 11 s, and it was accepted again after 23 s, the last attempt of the test; with 1.5 s the test failed with the message of the failing run. Without the formation time alone it still did.

The product waits for the formation on purpose. The time is an option of the log now, with the same 8 s as default; the tests of a lone replica set it to zero and use file operations whose syncs return at once, as no test loses what isn't synced. The bound of 15 s stays. The test now also requires that the log was opened again: with the driver kept after an exception it passed before, and fails now. A test of the formation time itself is new; with the time ignored it fails after 1.4 s.

--- a/src/libs/node/order_log.cpp
+++ b/src/libs/node/order_log.cpp
@@ -24,8 +24,6 @@
 /// Orders are refused while the group has fewer voters, so that an acknowledged order survives the
 /// loss of a disk while the group is forming.
 constexpr std::size_t kMinVotersToServe = 3;
-/// A system that has fewer replicas accepts orders after this time.
-constexpr base::Duration kFormationTime = std::chrono::seconds(8);
 
 }  // namespace
 
@@ -119,7 +117,8 @@
 
 bool OrderLog::GroupIsFormed() const {
   const auto voters = driver_->replica().membership().voter_count();
-  return voters >= kMinVotersToServe || base::MonotonicNow() - started_at_ > kFormationTime;
+  return voters >= kMinVotersToServe ||
+         base::MonotonicNow() - started_at_ > options_.formation_time;
 }
 
 bool OrderLog::Leads() const {
--- a/src/libs/node/order_log.h
+++ b/src/libs/node/order_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "base/monotonic_time.h"
 #include "base/result.h"
 #include "consensus/membership.h"
 #include "consensus/message.h"
@@ -32,6 +34,9 @@
     /// Creates a group with this replica as its only member when the folder is empty.
     bool create_group = false;
     storage::FileOpsPtr files = storage::PosixFileOps();
+    /// A group with fewer than three voters accepts no orders for this time after the start: more
+    /// replicas may still join it.
+    base::Duration formation_time = std::chrono::seconds(8);
   };
 
   struct Hooks {
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -25,6 +25,21 @@
   return path;
 }
 
+/// File operations that wait for no disk. To open the log and to accept an order takes 12 syncs,
+/// each of which can take a second beside other programs. No test here loses what isn't synced.
+std::shared_ptr<storage::FileOps> FilesWithoutSync() {
+  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
+  files->sync = [](int /*file*/) { return base::Ok(); };
+  files->sync_folder = [](const std::string& /*path*/) { return base::Ok(); };
+  return files;
+}
+
+/// Options of a group of one replica that accepts orders as soon as the replica leads.
+OrderLog::Options LoneReplica(const std::string& folder,
+                              storage::FileOpsPtr files = FilesWithoutSync()) {
+  return {folder, "127.0.0.1:1", true, std::move(files), base::Duration::zero()};
+}
+
 OrderLog::Hooks NoOpHooks() {
   return {[](const auto&) {}, [](const auto&) {}, [](const auto&, const auto&) {}};
 }
@@ -70,6 +85,22 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against a system of fewer replicas that never accepts an order, and against one that
+// accepts orders before the other replicas have had time to join.
+Test(order_log, accepts_orders_of_a_lone_replica_after_the_formation_time) {
+  const std::string folder = MakeFolder();
+  auto options = LoneReplica(folder);
+  // Longer than the election of a single replica.
+  options.formation_time = std::chrono::seconds(2);
+  const auto start = std::chrono::steady_clock::now();
+  auto log = OrderLog::Start(options, NoOpHooks());
+  cr_assert(log.has_value());
+  cr_expect(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
+  cr_expect(std::chrono::steady_clock::now() - start > options.formation_time);
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against a replica that belongs to no group but answers reads of the catalog.
 Test(order_log, refuses_reads_without_a_group) {
   const std::string folder = MakeFolder();
@@ -84,13 +115,13 @@
 Test(order_log, recovers_when_its_disk_can_be_written_again) {
   const std::string folder = MakeFolder();
   std::atomic<bool> full = false;
-  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
+  auto files = FilesWithoutSync();
   files->write = [&full](int file, std::uint64_t offset,
                          std::string_view bytes) -> base::Result<std::size_t> {
     if (full) return base::Fail(base::ErrorCode::kIo, "no space left on device");
     return storage::PosixFileOps()->write(file, offset, bytes);
   };
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
+  auto log = OrderLog::Start(LoneReplica(folder, files), NoOpHooks());
   cr_assert(log.has_value());
   cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
   full = true;
@@ -113,11 +144,18 @@
     if (failing.exchange(false)) throw std::bad_alloc();
     version = state.catalog_version();
   };
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, hooks);
+  std::atomic<int> opened = 0;
+  auto files = FilesWithoutSync();
+  files->lock = [&opened](int file) {
+    ++opened;
+    return storage::PosixFileOps()->lock(file);
+  };
+  auto log = OrderLog::Start(LoneReplica(folder, files), hooks);
   cr_assert(log.has_value());
   cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
   cr_expect(SubmitUntilAccepted(*log.value(), 2, std::chrono::seconds(15)));
   cr_expect(version == 2);
+  cr_expect(opened == 2);
   log.value().reset();
   std::filesystem::remove_all(folder);
 }
@@ -126,12 +164,12 @@
 Test(order_log, recovers_from_an_exception_on_the_disk_thread) {
   const std::string folder = MakeFolder();
   std::atomic<bool> failing = false;
-  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
-  files->sync = [&failing](int file) {
+  auto files = FilesWithoutSync();
+  files->sync = [&failing](int /*file*/) {
     if (failing) throw std::bad_alloc();
-    return storage::PosixFileOps()->sync(file);
+    return base::Ok();
   };
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
+  auto log = OrderLog::Start(LoneReplica(folder, files), NoOpHooks());
   cr_assert(log.has_value());
   cr_assert(SubmitUntilAccepted(*log.value(), 1, std::chrono::seconds(15)));
   failing = true;
@@ -147,16 +185,16 @@
   const std::string folder = MakeFolder();
   std::atomic<bool> failing = false;
   std::atomic<int> opened = 0;
-  auto files = std::make_shared<storage::FileOps>(*storage::PosixFileOps());
-  files->sync = [&failing](int file) -> base::Result<void> {
+  auto files = FilesWithoutSync();
+  files->sync = [&failing](int /*file*/) -> base::Result<void> {
     if (failing.exchange(false)) return base::Fail(base::ErrorCode::kIo, "input/output error");
-    return storage::PosixFileOps()->sync(file);
+    return base::Ok();
   };
   files->lock = [&opened](int file) {
     ++opened;
     return storage::PosixFileOps()->lock(file);
   };
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, files}, NoOpHooks());
+  auto log = OrderLog::Start(LoneReplica(folder, files), NoOpHooks());
   cr_assert(log.has_value());
   const auto incarnation = log.value()->incarnation();
   // The election of the single replica syncs its vote.
@@ -178,7 +216,7 @@
 // version, and the second one no longer applies once the first is committed.
 Test(order_log, applies_catalogs_that_are_submitted_at_the_same_time) {
   const std::string folder = MakeFolder();
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, NoOpHooks());
+  auto log = OrderLog::Start(LoneReplica(folder), NoOpHooks());
   cr_assert(log.has_value());
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
   while (Submit(*log.value(), orders::PutCatalog{1, "one"}).status != OrderStatus::kAccepted) {
