Decide on a block of a suspect by one rule

`SuspectTable::Check` leaves losses of owners out while another upstream has answered the request recently, `IsBlocking` counted them always. So a request that was served was published as blocked, evicted a blocked one, and was kept for the time of a block, longer than the claim of its trial.

`IsBlocking` takes the time and follows the rule of `Check`. The expiry of a report applies it at the end of a suspicion, so that a report that has expired isn't valid again once the success is no longer recent.

With the old rule the three new tests fail: `IsBlocking` returns true within 60 s of the success, the blocked request is evicted, and the report is still valid at 590,000 to 599,999 ms.

--- a/src/libs/node/control_node_suspects.cpp
+++ b/src/libs/node/control_node_suspects.cpp
@@ -20,9 +20,10 @@
 // Most requests that were running when an upstream crashed did not cause the crash. So entries
 // receive only the blocked ones, and a report when a request is no longer blocked.
 void ControlNode::PublishBlockedSuspects(const std::vector<safety::SuspectReport>& changes) {
+  const auto now = base::WallNowMillis();
   cluster::Suspects published;
   for (const auto& report : changes) {
-    const bool blocks = suspects_.IsBlocking(report);
+    const bool blocks = suspects_.IsBlocking(report, now);
     const bool was_blocked = published_blocked_.contains(report.fingerprint);
     if (!blocks && !was_blocked) continue;
     published.reports.push_back(report);
@@ -40,9 +41,10 @@
 }
 
 cluster::Suspects ControlNode::BlockedSuspects() {
-  cluster::Suspects blocked{suspects_.reports(base::WallNowMillis())};
+  const auto now = base::WallNowMillis();
+  cluster::Suspects blocked{suspects_.reports(now)};
   std::erase_if(blocked.reports,
-                [this](const auto& report) { return !suspects_.IsBlocking(report); });
+                [this, now](const auto& report) { return !suspects_.IsBlocking(report, now); });
   for (const auto& report : blocked.reports) published_blocked_.insert(report.fingerprint);
   return blocked;
 }
--- a/src/libs/safety/suspect_table.cpp
+++ b/src/libs/safety/suspect_table.cpp
@@ -34,19 +34,15 @@
 CheckResult SuspectTable::Check(const Fingerprint& fingerprint, WallMillis now) {
   SuspectReport* report = Find(fingerprint, now);
   if (report == nullptr) return {};
-  // All requests that were running through a lost owner get a strike, above all the common ones. So
-  // owner losses do not count for a request that other upstreams answered recently.
-  const bool succeeded_recently = SucceededElsewhere(*report, now - limits_.recent_success_ms);
-  const std::size_t lost = CountLostUpstreams(*report, !succeeded_recently);
-  if (lost == 0) return {};
-  if (lost >= limits_.strikes_to_block) {
+  if (CountLosses(*report, now) == 0) return {};
+  if (IsBlocking(*report, now)) {
     if (now - report->renewed_at >= limits_.renewal_step_ms) {
       report->renewed_at = std::max(report->renewed_at, now);
       changed_.insert(fingerprint);
     }
     return {Action::kBlocked, {}};
   }
-  if (succeeded_recently) return {};
+  if (SucceededRecently(*report, now)) return {};
   return {Action::kTrial, TrialKeyOf(*report)};
 }
 
@@ -55,8 +51,18 @@
   return report == nullptr ? 0 : CountLostUpstreams(*report, true);
 }
 
-bool SuspectTable::IsBlocking(const SuspectReport& report) const {
-  return CountLostUpstreams(report, true) >= limits_.strikes_to_block;
+bool SuspectTable::IsBlocking(const SuspectReport& report, WallMillis now) const {
+  return CountLosses(report, now) >= limits_.strikes_to_block;
+}
+
+bool SuspectTable::SucceededRecently(const SuspectReport& report, WallMillis now) const {
+  return SucceededElsewhere(report, now - limits_.recent_success_ms);
+}
+
+// All requests that were running through a lost owner get a strike, above all the common ones. So
+// owner losses do not count for a request that other upstreams answered recently.
+std::size_t SuspectTable::CountLosses(const SuspectReport& report, WallMillis now) const {
+  return CountLostUpstreams(report, !SucceededRecently(report, now));
 }
 
 SuspectReport SuspectTable::AddStrike(const Fingerprint& fingerprint, const LostConnection& lost,
@@ -162,7 +168,10 @@
 WallMillis SuspectTable::ExpiresAt(const SuspectReport& report) const {
   WallMillis last = report.renewed_at;
   for (const Strike& strike : report.strikes) last = std::max(last, strike.at);
-  return last + (IsBlocking(report) ? limits_.block_ms : limits_.suspect_ms);
+  // Evaluated at the end of a suspicion rather than now, as a report must not expire and later be
+  // valid again when a success elsewhere is no longer recent.
+  const WallMillis suspicion_end = last + limits_.suspect_ms;
+  return IsBlocking(report, suspicion_end) ? last + limits_.block_ms : suspicion_end;
 }
 
 // Removes expired suspects. If that frees no space, evicts the suspect that expires first, or the
@@ -173,7 +182,7 @@
   });
   if (suspects_.size() < limits_.max_fingerprints || suspects_.empty()) return;
   const auto eviction_order = [&](const auto& item) {
-    return std::make_pair(IsBlocking(item.second), ExpiresAt(item.second));
+    return std::make_pair(IsBlocking(item.second, now), ExpiresAt(item.second));
   };
   const auto victim = std::min_element(
       suspects_.begin(), suspects_.end(),
--- a/src/libs/safety/suspect_table.h
+++ b/src/libs/safety/suspect_table.h
@@ -75,8 +75,8 @@
   /// Returns how many upstreams were lost while they ran a request, owner losses included.
   std::size_t LostUpstreamCount(const Fingerprint& fingerprint, WallMillis now);
 
-  /// Whether the strikes in `report` suffice to block its request.
-  bool IsBlocking(const SuspectReport& report) const;
+  /// Whether `report` blocks its request at `now`, by the rule of `Check`.
+  bool IsBlocking(const SuspectReport& report, WallMillis now) const;
 
   /// Adds a strike for a request that was running when the connection was lost. The returned report
   /// has to be sent to all entries before the caller is answered.
@@ -123,6 +123,10 @@
   /// Returns the report, or null if there is none. Removes an expired one.
   SuspectReport* Find(const Fingerprint& fingerprint, WallMillis now);
   SuspectReport& FindOrAdd(const Fingerprint& fingerprint, WallMillis now);
+  /// Whether another upstream than the lost ones answered the request recently.
+  bool SucceededRecently(const SuspectReport& report, WallMillis now) const;
+  /// The lost upstreams that count at `now`.
+  std::size_t CountLosses(const SuspectReport& report, WallMillis now) const;
   bool IsExpired(const SuspectReport& report, WallMillis now) const;
   WallMillis ExpiresAt(const SuspectReport& report) const;
   void MakeRoom(WallMillis now, const Fingerprint& keep);
--- a/tests/auto/safety/suspect_table_test.cpp
+++ b/tests/auto/safety/suspect_table_test.cpp
@@ -24,12 +24,17 @@
           {}};
 }
 
-LostConnection LostOwner(int upstream, int event) {
+LostConnection LostOwner(int upstream, int event, const std::string& session = "entry-1/7") {
   LostConnection lost = Lost(upstream, event);
-  lost.owner_session = "entry-1/7";
+  lost.owner_session = session;
   return lost;
 }
 
+void AddTwoOwnerLosses(SuspectTable& table, const Fingerprint& fingerprint, WallMillis at) {
+  table.AddStrike(fingerprint, LostOwner(1, 1, "entry-1/7"), at);
+  table.AddStrike(fingerprint, LostOwner(2, 2, "entry-2/7"), at);
+}
+
 using Steps = void (*)(SuspectTable&, const Fingerprint&);
 
 struct Case {
@@ -255,7 +260,49 @@
     cr_expect(merged.LostUpstreamCount(Numbered(1), kStart) == static_cast<std::size_t>(i));
   }
   cr_expect(merged.Check(Numbered(1), kStart).action == Action::kBlocked);
-  cr_expect(merged.IsBlocking(merged.reports(kStart).at(0)));
+  cr_expect(merged.IsBlocking(merged.reports(kStart).at(0), kStart));
+}
+
+// Guards against a request that counts as blocked, and is published as blocked, while `Check` still
+// serves it because another upstream answered it recently.
+Test(suspect_table, blocks_by_the_same_rule_as_its_checks) {
+  SuspectTable table({});
+  table.AddSuccess(Numbered(1), "upstream-3", kStart);
+  AddTwoOwnerLosses(table, Numbered(1), kStart);
+  const SuspectReport report = table.reports(kStart).at(0);
+  for (const WallMillis after : {0, 60'000, 60'001}) {
+    const WallMillis now = kStart + after;
+    const bool blocked = table.Check(Numbered(1), now).action == Action::kBlocked;
+    cr_expect(blocked == (after > 60'000));
+    cr_expect(table.IsBlocking(report, now) == blocked, "%d ms after the losses",
+              static_cast<int>(after));
+  }
+}
+
+// Guards against a block that is evicted in place of a request that is served.
+Test(suspect_table, evicts_a_served_request_before_a_blocked_one) {
+  SuspectTable table({.max_fingerprints = 2});
+  table.AddStrike(Numbered(1), Lost(1, 1), kStart);
+  table.AddStrike(Numbered(1), Lost(2, 2), kStart);
+  table.AddSuccess(Numbered(2), "upstream-3", kStart);
+  AddTwoOwnerLosses(table, Numbered(2), kStart + 10);
+  table.AddStrike(Numbered(3), Lost(1, 1), kStart + 20);
+  cr_expect(table.Check(Numbered(1), kStart + 20).action == Action::kBlocked);
+}
+
+// Guards against a suspicion that lasts as long as a block, beyond the claim of its trial, and
+// against one that expires and is then valid again.
+Test(suspect_table, keeps_a_served_request_no_longer_than_a_suspect) {
+  SuspectTable table({});
+  AddTwoOwnerLosses(table, Numbered(1), kStart);
+  SuspectReport report = table.reports(kStart).at(0);
+  safety::AddSuccess(report.successes, {"upstream-3", kStart + 535'000});
+  table.Merge(report, kStart + 535'000);
+  cr_expect(table.reports(kStart + 589'999).size() == 1);
+  for (const WallMillis after : {590'000, 595'000, 595'001, 599'999}) {
+    cr_expect(table.reports(kStart + after).empty(), "%d ms after the losses",
+              static_cast<int>(after));
+  }
 }
 
 // Guards against a broadcast for each attempt of a blocked request, and against a block that ends
