Test that a tick sees each loss of the lead

`ControlService` checks its lead at each tick, and a caller is answered while `led_term_` isn't 0 and the lease is valid. A loss of the lead and a new election between two ticks would leave the leases of the old term.

This can't occur: a message ends the lead, but an election starts only in `Tick`, and needs at least one more output or message, so that tick finds the replica without the lead and `led_term_` becomes 0. The service is unchanged except for a comment that names what it relies on.

The new test sends random messages to a replica for 1,000 seeds and more than 1,000 terms led.

--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -236,6 +236,8 @@
   RemoveExpiredOrphans();
 }
 
+// Runs at each tick. An election starts only in a tick too, so between two terms that this replica
+// leads there is a tick which resets `led_term_`, and no call is answered with it in a later term.
 void ControlService::CheckLeadership() {
   if (!log_->HasLease()) {
     const bool lost = led_term_ != 0 && log_->replica().role() != consensus::Role::kLeader;
--- a/tests/auto/consensus/election_test.cpp
+++ b/tests/auto/consensus/election_test.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <random>
 
 #include "simulation/checker.h"
 #include "single_replica.h"
@@ -26,6 +27,30 @@
   });
 }
 
+// Returns an accepting reply to the replica, or an append of a leader of a higher term.
+Message RandomMessage(const SingleReplica& single, const Replica& replica,
+                      std::mt19937_64& random) {
+  const std::string sender = random() % 2 == 0 ? "b" : "c";
+  switch (random() % 8) {
+    case 0: {
+      Message append = single.AppendFrom(sender, replica.last_index(), replica.term(), 0);
+      ++append.term;
+      return append;
+    }
+    case 1:
+    case 2:
+      return single.AckFrom(sender, replica.last_index(), single.now());
+    default: {
+      const bool pre_vote = replica.role() == Role::kPreCandidate;
+      Message reply =
+          single.From(sender, pre_vote ? MessageKind::kPreVoteReply : MessageKind::kVoteReply);
+      reply.accepted = true;
+      if (pre_vote) ++reply.term;
+      return reply;
+    }
+  }
+}
+
 }  // namespace
 
 // Guards against a vote that elects a second leader while the first one's lease is valid.
@@ -134,3 +159,31 @@
               voter.incarnation);
   }
 }
+
+// Guards against a leader that is elected in a later term without a tick in between that finds it
+// without the lead: `controller::ControlService` sets the leases of the sessions at its ticks, and
+// would answer with those of the earlier term.
+Test(election, a_tick_sees_the_loss_of_the_lead_before_the_next_term_is_led) {
+  int terms_led = 0;
+  for (std::uint64_t seed = 0; seed < 1'000; ++seed) {
+    std::mt19937_64 random(seed);
+    SingleReplica single;
+    Replica& replica = single.replica();
+    std::uint64_t led_term = 0;
+    for (int step = 0; step < 400; ++step) {
+      single.Step(RandomMessage(single, replica, random));
+      if (random() % 2 == 0) single.DrainOutputs();
+      const bool leads = replica.HasLease(single.now());
+      cr_assert(!leads || led_term == 0 || led_term == replica.term(), "seed %d, step %d",
+                static_cast<int>(seed), step);
+      if (random() % 4 != 0) continue;
+      single.Advance(static_cast<std::int64_t>(random() % 1'500));
+      if (random() % 2 == 0) single.DrainOutputs();
+      if (replica.role() != Role::kLeader) led_term = 0;
+      if (!replica.HasLease(single.now()) || led_term == replica.term()) continue;
+      led_term = replica.term();
+      ++terms_led;
+    }
+  }
+  cr_expect(terms_led > 1'000, "%d terms led", terms_led);
+}
