--- a/src/libs/node/order_log.cpp
+++ b/src/libs/node/order_log.cpp
@@ -63,8 +63,10 @@
   incarnation_ = disk.incarnation();
   auto driver_options = replica::LogDriver::DefaultOptions();
   driver_options.heartbeat_interval = kHeartbeatInterval;
+  state_failure_.reset();
   BOOST_OUTCOME_TRY(driver, replica::LogDriver::Create(self_, std::move(driver_options),
                                                        std::move(disk), DriverHooks()));
+  if (state_failure_) return *state_failure_;
   driver_ = std::move(driver);
   return base::Ok();
 }
@@ -95,7 +97,14 @@
 
 void OrderLog::Restore(const std::string& snapshot) {
   auto state = orders::OrderState::DecodeSnapshot(snapshot);
-  if (!state) return logging::Write(Level::kError, "snapshot_unreadable", state.error().message);
+  if (!state) {
+    state_failure_ =
+        base::Error{state.error().code, "the snapshot can't be read: " + state.error().message};
+    logging::Write(Level::kError, "snapshot_unreadable", state_failure_->message);
+    // `OpenDriver` returns the error of the snapshot on this disk.
+    if (driver_) driver_->Halt(*state_failure_);
+    return;
+  }
   state_ = std::move(state.value());
   hooks_.changed(state_);
 }
--- a/src/libs/node/order_log.h
+++ b/src/libs/node/order_log.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,7 @@
 
   /// Recovers from the folder and starts the thread. Fails as `replica::ReplicaDisk::InitGroup`,
   /// except when the group exists already, `replica::ReplicaDisk::Open` and
-  /// `replica::LogDriver::Create` do.
+  /// `replica::LogDriver::Create` do, and with `kCorrupt` if the snapshot can't be read.
   static base::Result<std::unique_ptr<OrderLog>> Start(const Options& options, Hooks hooks);
   ~OrderLog();
   OrderLog(const OrderLog&) = delete;
@@ -84,6 +85,8 @@
   replica::LogDriver::Hooks DriverHooks();
   void Tick();
   void Apply(std::uint64_t index, const std::string& data);
+  /// Replaces the state by a snapshot. Halts the driver if the snapshot can't be read, as this
+  /// replica would otherwise go on with another state than its group.
   void Restore(const std::string& snapshot);
   static std::function<void(const base::Result<void>&)> ReplyToProposal(const OrderCallback& done);
   void ProposeCatalog(const std::shared_ptr<const orders::PutCatalog>& put,
@@ -103,6 +106,8 @@
   std::atomic<std::uint64_t> incarnation_ = 0;
   base::MonotonicTime started_at_;
   base::EventLoop loop_;
+  /// Why the snapshot of the present driver, or of the one that is being created, can't be read.
+  std::optional<base::Error> state_failure_;
   /// Null after a disk error or an exception, until the disk is opened again.
   std::unique_ptr<replica::LogDriver> driver_;
   base::MonotonicTime reopen_due_;
--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -10,7 +10,10 @@
 #include <new>
 #include <thread>
 
+#include "consensus/membership.h"
+#include "consensus/message.h"
 #include "node/state_cache.h"
+#include "replica/replica_disk.h"
 
 namespace {
 
@@ -51,6 +54,31 @@
   return false;
 }
 
+constexpr const char* kSelf = "127.0.0.1:1";
+constexpr const char* kOther = "127.0.0.1:2";
+
+/// Stores a snapshot of index 1 in the folder of a group with `kSelf` as its only member.
+void StoreSnapshot(const std::string& folder, const std::string& data) {
+  cr_assert(replica::ReplicaDisk::InitGroup(folder, kSelf, {kSelf}));
+  consensus::SyncBatch batch;
+  batch.hard_state = consensus::HardState{1, {}};
+  batch.snapshot = consensus::Snapshot{
+      1, 1, consensus::Membership({{{kSelf, 1}, consensus::MemberRole::kVoter}}),
+      std::make_shared<const std::string>(data)};
+  batch.drop_log = true;
+  auto disk = replica::ReplicaDisk::Open(folder, kSelf, 1);
+  cr_assert(disk && disk.value().Write(batch));
+}
+
+consensus::Message MessageFromOther(consensus::MessageKind kind) {
+  consensus::Message message;
+  message.kind = kind;
+  message.from = {kOther, 1};
+  message.to = {kSelf, 1};
+  message.term = 2;
+  return message;
+}
+
 }  // namespace
 
 // Guards against acknowledging an order that only one disk holds, while the other replicas have not
@@ -142,6 +170,48 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against a replica that starts without the catalog in its snapshot and answers as if there
+// were none.
+Test(order_log, does_not_start_from_a_snapshot_that_it_cannot_read) {
+  const std::string folder = MakeFolder();
+  StoreSnapshot(folder, "no state");
+  const auto log = OrderLog::Start({folder, kSelf, true}, NoOpHooks());
+  cr_assert(!log.has_value());
+  cr_expect(log.error().message.starts_with("the snapshot can't be read: "), "%s",
+            log.error().message.c_str());
+  std::filesystem::remove_all(folder);
+}
+
+// Guards against a replica that can't read the snapshot which its leader sent and goes on with its
+// old state.
+Test(order_log, stops_at_a_snapshot_of_the_leader_that_it_cannot_read) {
+  const std::string folder = MakeFolder();
+  cr_assert(replica::ReplicaDisk::InitGroup(folder, kSelf, {kSelf, kOther}));
+  auto log = OrderLog::Start({folder, kSelf, false}, NoOpHooks());
+  cr_assert(log.has_value());
+  const auto heartbeat = MessageFromOther(consensus::MessageKind::kAppend);
+  log.value()->Step({heartbeat});
+  cr_assert(Read(*log.value()).redirect == kOther);
+  auto message = MessageFromOther(consensus::MessageKind::kSnapshot);
+  message.chunk = {5, 2,          R"([{"name":"127.0.0.1:1","incarnation":1,"role":"voter"},
+                             {"name":"127.0.0.1:2","incarnation":1,"role":"voter"}])",
+                   0, "no state", true};
+  log.value()->Step({message});
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!Read(*log.value()).redirect.empty() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    log.value()->Step({heartbeat});
+  }
+  // Longer than the time until the log opens its disk again, which holds the snapshot.
+  for (int i = 0; i < 75; ++i) {
+    log.value()->Step({heartbeat});
+    cr_assert(Read(*log.value()).redirect.empty(), "the replica follows its leader");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  log.value().reset();
+  std::filesystem::remove_all(folder);
+}
+
 // Guards against a data race on the incarnation while the log opens a failed disk again.
 Test(order_log, tells_its_incarnation_while_it_opens_its_disk_again) {
   const std::string folder = MakeFolder();
