Report what the claim service can't read or copy

`ClaimService` ignored three errors without a log line. An answer that couldn't be read from the claim log was replayed as an empty one. A rewrite of the log dropped records that it couldn't read, so their requests could run a second time. A replica that could copy from no other stayed unready for no visible reason.

The claim of an unreadable answer now counts as held, so that another replica may return the answer, and the error is logged. A rewrite keeps and logs an unreadable record. The first failure to copy from each replica is logged, and again after a success.

`LogDriver::HandleMembershipEntry` stays: `consensus::Log::Append` refuses an entry whose membership can't be parsed, so none is committed.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using base::Result;
+using logging::Level;
 
 constexpr std::size_t kKeysPerPage = 2'000;
 /// Expiry scans all keys, so it runs rarely; an access to a key checks that key's expiry itself.
@@ -111,7 +112,7 @@
 
 void ClaimService::HandleLogFailure(const base::Error& error) {
   failure_ = error;
-  logging::Write(logging::Level::kError, "claim_log_failed",
+  logging::Write(Level::kError, "claim_log_failed",
                  error.message + "; claims are refused until a restart");
 }
 
@@ -143,11 +144,21 @@
   }
 }
 
-void ClaimService::ReadAnswer(std::uint64_t position, std::string& answer) {
-  if (position == claims::kNoPosition) return;
-  const auto bytes = log_.Read(position);
-  rpc::ClaimRecord wire;
-  if (bytes && wire.ParseFromString(bytes.value())) answer = wire.answer();
+bool ClaimService::ReadAnswer(std::uint64_t position, std::string& answer) {
+  if (position == claims::kNoPosition) return true;
+  const auto record = ReadRecord(position);
+  if (record) {
+    answer = record.value().answer;
+    return true;
+  }
+  logging::Write(Level::kError, "answer_unreadable", record.error().message,
+                 {{"offset", std::to_string(position)}});
+  return false;
+}
+
+Result<claims::Record> ClaimService::ReadRecord(std::uint64_t position) {
+  BOOST_OUTCOME_TRY(bytes, log_.Read(position));
+  return DecodeRecord(bytes);
 }
 
 void ClaimService::Claim(const rpc::ClaimRequest& request,
@@ -155,7 +166,10 @@
   const auto claim = rpc::FromWire(request);
   if (!claim) return done(boost::outcome_v2::failure(claim.error()));
   auto outcome = store_.Claim(claim.value(), base::WallNowMillis());
-  ReadAnswer(outcome.reply.answer_position, outcome.reply.answer);
+  // Without the answer the claim only counts as held, so that another replica may still return it.
+  if (!ReadAnswer(outcome.reply.answer_position, outcome.reply.answer)) {
+    outcome.reply.status = claims::ClaimStatus::kHeld;
+  }
   ReplyAfterSync(outcome.mutation,
                  [done, reply = rpc::ToWire(outcome.reply)](const Result<void>& ok) {
                    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
@@ -219,10 +233,14 @@
                      [&](const claims::Record& record) { live.insert(IdentityOf(record)); });
   std::map<std::uint64_t, claims::Record> answers;
   const auto is_live = [&](std::uint64_t offset, std::string_view bytes) {
-    rpc::ClaimRecord wire;
-    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
-    const auto record = rpc::FromWire(wire);
-    if (!record || !live.contains(IdentityOf(record.value()))) return false;
+    const auto record = DecodeRecord(std::string(bytes));
+    if (!record) {
+      // Kept, as its request could run a second time without it.
+      logging::Write(Level::kError, "claim_unreadable", record.error().message,
+                     {{"offset", std::to_string(offset)}});
+      return true;
+    }
+    if (!live.contains(IdentityOf(record.value()))) return false;
     if (!record.value().answer.empty()) answers[offset] = record.value();
     return true;
   };
@@ -247,15 +265,24 @@
   if (source == store_.identity().index || source >= peers_.size()) return;
   const auto request = copy_->NextRequest(source);
   if (!request) return;
-  peers_[source]->Copy(rpc::ToWire(*request), kCopyTimeout, [this](Result<rpc::CopyReply> reply) {
-    loop_.TryPost([this, reply = std::move(reply)] { HandlePage(reply); });
-  });
+  peers_[source]->Copy(
+      rpc::ToWire(*request), kCopyTimeout, [this, source](Result<rpc::CopyReply> reply) {
+        loop_.TryPost([this, source, reply = std::move(reply)] { HandlePage(source, reply); });
+      });
+}
+
+void ClaimService::HandleCopyFailure(claims::ReplicaIndex source, const base::Error& error) {
+  if (!failed_sources_.insert(source).second) return;
+  logging::Write(Level::kWarning, "claim_copy_failed", error.message,
+                 {{"replica", options_.replicas.at(source)}});
 }
 
-void ClaimService::HandlePage(const Result<rpc::CopyReply>& reply) {
-  if (!reply || !copy_) return;
+void ClaimService::HandlePage(claims::ReplicaIndex source, const Result<rpc::CopyReply>& reply) {
+  if (!copy_) return;
+  if (!reply) return HandleCopyFailure(source, reply.error());
   const auto page = rpc::FromWire(reply.value());
-  if (!page) return;
+  if (!page) return HandleCopyFailure(source, page.error());
+  failed_sources_.erase(source);
   const auto records = copy_->ApplyPage(page.value(), store_, base::WallNowMillis());
   for (const auto& record : records) Store(record);
   Flush();
--- a/src/libs/controller/claim_service.h
+++ b/src/libs/controller/claim_service.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,11 +79,16 @@
   void ReplyAfterSync(const claims::Mutation& mutation,
                       std::function<void(base::Result<void>)> reply);
   void Flush();
-  void ReadAnswer(std::uint64_t position, std::string& answer);
+  /// Reads the answer at `position` from the claim log; returns false, and logs the error, if it
+  /// can't be read. Without a position there is nothing to read.
+  bool ReadAnswer(std::uint64_t position, std::string& answer);
+  base::Result<claims::Record> ReadRecord(std::uint64_t position);
   void CompactWhenDue();
   void ContinueCopy();
   void RequestPage(claims::ReplicaIndex source);
-  void HandlePage(const base::Result<rpc::CopyReply>& reply);
+  void HandlePage(claims::ReplicaIndex source, const base::Result<rpc::CopyReply>& reply);
+  /// Logs the first of several failures in a row to copy from `source`.
+  void HandleCopyFailure(claims::ReplicaIndex source, const base::Error& error);
 
   ControllerOptions options_;
   storage::ClaimLog log_;
@@ -90,6 +96,8 @@
   claims::CopySource source_;
   std::optional<claims::ReplicaCopy> copy_;
   std::vector<std::unique_ptr<rpc::Client>> peers_;
+  /// Replicas from which the last page could not be copied.
+  std::set<claims::ReplicaIndex> failed_sources_;
   base::EventLoop& loop_;
   timeline::EventRing& events_;
   std::vector<PendingReply> pending_replies_;
