Log the fault that stops the log of the control service

A replica whose log stops for a fault of the consensus, such as two leaders in one term, refused its calls from then on without a log line. The service now writes the fault once, as `OrderLog` does.

--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -230,12 +230,21 @@
 
 void ControlService::Tick() {
   log_->Tick();
+  LogFault();
   CheckLeadership();
   if (led_term_ == 0) return;
   CloseExpired();
   RemoveExpiredOrphans();
 }
 
+void ControlService::LogFault() {
+  const auto& fault = log_->replica().fault();
+  if (!fault || fault_logged_) return;
+  fault_logged_ = true;
+  logging::Write(logging::Level::kError, "log_stopped",
+                 fault->message + "; this replica takes no part in its group until a restart");
+}
+
 // Runs at each tick. An election starts only in a tick too, so between two terms that this replica
 // leads there is a tick which resets `led_term_`, and no call is answered with it in a later term.
 void ControlService::CheckLeadership() {
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -83,6 +83,8 @@
   template <typename Outcome>
   void Propose(const control::Command& command, std::function<void(base::Result<Outcome>)> done);
   void HandleMembership(const consensus::Membership& members);
+  /// Logs the error that stopped the log, once.
+  void LogFault();
   void CheckLeadership();
   void CloseExpired();
   void RemoveExpiredOrphans();
@@ -100,6 +102,7 @@
   timeline::EventRing& events_;
   std::string self_;
   std::unique_ptr<replica::LogDriver> log_;
+  bool fault_logged_ = false;
   /// Why the snapshot can't be read.
   std::optional<base::Error> state_failure_;
   control::ControlState state_;
--- a/tests/auto/controller/control_service_fixture.h
+++ b/tests/auto/controller/control_service_fixture.h
@@ -31,6 +31,8 @@
   /// Stores a snapshot of index 1 and term 1 that holds `data`.
   void StoreSnapshot(const std::string& data) const;
   replica::ReplicaDisk Open() const;
+  /// Path of the folder that contains the data folder.
+  const std::string& path() const { return root_; }
 
  private:
   std::string root_;
--- a/tests/auto/controller/control_service_test.cpp
+++ b/tests/auto/controller/control_service_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "control/control_state.h"
 #include "control_service_fixture.h"
 #include "controller/message_codec.h"
+#include "logging/log.h"
 
 namespace {
 
@@ -43,6 +45,15 @@
   return message;
 }
 
+int CountLines(const std::string& path, const std::string& text) {
+  std::ifstream file(path);
+  int lines = 0;
+  for (std::string line; std::getline(file, line);) {
+    if (line.find(text) != std::string::npos) ++lines;
+  }
+  return lines;
+}
+
 }  // namespace
 
 // Guards against a committed bundle that can't be read and yet counts as accepted: its version
@@ -97,3 +108,29 @@
   }
   cr_expect(service.Renew().leader_address().empty(), "the replica still follows its leader");
 }
+
+// Guards against a replica that has stopped for a fault of the consensus, such as two leaders in
+// one term, while no log line says so.
+Test(control_service, logs_the_fault_that_stopped_its_log) {
+  const std::vector<std::string> members{controller_test::kSelf, controller_test::kOther,
+                                         "127.0.0.1:3"};
+  const ReplicaFolder folder(members);
+  const std::string lines_path = folder.path() + "/lines";
+  cr_assert(logging::Start({"vm", "dc", lines_path, false}).has_value());
+  ControlServiceRunner service(folder, members);
+  rpc::ConsensusBatch batch;
+  for (const auto& leader : {members[1], members[2]}) {
+    auto message = MessageFromOther(consensus::MessageKind::kAppend);
+    message.from.name = leader;
+    *batch.add_messages() = controller::ToWire(message);
+  }
+  service.Deliver(batch);
+  const auto end = base::MonotonicNow() + std::chrono::seconds(5);
+  while (CountLines(lines_path, "two leaders in term 2") == 0 && base::MonotonicNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  // Enough time for several more ticks.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const int lines = CountLines(lines_path, "two leaders in term 2");
+  cr_expect(lines == 1, "%d lines", lines);
+}
