Bound the times of claims that other processes send

A claim whose deadline plus the clock skew doesn't fit in 64 bits was refused as expired, a held one counted as past its deadline, and a refusal at such a time didn't refuse earlier attempts. A copied record with a time in the far future stayed in its table, or among the tombstones, until that time.

These sums saturate now (`base::SaturatedSum`), and a copied record is taken to be made no later than its copy.

The rows and the test that are new failed before: `expired` in place of `accepted`, `may_have_run` in place of `in_progress`, and a copied claim that wasn't held.

--- a/src/libs/claims/claim_round.cpp
+++ b/src/libs/claims/claim_round.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/enum_names.h"
+#include "base/saturated_sum.h"
 
 namespace wagtailpick::claims {
 namespace {
@@ -107,7 +108,8 @@
   for (ReplicaIndex replica = 0; replica < replicas_; ++replica) {
     if (votes_[replica].vote != Vote::kHeld) continue;
     held = true;
-    running = running || now <= votes_[replica].holder_deadline + kMaxClockSkewMs;
+    running =
+        running || now <= base::SaturatedSum(votes_[replica].holder_deadline, kMaxClockSkewMs);
   }
   if (running) return Refuse(RoundResult::kInProgress, base::Verdict::kMayHaveRun);
   if (held) return Refuse(RoundResult::kMayHaveRun, base::Verdict::kMayHaveRun);
--- a/src/libs/claims/claim_store.cpp
+++ b/src/libs/claims/claim_store.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/saturated_sum.h"
+
 namespace wagtailpick::claims {
 namespace {
 
@@ -73,7 +75,7 @@
   if (!ready_) return ClaimStatus::kCopying;
   if (tombstones_.Contains(request.attempt)) return ClaimStatus::kReleased;
   if (tombstones_.IsRefused(request.key, request.started_at)) return ClaimStatus::kReleased;
-  if (request.deadline + kMaxClockSkewMs < now) return ClaimStatus::kExpired;
+  if (base::SaturatedSum(request.deadline, kMaxClockSkewMs) < now) return ClaimStatus::kExpired;
   return ClaimStatus::kAccepted;
 }
 
@@ -150,6 +152,9 @@
 
 Mutation ClaimStore::ApplyCopied(Record record, WallMillis now) {
   now = Advance(now);
+  // A claim isn't made later than it is copied. A time far in the future would keep its record, and
+  // all tombstones after it, for as long.
+  record.claimed_at = std::clamp<WallMillis>(record.claimed_at, 0, now);
   // The position refers to the disk of the source.
   record.answer_position = kNoPosition;
   if (!Apply(record, now)) return {};
--- a/src/libs/claims/claim_table.cpp
+++ b/src/libs/claims/claim_table.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "base/saturated_sum.h"
+
 namespace wagtailpick::claims {
 namespace {
 
@@ -16,8 +18,9 @@
   claim.attempt = record.attempt;
   claim.claimed_at = record.claimed_at;
   claim.answer_position = record.answer_position;
-  claim.deadline_after_ms = static_cast<std::uint32_t>(std::clamp<WallMillis>(
-      record.deadline - record.claimed_at, 0, std::numeric_limits<std::uint32_t>::max()));
+  claim.deadline_after_ms = static_cast<std::uint32_t>(
+      std::clamp<WallMillis>(base::SaturatedSum(record.deadline, -record.claimed_at), 0,
+                             std::numeric_limits<std::uint32_t>::max()));
   if (record.kind != RecordKind::kCompleted) return claim;
   claim.state = !record.answer_kept                     ? ClaimState::kAnswerNotKept
                 : record.answer_position == kNoPosition ? ClaimState::kAnswerPending
--- a/src/libs/claims/tombstones.cpp
+++ b/src/libs/claims/tombstones.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/saturated_sum.h"
+
 namespace wagtailpick::claims {
 
 void Tombstones::Add(const Record& release, WallMillis now) {
@@ -26,7 +28,8 @@
 
 bool Tombstones::IsRefused(const KeyDigest& key, WallMillis started_at) const {
   const auto found = refused_.find(key);
-  return found != refused_.end() && started_at <= found->second + kMaxClockSkewMs;
+  return found != refused_.end() &&
+         started_at <= base::SaturatedSum(found->second, kMaxClockSkewMs);
 }
 
 void Tombstones::AppendRecords(WallMillis now, std::vector<Record>& out) const {
--- a/tests/auto/claims/claim_round_test.cpp
+++ b/tests/auto/claims/claim_round_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <limits>
 #include <sstream>
 #include <string>
 
@@ -20,14 +21,16 @@
   reply.attempt = Filled<AttemptId>(1);
   reply.holder = Filled<AttemptId>(2);
   reply.holder_body = Filled<BodyDigest>(kind == 'd' || kind == 'C' ? 2 : 1);
-  reply.holder_deadline = kind == 'o' ? kNow - 101 : kNow - 99;
+  reply.holder_deadline = kind == 'o'   ? kNow - 101
+                          : kind == 'm' ? std::numeric_limits<WallMillis>::max()
+                                        : kNow - 99;
   reply.answer = "paid";
-  reply.status = kind == 'a'                                 ? ClaimStatus::kAccepted
-                 : kind == 'h' || kind == 'o' || kind == 'd' ? ClaimStatus::kHeld
-                 : kind == 'c' || kind == 'C'                ? ClaimStatus::kCompleted
-                 : kind == 'n'                               ? ClaimStatus::kAnswerNotKept
-                 : kind == 'f'                               ? ClaimStatus::kFull
-                                                             : ClaimStatus::kCopying;
+  reply.status = kind == 'a'                                                ? ClaimStatus::kAccepted
+                 : kind == 'h' || kind == 'o' || kind == 'm' || kind == 'd' ? ClaimStatus::kHeld
+                 : kind == 'c' || kind == 'C' ? ClaimStatus::kCompleted
+                 : kind == 'n'                ? ClaimStatus::kAnswerNotKept
+                 : kind == 'f'                ? ClaimStatus::kFull
+                                              : ClaimStatus::kCopying;
   return reply;
 }
 
@@ -38,6 +41,7 @@
 ///   o  held, deadline has passed  n  completed, answer not kept
 ///   d  held, with another body    f  full
 ///   l  lost                       y  copying
+///   m  held, with the latest deadline that fits
 /// "t" is the timeout of the round.
 std::string RunSteps(std::size_t replicas, const std::string& script) {
   ClaimRound round(replicas, SampleClaim(1, 1), {});
@@ -76,6 +80,8 @@
     {"two winners of 5", 5, "0a 1a 2h 3h 4h", "in_progress"},
     {"no decision when no attempt gets a majority", 5, "0a 1a 2h 3h 4l", "in_progress"},
     {"\"in progress\" after the deadline", 3, "0a 1o 2o", "may_have_run"},
+    {"\"may have run\" as the deadline plus the clock skew does not fit", 3, "0a 1m 2m",
+     "in_progress"},
     {"a decision before the stored answer arrives", 3, "1o 2o 0c", "replay"},
     {"waiting for a stored answer after the timeout", 3, "1o 2o t", "may_have_run"},
     {"a stored answer that needs a majority", 3, "2c", "replay"},
--- a/tests/auto/claims/claim_store_test.cpp
+++ b/tests/auto/claims/claim_store_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,13 @@
   return request;
 }
 
+constexpr WallMillis kLatest = std::numeric_limits<WallMillis>::max();
+
+ClaimRequest WithDeadline(ClaimRequest request, WallMillis deadline) {
+  request.deadline = deadline;
+  return request;
+}
+
 struct Case {
   const char* guards_against;
   void (*before)(Disk&);
@@ -126,6 +134,14 @@
     {"a claim that is dropped before the retention time",
      [](Disk& d) { d.Claim(SampleClaim(1, 1)); },
      DelayedBy(SampleClaim(1, 2), 9'999), 9'999, ClaimStatus::kHeld},
+    {"refusing a claim whose deadline plus the clock skew does not fit", [](Disk&) {},
+     WithDeadline(SampleClaim(1, 1), kLatest), 0, ClaimStatus::kAccepted},
+    {"an earlier attempt that runs as the time of a refusal plus the clock skew does not fit",
+     [](Disk& d) {
+       d.Claim(SampleClaim(1, 1));
+       d.Release(SampleClaim(1, 1), kLatest);
+     },
+     SampleClaim(1, 2), 0, ClaimStatus::kReleased},
     {"freeing a key when there is no room for its tombstone",
      [](Disk& d) {
        d.Claim(SampleClaim(1, 1));
@@ -183,6 +199,36 @@
   cr_assert(store.Claim(SampleClaim(1, 2), kStart).reply.answer_position == 7);
 }
 
+// Guards against a copied record with a time that was never, which holds its key or its place among
+// the tombstones for ever, or whose deadline is lost.
+Test(claim_store, copied_records_expire_whatever_their_times_are) {
+  for (const WallMillis claimed_at : {std::numeric_limits<WallMillis>::min(), kStart, kLatest}) {
+    Disk disk;
+    Record claim;
+    claim.key = Filled<KeyDigest>(1);
+    claim.attempt = Filled<AttemptId>(1);
+    claim.claimed_at = claimed_at;
+    claim.deadline = kLatest;
+    disk.store.ApplyCopied(claim, kStart);
+    Record release;
+    release.kind = RecordKind::kReleased;
+    release.key = Filled<KeyDigest>(2);
+    release.claimed_at = claimed_at;
+    for (int attempt = 2; attempt <= 4; ++attempt) {
+      release.attempt = Filled<AttemptId>(attempt);
+      disk.store.ApplyCopied(release, kStart);
+    }
+    const ClaimOutcome outcome = disk.store.Claim(SampleClaim(1, 5), kStart);
+    if (claimed_at >= kStart) {
+      cr_expect(outcome.reply.status == ClaimStatus::kHeld);
+      cr_expect(outcome.reply.holder_deadline > kStart);
+    }
+    const ClaimRequest later = DelayedBy(SampleClaim(1, 6), 10'000);
+    cr_expect(disk.Claim(later, 10'000) == ClaimStatus::kAccepted);
+    cr_expect(disk.store.Release(SampleRelease(later), kStart + 10'000).applied);
+  }
+}
+
 // Guards against trials that use up the capacity for requests or are kept longer than their
 // retention time.
 Test(claim_store, trials_have_a_separate_table) {
