--- a/src/libs/control/command_codec.cpp
+++ b/src/libs/control/command_codec.cpp
@@ -1,5 +1,6 @@
 #include "control/command_codec.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "base/cbor_check.h"
@@ -57,9 +58,14 @@
   return Row(CommandType::kRegisterReplica, command.replica, command.nonce);
 }
 
+[[noreturn]] void ThrowUnknownType(const json& row) {
+  throw json::other_error::create(599, "unknown command type", &row);
+}
+
 Command FromRow(const json& row) {
-  const auto type = static_cast<CommandType>(UnsignedFrom(row.at(0)));
-  switch (type) {
+  const std::uint64_t type = UnsignedFrom(row.at(0));
+  if (type > std::numeric_limits<std::uint8_t>::max()) ThrowUnknownType(row);
+  switch (static_cast<CommandType>(type)) {
     case CommandType::kAcceptBundle:
       return AcceptBundle{UnsignedFrom(row.at(1)), row.at(2).get<std::string>(),
                           BytesFrom(row.at(3)), DeadlinesFrom(row.at(4))};
@@ -78,7 +84,7 @@
     case CommandType::kRegisterReplica:
       return RegisterReplica{row.at(1).get<std::string>(), row.at(2).get<std::string>()};
   }
-  throw json::other_error::create(599, "unknown command type", &row);
+  ThrowUnknownType(row);
 }
 
 }  // namespace
--- a/src/libs/control/row_codec.cpp
+++ b/src/libs/control/row_codec.cpp
@@ -75,8 +75,11 @@
   std::vector<ServiceDeadline> deadlines;
   for (const auto& row : rows) {
     ExpectRow(row, 2);
-    deadlines.push_back(
-        {row[0].get<std::string>(), static_cast<std::uint32_t>(UnsignedFrom(row[1]))});
+    const std::uint64_t deadline_ms = UnsignedFrom(row[1]);
+    if (deadline_ms > std::numeric_limits<std::uint32_t>::max()) {
+      ThrowRowError("deadline out of range", row);
+    }
+    deadlines.push_back({row[0].get<std::string>(), static_cast<std::uint32_t>(deadline_ms)});
   }
   return deadlines;
 }
--- a/tests/auto/control/command_codec_test.cpp
+++ b/tests/auto/control/command_codec_test.cpp
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
 #include "hostile_cbor.h"
 
 using wagtailpick::base::ErrorCode;
@@ -23,6 +27,23 @@
   }
 }
 
+// Guards against a value that is decoded as another one as only its lowest bits are kept.
+Test(command_codec, refuses_values_that_do_not_fit) {
+  const AcceptBundle bundle{7, "digest", "bytes", {{"payment", 2'000}}};
+  const auto row = nlohmann::json::from_cbor(EncodeCommand(bundle));
+  const auto decode = [](const nlohmann::json& changed) {
+    const auto bytes = nlohmann::json::to_cbor(changed);
+    return DecodeCommand(std::string(bytes.begin(), bytes.end()));
+  };
+  cr_assert(std::get<AcceptBundle>(decode(row).value()) == bundle);
+  auto deadline = row;
+  deadline[4][0][1] = (std::uint64_t{1} << 32U) + 2'000;
+  cr_expect(!decode(deadline));
+  auto type = row;
+  type[0] = type[0].get<std::uint64_t>() + 256;
+  cr_expect(!decode(type));
+}
+
 // Guards against bytes of another process that overflow the stack of their decoder.
 Test(command_codec, refuses_deep_nesting) {
   for (const auto& bytes : DeeplyNestedCbor()) {
