Share the message mutator with the tests of all libraries

Cause: MessageMutator stood in the tests of platform and changed text only: no flipped bits, random parts or binary numbers at their limits. The number fields and limit values stood in test_cluster.

Change: tests/auto/testing holds the mutator, its settings from the environment and the number fields. The mutator also flips bits, inserts random parts and overwrites 1 to 8 bytes with the limits of binary numbers. No check changed; a seed gives other changes than before.

Conclusion: groundwork for generators of the other decoders.

--- a/tests/auto/cluster/hostile_message_test.cpp
+++ b/tests/auto/cluster/hostile_message_test.cpp
@@ -7,15 +7,17 @@
 #include <vector>
 
 #include "cluster/message_codec.h"
-#include "message_mutator.h"
-#include "mutation_settings.h"
+#include "testing/message_mutator.h"
+#include "testing/mutation_settings.h"
+#include "testing/number_fields.h"
 
 namespace {
 
 using namespace wagtailpick;           // NOLINT(google-build-using-namespace)
 using namespace wagtailpick::cluster;  // NOLINT(google-build-using-namespace)
 using nlohmann::json;
-using platform_test::MessageMutator;
+using testing::CollectNumbers;
+using testing::MessageMutator;
 
 /// Changed messages of one run; takes about a second.
 constexpr std::uint64_t kMutations = 40'000;
@@ -59,12 +61,6 @@
 
 json FieldsOf(const std::string& frame) { return json::from_msgpack(frame.substr(1)); }
 
-void CollectNumbers(json& field, std::vector<json*>& numbers) {
-  if (field.is_number()) numbers.push_back(&field);
-  if (!field.is_array()) return;
-  for (auto& part : field) CollectNumbers(part, numbers);
-}
-
 /// Whether a number that a process has sent is the one that was read. Times are limited to 100
 /// years.
 bool IsSameNumber(const json& sent, const json& read) {
@@ -117,8 +113,7 @@
 // Guards against a number that is read as another one: 257 as state 1, -1 as 18446744073709551615,
 // and a fraction or a truth value as an integer.
 Test(hostile_message, reads_each_number_as_sent_or_refuses_it) {
-  const std::vector<json> values{-1,        257,        3,   70'000, 4'294'967'296, INT64_MIN,
-                                 INT64_MAX, UINT64_MAX, 4.5, 1e308,  -1e308,        true};
+  const auto values = testing::LimitValues();
   for (const auto& message : SampleMessages()) {
     const auto frame = Encode(message);
     json fields = FieldsOf(frame);
@@ -138,9 +133,9 @@
 // Guards against bytes of another process that end this one, and against a message that is accepted
 // and can't be sent on.
 Test(hostile_message, survives_changed_frames) {
-  MessageMutator mutator(platform_test::MutationSeed());
+  MessageMutator mutator(testing::MutationSeed());
   const auto samples = SampleMessages();
-  for (std::uint64_t i = 0; i < platform_test::MutationCount(kMutations); ++i) {
+  for (std::uint64_t i = 0; i < testing::MutationCount(kMutations); ++i) {
     const auto changed = mutator.Mutate(Encode(samples[mutator.Pick(samples.size())]));
     const auto decoded = Decode(changed);
     if (decoded) cr_expect(Decode(Encode(decoded.value())).has_value(), "message %lu", i);
--- a/tests/auto/platform/hostile_input_test.cpp
+++ b/tests/auto/platform/hostile_input_test.cpp
@@ -4,15 +4,15 @@
 
 #include "cluster/message_codec.h"
 #include "control_group.h"
-#include "message_mutator.h"
-#include "mutation_settings.h"
 #include "platform/standin_wire.h"
+#include "testing/message_mutator.h"
+#include "testing/mutation_settings.h"
 
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
 using platform_test::ControlGroup;
-using platform_test::MessageMutator;
+using testing::MessageMutator;
 
 /// Changed messages of one run.
 constexpr std::uint64_t kMutations = 1'500;
@@ -118,8 +118,8 @@
 Test(hostile_input, control_group_survives_changed_messages, .timeout = 3'600) {
   const ControlGroup group;
   cr_assert(group.CallUntilAccepted(platform::PutConfig(platform::TwoRouteConfig(1, "menu"))));
-  MessageMutator mutator(platform_test::MutationSeed());
-  const auto mutations = platform_test::MutationCount(kMutations);
+  MessageMutator mutator(testing::MutationSeed());
+  const auto mutations = testing::MutationCount(kMutations);
   for (std::uint64_t i = 0; i < mutations; ++i) {
     SendMutated(group, mutator);
     if (i % kAnnounceEvery != 0) continue;
--- a/tests/auto/platform/message_mutator.cpp
+++ b/tests/auto/testing/message_mutator.cpp
@@ -1,8 +1,8 @@
-#include "message_mutator.h"
+#include "testing/message_mutator.h"
 
 #include <array>
 
-namespace wagtailpick::platform_test {
+namespace wagtailpick::testing {
 namespace {
 
 constexpr std::size_t kLongPart = 20'000;
@@ -43,6 +43,9 @@
     kNest,
     kNumber,
     kTruncate,
+    kBit,
+    kRandomPart,
+    kBinaryNumber,
     kCount
   };
   const auto at = Pick(message.size());
@@ -72,12 +75,37 @@
     case kNumber:
       ReplaceValue(message, kNumbers.at(Pick(kNumbers.size())));
       break;
+    case kBit:
+      message[at] = static_cast<char>(message[at] ^ (1 << Pick(8)));
+      break;
+    case kRandomPart:
+      message.insert(at, RandomBytes(slice));
+      break;
+    case kBinaryNumber:
+      ReplaceBinaryNumber(message, at);
+      break;
     default:
       message.resize(at);
       break;
   }
 }
 
+std::string MessageMutator::RandomBytes(std::size_t max_size) {
+  std::string bytes(Pick(max_size + 1), 0);
+  for (char& byte : bytes) byte = static_cast<char>(Pick(256));
+  return bytes;
+}
+
+/// Overwrites 1, 2, 4 or 8 bytes with the highest or lowest number of their size, signed or not.
+void MessageMutator::ReplaceBinaryNumber(std::string& message, std::size_t at) {
+  constexpr std::array<char, 2> kFillers{0, '\xff'};
+  constexpr std::array<char, 4> kEnds{0, '\x7f', '\x80', '\xff'};
+  std::string number(std::size_t{1} << Pick(4), kFillers.at(Pick(kFillers.size())));
+  // The most significant byte: the first one in CBOR and MessagePack, the last one in frames.
+  (Pick(2) == 0 ? number.front() : number.back()) = kEnds.at(Pick(kEnds.size()));
+  message.replace(at, number.size(), number);
+}
+
 /// Replaces the value after a random colon, up to the next comma or closing bracket.
 void MessageMutator::ReplaceValue(std::string& message, const std::string& value) {
   const auto colon = message.find(':', Pick(message.size()));
@@ -87,4 +115,4 @@
   message.replace(colon + 1, end - colon - 1, value);
 }
 
-}  // namespace wagtailpick::platform_test
+}  // namespace wagtailpick::testing
--- a/tests/auto/platform/mutation_settings.h
+++ b/tests/auto/testing/mutation_settings.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <cstdlib>
 
-namespace wagtailpick::platform_test {
+namespace wagtailpick::testing {
 
 inline std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t fallback) {
   const char* text = std::getenv(name);
@@ -18,4 +18,4 @@
 /// Seed of the changes: `WAGTAILPICK_SEED`, or 1 if it is not set.
 inline std::uint64_t MutationSeed() { return NumberFromEnvironment("WAGTAILPICK_SEED", 1); }
 
-}  // namespace wagtailpick::platform_test
+}  // namespace wagtailpick::testing
