--- a/src/libs/storage/data_folder.cpp
+++ b/src/libs/storage/data_folder.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor_check.h"
+#include "base/json_number.h"
 #include "storage/record_log.h"
 
 namespace wagtailpick::storage {
@@ -22,9 +24,13 @@
 };
 
 Result<Marker> DecodeMarker(const std::string& path, std::string_view record) {
+  const auto checked = base::CheckCbor(record);
+  if (!checked) {
+    return Fail(ErrorCode::kCorrupt, path + " cannot be read: " + checked.error().message);
+  }
   try {
     const json row = json::from_cbor(record.begin(), record.end());
-    return Marker{row.at(0).get<std::string>(), row.at(1).get<std::uint64_t>(),
+    return Marker{row.at(0).get<std::string>(), base::IntegerFrom<std::uint64_t>(row.at(1)),
                   row.at(2).get<bool>()};
   } catch (const json::exception& error) {
     return Fail(ErrorCode::kCorrupt, path + " cannot be read: " + error.what());
--- a/src/libs/storage/snapshot_store.cpp
+++ b/src/libs/storage/snapshot_store.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor_check.h"
+#include "base/json_number.h"
 #include "storage/file.h"
 #include "storage/record_format.h"
 
@@ -32,11 +34,13 @@
 }
 
 Result<Snapshot> Decode(std::string_view record) {
+  BOOST_OUTCOME_TRY(base::CheckCbor(record));
   try {
     const json row = json::from_cbor(record.begin(), record.end());
-    return Snapshot{{row.at(0).get<std::uint64_t>(), row.at(1).get<std::uint64_t>()},
-                    FromBinary(row.at(2)),
-                    FromBinary(row.at(3))};
+    return Snapshot{
+        {base::IntegerFrom<std::uint64_t>(row.at(0)), base::IntegerFrom<std::uint64_t>(row.at(1))},
+        FromBinary(row.at(2)),
+        FromBinary(row.at(3))};
   } catch (const json::exception& error) {
     return Fail(ErrorCode::kCorrupt, std::string("snapshot cannot be decoded: ") + error.what());
   }
