Make the header fields of answers well-formed

Cause: the HTTP parser accepts a space before the colon of a field, and a control character as the first byte of a value. Requests with such fields are refused; answers were passed on with them. With "Transfer-Encoding : chunked" in an answer, the caller got that field beside a Content-Length, and a NUL in a value reached the caller.

Change: http::MakeWellFormed removes the spaces, replaces control characters by spaces and drops a field whose name is still no token.

--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -105,6 +105,7 @@
   headers_complete_ = true;
   keep_alive_ = http_should_keep_alive(&parser_) != 0;
   if (kind_ == Kind::kResponse) {
+    http::MakeWellFormed(response_.headers);
     response_.status = static_cast<int>(parser_.status_code);
     if (head_ || HasNoBody(response_.status)) return head_ ? kSkipBody : 0;
     const bool has_length =
--- a/tests/auto/net/http_parser_state_test.cpp
+++ b/tests/auto/net/http_parser_state_test.cpp
@@ -74,6 +74,24 @@
             "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
 }
 
+// Guards against fields of an answer that the next hop reads in another way: a space before the
+// colon, which hides a second length or encoding, and control characters at the start of a value.
+Test(http_parser_state, makes_fields_of_answers_well_formed) {
+  auto parser = Parser(HttpParserState::Kind::kResponse);
+  parser.Feed(
+      std::string("HTTP/1.1 200 OK\r\nContent-Length : 2\r\nA: \0b\r\nB: \x7f\r\n"
+                  "Bad Name: c\r\n\r\nok",
+                  67));
+  cr_assert(parser.complete(), "error %d", static_cast<int>(parser.error()));
+  const auto& headers = parser.response().headers;
+  cr_assert(headers.size() == 3, "%zu fields", headers.size());
+  cr_expect(headers[0].name == "Content-Length" && headers[0].value == "2");
+  cr_expect(headers[1].value == " b" && headers[2].value == " ");
+  cr_expect(parser.response().body == "ok");
+  cr_expect(RenderResponse(parser.response(), false, false) ==
+            "HTTP/1.1 200 OK\r\nA:  b\r\nB:  \r\nContent-Length: 2\r\n\r\nok");
+}
+
 // Guards against a body that is received although there is no memory for it, and against one that
 // is counted when it has arrived and not before.
 Test(http_parser_state, counts_a_declared_body_before_it_arrives) {
