Name unknown JSON fields in a printable form

Cause: FieldReader put the name of an unknown field into its error as it was received. For the empty name the error was ": unknown field", which names nothing, and a name of any length or with control characters was repeated in answers and logs.

--- a/src/libs/bundle/field_reader.cpp
+++ b/src/libs/bundle/field_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/printable_text.h"
+
 namespace wagtailpick::bundle {
 
 FieldReader::FieldReader(const nlohmann::json& value, std::string path, std::string& problem)
@@ -78,7 +80,9 @@
 void FieldReader::RejectUnknownFields() {
   if (!value_.is_object()) return;
   for (const auto& item : value_.items()) {
-    if (!requested_.contains(item.key())) Report(item.key(), "unknown field");
+    if (requested_.contains(item.key())) continue;
+    const auto name = base::ToPrintable(item.key());
+    Report(name.empty() ? "\"\"" : name, "unknown field");
   }
 }
 
