Check departure records before decoding them

Cause: DepartureLog decoded MessagePack without CheckMessagePack, so a record that nests a million levels overflowed the stack of the replica that starts.

Change: the record is checked first, as in StateCache; an unreadable file is replaced as before.

Result: before, departure_log::replaces_a_file_with_deep_nesting crashed.

--- a/src/libs/node/departure_log.cpp
+++ b/src/libs/node/departure_log.cpp
@@ -2,9 +2,11 @@
 
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 #include <utility>
 
+#include "base/msgpack_check.h"
 #include "cluster/report_codec.h"
 #include "logging/log.h"
 
@@ -52,8 +54,10 @@
   std::vector<upstreams::UpstreamReport> reports;
   const auto opened =
       Open([&](std::uint64_t /*offset*/, std::string_view record) -> base::Result<void> {
+        const std::string bytes(record);
+        BOOST_OUTCOME_TRY(base::CheckMessagePack(bytes));
         try {
-          reports.push_back(cluster::ReportFromFields(nlohmann::json::from_msgpack(record)).report);
+          reports.push_back(cluster::ReportFromFields(nlohmann::json::from_msgpack(bytes)).report);
         } catch (const nlohmann::json::exception& error) {
           return base::Fail(base::ErrorCode::kCorrupt, error.what());
         }
--- a/tests/auto/node/departure_log_test.cpp
+++ b/tests/auto/node/departure_log_test.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <memory>
 #include <new>
+#include <string>
 #include <utility>
 
 #include "upstreams/upstream_table.h"
@@ -130,3 +131,16 @@
   cr_assert(loaded.size() == 1'000);
   cr_expect(loaded.front().id == "200" && loaded.back().id == "1199");
 }
+
+// Guards against a damaged record that overflows the stack of the replica that starts.
+Test(departure_log, replaces_a_file_with_deep_nesting) {
+  const Folder folder;
+  {
+    auto file = storage::RecordLog::Create(storage::PosixFileOps(), folder.File());
+    cr_assert(file && file.value().Append(std::string(1'000'000, '\x91') + '\xc0') &&
+              file.value().Sync());
+  }
+  DepartureLog log(folder.File());
+  cr_expect(log.Load().empty());
+  cr_expect(Append(log, Report("a", State::kLeft)));
+}
