--- a/tests/auto/platform/platform_test.cpp
+++ b/tests/auto/platform/platform_test.cpp
@@ -179,6 +179,24 @@
   cr_expect(!Classify(MakeAnswer(200, {{"Request-Id", "id-2"}, seal, leaving})).leaving);
 }
 
+// Guards against a load that is recorded for the chosen upstream although another process, or an
+// answer to another request, stated it.
+Test(caller_dialect, reads_load_of_the_expected_upstream) {
+  const http::Header id{"Request-Id", "id-1"};
+  const http::Header other{"Request-Id", "id-2"};
+  const http::Header seal{"Server-Seal", "x"};
+  const http::Header load{"Server-Load", "3,0,4"};
+  const auto served = Classify(MakeAnswer(200, {id, seal, load})).load;
+  cr_assert(served.has_value());
+  cr_expect(served->running == 3 && served->slots == 4);
+  cr_expect(Classify(MakeAnswer(500, {id, seal, load})).load.has_value());
+  cr_expect(Classify(MakeAnswer(503, {{"Not-Run", "1"}, load})).load.has_value());
+  cr_expect(!Classify(MakeAnswer(421, {id, load})).load);
+  cr_expect(!Classify(MakeAnswer(200, {other, seal, load})).load);
+  cr_expect(!Classify(MakeAnswer(200, {id, load})).load);
+  cr_expect(!Classify(MakeAnswer(503, {other, {"Not-Run", "1"}, load})).load);
+}
+
 // Guards against a back-off time that is ignored, or that never ends because its value is invalid.
 Test(caller_dialect, reads_back_off_time) {
   using std::chrono::milliseconds;
