Test connections that open while their upstream leaves, and a leaving 101

Change: two tests let the upstream leave, by its announcement and by an answer, between the choice and the end of connecting; RelayHost::PassOn and RunOnLoop fix the order on the relay's loop. Two more fix that a 101 is never passed on, that its headers don't count (it names no request, and isn't passed on), and that the final answer or another upstream serves the request.

Result: no fault found. With the check in RequestRun::MaySend switched off, both tests of opening connections fail (the leaving upstream got the request); with 101 taken for a final status, a_leaving_answer_with_status_101 fails; without hedges, a_101_without_a_final_answer does.

Conclusion: the check before sending covers these races.

--- a/tests/auto/relay/leaving_races_test.cpp
+++ b/tests/auto/relay/leaving_races_test.cpp
@@ -219,3 +219,74 @@
               first.requests(), second.requests());
   }
 }
+
+// Guards against a request that is sent on a connection that was being opened when an announcement
+// stated that the upstream leaves.
+Test(leaving_races, an_announcement_while_a_connection_opens) {
+  FakeUpstream leaving(HoldFirst(0));
+  FakeUpstream other(HoldFirst(0));
+  RelayHost host({leaving.address()});
+  std::future<int> status;
+  host.RunOnLoop([&] {
+    status = host.PassOn("1");
+    host.Announce(other.address(), 0, 1);
+    host.RemoveUpstream(leaving.address());
+  });
+  cr_expect(status.get() == 200);
+  cr_expect(Await([&] { return leaving.connections() == 1; }), "no connection was opened");
+  cr_expect(leaving.requests() == 0 && other.requests() == 1, "%d and %d requests",
+            leaving.requests(), other.requests());
+}
+
+// Guards against a request that is sent on a connection that was being opened when the answer to
+// another request stated that the upstream leaves.
+Test(leaving_races, a_leaving_answer_while_a_connection_opens) {
+  FakeUpstream leaving(KeepRunning);
+  RelayHost host({leaving.address()}, false);
+  host.Announce(leaving.address(), 0, 1);
+  auto running = Start(host, "1");
+  cr_assert(Await([&] { return leaving.requests() == 1; }));
+  std::future<int> status;
+  bool answered = false;
+  host.RunOnLoop([&] {
+    // The relay reads the answer before it learns that the connection has been opened.
+    answered = leaving.AnswerRunning(LeavingAnswer("1"));
+    status = host.PassOn("2");
+  });
+  cr_assert(answered);
+  cr_expect(StatusOf(running.get()) == 200);
+  cr_expect(status.get() == 503);
+  cr_expect(Await([&] { return leaving.connections() == 2; }), "no connection was opened");
+  cr_expect(leaving.requests() == 1, "%d requests", leaving.requests());
+}
+
+// Guards against an unrequested change of the protocol (101) that is passed on as the answer, or
+// whose headers count: it names no request, so it may belong to an earlier one. The final answer
+// counts.
+Test(leaving_races, a_leaving_answer_with_status_101) {
+  const std::string interim = "HTTP/1.1 101 Switching Protocols\r\nLeaving: 1\r\n\r\n";
+  FakeUpstream upstream([&](const std::string&, int number) {
+    const auto id = std::to_string(number);
+    return RawAnswer{interim + (number == 1 ? Whole(id) : LeavingAnswer(id)), false};
+  });
+  const RelayHost host({upstream.address()});
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  cr_expect(StatusOf(host.Exchange(Request("2"), kWait)) == 200);
+  cr_expect(CountServed(host) == 0);
+  cr_expect(upstream.requests() == 2, "%d requests", upstream.requests());
+}
+
+// Guards against a 101 without a final answer that is passed on, and against a request that is
+// held, as its upstream speaks no HTTP any more, although another upstream could serve it.
+Test(leaving_races, a_101_without_a_final_answer) {
+  const auto switching = [](const std::string&, int) {
+    return RawAnswer{"HTTP/1.1 101 Switching Protocols\r\nLeaving: 1\r\n\r\n", false};
+  };
+  FakeUpstream first(switching);
+  FakeUpstream second(HoldFirst(0));
+  const RelayHost host({first.address(), second.address()});
+  for (int i = 0; i < kLaterRequests; ++i) {
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  }
+  cr_expect(first.requests() > 0);
+}
--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -90,6 +90,21 @@
   return report;
 }
 
+/// A request without a connection of a client.
+class DirectRequest : public net::InboundRequest {
+ public:
+  explicit DirectRequest(const std::string& id) {
+    request = {"GET", "/x", {{"Host", "h"}, {"Id", id}}, {}, kLoopback};
+    received_at = base::MonotonicNow();
+  }
+  std::future<int> status() { return status_.get_future(); }
+  void Answer(http::Response response) override { status_.set_value(response.status); }
+  void Abort() override { status_.set_value(0); }
+
+ private:
+  std::promise<int> status_;
+};
+
 int ConnectTo(const base::Endpoint& endpoint) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -259,7 +274,9 @@
   });
 }
 
+// A task may call functions of the host that run tasks themselves.
 void RelayHost::RunOnLoop(const std::function<void()>& task) {
+  if (std::this_thread::get_id() == thread_.get_id()) return task();
   std::promise<void> done;
   asio::post(loop_, [&] {
     task();
@@ -268,6 +285,12 @@
   done.get_future().wait();
 }
 
+std::future<int> RelayHost::PassOn(const std::string& id) {
+  const auto request = std::make_shared<DirectRequest>(id);
+  relay_->Handle(request);
+  return request->status();
+}
+
 void RelayHost::StartDraining(base::Duration since, base::Duration grace) {
   RunOnLoop([&] { relay_->StartDraining(base::MonotonicNow() - since, grace); });
 }
--- a/tests/auto/relay/relay_fixture.h
+++ b/tests/auto/relay/relay_fixture.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -108,6 +109,12 @@
   void Announce(const std::string& address, std::int64_t started_unix_ms, std::uint64_t sequence);
   /// Simulates that no replica can be reached any more.
   void LoseReplicas();
+  /// Runs `task` on the relay's thread and waits for its end. The relay handles no events
+  /// meanwhile.
+  void RunOnLoop(const std::function<void()>& task);
+  /// Passes a request with the id `id` to the relay, as the listener does. Only for tasks of
+  /// `RunOnLoop`. The result is the status of the answer; 0 if the relay aborts the request.
+  std::future<int> PassOn(const std::string& id);
   /// Makes the relay's loop run nothing else for `time`.
   void BlockLoop(base::Duration time);
   /// Number of requests that have not ended.
@@ -126,9 +133,6 @@
   void SendAndLeave(const std::string& bytes, base::Duration wait) const;
 
  private:
-  /// Runs `task` on the relay's thread and waits for its end.
-  void RunOnLoop(const std::function<void()>& task);
-
   bool idempotent_;
   asio::io_context loop_;
   relay::RoutingState routing_state_;
