--- a/src/libs/consensus/core.cpp
+++ b/src/libs/consensus/core.cpp
@@ -38,6 +38,7 @@
       snapshot_(std::move(snapshot)),
       log_(std::move(log)),
       tracker_(log_.last_index()),
+      assembly_(options_.max_snapshot_bytes),
       now_(now),
       resend_due_(now),
       commit_(snapshot_.index),
--- a/src/libs/consensus/core_follower.cpp
+++ b/src/libs/consensus/core_follower.cpp
@@ -84,7 +84,8 @@
   const SnapshotChunk& chunk = message.chunk;
   if (chunk.index > commit_) {
     auto snapshot = assembly_.Add(message.from, message.term, chunk);
-    if (snapshot) Install(std::move(*snapshot));
+    if (!snapshot) return Stop(snapshot.error().code, snapshot.error().message);
+    if (snapshot.value()) Install(std::move(*snapshot.value()));
   }
   const bool installed = chunk.index <= commit_;
   Message reply = MakeMessage(installed ? MessageKind::kAppendReply : MessageKind::kSnapshotReply,
--- a/src/libs/consensus/options.cpp
+++ b/src/libs/consensus/options.cpp
@@ -34,7 +34,8 @@
     return Invalid("election_timeout_max must exceed election_timeout_min");
   }
   if (options.max_entry_bytes == 0 || options.max_append_bytes == 0 ||
-      options.max_snapshot_chunk_bytes == 0 || options.max_inflight_messages == 0) {
+      options.max_snapshot_chunk_bytes == 0 || options.max_snapshot_bytes == 0 ||
+      options.max_inflight_messages == 0) {
     return Invalid("message limits must be at least 1");
   }
   if (options.max_uncommitted_bytes < options.max_entry_bytes) {
--- a/src/libs/consensus/options.h
+++ b/src/libs/consensus/options.h
@@ -37,6 +37,9 @@
   /// Most bytes of entries in one message; a larger entry is sent alone.
   std::size_t max_append_bytes = 256U << 10U;
   std::size_t max_snapshot_chunk_bytes = 1U << 20U;
+  /// Largest snapshot that is accepted from a leader. Twice the largest catalog, which the snapshot
+  /// of the orders holds.
+  std::size_t max_snapshot_bytes = 128U << 20U;
   /// Most unanswered append messages to one follower.
   std::size_t max_inflight_messages = 16;
   /// Proposals beyond this many uncommitted bytes are refused.
--- a/tests/auto/consensus/recovery_test.cpp
+++ b/tests/auto/consensus/recovery_test.cpp
@@ -78,6 +78,7 @@
       {"election_timeout_min", [](Options& o) { o.election_timeout_min = o.leader_lease; }},
       {"election_timeout_max", [](Options& o) { o.election_timeout_max = o.vote_silence; }},
       {"message limits", [](Options& o) { o.max_append_bytes = 0; }},
+      {"message limits", [](Options& o) { o.max_snapshot_bytes = 0; }},
       {"max_uncommitted_bytes", [](Options& o) { o.max_uncommitted_bytes = 1; }},
   };
   for (const auto& row : cases) {
@@ -123,3 +124,35 @@
   cr_expect(single.replica().TakeSnapshot(1, "x"));
   cr_expect(!single.replica().TakeSnapshot(1, "x"));
 }
+
+// Guards against a leader's snapshot that fills the memory, as nothing limits the sum of its parts,
+// and against a limit that refuses a snapshot of just that size.
+Test(recovery, a_snapshot_above_the_limit_stops_the_replica) {
+  for (const bool fits : {true, false}) {
+    Options options = MakeOptions("a");
+    options.max_snapshot_bytes = 100;
+    const auto state = Replica::InitialState({"a", "b"});
+    auto created = Replica::Create(options, state, {});
+    cr_assert(created.has_value());
+    Replica& replica = created.value();
+    Message message;
+    message.kind = MessageKind::kSnapshot;
+    message.from = {"b", 1};
+    message.to = {"a", 1};
+    message.term = 2;
+    message.chunk = {5, 2, state.snapshot->membership.Encode(), 0, std::string(50, 'x'), false};
+    replica.Step(message, {});
+    cr_assert(!replica.fault());
+    message.chunk.offset = 50;
+    message.chunk.last = true;
+    if (!fits) message.chunk.data += 'x';
+    replica.Step(message, {});
+    if (fits) {
+      cr_expect(!replica.fault() && replica.snapshot_index() == 5);
+    } else {
+      cr_assert(replica.fault().has_value());
+      cr_expect(replica.fault()->code == wagtailpick::base::ErrorCode::kLimitExceeded);
+      cr_expect(replica.snapshot_index() == 0);
+    }
+  }
+}
