--- a/tests/auto/controller/claim_service_faults_test.cpp
+++ b/tests/auto/controller/claim_service_faults_test.cpp
@@ -126,7 +126,12 @@
 }
 
 /// A replica that answers copy requests with a page of an unknown replica.
-std::pair<std::string, std::unique_ptr<rpc::Server>> StartUnknownReplica() {
+struct UnknownReplica {
+  std::string address;
+  std::unique_ptr<rpc::Server> server;
+};
+
+UnknownReplica StartUnknownReplica() {
   rpc::ControlHandlers handlers;
   handlers.copy = [](const rpc::CopyRequest&, const rpc::Responder<rpc::CopyReply>& done) {
     rpc::CopyReply page;
@@ -177,8 +182,9 @@
 // names the reason; and against a line for each attempt.
 Test(claim_service_faults, logs_the_first_failure_to_copy_from_each_replica) {
   FaultyService faulty;
-  const auto [unknown, server] = StartUnknownReplica();
-  cr_assert(server != nullptr);
+  const UnknownReplica replica = StartUnknownReplica();
+  cr_assert(replica.server != nullptr);
+  const std::string& unknown = replica.address;
   const std::string unreachable = "127.0.0.1:2";
   faulty.options.replicas = {"127.0.0.1:1", unreachable, unknown};
   ClaimService& service = faulty.Start(2);
