Give the test of late retries an upstream to retry at

relay_drain::starts_no_retry_that_is_cut had a single upstream. After a refusal no second attempt goes to the same one, so the test passed with the decision while draining switched off as well. It also failed when 250 ms passed between the signal and the request (trial: the relay's loop blocked for so long; "upstream.requests() == 1 is false").

It has two upstreams now, expects two requests without the signal and one with it, and the signal comes while the first attempt runs, so that no delay changes the outcome.

--- a/tests/auto/relay/relay_drain_test.cpp
+++ b/tests/auto/relay/relay_drain_test.cpp
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "relay_fixture.h"
@@ -54,16 +54,22 @@
 
 // Guards against a retry that begins so late that it is cut, for a request that was taken early.
 Test(relay_drain, starts_no_retry_that_is_cut) {
-  FakeUpstream upstream([](const std::string& head, int number) {
-    std::this_thread::sleep_for(milliseconds(400));
-    return Refuse(head, number);
-  });
-  RelayHost host({upstream.address()});
-  // The deadline comes after the stop. Of an idempotent request, the expected time decides, and
-  // 0.2 s later nothing does.
-  host.StartDraining(milliseconds(2'300), milliseconds(3'600));
-  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
-  cr_expect(upstream.requests() == 1);
+  for (const bool drains : {false, true}) {
+    std::atomic<RelayHost*> relay = nullptr;
+    const auto refuse = [&relay, drains](const std::string& head, int number) {
+      // The signal comes while the request runs. The retry's deadline comes after the stop, and
+      // more than 2.5 s have passed, so that its expected time doesn't count any more.
+      if (drains) relay.load()->StartDraining(milliseconds(2'700), milliseconds(3'600));
+      return Refuse(head, number);
+    };
+    FakeUpstream first(refuse);
+    FakeUpstream second(refuse);
+    RelayHost host({first.address(), second.address()});
+    relay = &host;
+    cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+    const int sent = first.requests() + second.requests();
+    cr_expect(sent == (drains ? 1 : 2), "%d requests", sent);
+  }
 }
 
 // Guards against a request that waits for a token although it will be refused: the token is lost to
