Refuse claim times that no clock shows

Cause: the claim codec took any 64-bit time. The claims add the clock skew or a lifetime to a deadline, a claim or a refusal, or subtract them, so a time at the limit of the type overflowed: a held claim could count as expired and an expired one as held.

A stored record with such a time counts as damaged; no process writes one.

--- a/src/libs/cluster/time_fields.cpp
+++ b/src/libs/cluster/time_fields.cpp
@@ -4,14 +4,13 @@
 #include <nlohmann/json.hpp>
 
 #include "base/json_number.h"
+#include "base/wall_time.h"
 
 namespace wagtailpick::cluster {
 namespace {
 
 /// 100 years.
 constexpr base::Duration kLongestSpan = std::chrono::hours(100 * 365 * 24);
-/// 142,000 years.
-constexpr std::int64_t kLatestMillis = std::int64_t{1} << 52;
 
 }  // namespace
 
@@ -23,7 +22,7 @@
 
 std::int64_t WallMillisFrom(const nlohmann::json& field) {
   const auto millis = base::IntegerFrom<std::int64_t>(field);
-  if (millis < -kLatestMillis || millis > kLatestMillis) {
+  if (!base::IsWallMillis(millis)) {
     throw nlohmann::json::out_of_range::create(base::kJsonOutOfRange, "time out of range", &field);
   }
   return millis;
--- a/src/libs/rpc/claim_codec.cpp
+++ b/src/libs/rpc/claim_codec.cpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "base/wall_time.h"
+
 namespace wagtailpick::rpc {
 namespace {
 
@@ -98,9 +100,12 @@
   record.kind = static_cast<claims::RecordKind>(wire.kind());
   BOOST_OUTCOME_TRY(ReadIdentity(wire, record));
   BOOST_OUTCOME_TRY(ReadBytes(wire.body(), "body", record.body));
-  record.claimed_at = wire.claimed_at();
-  record.deadline = wire.deadline();
-  record.refused_at = wire.refused_at();
+  BOOST_OUTCOME_TRY(claimed_at, base::CheckWallMillis(wire.claimed_at(), "claimed_at"));
+  record.claimed_at = claimed_at;
+  BOOST_OUTCOME_TRY(deadline, base::CheckWallMillis(wire.deadline(), "deadline"));
+  record.deadline = deadline;
+  BOOST_OUTCOME_TRY(refused_at, base::CheckWallMillis(wire.refused_at(), "refused_at"));
+  record.refused_at = refused_at;
   record.answer_kept = wire.answer_kept();
   record.answer = wire.answer();
   BOOST_OUTCOME_TRY(replica, ReadReplica(wire.replica()));
@@ -122,8 +127,10 @@
   claims::ClaimRequest request;
   BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
   BOOST_OUTCOME_TRY(ReadBytes(wire.body(), "body", request.body));
-  request.started_at = wire.started_at();
-  request.deadline = wire.deadline();
+  BOOST_OUTCOME_TRY(started_at, base::CheckWallMillis(wire.started_at(), "started_at"));
+  request.started_at = started_at;
+  BOOST_OUTCOME_TRY(deadline, base::CheckWallMillis(wire.deadline(), "deadline"));
+  request.deadline = deadline;
   return request;
 }
 
@@ -155,7 +162,9 @@
   reply.status = static_cast<claims::ClaimStatus>(wire.status());
   BOOST_OUTCOME_TRY(ReadBytes(wire.holder(), "holder", reply.holder));
   BOOST_OUTCOME_TRY(ReadBytes(wire.holder_body(), "holder_body", reply.holder_body));
-  reply.holder_deadline = wire.holder_deadline();
+  BOOST_OUTCOME_TRY(holder_deadline,
+                    base::CheckWallMillis(wire.holder_deadline(), "holder_deadline"));
+  reply.holder_deadline = holder_deadline;
   reply.answer = wire.answer();
   return reply;
 }
@@ -173,7 +182,8 @@
   claims::CompleteRequest request;
   BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
   BOOST_OUTCOME_TRY(ReadBytes(wire.body(), "body", request.body));
-  request.deadline = wire.deadline();
+  BOOST_OUTCOME_TRY(deadline, base::CheckWallMillis(wire.deadline(), "deadline"));
+  request.deadline = deadline;
   request.answer = wire.answer();
   return request;
 }
@@ -188,7 +198,8 @@
 Result<claims::ReleaseRequest> FromWire(const ReleaseRequest& wire) {
   claims::ReleaseRequest request;
   BOOST_OUTCOME_TRY(ReadIdentity(wire, request));
-  request.refused_at = wire.refused_at();
+  BOOST_OUTCOME_TRY(refused_at, base::CheckWallMillis(wire.refused_at(), "refused_at"));
+  request.refused_at = refused_at;
   return request;
 }
 
--- a/src/libs/rpc/claim_codec.h
+++ b/src/libs/rpc/claim_codec.h
@@ -12,7 +12,8 @@
 
 /// Conversions of claim records and messages to and from protobuf messages, which are sent and, for
 /// records, stored on disk. `FromWire` fails with `kInvalidArgument` when a byte field has the
-/// wrong length or an enum value or the number of a replica is unknown.
+/// wrong length, an enum value or the number of a replica is unknown, or a time is none that a
+/// clock shows; the message starts with the name of the field.
 ClaimRecord ToWire(const claims::Record& record);
 base::Result<claims::Record> FromWire(const ClaimRecord& wire);
 
