Refuse suspect reports with times that no clock shows

Cause: the suspect codec of the entry took any 64-bit time. SuspectTable subtracts renewed_at from now, which overflows for a time at the limit of the type.

Change: the codec checks the times of strikes and successes and renewed_at, and names the field.

Result: before, suspect_codec_refuses_impossible_times failed with "renewed_at is accepted".

--- a/src/libs/entry/suspect_codec.cpp
+++ b/src/libs/entry/suspect_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/wall_time.h"
+
 namespace wagtailpick::entry {
 
 rpc::SuspectReport ToWire(const safety::SuspectReport& report) {
@@ -33,17 +35,20 @@
   }
   std::copy(wire.fingerprint().begin(), wire.fingerprint().end(), report.fingerprint.begin());
   for (const auto& strike : wire.strikes()) {
+    BOOST_OUTCOME_TRY(at, base::CheckWallMillis(strike.at(), "strikes.at"));
     safety::AddStrike(report, {strike.id(),
                                {strike.upstream(), strike.upstream_incarnation()},
                                strike.owner_session(),
                                strike.announcement(),
-                               strike.at(),
+                               at,
                                strike.is_void()});
   }
   for (const auto& success : wire.successes()) {
-    safety::AddSuccess(report.successes, {success.address(), success.at()});
+    BOOST_OUTCOME_TRY(at, base::CheckWallMillis(success.at(), "successes.at"));
+    safety::AddSuccess(report.successes, {success.address(), at});
   }
-  report.renewed_at = wire.renewed_at();
+  BOOST_OUTCOME_TRY(renewed_at, base::CheckWallMillis(wire.renewed_at(), "renewed_at"));
+  report.renewed_at = renewed_at;
   return report;
 }
 
--- a/tests/auto/entry/hostile_announcement_test.cpp
+++ b/tests/auto/entry/hostile_announcement_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
+#include <google/protobuf/stubs/logging.h>
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -126,6 +128,8 @@
 // can't be passed on.
 Test(hostile_announcement, suspect_codec_survives_changed_reports) {
   MessageMutator mutator(testing::MutationSeed());
+  // Protobuf writes a line for each text that is not UTF-8.
+  const google::protobuf::LogSilencer silencer;
   const auto sample = entry::ToWire(SampleReport()).SerializeAsString();
   for (std::uint64_t i = 0; i < testing::MutationCount(kMutations); ++i) {
     rpc::SuspectReport wire;
@@ -139,3 +143,23 @@
     cr_expect(again && again.value() == decoded.value(), "report %lu", i);
   }
 }
+
+// Guards against a time of another entry whose difference from now overflows, so that a block of a
+// suspect request is renewed forever or never.
+Test(hostile_announcement, suspect_codec_refuses_impossible_times) {
+  const auto expect_names = [](const rpc::SuspectReport& wire, const std::string& field) {
+    const auto decoded = entry::FromWire(wire);
+    cr_assert(!decoded, "%s is accepted", field.c_str());
+    cr_expect(decoded.error().message.starts_with(field + ": "), "%s",
+              decoded.error().message.c_str());
+  };
+  for (const auto time : {INT64_MIN, INT64_MAX, (std::int64_t{1} << 52) + 1}) {
+    auto wire = entry::ToWire(SampleReport());
+    wire.set_renewed_at(time);
+    expect_names(wire, "renewed_at");
+    wire.mutable_successes(0)->set_at(time);
+    expect_names(wire, "successes.at");
+    wire.mutable_strikes(1)->set_at(time);
+    expect_names(wire, "strikes.at");
+  }
+}
