Refuse fingerprints of another length than 32 bytes

Cause: cluster's suspect codec cut a longer fingerprint and padded a shorter one with zeros, so a report was taken for one of another request.

Change: a fingerprint of another length is refused with the name of the field, as in the entry's codec.

Result: before, hostile_message::refuses_fingerprints_of_another_length failed with 0, 31 and 33 bytes.

Conclusion: both codecs of suspect reports agree.

--- a/src/libs/cluster/suspect_codec.cpp
+++ b/src/libs/cluster/suspect_codec.cpp
@@ -43,8 +43,11 @@
 safety::SuspectReport SuspectFromFields(const json& fields) {
   safety::SuspectReport report;
   const auto& fingerprint = fields.at(0).get_binary();
-  std::copy_n(fingerprint.begin(), std::min(fingerprint.size(), report.fingerprint.size()),
-              report.fingerprint.begin());
+  if (fingerprint.size() != report.fingerprint.size()) {
+    throw json::out_of_range::create(base::kJsonOutOfRange, "fingerprint: expected 32 bytes",
+                                     &fields);
+  }
+  std::copy(fingerprint.begin(), fingerprint.end(), report.fingerprint.begin());
   // Merging relies on the order that `AddStrike` keeps; the sender's order may differ.
   for (const auto& strike : fields.at(1)) safety::AddStrike(report, StrikeFromFields(strike));
   for (const auto& success : fields.at(2)) {
--- a/tests/auto/cluster/hostile_message_test.cpp
+++ b/tests/auto/cluster/hostile_message_test.cpp
@@ -142,6 +142,19 @@
   }
 }
 
+// Guards against a fingerprint that is padded or cut, so that it blocks another request.
+Test(hostile_message, refuses_fingerprints_of_another_length) {
+  for (const std::size_t size : {0, 31, 32, 33}) {
+    const auto sample = Encode(Suspects{{safety::SuspectReport{}}});
+    json fields = FieldsOf(sample);
+    // The first field of the first report.
+    fields.at(0).at(0).at(0) = json::binary(std::vector<std::uint8_t>(size));
+    std::string frame(1, sample[0]);
+    json::to_msgpack(fields, frame);
+    cr_expect(Decode(frame).has_value() == (size == 32), "%zu bytes", size);
+  }
+}
+
 // Guards against a short frame that takes gigabytes to decode: a compressed list of small values
 // grows a hundredfold when it is expanded, and sixteenfold again when it is decoded.
 Test(hostile_message, refuses_a_frame_with_too_many_values) {
