--- a/tests/auto/platform/hostile_json_test.cpp
+++ b/tests/auto/platform/hostile_json_test.cpp
@@ -125,3 +125,16 @@
     }
   }
 }
+
+// Guards against a config whose list of resources has another type and that replaces all routes by
+// none.
+Test(hostile_json, catalog_decoder_refuses_resources_that_are_no_list) {
+  for (const auto& value : std::vector<json>{json(), json::object(), "", 0, false}) {
+    json config = SampleConfig();
+    config["resources"] = value;
+    const auto decoded = platform::DecodeCatalog(config.dump());
+    cr_expect(!decoded, "%s is accepted", value.dump().c_str());
+    cr_expect(decoded || decoded.error().message.starts_with("resources: "), "%s",
+              decoded ? "" : decoded.error().message.c_str());
+  }
+}
