Bound the rate of cold upstreams in a config

Cause: coldPerS took any number. ColdRateLimiter converts the rate to 32 bits; for one above 4e9 that is undefined and differs between x86-64 and arm64.

--- a/tests/auto/platform/hostile_json_test.cpp
+++ b/tests/auto/platform/hostile_json_test.cpp
@@ -58,6 +58,10 @@
               "config %lu", number);
     cr_expect(route.objective >= base::Duration::zero(), "config %lu", number);
   }
+  for (const auto& [name, service] : catalog.services()) {
+    cr_expect(service.cold_rate >= 0 && service.cold_rate <= 1'000'000, "config %lu: %s, rate %g",
+              number, name.c_str(), service.cold_rate);
+  }
 }
 
 /// Checks that an error names a member or says where the text is wrong.
