Send a request again after its kept connection was lost before the write

Cause: an upstream may reset an idle connection between the check of the connection and the write. The request was then not sent (kNotSent), but its upstream counted as tried, so a service with a single upstream answered 503 although the upstream is sound and time is left.

Change: after such a loss on a kept connection, the upstream stays eligible for the request and its other idle connections are closed, so the next attempt uses a new one. Nothing has reached the upstream, so the retry budget isn't charged, as after a failed connect; the limit of three failed connections a request holds. Losses on new connections, and all that may have run, are unchanged.

Conclusion: a lost idle connection says nothing about its upstream.

--- a/src/libs/relay/request_run.h
+++ b/src/libs/relay/request_run.h
@@ -73,6 +73,8 @@
                      const std::string& upstream);
   /// Handles an attempt that ended without an answer.
   void HandleLoss(const Attempt& attempt, const net::ExchangeResult& result);
+  /// Lets the next attempt use the upstream of `attempt` again, on a new connection.
+  void UseNewConnection(const Attempt& attempt);
   /// Finds out whether the upstream crashed, and retries if that is allowed.
   void ExamineLoss(const Attempt& attempt);
   void RetryAfterLoss();
--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -78,11 +78,21 @@
     return attempts_.empty() ? Fail(kNoMemoryReason) : void();
   }
   --sends_;
+  if (result.outcome == net::ExchangeOutcome::kNotSent && result.reused) {
+    UseNewConnection(attempt);
+  }
   if (!attempts_.empty()) return;
   if (++failed_connects_ < kMaxFailedConnects && HasTimeForAttempt()) return StartAttempt();
   Refuse("upstreams_unreachable");
 }
 
+// An upstream may close idle connections at any time, so the loss says nothing about the upstream.
+// Its other idle connections may be lost as well.
+void RequestRun::UseNewConnection(const Attempt& attempt) {
+  std::erase(placement_request_.tried, attempt.choice.upstream);
+  relay_.DropUpstreamState(attempt.choice.upstream, attempt.choice.address, false);
+}
+
 // If one more crash would block the request, it is not sent again until the probe has shown whether
 // the upstream crashed.
 void RequestRun::ExamineLoss(const Attempt& attempt) {
