Refuse a request for an entry that is no member instead of losing it

Cause: a request whose chosen entry had no client was reported as entry_lost: 502, may have run, and a strike against the request, although it was never handed over. Steering and the clients are set from the same view in one task of the loop, so no run reaches this branch today; it stood wrong for the next change of that order.

Change: the branch refuses with unknown_entry (not run), as Steering does for the same case, so the request is tried at another entry if its retry budget allows. RefusalReply builds the refusals that stood four times in dispatcher and answers.

Conclusion: a forward that fails in the call still counts as lost: the call doesn't say whether the other entry has read it.

--- a/src/libs/entry/decision_answer.cpp
+++ b/src/libs/entry/decision_answer.cpp
@@ -105,13 +105,18 @@
   return response;
 }
 
-rpc::ForwardReply StoppingReply(const rpc::ForwardRequest& request) {
+rpc::ForwardReply RefusalReply(const rpc::ForwardRequest& request, base::Verdict verdict,
+                               std::string_view reason, std::uint32_t retry_after_ms) {
   rpc::ForwardReply reply;
   reply.set_request_id(request.request_id());
-  reply.set_verdict(std::string(base::ToString(base::Verdict::kNotRun)));
-  reply.set_reason("stopping");
-  reply.set_retry_after_ms(kOverloadRetryMs);
+  reply.set_verdict(std::string(base::ToString(verdict)));
+  reply.set_reason(std::string(reason));
+  reply.set_retry_after_ms(retry_after_ms);
   return reply;
 }
 
+rpc::ForwardReply StoppingReply(const rpc::ForwardRequest& request) {
+  return RefusalReply(request, base::Verdict::kNotRun, "stopping", kOverloadRetryMs);
+}
+
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/decision_answer.h
+++ b/src/libs/entry/decision_answer.h
@@ -2,8 +2,11 @@
 
 #include <wagtailpick.pb.h>
 
+#include <cstdint>
 #include <string>
+#include <string_view>
 
+#include "base/verdict.h"
 #include "claims/claim_round.h"
 #include "entry/error_answer.h"
 #include "entry/request_flow.h"
@@ -34,6 +37,10 @@
 /// connection, so that the caller's next request goes to another entry.
 http::Response StoppingAnswer(const http::Request& request);
 
+/// Returns the reply that a request was refused, or that its answer is lost.
+rpc::ForwardReply RefusalReply(const rpc::ForwardRequest& request, base::Verdict verdict,
+                               std::string_view reason, std::uint32_t retry_after_ms);
+
 /// Returns the same refusal for a request that another entry has forwarded.
 rpc::ForwardReply StoppingReply(const rpc::ForwardRequest& request);
 
--- a/src/libs/entry/dispatcher.cpp
+++ b/src/libs/entry/dispatcher.cpp
@@ -29,6 +29,9 @@
 /// difference of the wall clocks (100 ms).
 constexpr std::uint32_t kReleasedRetryMs = 250;
 
+/// Reason of a refusal: the chosen entry is no member any more.
+constexpr std::string_view kUnknownEntryReason = "unknown_entry";
+
 base::Verdict VerdictOf(const rpc::ForwardReply& reply) {
   return base::ParseVerdict(reply.verdict()).value_or(base::Verdict::kMayHaveRun);
 }
@@ -157,12 +160,7 @@
   const auto target =
       steering_.Choose(request, flow->request.caller_address, flow->attempted, now, reason);
   if (!target) {
-    rpc::ForwardReply refusal;
-    refusal.set_request_id(request.request_id());
-    refusal.set_verdict(std::string(base::ToString(base::Verdict::kNotRun)));
-    refusal.set_reason(reason);
-    refusal.set_retry_after_ms(kNoSlotRetryMs);
-    return Finish(flow, refusal);
+    return Finish(flow, RefusalReply(request, base::Verdict::kNotRun, reason, kNoSlotRetryMs));
   }
   flow->target = *target;
   flow->sent = now;
@@ -175,8 +173,8 @@
   rpc::AddStamp(context_.events, request);
   const auto peer = peers_.Find(target->vm);
   if (peer == nullptr) {
-    return HandleReply(flow, base::Fail(base::ErrorCode::kUnavailable,
-                                        "entry " + target->vm + " is not a member"));
+    return HandleReply(
+        flow, RefusalReply(request, base::Verdict::kNotRun, kUnknownEntryReason, kNoSlotRetryMs));
   }
   // The extra time lets the owner's timeout fire first, so that a slow upstream is not mistaken for
   // a lost owner.
@@ -214,11 +212,8 @@
 // Records a strike: the request may have crashed the upstream, and the owner may have been lost
 // before it could report that.
 void Dispatcher::HandleLostForward(const FlowPtr& flow) {
-  rpc::ForwardReply lost;
-  lost.set_request_id(flow->request.forward.request_id());
-  lost.set_verdict(std::string(base::ToString(base::Verdict::kMayHaveRun)));
-  lost.set_reason("entry_lost");
-  lost.set_retry_after_ms(kLostRetryMs);
+  const auto lost =
+      RefusalReply(flow->request.forward, base::Verdict::kMayHaveRun, "entry_lost", kLostRetryMs);
   safety::LostConnection connection;
   connection.event_id = base::RandomId();
   connection.owner_session = std::to_string(flow->target.entry);
--- a/src/libs/entry/dispatcher_drain.cpp
+++ b/src/libs/entry/dispatcher_drain.cpp
@@ -63,12 +63,8 @@
 // A request without an attempt still waits for its claim, so it has not run and is never sent.
 void Dispatcher::AnswerUnfinished(const FlowPtr& flow) {
   if (flow->attempts == 0) return Refuse(flow, DescribeDecision(claims::Decision()));
-  rpc::ForwardReply unfinished;
-  unfinished.set_request_id(flow->request.forward.request_id());
-  unfinished.set_verdict(std::string(base::ToString(base::Verdict::kMayHaveRun)));
-  unfinished.set_reason("stopping");
-  unfinished.set_retry_after_ms(kStoppingRetryMs);
-  Finish(flow, unfinished);
+  Finish(flow, RefusalReply(flow->request.forward, base::Verdict::kMayHaveRun, "stopping",
+                            kStoppingRetryMs));
 }
 
 void Dispatcher::ReleaseUnusedClaim(const FlowPtr& flow, const claims::Decision& decision) {
