Drop what an entry keeps of upstreams that are gone

Cause: Owner kept an id and the last loss of each address for its lifetime, and each address that it had ever owned in its pools.

Change: UpstreamIds assigns ids that are never assigned twice, so they can be removed. An upstream that the registry forgets loses its id, measurements and loss; addresses whose ownership has ended leave the pools. The pools stay: their summaries show that they have no slots.

Result: upstream_ids::assigns_no_id_twice fails with the former numbering by size (an id of a removed address is assigned again) and passes. The removal in Owner has no test of its own: nothing public shows it, and the registry forgets after 60 s. test_entry 7 of 7; test_processes: entry_failure, drain, answer and leaving_upstream, 10 of 10.

Conclusion: slots of upstreams that left stay in admission::SlotTable until the session ends.

--- a/src/libs/entry/owner.cpp
+++ b/src/libs/entry/owner.cpp
@@ -5,6 +5,7 @@
 
 #include "base/random_id.h"
 #include "base/verdict.h"
+#include "entry/decision_answer.h"
 #include "entry/local_time.h"
 #include "entry/upstream_request.h"
 
@@ -15,16 +16,6 @@
 constexpr std::uint32_t kSuspectRetryMs = 1'000;
 constexpr std::uint32_t kBlockedRetryMs = 600'000;
 
-rpc::ForwardReply Refusal(const rpc::ForwardRequest& request, base::Verdict verdict,
-                          std::string_view reason, std::uint32_t retry_after_ms) {
-  rpc::ForwardReply reply;
-  reply.set_request_id(request.request_id());
-  reply.set_verdict(std::string(base::ToString(verdict)));
-  reply.set_reason(std::string(reason));
-  reply.set_retry_after_ms(retry_after_ms);
-  return reply;
-}
-
 timeline::EventKind KindOf(membership::ChangeKind kind) {
   using membership::ChangeKind;
   using timeline::EventKind;
@@ -75,6 +66,7 @@
   if (epoch == epoch_) return;
   epoch_ = epoch;
   slots_.EndEpochsBefore(epoch);
+  RemoveUnownedAddresses();
 }
 
 bool Owner::Owns(const std::string& address) const { return slots_.Find(address) != nullptr; }
@@ -130,14 +122,14 @@
                            case SendDecision::kSend:
                              return Send(request, done);
                            case SendDecision::kBlocked:
-                             return done(Refusal(request, base::Verdict::kMayHaveRun,
-                                                 "blocked_request", kBlockedRetryMs));
+                             return done(RefusalReply(request, base::Verdict::kMayHaveRun,
+                                                      "blocked_request", kBlockedRetryMs));
                            case SendDecision::kTrialRunning:
-                             return done(Refusal(request, base::Verdict::kNotRun, "suspect_request",
-                                                 kSuspectRetryMs));
+                             return done(RefusalReply(request, base::Verdict::kNotRun,
+                                                      "suspect_request", kSuspectRetryMs));
                            case SendDecision::kUnavailable:
-                             return done(Refusal(request, base::Verdict::kNotRun,
-                                                 "trial_unavailable", kSuspectRetryMs));
+                             return done(RefusalReply(request, base::Verdict::kNotRun,
+                                                      "trial_unavailable", kSuspectRetryMs));
                          }
                        });
 }
@@ -152,7 +144,7 @@
     const auto* owned = slots_.Find(address);
     if (owned == nullptr) continue;
     routing::UpstreamState state;
-    state.id = IdOf(address);
+    state.id = ids_.IdOf(address);
     state.slots_in_use = owned->slots().taken();
     state.usable_slots = state.slots_in_use + owned->FreeSlots(now);
     state.accepts_work = owned->RefusalReason(now) == admission::Refusal::kNone;
@@ -177,8 +169,8 @@
   std::string address;
   const auto acquired = Acquire(request, address);
   if (!acquired) {
-    return done(Refusal(request, base::Verdict::kNotRun, admission::ToString(acquired.refusal),
-                        kNoSlotRetryMs));
+    return done(RefusalReply(request, base::Verdict::kNotRun, admission::ToString(acquired.refusal),
+                             kNoSlotRetryMs));
   }
   const auto& ticket = acquired.ticket;
   const auto* seen = registry_.Find(address);
@@ -196,7 +188,7 @@
   if (started) return;
   running_.erase(ticket.serial);
   slots_.Release(ticket, {admission::SlotOutcome::kNotSent, {}}, Now());
-  done(Refusal(request, base::Verdict::kNotRun, "overloaded", kNoSlotRetryMs));
+  done(RefusalReply(request, base::Verdict::kNotRun, "overloaded", kNoSlotRetryMs));
 }
 
 void Owner::Finish(std::uint64_t serial, const http::Exchange& exchange) {
@@ -213,7 +205,7 @@
     const bool ok = outcome.verdict == base::Verdict::kRan
                         ? outcome.slot_outcome == admission::SlotOutcome::kAnswered
                         : outcome.slot_outcome == admission::SlotOutcome::kShed;
-    chooser_.Observe(IdOf(run.address), {latency, ok}, now.monotonic);
+    chooser_.Observe(ids_.IdOf(run.address), {latency, ok}, now.monotonic);
   }
   if (outcome.is_strike) {
     return RecordStrike(run, [this, run, exchange, outcome] { Answer(run, exchange, outcome); });
@@ -282,7 +274,23 @@
   for (const auto& change : changes) {
     context_.events.Record(base::WallNowMillis(), KindOf(change.kind), change.address,
                            change.service + " " + std::string(membership::ToString(change.kind)));
-    if (change.kind == membership::ChangeKind::kForgotten) chooser_.Remove(IdOf(change.address));
+    if (change.kind == membership::ChangeKind::kForgotten) Forget(change.address);
+  }
+}
+
+void Owner::Forget(const std::string& address) {
+  if (const auto id = ids_.Remove(address)) chooser_.Remove(*id);
+  losses_.erase(address);
+}
+
+// An owned upstream gets a new id when it is considered after it was forgotten.
+void Owner::RemoveUnownedAddresses() {
+  for (auto& [pool, addresses] : pools_) {
+    std::erase_if(addresses, [this](const auto& address) {
+      if (Owns(address)) return false;
+      if (registry_.Find(address) == nullptr) Forget(address);
+      return true;
+    });
   }
 }
 
@@ -306,11 +314,8 @@
     context_.events.Record(base::WallNowMillis(), timeline::EventKind::kOwnershipEnded,
                            upstream.address, "handed over idle");
   }
+  RemoveUnownedAddresses();
   return released;
 }
 
-routing::UpstreamId Owner::IdOf(const std::string& address) {
-  return ids_.try_emplace(address, static_cast<routing::UpstreamId>(ids_.size())).first->second;
-}
-
 }  // namespace wagtailpick::entry
--- a/src/libs/entry/owner.h
+++ b/src/libs/entry/owner.h
@@ -15,6 +15,7 @@
 #include "entry/process_context.h"
 #include "entry/session.h"
 #include "entry/suspect_tracker.h"
+#include "entry/upstream_ids.h"
 #include "http/client.h"
 #include "membership/upstream_registry.h"
 #include "routing/upstream_chooser.h"
@@ -98,7 +99,11 @@
               const ExchangeOutcome& outcome);
   void RecordStrike(const RunningRequest& run, const std::function<void()>& done);
   void RecordChanges(const std::vector<membership::Change>& changes);
-  routing::UpstreamId IdOf(const std::string& address);
+  /// Removes what is kept of an upstream that no announcement has named for long.
+  void Forget(const std::string& address);
+  /// Removes addresses that this entry no longer owns from the pools. The pools stay, so that their
+  /// summaries show that they have no slots.
+  void RemoveUnownedAddresses();
 
   ProcessContext context_;
   const Session& session_;
@@ -108,7 +113,8 @@
   membership::UpstreamRegistry registry_;
   admission::SlotTable slots_;
   routing::UpstreamChooser chooser_;
-  std::map<std::string, routing::UpstreamId> ids_;
+  UpstreamIds ids_;
+  /// Addresses of the owned upstreams.
   std::map<admission::PoolKey, std::vector<std::string>> pools_;
   std::map<std::uint64_t, RunningRequest> running_;
   std::map<std::string, ConnectionLoss> losses_;
