Follow clang-tidy in the tests of the decoders

Cause: clang-tidy refused a signed loop value, an unused operator and a loop without braces in three of the new test files.

Change: these lines; no check changed.

Conclusion: clean-up only.

--- a/tests/auto/cluster/hostile_message_test.cpp
+++ b/tests/auto/cluster/hostile_message_test.cpp
@@ -144,7 +144,7 @@
 
 // Guards against a fingerprint that is padded or cut, so that it blocks another request.
 Test(hostile_message, refuses_fingerprints_of_another_length) {
-  for (const std::size_t size : {0, 31, 32, 33}) {
+  for (const std::size_t size : {0U, 31U, 32U, 33U}) {
     const auto sample = Encode(Suspects{{safety::SuspectReport{}}});
     json fields = FieldsOf(sample);
     // The first field of the first report.
--- a/tests/auto/consensus/hostile_membership_test.cpp
+++ b/tests/auto/consensus/hostile_membership_test.cpp
@@ -40,7 +40,8 @@
   }
 }
 
-// Guards against an entry of brackets, of at most 16 MiB, that takes hundreds of megabytes to parse.
+// Guards against an entry of brackets, of at most 16 MiB, that takes hundreds of megabytes to
+// parse.
 Test(hostile_membership, parser_refuses_deep_nesting) {
   const std::size_t levels = std::size_t{8} * 1024 * 1024;
   const auto parsed = Membership::Parse(std::string(levels, '[') + std::string(levels, ']'));
--- a/tests/auto/net/hostile_bytes_test.cpp
+++ b/tests/auto/net/hostile_bytes_test.cpp
@@ -36,8 +36,6 @@
 struct Parsed {
   std::vector<std::string> messages;
   ParseError error = ParseError::kNone;
-
-  friend bool operator==(const Parsed&, const Parsed&) = default;
 };
 
 std::string Describe(const http::Headers& headers) {
@@ -133,8 +131,8 @@
 bool HasFieldLikeTransferEncoding(const http::Request& request) {
   constexpr std::string_view kName = "Transfer-Encoding";
   return std::any_of(request.headers.begin(), request.headers.end(), [&](const auto& header) {
-    return header.name.size() > kName.size() &&
-           http::SameName(std::string_view(header.name).substr(0, kName.size()), kName);
+    const std::string_view name = header.name;
+    return name.size() > kName.size() && http::SameName(name.substr(0, kName.size()), kName);
   });
 }
 
--- a/tests/auto/orders/hostile_order_test.cpp
+++ b/tests/auto/orders/hostile_order_test.cpp
@@ -55,8 +55,9 @@
       if (read.empty()) continue;
       json read_fields = json::from_msgpack(read);
       // An order of another kind leaves the rest of longer fields unread.
-      for (auto at = read_fields.size(); at < fields.size(); ++at)
+      for (auto at = read_fields.size(); at < fields.size(); ++at) {
         read_fields.push_back(fields[at]);
+      }
       cr_expect(read_fields.dump() == fields.dump(), "%s read as %s", fields.dump().c_str(),
                 read_fields.dump().c_str());
     }
