--- a/tests/auto/control/hostile_state_test.cpp
+++ b/tests/auto/control/hostile_state_test.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -8,11 +9,13 @@
 #include "control/state_codec.h"
 #include "testing/message_mutator.h"
 #include "testing/mutation_settings.h"
+#include "testing/number_fields.h"
 
 namespace {
 
 using namespace wagtailpick;           // NOLINT(google-build-using-namespace)
 using namespace wagtailpick::control;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
 using testing::MessageMutator;
 
 /// Changed commands and snapshots of one run; takes under a second.
@@ -50,6 +53,32 @@
 /// Returns the body of a snapshot with its digest in front.
 std::string Seal(const std::string& body) { return base::DigestHex(body) + body; }
 
+std::string ToCbor(const json& row) {
+  const auto bytes = json::to_cbor(row);
+  return {bytes.begin(), bytes.end()};
+}
+
+/// Expects that each changed number of `row` is refused, or that it is read as written.
+template <typename ReadBack>
+void CheckNumbers(json row, const ReadBack& read_back) {
+  std::vector<json*> numbers;
+  testing::CollectNumbers(row, numbers);
+  for (auto* number : numbers) {
+    const json original = *number;
+    for (const auto& value : testing::LimitValues()) {
+      *number = value;
+      const auto read = read_back(ToCbor(row));
+      if (read.empty()) continue;
+      json read_row = json::from_cbor(read);
+      // A command of another type leaves the rest of a longer row unread.
+      for (auto at = read_row.size(); at < row.size(); ++at) read_row.push_back(row[at]);
+      cr_expect(read_row.dump() == row.dump(), "%s read as %s", row.dump().c_str(),
+                read_row.dump().c_str());
+    }
+    *number = original;
+  }
+}
+
 }  // namespace
 
 // Guards against a log record that ends the process, or that is read as a command which can't be
@@ -71,6 +100,16 @@
   }
 }
 
+// Guards against a number of a command that is read as another one.
+Test(hostile_state, command_codec_reads_each_number_as_written_or_refuses_it) {
+  for (const auto& command : SampleCommands()) {
+    CheckNumbers(json::from_cbor(EncodeCommand(command)), [](const std::string& bytes) {
+      const auto decoded = DecodeCommand(bytes);
+      return decoded ? EncodeCommand(decoded.value()) : std::string();
+    });
+  }
+}
+
 // Guards against a snapshot whose bytes don't match its digest and that is accepted all the same.
 Test(hostile_state, state_codec_refuses_all_changes_under_the_digest) {
   MessageMutator mutator(testing::MutationSeed());
@@ -97,3 +136,12 @@
     cr_expect(again && again.value() == decoded.value(), "snapshot %lu", i);
   }
 }
+
+// Guards against a number of a snapshot that is read as another one.
+Test(hostile_state, state_codec_reads_each_number_as_written_or_refuses_it) {
+  const auto body = EncodeState(SampleState()).substr(kDigestDigits);
+  CheckNumbers(json::from_cbor(body), [](const std::string& bytes) {
+    const auto decoded = DecodeState(Seal(bytes));
+    return decoded ? EncodeState(decoded.value()).substr(kDigestDigits) : std::string();
+  });
+}
