Remove a stray semicolon from a test

Cause: left it behind when it moved NoFileDescriptors.

Change: removed; the file is formatted again.

Result: the test builds; it runs with the whole tests.

Conclusion: clean-up only.

--- a/tests/auto/net/http_listener_accept_test.cpp
+++ b/tests/auto/net/http_listener_accept_test.cpp
@@ -29,8 +29,6 @@
 constexpr std::chrono::milliseconds kBeyondTimeoutCheck{600};
 constexpr std::chrono::milliseconds kBeyondAcceptPause{250};
 
-;
-
 /// Runs the listener for a fixed time: it accepts again and again while that fails.
 void RunFor(HttpListenerFixture& fixture, std::chrono::milliseconds span) {
   fixture.loop.restart();
