Format a test of damaged records and remove a stray semicolon

Cause: hostile_record_test.cpp was changed after its last formatting, and left a semicolon in acceptor_accept_test.cpp.

Change: both files are formatted as the linter asks.

Conclusion: clean-up only.

--- a/tests/auto/cluster/acceptor_accept_test.cpp
+++ b/tests/auto/cluster/acceptor_accept_test.cpp
@@ -25,8 +25,6 @@
 using std::chrono::milliseconds;
 using wagtailpick::testing::NoFileDescriptors;
 
-;
-
 /// An acceptor and a client whose connection it has not accepted yet.
 struct Fixture {
   Fixture() : client(loop) {
--- a/tests/auto/storage/hostile_record_test.cpp
+++ b/tests/auto/storage/hostile_record_test.cpp
@@ -109,9 +109,9 @@
       const auto decoded = DecodeLogRecord(ToCbor(row));
       if (!decoded) return std::nullopt;
       json read = json::from_cbor(Encode(decoded.value()));
-    // A record of another type leaves the rest of a longer row unread.
-    for (auto field = read.size(); field < row.size(); ++field) read.push_back(row[field]);
-    return read;
+      // A record of another type leaves the rest of a longer row unread.
+      for (auto field = read.size(); field < row.size(); ++field) read.push_back(row[field]);
+      return read;
     });
   }
 }
