Keep the limit of an upstream that turns a request away

Its refusals (503, "not run") named no limit, each entry took the first of them for the end of the limit, and nine requests were sent without a token before an answer named the limit again.

Change: a refusal without a limit ends none. An upstream that turns requests away is in need; the first answer to a request that has run ends the limit, as before.

Result: relay::keeps_a_limit_past_a_refusal_that_names_none failed (1 token for two requests, the third one went without) and passes; the other four tests of limits pass.

An upstream whose limit has ended while it only refuses is asked at the old limit until it serves one request.

--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -143,8 +143,10 @@
                         const std::string& request_id) {
   const auto now = base::MonotonicNow();
   if (answer.requests_per_second) metrics_.CountUpstreamStatus("limited");
-  // An unreadable limit neither sets nor ends one.
-  if (answer.invalid_limit && !answer.requests_per_second) return;
+  // Neither an unreadable limit nor a refusal without one ends a limit: an upstream that turns
+  // requests away is still in need.
+  const bool says_nothing = answer.invalid_limit || answer.kind == AnswerKind::kNotRun;
+  if (says_nothing && !answer.requests_per_second) return;
   const auto change =
       limits_.table().RecordAnswer(id, started_unix_ms, answer.requests_per_second, sent_at, now);
   LogLimitChange(id, started_unix_ms, change, request_id);
--- a/tests/auto/relay/relay_limits_test.cpp
+++ b/tests/auto/relay/relay_limits_test.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <thread>
 
 #include "relay/relay.h"
 #include "relay_fixture.h"
@@ -17,6 +18,8 @@
 namespace limits = wagtailpick::limits;
 
 constexpr wagtailpick::base::Duration kWait = std::chrono::seconds(3);
+/// Entries resume within two seconds after the end of a limit.
+constexpr milliseconds kResumeTime{2'100};
 
 /// Serves all requests and names a limit of `requests_per_second`.
 RawAnswer ServeWithLimit(const std::string& requests_per_second) {
@@ -121,13 +124,32 @@
   });
   for (int i = 0; i < 4; ++i) cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
   cr_expect(host.token_requests() == 3);
-  // Entries resume within two seconds after the end.
-  std::this_thread::sleep_for(milliseconds(2'100));
+  std::this_thread::sleep_for(kResumeTime);
   const int asked = host.token_requests();
   for (int i = 0; i < 3; ++i) cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
   cr_expect(host.token_requests() == asked);
 }
 
+// Guards against a limit that ends because its upstream turned a request away without naming it:
+// the upstream is in need, and got all requests again.
+Test(relay, keeps_a_limit_past_a_refusal_that_names_none) {
+  FakeUpstream limited([](const std::string&, int number) {
+    const RawAnswer refusal{"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false};
+    return number == 2 ? refusal : ServeWithLimit("1");
+  });
+  RelayHost host({limited.address()});
+  host.AnswerTokenRequests([](const limits::TokenRequest&) {
+    return limits::TokenAnswer{0, true, {}};
+  });
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 503);
+  std::this_thread::sleep_for(kResumeTime);
+  cr_expect(StatusOf(host.Exchange(Request("1"), kWait)) == 200);
+  // The first request made the limit known. Each other one had a token.
+  cr_expect(limited.requests() == 3);
+  cr_expect(host.token_requests() == 2, "%d tokens", host.token_requests());
+}
+
 // Guards against a request that reaches an upstream for a caller that has left while its entry
 // waited for a token.
 Test(relay, sends_nothing_for_a_caller_that_left_before_the_token_came) {
