Keep idle connections whose next request has arrived

Cause: after a pause of the process that is longer than the idle timeout, the timeout check closed kept connections whose next requests had arrived but were not read yet. Asio runs its timers after at most 128 ready sockets, so with more clients the check came first for the others. Closing a socket with unread bytes resets it: these callers lost their requests without an answer. A body whose rest had arrived got 408 in the same way.

Change: the idle timeout leaves a connection with unread bytes alone until they are read, as the drain does. The limits of headers and bodies are unchanged, as a client that always has bytes under way could escape them.

--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -321,7 +321,8 @@
   if (phase_ == Phase::kWriting && idle > policy.idle_timeout) return Close();
   if (phase_ != Phase::kReading) return;
   if (parser_.started() && IsTooSlow(policy, now)) return Refuse(408);
-  if (idle <= policy.idle_timeout) return;
+  // After a pause of the process, bytes may have arrived in time that are not read yet.
+  if (idle <= policy.idle_timeout || HasUnreadBytes()) return;
   if (parser_.started()) return Refuse(408);
   Close();
 }
