Make the header fields of answers to the HTTP client well-formed

Change: the client corrects the fields of each answer by http::MakeWellFormed, too. The answer is kept, as its request has run.

Conclusion: both entries pass on well-formed fields only.

--- a/src/libs/http/exchange_handle.cpp
+++ b/src/libs/http/exchange_handle.cpp
@@ -90,6 +90,7 @@
   long status = 0;
   curl_easy_getinfo(curl_, CURLINFO_RESPONSE_CODE, &status);
   exchange_.answer_status = static_cast<int>(status);
+  MakeWellFormed(exchange_.headers);
   done_(std::move(exchange_));
 }
 
--- a/tests/auto/http/client_test.cpp
+++ b/tests/auto/http/client_test.cpp
@@ -2,10 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <future>
 #include <string>
 #include <vector>
 
+#include "http/header.h"
 #include "raw_server.h"
 #include "sync_client.h"
 
@@ -91,6 +93,24 @@
   }
 }
 
+// Guards against malformed fields of an answer that are passed on to the caller, whose parser may
+// refuse the answer or read it differently.
+Test(client, makes_fields_of_answers_well_formed) {
+  RawServer server([&](RawServer& self, RawConnection& connection) {
+    if (self.ReadRequest(connection).empty()) return;
+    connection.Send(Ok() + "X-A: a\x01" + "b\r\nX B: 1\r\nX-C : \x7f" +
+                    "c\r\nContent-Length: 2\r\n\r\nok");
+  });
+  SyncClient client;
+  const Exchange exchange = client.Send(server.url());
+  cr_assert(exchange.status == ExchangeStatus::kComplete, "%s", exchange.error.c_str());
+  cr_expect(std::all_of(exchange.headers.begin(), exchange.headers.end(),
+                        wagtailpick::http::IsWellFormed));
+  cr_assert(exchange.headers.size() == 3, "%zu fields", exchange.headers.size());
+  cr_expect(exchange.headers[0].value == "a b", "'%s'", exchange.headers[0].value.c_str());
+  cr_expect(exchange.headers[1].name == "X-C", "'%s'", exchange.headers[1].name.c_str());
+}
+
 // A request whose connection was refused must not be reported as possibly run.
 Test(client, reports_refused_connection_as_not_sent) {
   SyncClient client;
