--- a/src/libs/consensus/core_follower.cpp
+++ b/src/libs/consensus/core_follower.cpp
@@ -86,6 +86,7 @@
     auto snapshot = assembly_.Add(message.from, message.term, chunk);
     if (!snapshot) return Stop(snapshot.error().code, snapshot.error().message);
     if (snapshot.value()) Install(std::move(*snapshot.value()));
+    if (fault_) return;
   }
   const bool installed = chunk.index <= commit_;
   Message reply = MakeMessage(installed ? MessageKind::kAppendReply : MessageKind::kSnapshotReply,
@@ -101,10 +102,17 @@
   Send(std::move(reply));
 }
 
+// Stops this replica when its owner can't read the snapshot. Stored or acknowledged, the snapshot
+// would replace the state of this replica by one that no restart can read.
 void Core::Install(Snapshot snapshot) {
-  commit_ = snapshot.index;
   // The log already holds the entries that the snapshot covers.
-  if (log_.TermAt(snapshot.index) == snapshot.term) return;
+  const bool is_covered = log_.TermAt(snapshot.index) == snapshot.term;
+  if (!is_covered && options_.check_snapshot) {
+    const auto readable = options_.check_snapshot(*snapshot.data);
+    if (!readable) return Stop(readable.error().code, readable.error().message);
+  }
+  commit_ = snapshot.index;
+  if (is_covered) return;
   log_ = Log(snapshot);
   snapshot_ = snapshot;
   restore_pending_ = true;
--- a/src/libs/consensus/options.h
+++ b/src/libs/consensus/options.h
@@ -20,6 +20,9 @@
   std::vector<std::string> peers;
   /// Source of randomness for election timeouts.
   std::function<std::uint64_t()> random;
+  /// Returns an error if the owner can't read the data of a snapshot from a leader. Such a snapshot
+  /// stops the replica before it replaces the state on disk. Null accepts all.
+  std::function<base::Result<void>(const std::string& data)> check_snapshot;
 
   base::Duration election_timeout_min = std::chrono::milliseconds(1'000);
   base::Duration election_timeout_max = std::chrono::milliseconds(1'400);
--- a/src/libs/node/order_log.cpp
+++ b/src/libs/node/order_log.cpp
@@ -25,6 +25,10 @@
 /// loss of a disk while the group is forming.
 constexpr std::size_t kMinVotersToServe = 3;
 
+base::Error UnreadableSnapshot(const base::Error& error) {
+  return {error.code, "the snapshot can't be read: " + error.message};
+}
+
 }  // namespace
 
 base::Result<std::unique_ptr<OrderLog>> OrderLog::Start(const Options& options, Hooks hooks) {
@@ -61,6 +65,11 @@
   incarnation_ = disk.incarnation();
   auto driver_options = replica::LogDriver::DefaultOptions();
   driver_options.heartbeat_interval = kHeartbeatInterval;
+  driver_options.check_snapshot = [](const std::string& snapshot) -> base::Result<void> {
+    const auto state = orders::OrderState::DecodeSnapshot(snapshot);
+    if (!state) return UnreadableSnapshot(state.error());
+    return base::Ok();
+  };
   state_failure_.reset();
   BOOST_OUTCOME_TRY(driver, replica::LogDriver::Create(self_, std::move(driver_options),
                                                        std::move(disk), DriverHooks()));
@@ -96,8 +105,7 @@
 void OrderLog::Restore(const std::string& snapshot) {
   auto state = orders::OrderState::DecodeSnapshot(snapshot);
   if (!state) {
-    state_failure_ =
-        base::Error{state.error().code, "the snapshot can't be read: " + state.error().message};
+    state_failure_ = UnreadableSnapshot(state.error());
     logging::Write(Level::kError, "snapshot_unreadable", state_failure_->message);
     // `OpenDriver` returns the error of the snapshot on this disk.
     if (driver_) driver_->Halt(*state_failure_);
--- a/tests/auto/consensus/recovery_test.cpp
+++ b/tests/auto/consensus/recovery_test.cpp
@@ -125,6 +125,35 @@
   cr_expect(!single.replica().TakeSnapshot(1, "x"));
 }
 
+// Guards against a snapshot that the owner can't read and that replaces the state on disk, or is
+// acknowledged to the leader.
+Test(recovery, an_unreadable_snapshot_stops_the_replica_and_is_not_stored) {
+  Options options = MakeOptions("a");
+  options.check_snapshot = [](const std::string& data) -> wagtailpick::base::Result<void> {
+    if (data == "state") return wagtailpick::base::Ok();
+    return wagtailpick::base::Fail(wagtailpick::base::ErrorCode::kCorrupt, "unreadable");
+  };
+  for (const std::string data : {"state", "no state"}) {
+    const auto state = Replica::InitialState({"a", "b"});
+    auto created = Replica::Create(options, state, {});
+    cr_assert(created.has_value());
+    Replica& replica = created.value();
+    Message message;
+    message.kind = MessageKind::kSnapshot;
+    message.from = {"b", 1};
+    message.to = {"a", 1};
+    message.term = 2;
+    message.chunk = {5, 2, state.snapshot->membership.Encode(), 0, data, true};
+    replica.Step(message, {});
+    const bool readable = data == "state";
+    cr_expect(replica.fault().has_value() == !readable);
+    cr_expect(replica.snapshot_index() == (readable ? 5 : 0));
+    const auto output = replica.ConsumeOutput(true);
+    cr_expect(output.sync.snapshot.has_value() == readable);
+    cr_expect(readable || output.messages.empty());
+  }
+}
+
 // Guards against a leader's snapshot that fills the memory, as nothing limits the sum of its parts,
 // and against a limit that refuses a snapshot of just that size.
 Test(recovery, a_snapshot_above_the_limit_stops_the_replica) {
