--- a/src/libs/controller/control_service.cpp
+++ b/src/libs/controller/control_service.cpp
@@ -56,6 +56,27 @@
   return bundle::ParseBundle(stored.payload);
 }
 
+/// The content of a snapshot.
+struct StoredState {
+  control::ControlState state;
+  bundle::Bundle bundle;
+};
+
+Result<StoredState> ReadSnapshot(const std::string& snapshot) {
+  StoredState stored;
+  BOOST_OUTCOME_TRY(state, control::ControlState::DecodeSnapshot(snapshot));
+  if (state.bundle().version > 0) {
+    BOOST_OUTCOME_TRY(parsed, ReadBundle(state.bundle().signed_bytes));
+    stored.bundle = std::move(parsed);
+  }
+  stored.state = std::move(state);
+  return stored;
+}
+
+base::Error UnreadableSnapshot(const base::Error& error) {
+  return {error.code, "the snapshot can't be read: " + error.message};
+}
+
 Result<CheckedBundle> CheckBundle(const std::string& bytes, const std::vector<std::string>& keys) {
   BOOST_OUTCOME_TRY(stored, bundle::DecodeSignedBundle(bytes));
   BOOST_OUTCOME_TRY(bundle::Verify(stored, keys));
@@ -90,6 +111,11 @@
   std::unique_ptr<ControlService> service(new ControlService(options, events));
   auto log_options = replica::LogDriver::DefaultOptions();
   log_options.peers = options.replicas;
+  log_options.check_snapshot = [](const std::string& snapshot) -> Result<void> {
+    const auto stored = ReadSnapshot(snapshot);
+    if (!stored) return UnreadableSnapshot(stored.error());
+    return base::Ok();
+  };
   for (const auto& peer : options.replicas) {
     if (peer != service->self_) service->replicas_[peer] = rpc::Client::Create(peer);
   }
@@ -143,26 +169,17 @@
 }
 
 void ControlService::Restore(const std::string& snapshot) {
-  const auto restored = RestoreState(snapshot);
-  if (restored) return;
-  state_failure_ =
-      base::Error{restored.error().code, "the snapshot can't be read: " + restored.error().message};
-  logging::Write(logging::Level::kError, "snapshot_unreadable", state_failure_->message);
-  // `Create` returns the error of the snapshot on this disk.
-  if (log_ != nullptr) log_->Halt(*state_failure_);
-}
-
-Result<void> ControlService::RestoreState(const std::string& snapshot) {
-  BOOST_OUTCOME_TRY(state, control::ControlState::DecodeSnapshot(snapshot));
-  bundle::Bundle parsed;
-  if (state.bundle().version > 0) {
-    BOOST_OUTCOME_TRY(read, ReadBundle(state.bundle().signed_bytes));
-    parsed = std::move(read);
+  auto stored = ReadSnapshot(snapshot);
+  if (!stored) {
+    state_failure_ = UnreadableSnapshot(stored.error());
+    logging::Write(logging::Level::kError, "snapshot_unreadable", state_failure_->message);
+    // `Create` returns the error of the snapshot on this disk.
+    if (log_ != nullptr) log_->Halt(*state_failure_);
+    return;
   }
-  state_ = std::move(state);
-  bundle_ = std::move(parsed);
+  state_ = std::move(stored.value().state);
+  bundle_ = std::move(stored.value().bundle);
   view_version_ = state_.applied_index();
-  return base::Ok();
 }
 
 void ControlService::HandleMembership(const consensus::Membership& members) {
--- a/src/libs/controller/control_service.h
+++ b/src/libs/controller/control_service.h
@@ -72,7 +72,6 @@
   /// Replaces the state by a snapshot. Halts the log if the snapshot can't be read, as this replica
   /// would otherwise go on with another state than its group.
   void Restore(const std::string& snapshot);
-  base::Result<void> RestoreState(const std::string& snapshot);
   /// Applies a record. One that can't be read changes nothing; all replicas skip it.
   base::Result<control::Outcome> ApplyRecord(std::uint64_t index, const std::string& data);
   /// `accepted` is the bundle of an `AcceptBundle` command.
--- a/tests/auto/controller/control_service_test.cpp
+++ b/tests/auto/controller/control_service_test.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -85,11 +86,13 @@
 }
 
 // Guards against a replica that can't read the snapshot which its leader sent, goes on with its old
-// state and replaces the snapshot by one of that state.
+// state and replaces the snapshot by one of that state, and against one that stores the snapshot,
+// so that it never starts again.
 Test(control_service, stops_at_a_snapshot_of_the_leader_that_it_cannot_read) {
   const std::vector<std::string> members{controller_test::kSelf, controller_test::kOther};
   const ReplicaFolder folder(members);
-  ControlServiceRunner service(folder, members);
+  auto runner = std::make_unique<ControlServiceRunner>(folder, members);
+  ControlServiceRunner& service = *runner;
   rpc::ConsensusBatch heartbeat;
   *heartbeat.add_messages() = controller::ToWire(MessageFromOther(consensus::MessageKind::kAppend));
   service.Deliver(heartbeat);
@@ -107,6 +110,9 @@
     service.Deliver(heartbeat);
   }
   cr_expect(service.Renew().leader_address().empty(), "the replica still follows its leader");
+  runner.reset();
+  const ControlServiceRunner restarted(folder, members);
+  cr_expect(restarted.error().empty(), "%s", restarted.error().c_str());
 }
 
 // Guards against a replica that has stopped for a fault of the consensus, such as two leaders in
