Copy a claim whose answer can't be read as held

Cause: `ClaimService::Copy` ignored that an answer couldn't be read and sent the claim as completed with an empty answer. The other replica stored that record, but holds a claim without an answer as claimed and lists it so. A rewrite of its log keeps only listed records, so it dropped this one: after a restart the claim was gone there, and its request could run again.

Change: such a claim is copied as held, as the table lists one whose answer isn't on disk yet.

--- a/src/libs/controller/claim_service.cpp
+++ b/src/libs/controller/claim_service.cpp
@@ -204,7 +204,13 @@
   const auto copy = rpc::FromWire(request);
   if (!copy) return done(boost::outcome_v2::failure(copy.error()));
   auto outcome = source_.Handle(copy.value(), store_, base::WallNowMillis());
-  for (auto& record : outcome.page.records) ReadAnswer(record.answer_position, record.answer);
+  for (auto& record : outcome.page.records) {
+    if (ReadAnswer(record.answer_position, record.answer)) continue;
+    // Without the answer the other replica can only hold the claim. As a completed record, the
+    // claim would be lost when that replica rewrites its log.
+    record.kind = claims::RecordKind::kClaimed;
+    record.answer_kept = false;
+  }
   ReplyAfterSync(outcome.mutation,
                  [done, page = rpc::ToWire(outcome.page)](const Result<void>& ok) {
                    if (!ok) return done(boost::outcome_v2::failure(ok.error()));
--- a/tests/auto/controller/claim_service_faults_test.cpp
+++ b/tests/auto/controller/claim_service_faults_test.cpp
@@ -13,6 +13,7 @@
 
 #include "base/monotonic_time.h"
 #include "claims/claim_messages.h"
+#include "claims/claim_store.h"
 #include "controller/claim_service.h"
 #include "logging/log.h"
 #include "rpc/claim_codec.h"
@@ -167,6 +168,32 @@
   cr_expect(ClaimAgain(service).answer() == "answer");
 }
 
+// Guards against a copied claim whose answer the source can't read: the other replica stored it as
+// completed, but holds it as claimed, so the next rewrite of its log dropped the record.
+Test(claim_service_faults, copies_a_claim_without_its_unreadable_answer_as_held) {
+  FaultyService faulty;
+  ClaimService& service = faulty.Start(1);
+  auto complete = RequestOf<rpc::CompleteRequest>('1');
+  complete.set_answer("answer");
+  service.Complete(complete, [](const Result<rpc::Empty>&) {});
+  service.Tick();
+  faulty.reads_fail = true;
+  const auto request = rpc::ToWire(claims::CopyRequest{1, 2, 1, 0});
+  rpc::CopyReply page;
+  service.Copy(request, [&](const Result<rpc::CopyReply>& reply) { page = reply.value(); });
+  service.Tick();
+  cr_assert(page.records_size() == 1);
+  claims::ClaimStore other({}, {1, 2});
+  const auto now = base::WallNowMillis();
+  const auto stored = other.ApplyCopied(rpc::FromWire(page.records(0)).value(), now).record;
+  cr_assert(stored.has_value());
+  bool is_live = false;
+  other.ForEachLive(now, [&](const claims::Record& live) {
+    is_live = is_live || (live.attempt == stored->attempt && live.kind == stored->kind);
+  });
+  cr_expect(is_live, "a rewrite drops the record");
+}
+
 // Guards against a rewrite of the claim log that drops a claim which it can't read: its request
 // could run a second time.
 Test(claim_service_faults, keeps_a_claim_that_it_cannot_read) {
