Count only failed connects after a lost kept connection

Both losses counted toward the limit of three, so when two upstreams died at that moment, the request was refused with 503 although a third one was sound and time was left.

Change: the loss of a kept connection is not counted; the attempt on a new connection counts if it fails. The number of such losses stays small, as each closes all idle connections of its upstream.

Conclusion: the limit bounds failed connects, as its name says.

--- a/src/libs/relay/request_run_losses.cpp
+++ b/src/libs/relay/request_run_losses.cpp
@@ -79,10 +79,13 @@
   }
   --sends_;
   if (result.outcome == net::ExchangeOutcome::kNotSent && result.reused) {
+    // Not counted, as the attempt on a new connection counts if it fails, too.
     UseNewConnection(attempt);
+  } else if (attempts_.empty()) {
+    ++failed_connects_;
   }
   if (!attempts_.empty()) return;
-  if (++failed_connects_ < kMaxFailedConnects && HasTimeForAttempt()) return StartAttempt();
+  if (failed_connects_ < kMaxFailedConnects && HasTimeForAttempt()) return StartAttempt();
   Refuse("upstreams_unreachable");
 }
 
--- a/tests/auto/relay/kept_connection_test.cpp
+++ b/tests/auto/relay/kept_connection_test.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
@@ -14,8 +15,8 @@
 
 #include "relay/relay.h"
 
-// Requests for a single upstream that resets its kept connections. The relay and the upstream share
-// one loop, so that the order of events is fixed.
+// Requests for upstreams that reset their kept connections. The relay and the upstreams share one
+// loop, so that the order of events is fixed.
 
 namespace {
 
@@ -52,6 +53,13 @@
     }
   }
 
+  /// Refuses connections from now on.
+  void Stop() {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    ResetConnections();
+  }
+
   int requests() const { return requests_; }
 
  private:
@@ -98,10 +106,10 @@
   std::optional<int> status;
 };
 
-/// A relay with one upstream and one route.
+/// A relay with one route to some upstreams.
 class Scene {
  public:
-  explicit Scene(bool idempotent) : upstream_(loop_) {
+  explicit Scene(bool idempotent, int upstream_count = 1) {
     catalog::Route route;
     route.name = "r";
     route.host = "h";
@@ -115,12 +123,7 @@
     service.name = kService;
     state_.catalog =
         std::make_shared<const catalog::Catalog>(catalog::Catalog{1, {route}, {service}, {}});
-    wagtailpick::upstreams::UpstreamReport report;
-    report.id = "u";
-    report.service = kService;
-    report.address = upstream_.address();
-    report.data_centre = "dc";
-    state_.upstreams.Apply(report, {}, base::MonotonicNow());
+    for (int i = 0; i < upstream_count; ++i) AddUpstream("u" + std::to_string(i));
     relay::RelayOptions options;
     options.vm = "e1";
     options.data_centre = "dc";
@@ -140,9 +143,20 @@
 
   /// Calls `hook` before the next request is written, after its connection was chosen.
   void set_before_write(std::function<void()> hook) { before_write_ = std::move(hook); }
-  KeepingUpstream& upstream() { return upstream_; }
+  KeepingUpstream& upstream() { return *upstreams_.front(); }
+  std::vector<std::unique_ptr<KeepingUpstream>>& upstreams() { return upstreams_; }
 
  private:
+  void AddUpstream(const std::string& id) {
+    upstreams_.push_back(std::make_unique<KeepingUpstream>(loop_));
+    wagtailpick::upstreams::UpstreamReport report;
+    report.id = id;
+    report.service = kService;
+    report.address = upstreams_.back()->address();
+    report.data_centre = "dc";
+    state_.upstreams.Apply(report, {}, base::MonotonicNow());
+  }
+
   relay::Dialect MakeDialect() {
     relay::Dialect dialect;
     dialect.parse_request = [](const http::Request&) -> base::Result<relay::RequestAttributes> {
@@ -165,7 +179,7 @@
   }
 
   asio::io_context loop_;
-  KeepingUpstream upstream_;
+  std::vector<std::unique_ptr<KeepingUpstream>> upstreams_;
   relay::RoutingState state_;
   wagtailpick::metrics::Registry metrics_;
   std::function<void()> before_write_;
@@ -186,3 +200,22 @@
     cr_expect(scene.upstream().requests() == 2, "%d requests", scene.upstream().requests());
   }
 }
+
+// Guards against a refusal although one upstream is sound: two others died just before the request
+// was written to a kept connection, and both were tried on new ones.
+Test(kept_connection, two_upstreams_die_before_the_request_is_written) {
+  for (const bool idempotent : {true, false}) {
+    Scene scene(idempotent, 3);
+    cr_assert(scene.Send() == 200);
+    auto& upstreams = scene.upstreams();
+    std::partition(upstreams.begin(), upstreams.end(),
+                   [](const auto& upstream) { return upstream->requests() > 0; });
+    scene.set_before_write([&] {
+      upstreams[0]->Stop();
+      upstreams[1]->Stop();
+    });
+    const int status = scene.Send();
+    cr_expect(status == 200, "status %d", status);
+    cr_expect(upstreams[2]->requests() == 1, "%d requests", upstreams[2]->requests());
+  }
+}
