Time the body of a request from the end of its head

Cause: the limit of a body ran from the first byte of the request. A config may allow a head more time than that; a head that used its time left the body none, and a request whose bytes came as allowed was answered 408.

Change: the time of a body starts when the head is complete. The whole stays bounded by the header timeout and the body's own limit.

--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -171,8 +171,10 @@
   const auto policy = Widen(hooks_.policy(), granted_);
   parser_.set_limits(policy.message);
   parser_.set_memory(policy.memory);
+  const bool had_head = parser_.headers_complete();
   const std::size_t used = parser_.Feed(pending_);
   pending_.erase(0, used);
+  if (!had_head) body_started_ = last_activity_;
   if (parser_.error() == ParseError::kNoMemory) return RefuseForMemory();
   if (parser_.error() != ParseError::kNone) return Refuse(StatusFor(parser_.error()));
   if (parser_.complete()) Serve();
@@ -328,10 +330,9 @@
 }
 
 bool ServerConnection::IsTooSlow(const ServerPolicy& policy, base::MonotonicTime now) {
-  const auto elapsed = now - request_started_;
-  if (!parser_.headers_complete()) return elapsed > policy.header_timeout;
+  if (!parser_.headers_complete()) return now - request_started_ > policy.header_timeout;
   const std::chrono::seconds earned(parser_.request().body.size() / kMinBodyBytesPerSecond);
-  return elapsed > policy.body_timeout + earned;
+  return now - body_started_ > policy.body_timeout + earned;
 }
 
 // A request that crosses the close stays unread, so that its client may send it again.
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -26,9 +26,9 @@
   /// Longest time without received bytes between two requests and within a body, and without sent
   /// bytes while an answer is being sent.
   base::Duration idle_timeout = std::chrono::seconds(15);
-  /// Longest time from the first byte of a request to the end of its body, beside a second for each
-  /// `kMinBodyBytesPerSecond` of the body that have arrived. Ends bodies that come byte by byte and
-  /// hold their memory meanwhile.
+  /// Longest time from the end of the head of a request to the end of its body, beside a second for
+  /// each `kMinBodyBytesPerSecond` of the body that have arrived. Ends bodies that come byte by
+  /// byte and hold their memory meanwhile.
   base::Duration body_timeout = std::chrono::seconds(30);
   /// Whether the connection is closed after an answer, once all requests that were read are
   /// answered.
@@ -122,6 +122,8 @@
   base::MonotonicTime opened_at_;
   base::MonotonicTime last_activity_;
   base::MonotonicTime request_started_;
+  /// When the head of the current request was complete.
+  base::MonotonicTime body_started_;
   std::weak_ptr<Inbound> inbound_;
 };
 
--- a/tests/auto/net/http_listener_slow_body_test.cpp
+++ b/tests/auto/net/http_listener_slow_body_test.cpp
@@ -84,3 +84,21 @@
   cr_assert(fixture.inbound.size() == 1);
   cr_expect(fixture.inbound.front()->request.body.size() == kParts * part.size());
 }
+
+// Guards against bodies that are refused because the head before them took its time, as a config
+// may allow longer heads than bodies.
+Test(http_listener_slow_body, has_its_own_time_after_a_slow_head) {
+  /// Longer than the interval between two timeout checks, and shorter than the body timeout.
+  constexpr milliseconds kCheckWait{700};
+  HttpListenerFixture fixture;
+  fixture.policy.header_timeout = kMaxWait;
+  fixture.policy.body_timeout = kBodyTimeout;
+  auto client = fixture.Connect();
+  Send(client, "POST /x HTTP/1.1\r\nHost: h\r\n");
+  for (milliseconds waited{0}; waited < 2 * kBodyTimeout; waited += kPause) fixture.Run(kPause);
+  Send(client, "Content-Length: 4\r\n\r\nbo");
+  for (milliseconds waited{0}; waited < kCheckWait; waited += kPause) fixture.Run(kPause);
+  Send(client, "dy");
+  fixture.Run(kPause);
+  cr_assert(fixture.inbound.size() == 1, "'%s'", ReadArrived(client).bytes.c_str());
+}
