Handle what is ready in the net tests although the thread was stalled

Cause: run_for and run_one_for take their end from the clock first, and handle nothing if the thread is stalled until that end. The tests then judge bytes that have arrived and are not read. Change: testing::RunFor and testing::RunUntilIdle go on until nothing is ready. The spans stay. Conclusion: the checks are as strict as before; no bound has changed.

--- a/tests/auto/net/connection_ends_test.cpp
+++ b/tests/auto/net/connection_ends_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "http_listener_fixture.h"
+#include "testing/run_loop.h"
 
 namespace {
 
@@ -160,8 +161,7 @@
 
 /// Runs the listener for longer than the interval between two timeout checks.
 void RunBeyondTimeoutCheck(HttpListenerFixture& fixture) {
-  fixture.loop.restart();
-  fixture.loop.run_for(std::chrono::milliseconds(600));
+  wagtailpick::testing::RunFor(fixture.loop, std::chrono::milliseconds(600));
 }
 
 constexpr std::size_t kPipelined = kStates.size() - 1;
--- a/tests/auto/net/frame_link_test.cpp
+++ b/tests/auto/net/frame_link_test.cpp
@@ -10,6 +10,8 @@
 #include <string>
 #include <thread>
 
+#include "testing/run_loop.h"
+
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
@@ -31,10 +33,7 @@
     link->Start(std::move(hooks));
   }
 
-  void Run(milliseconds time) {
-    loop.restart();
-    loop.run_for(time);
-  }
+  void Run(milliseconds time) { testing::RunFor(loop, time); }
 
   asio::io_context loop;
   tcp::socket peer;
--- a/tests/auto/net/http_listener_accept_test.cpp
+++ b/tests/auto/net/http_listener_accept_test.cpp
@@ -13,6 +13,7 @@
 #include "http_listener_fixture.h"
 #include "logging/log.h"
 #include "testing/no_file_descriptors.h"
+#include "testing/run_loop.h"
 
 namespace {
 
@@ -31,8 +32,7 @@
 
 /// Runs the listener for a fixed time: it accepts again and again while that fails.
 void RunFor(HttpListenerFixture& fixture, std::chrono::milliseconds span) {
-  fixture.loop.restart();
-  fixture.loop.run_for(span);
+  wagtailpick::testing::RunFor(fixture.loop, span);
 }
 
 }  // namespace
--- a/tests/auto/net/http_listener_fixture.cpp
+++ b/tests/auto/net/http_listener_fixture.cpp
@@ -4,6 +4,8 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "testing/run_loop.h"
+
 namespace wagtailpick::net {
 
 using asio::ip::tcp;
@@ -31,11 +33,7 @@
   return client;
 }
 
-void HttpListenerFixture::Run(std::chrono::milliseconds span) {
-  loop.restart();
-  while (loop.run_one_for(span) > 0) {
-  }
-}
+void HttpListenerFixture::Run(std::chrono::milliseconds span) { testing::RunUntilIdle(loop, span); }
 
 Received ReadArrived(tcp::socket& client) {
   Received received;
--- a/tests/auto/net/http_listener_test.cpp
+++ b/tests/auto/net/http_listener_test.cpp
@@ -3,13 +3,14 @@
 #include <criterion/criterion.h>
 
 #include <asio/io_context.hpp>
-#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <memory>
 #include <stdexcept>
 #include <string>
 #include <utility>
 
+#include "testing/run_loop.h"
+
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
@@ -52,8 +53,7 @@
   }
 
   void Run() {
-    loop.restart();
-    loop.run_for(milliseconds(50));
+    testing::RunFor(loop, milliseconds(50));
   }
 
   /// Reads until the client has received at least `kLongAnswer` bytes.
--- a/tests/auto/net/upstream_connection_test.cpp
+++ b/tests/auto/net/upstream_connection_test.cpp
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <utility>
 
+#include "testing/run_loop.h"
+
 namespace {
 
 using namespace wagtailpick;  // NOLINT(google-build-using-namespace)
@@ -76,8 +78,7 @@
   }
   void Close() { upstream_.close(); }
   void RunFor(std::chrono::milliseconds time) {
-    loop_.restart();
-    loop_.run_for(time);
+    testing::RunFor(loop_, time);
   }
   std::optional<net::ExchangeOutcome> RunExchange() {
     const auto end = base::MonotonicNow() + kMaxTime;
