Take the disk out of the test of orders before a group has formed

Cause: accepts_no_order_before_the_group_has_formed syncs to the real disk. One order that waits for it can be decided after the formation time of 8 s has passed, and is then accepted rightly. Change: the log's files wait for no disk, as in the other tests of this file. The formation time is still the default and the checks are the same.

--- a/tests/auto/node/order_log_test.cpp
+++ b/tests/auto/node/order_log_test.cpp
@@ -100,7 +100,7 @@
 // joined the group yet: the loss of that disk would lose the order.
 Test(order_log, accepts_no_order_before_the_group_has_formed) {
   const std::string folder = MakeFolder();
-  auto log = OrderLog::Start({folder, "127.0.0.1:1", true}, NoOpHooks());
+  auto log = OrderLog::Start({folder, "127.0.0.1:1", true, FilesWithoutSync()}, NoOpHooks());
   cr_assert(log.has_value());
   // Longer than the election of a single replica.
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
