Restart from a copy of the disk in a test of the control service

The core shows gRPC's own thread in grpc_cq_internal_unref while the test opens the disk again. The test destroyed the service for that: its last call still held the channel, so gRPC shut its queue down on the thread that serves it.

Change: the second service starts from a copy of the disk, and the first one lives until the test ends. What is required of the disk stays the same.

--- a/tests/auto/controller/control_service_fixture.cpp
+++ b/tests/auto/controller/control_service_fixture.cpp
@@ -26,6 +26,12 @@
   return options;
 }
 
+std::string MakeRoot() {
+  std::string pattern = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
+  cr_assert(mkdtemp(pattern.data()) != nullptr);
+  return pattern;
+}
+
 }  // namespace
 
 std::string SignedBundleBytes() {
@@ -34,13 +40,17 @@
   return bundle::Encode(signed_bundle.value());
 }
 
-ReplicaFolder::ReplicaFolder(const std::vector<std::string>& members) : members_(members) {
-  std::string pattern = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
-  cr_assert(mkdtemp(pattern.data()) != nullptr);
-  root_ = pattern;
+ReplicaFolder::ReplicaFolder(const std::vector<std::string>& members)
+    : root_(MakeRoot()), members_(members) {
   cr_assert(replica::ReplicaDisk::InitGroup(root_ + "/data", kSelf, members_).has_value());
 }
 
+ReplicaFolder::ReplicaFolder(const ReplicaFolder& other)
+    : root_(MakeRoot()), members_(other.members_) {
+  std::filesystem::copy(other.root_ + "/data", root_ + "/data",
+                        std::filesystem::copy_options::recursive);
+}
+
 ReplicaFolder::~ReplicaFolder() { std::filesystem::remove_all(root_); }
 
 void ReplicaFolder::StoreEntries(const std::vector<std::string>& data) const {
--- a/tests/auto/controller/control_service_fixture.h
+++ b/tests/auto/controller/control_service_fixture.h
@@ -23,7 +23,8 @@
   /// Prepares the folder for a new group of `members`.
   explicit ReplicaFolder(const std::vector<std::string>& members);
   ~ReplicaFolder();
-  ReplicaFolder(const ReplicaFolder&) = delete;
+  /// Copies the present content of the data folder of `other`.
+  ReplicaFolder(const ReplicaFolder& other);
   ReplicaFolder& operator=(const ReplicaFolder&) = delete;
 
   /// Stores log entries of term 1, from index 1 on.
--- a/tests/auto/controller/control_service_test.cpp
+++ b/tests/auto/controller/control_service_test.cpp
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <fstream>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -91,8 +90,7 @@
 Test(control_service, stops_at_a_snapshot_of_the_leader_that_it_cannot_read) {
   const std::vector<std::string> members{controller_test::kSelf, controller_test::kOther};
   const ReplicaFolder folder(members);
-  auto runner = std::make_unique<ControlServiceRunner>(folder, members);
-  ControlServiceRunner& service = *runner;
+  ControlServiceRunner service(folder, members);
   rpc::ConsensusBatch heartbeat;
   *heartbeat.add_messages() = controller::ToWire(MessageFromOther(consensus::MessageKind::kAppend));
   service.Deliver(heartbeat);
@@ -110,8 +108,10 @@
     service.Deliver(heartbeat);
   }
   cr_expect(service.Renew().leader_address().empty(), "the replica still follows its leader");
-  runner.reset();
-  const ControlServiceRunner restarted(folder, members);
+  // Starts from a copy of the disk: gRPC may abort if a service and its last client end while a
+  // call is running, and this process goes on.
+  const ReplicaFolder disk_after_stop(folder);
+  const ControlServiceRunner restarted(disk_after_stop, members);
   cr_expect(restarted.error().empty(), "%s", restarted.error().c_str());
 }
 
