Copy a test's data folder by a function of its own

Change: ReplicaFolder::Copy returns the copy, and the class can't be copied by accident.

Conclusion: clean-up only.

--- a/tests/auto/controller/control_service_fixture.cpp
+++ b/tests/auto/controller/control_service_fixture.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <future>
 #include <thread>
+#include <utility>
 
 #include "bundle/signed_bundle.h"
 #include "bundle/signing_key.h"
@@ -45,11 +46,8 @@
   cr_assert(replica::ReplicaDisk::InitGroup(root_ + "/data", kSelf, members_).has_value());
 }
 
-ReplicaFolder::ReplicaFolder(const ReplicaFolder& other)
-    : root_(MakeRoot()), members_(other.members_) {
-  std::filesystem::copy(other.root_ + "/data", root_ + "/data",
-                        std::filesystem::copy_options::recursive);
-}
+ReplicaFolder::ReplicaFolder(std::string root, std::vector<std::string> members)
+    : root_(std::move(root)), members_(std::move(members)) {}
 
 ReplicaFolder::~ReplicaFolder() { std::filesystem::remove_all(root_); }
 
@@ -74,6 +72,12 @@
   cr_assert(Open().Write(batch).has_value());
 }
 
+ReplicaFolder ReplicaFolder::Copy() const {
+  std::string root = MakeRoot();
+  std::filesystem::copy(root_ + "/data", root + "/data", std::filesystem::copy_options::recursive);
+  return {std::move(root), members_};
+}
+
 replica::ReplicaDisk ReplicaFolder::Open() const {
   auto disk = replica::ReplicaDisk::Open(root_ + "/data", kSelf, 1);
   cr_assert(disk.has_value());
--- a/tests/auto/controller/control_service_fixture.h
+++ b/tests/auto/controller/control_service_fixture.h
@@ -23,8 +23,7 @@
   /// Prepares the folder for a new group of `members`.
   explicit ReplicaFolder(const std::vector<std::string>& members);
   ~ReplicaFolder();
-  /// Copies the present content of the data folder of `other`.
-  ReplicaFolder(const ReplicaFolder& other);
+  ReplicaFolder(const ReplicaFolder&) = delete;
   ReplicaFolder& operator=(const ReplicaFolder&) = delete;
 
   /// Stores log entries of term 1, from index 1 on.
@@ -32,10 +31,14 @@
   /// Stores a snapshot of index 1 and term 1 that holds `data`.
   void StoreSnapshot(const std::string& data) const;
   replica::ReplicaDisk Open() const;
+  /// Returns a folder with the present content of this one.
+  ReplicaFolder Copy() const;
   /// Path of the folder that contains the data folder.
   const std::string& path() const { return root_; }
 
  private:
+  ReplicaFolder(std::string root, std::vector<std::string> members);
+
   std::string root_;
   std::vector<std::string> members_;
 };
--- a/tests/auto/controller/control_service_test.cpp
+++ b/tests/auto/controller/control_service_test.cpp
@@ -110,7 +110,7 @@
   cr_expect(service.Renew().leader_address().empty(), "the replica still follows its leader");
   // Starts from a copy of the disk: gRPC may abort if a service and its last client end while a
   // call is running, and this process goes on.
-  const ReplicaFolder disk_after_stop(folder);
+  const ReplicaFolder disk_after_stop = folder.Copy();
   const ControlServiceRunner restarted(disk_after_stop, members);
   cr_expect(restarted.error().empty(), "%s", restarted.error().c_str());
 }
