--- a/tests/auto/relay/relay_fixture.cpp
+++ b/tests/auto/relay/relay_fixture.cpp
@@ -15,6 +15,8 @@
 #include <future>
 #include <string_view>
 
+#include "direct_request.h"
+
 namespace wagtailpick::relay_test {
 namespace {
 
@@ -90,21 +92,6 @@
   return report;
 }
 
-/// A request without a connection of a client.
-class DirectRequest : public net::InboundRequest {
- public:
-  explicit DirectRequest(const std::string& id) {
-    request = {"GET", "/x", {{"Host", "h"}, {"Id", id}}, {}, kLoopback};
-    received_at = base::MonotonicNow();
-  }
-  std::future<int> status() { return status_.get_future(); }
-  void Answer(http::Response response) override { status_.set_value(response.status); }
-  void Abort() override { status_.set_value(0); }
-
- private:
-  std::promise<int> status_;
-};
-
 int ConnectTo(const base::Endpoint& endpoint) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
