Refuse requests that another reader could end elsewhere

Cause: http_parser alone decided where a request ends. It ends a CONNECT at its head, whatever length it declares, and is built without its strict checks: a length on a line that begins with a blank isn't seen, chunks may end with any two bytes, single line feeds and other codings pass. The listener didn't say which requests it refused either.

Change: http::MessageFraming reads the same bytes by the strict grammar of RFC 9112, in both daemons (at the socket in the RESTinio server). A request counts only where both readers see the same end; CONNECT, TRACE and unknown methods get 501, other faults 400, and the connection is closed. Such requests are logged and counted with the reason.

Conclusion: two readers that have to agree find what one alone can't.

--- a/src/libs/http/answering_socket.cpp
+++ b/src/libs/http/answering_socket.cpp
@@ -57,6 +57,19 @@
 
 }  // namespace
 
+std::size_t AnsweringSocket::CheckFraming(std::string_view bytes) {
+  std::size_t at = 0;
+  std::size_t whole_requests = 0;
+  while (at < bytes.size()) {
+    at += framing_.Read(bytes.substr(at));
+    if (framing_.error() != FramingError::kNone) return whole_requests;
+    if (!framing_.complete()) continue;
+    framing_.Reset();
+    whole_requests = at;
+  }
+  return bytes.size();
+}
+
 void AnsweringSocket::shutdown(shutdown_type how, asio::error_code& error) {
   const auto answer = ParseErrorAnswer(ParseErrorLogger::ConsumeError());
   if (!answer) {
--- a/src/libs/http/header.cpp
+++ b/src/libs/http/header.cpp
@@ -9,6 +9,7 @@
 constexpr std::array<std::string_view, 9> kHopByHop{
     "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade",    "proxy-connection"};
+constexpr std::string_view kBlanks = " \t";
 
 char ToLower(char letter) {
   return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
@@ -20,11 +21,26 @@
   return is_alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string::npos;
 }
 
+}  // namespace
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
 bool IsControl(char letter) {
   return (static_cast<unsigned char>(letter) < 0x20 && letter != '\t') || letter == 0x7f;
 }
 
-}  // namespace
+std::optional<Header> ParseFieldLine(std::string_view line) {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  auto value = line.substr(colon + 1);
+  value.remove_prefix(std::min(value.find_first_not_of(kBlanks), value.size()));
+  value = value.substr(0, value.find_last_not_of(kBlanks) + 1);
+  Header field{std::string(line.substr(0, colon)), std::string(value)};
+  if (!IsWellFormed(field)) return std::nullopt;
+  return field;
+}
 
 bool SameName(std::string_view first, std::string_view second) {
   return std::equal(first.begin(), first.end(), second.begin(), second.end(),
@@ -40,8 +56,7 @@
 
 bool IsWellFormed(const Header& header) {
   const auto& [name, value] = header;
-  return !name.empty() && std::all_of(name.begin(), name.end(), IsTokenCharacter) &&
-         std::none_of(value.begin(), value.end(), IsControl);
+  return IsToken(name) && std::none_of(value.begin(), value.end(), IsControl);
 }
 
 void MakeWellFormed(Headers& headers) {
--- a/src/libs/net/http_listener.cpp
+++ b/src/libs/net/http_listener.cpp
@@ -49,6 +49,9 @@
   hooks.refused_for_memory = [this](const http::Request& head) {
     if (!stopped_ && refused_for_memory_) refused_for_memory_(head);
   };
+  hooks.unread = [this](const UnreadRequest& request) {
+    if (!stopped_ && unread_) unread_(request);
+  };
   hooks.failed = [this] {
     if (!stopped_) ++handler_failures_;
   };
--- a/src/libs/net/http_listener.h
+++ b/src/libs/net/http_listener.h
@@ -36,6 +36,11 @@
     refused_for_memory_ = std::move(callback);
   }
 
+  /// Sets a callback for requests that can't be read.
+  void set_on_unread(std::function<void(const UnreadRequest&)> callback) {
+    unread_ = std::move(callback);
+  }
+
   /// Stops to listen: the kernel refuses further connections. Those that it has completed before
   /// are accepted, and open connections go on. Has no effect when called again.
   void StopAccepting();
@@ -68,6 +73,7 @@
   InboundHandler handle_;
   std::function<ServerPolicy()> policy_;
   std::function<void(const http::Request& head)> refused_for_memory_;
+  std::function<void(const UnreadRequest&)> unread_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
   bool stopped_ = false;
   std::uint64_t handler_failures_ = 0;
--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -1,10 +1,22 @@
 #include "net/http_parser_state.h"
 
 #include <algorithm>
+#include <array>
+
+#include "base/enum_names.h"
 
 namespace wagtailpick::net {
 namespace {
 
+constexpr std::array<base::EnumName<ParseError>, 6> kErrorNames{{
+    {ParseError::kNone, "none"},
+    {ParseError::kMalformed, "malformed"},
+    {ParseError::kMethodNotServed, "method_not_served"},
+    {ParseError::kHeadersTooLarge, "headers_too_large"},
+    {ParseError::kBodyTooLarge, "body_too_large"},
+    {ParseError::kNoMemory, "no_memory"},
+}};
+
 /// Return values of http_parser callbacks.
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;
@@ -22,14 +34,20 @@
 
 }  // namespace
 
+std::string_view ToString(ParseError error) { return base::NameOf(kErrorNames, error); }
+
 HttpParserState::HttpParserState(Kind kind, const MessageLimits& limits)
-    : kind_(kind), limits_(limits) {
+    : kind_(kind),
+      limits_(limits),
+      framing_(kind == Kind::kRequest ? http::MessageFraming::Kind::kRequest
+                                      : http::MessageFraming::Kind::kResponse) {
   Reset();
 }
 
 void HttpParserState::Reset(bool head) {
   http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
+  framing_.Reset(head);
   request_ = {};
   response_ = {};
   header_bytes_ = 0;
@@ -162,16 +180,32 @@
 std::size_t HttpParserState::Feed(std::string_view bytes) {
   if (bytes.empty() || complete_ || error_ != ParseError::kNone) return 0;
   started_ = true;
+  if (kind_ == Kind::kRequest) bytes = bytes.substr(0, framing_.Read(bytes));
   const std::size_t used = http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
-  if (complete_) {
-    http_parser_pause(&parser_, 0);
-    return used;
-  }
-  const auto code = HTTP_PARSER_ERRNO(&parser_);
-  if (code != HPE_OK && error_ == ParseError::kNone) error_ = ParseError::kMalformed;
+  CheckProgress(bytes, used);
   return used;
 }
 
+// The parser accepts more than RFC 9112 allows. What only one of the two takes for the end of a
+// request would leave bytes of it to be read as a request of its own.
+void HttpParserState::CheckProgress(std::string_view bytes, std::size_t used) {
+  if (complete_) http_parser_pause(&parser_, 0);
+  if (error_ != ParseError::kNone) return;
+  const auto code = HTTP_PARSER_ERRNO(&parser_);
+  const bool is_refused_method = framing_.error() == http::FramingError::kMethod ||
+                                 (framing_.error() == http::FramingError::kNone &&
+                                  code == HPE_INVALID_METHOD && http::IsToken(bytes.substr(0, 1)));
+  const bool is_framed =
+      kind_ == Kind::kResponse || (framing_.error() == http::FramingError::kNone &&
+                                   framing_.complete() == complete_ && used == bytes.size());
+  if (is_refused_method) {
+    error_ = ParseError::kMethodNotServed;
+  } else if (code != HPE_OK || !is_framed) {
+    error_ = ParseError::kMalformed;
+  }
+  if (error_ != ParseError::kNone) complete_ = false;
+}
+
 void HttpParserState::FeedEof() {
   if (complete_ || error_ != ParseError::kNone) return;
   http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
--- a/src/libs/net/http_parser_state.h
+++ b/src/libs/net/http_parser_state.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/memory_budget.h"
+#include "http/framing.h"
 #include "http/message.h"
 
 namespace wagtailpick::net {
@@ -24,12 +25,17 @@
 enum class ParseError : std::uint8_t {
   kNone,
   kMalformed,
+  /// No request with this method is served.
+  kMethodNotServed,
   kHeadersTooLarge,
   kBodyTooLarge,
   /// The memory budget has no room for the body.
   kNoMemory,
 };
 
+/// Returns the name of `error` in logs.
+std::string_view ToString(ParseError error);
+
 /// Parses consecutive HTTP/1.1 messages from a byte stream. After a message is complete, call
 /// `Reset` before feeding the next one.
 class HttpParserState {
@@ -63,6 +69,8 @@
   /// Whether the body has no declared length and extends to the end of the connection.
   bool ends_with_stream() const { return ends_with_stream_; }
   ParseError error() const { return error_; }
+  /// Why the end of the message is not certain, if that is the error.
+  http::FramingError framing_error() const { return framing_.error(); }
   void set_limits(const MessageLimits& limits) { limits_ = limits; }
   /// Counts the bodies of further messages in `budget`; null counts none.
   void set_memory(std::shared_ptr<base::MemoryBudget> budget) { budget_ = std::move(budget); }
@@ -78,6 +86,8 @@
   /// Counts the declared length in the memory budget, or prepares to count a body as it arrives.
   int ReserveBody();
   int Stop(ParseError error);
+  /// Sets the error of the message, if there is one, after `bytes` of it were parsed up to `used`.
+  void CheckProgress(std::string_view bytes, std::size_t used);
   std::string& body();
   std::shared_ptr<base::MemoryReservation>& memory();
   http::Headers& headers();
@@ -87,6 +97,8 @@
   MessageLimits limits_;
   std::shared_ptr<base::MemoryBudget> budget_;
   http_parser parser_{};
+  /// Decides where a request ends.
+  http::MessageFraming framing_;
   http::Request request_;
   http::Response response_;
   std::size_t header_bytes_ = 0;
--- a/src/libs/net/inbound_request.h
+++ b/src/libs/net/inbound_request.h
@@ -4,10 +4,22 @@
 #include <memory>
 
 #include "base/monotonic_time.h"
+#include "http/framing.h"
 #include "http/message.h"
+#include "net/http_parser_state.h"
 
 namespace wagtailpick::net {
 
+/// A request that the listener answers itself, as it can't be read.
+struct UnreadRequest {
+  /// What was read of its head.
+  http::Request head;
+  int status = 0;
+  ParseError error = ParseError::kNone;
+  /// Why the end of the request is not certain; none for other errors.
+  http::FramingError framing_error = http::FramingError::kNone;
+};
+
 /// A complete request received from a client. The handler calls `Answer` or `Abort` exactly once,
 /// unless `on_client_left` is called first; after that both have no effect.
 class InboundRequest {
--- a/src/libs/net/server_connection.cpp
+++ b/src/libs/net/server_connection.cpp
@@ -36,6 +36,8 @@
       return 431;
     case ParseError::kBodyTooLarge:
       return 413;
+    case ParseError::kMethodNotServed:
+      return 501;
     default:
       return 400;
   }
@@ -176,7 +178,7 @@
   pending_.erase(0, used);
   if (!had_head) body_started_ = last_activity_;
   if (parser_.error() == ParseError::kNoMemory) return RefuseForMemory();
-  if (parser_.error() != ParseError::kNone) return Refuse(StatusFor(parser_.error()));
+  if (parser_.error() != ParseError::kNone) return RefuseUnread();
   if (parser_.complete()) Serve();
 }
 
@@ -219,6 +221,15 @@
   Write(std::move(response), true);
 }
 
+// What follows on the connection can't be told from the rest of this request, so it is discarded.
+void ServerConnection::RefuseUnread() {
+  const int status = StatusFor(parser_.error());
+  if (hooks_.unread) {
+    hooks_.unread({std::move(parser_.request()), status, parser_.error(), parser_.framing_error()});
+  }
+  Refuse(status);
+}
+
 // The request has not run: its body was not even read. Clients return spread over some time, as
 // those that were refused together would need the same memory again.
 void ServerConnection::RefuseForMemory() {
--- a/src/libs/net/server_connection.h
+++ b/src/libs/net/server_connection.h
@@ -49,6 +49,8 @@
     std::function<ServerPolicy()> policy;
     /// Called when the first byte of a request has been read.
     std::function<void(base::MonotonicTime at)> request_started;
+    /// Called for a request that can't be read and is answered with an error.
+    std::function<void(const UnreadRequest&)> unread;
     /// Called for a request that is refused before its body is read, as there is no memory for it.
     std::function<void(const http::Request& head)> refused_for_memory;
     /// Called once when the connection is closed from either side.
@@ -84,6 +86,8 @@
   void Serve();
   void ReportFailure(const std::string& cause, const Inbound& inbound);
   void Refuse(int status);
+  /// Refuses a request that the parser has stopped at.
+  void RefuseUnread();
   /// Whether the head or the body of the current request comes too slowly.
   bool IsTooSlow(const ServerPolicy& policy, base::MonotonicTime now);
   /// Refuses a request whose body does not fit into the memory budget.
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -71,6 +71,8 @@
   callers_listener_ = std::move(callers);
   callers_listener_->set_on_refused_for_memory(
       [this](const http::Request& head) { relay_->RecordRefusedForMemory(head); });
+  callers_listener_->set_on_unread(
+      [this](const net::UnreadRequest& request) { relay_->RecordUnread(request); });
   BOOST_OUTCOME_TRY(readiness,
                     net::HttpListener::Start(loop_, options_.readiness, hooks_.serve_readiness,
                                              [] { return net::ServerPolicy(); }));
--- a/src/libs/relay/relay.cpp
+++ b/src/libs/relay/relay.cpp
@@ -80,6 +80,19 @@
              base::MonotonicNow());
 }
 
+void Relay::RecordUnread(const net::UnreadRequest& request) {
+  const auto reason = net::ToString(request.error);
+  metrics_.RecordAnswer(reason, base::Duration::zero());
+  const auto attributes = dialect_.parse_request(request.head);
+  log_.Write(logging::Level::kWarning, "request_ended", "rejected",
+             {{"reason", std::string(reason)},
+              {"status", std::to_string(request.status)},
+              {"request_id", attributes ? attributes.value().request_id : std::string()},
+              {"method", request.head.method},
+              {"framing", std::string(http::ToString(request.framing_error))}},
+             base::MonotonicNow());
+}
+
 void Relay::SetEntries(const std::vector<std::string>& entries) {
   chooser_.SetEntries(entries);
   retry_budget_.SetEntries(entries.size());
--- a/src/libs/relay/relay.h
+++ b/src/libs/relay/relay.h
@@ -71,6 +71,9 @@
   /// Records a request that was refused before its body was read, for lack of memory.
   void RecordRefusedForMemory(const http::Request& head);
 
+  /// Records a request that the listener could not read and has answered with an error.
+  void RecordUnread(const net::UnreadRequest& request);
+
   /// Sets the names of all entries, including this one.
   void SetEntries(const std::vector<std::string>& entries);
   /// Closes idle connections to `address` after its upstream restarted, began to drain or left.
