Tell operators when an event loop ran one task for long

Change: LoopWatch compares the times of the ticks of an entry's and a control replica's loop.

Which task ran isn't told, and the threads of wagtailpickd aren't watched.

--- a/src/libs/node/control_node.cpp
+++ b/src/libs/node/control_node.cpp
@@ -56,6 +56,7 @@
       cache_(options.data_folder + "/cache"),
       departures_(options.data_folder + "/departures"),
       timer_(loop),
+      loop_watch_(kTick, metrics_),
       drain_timer_(loop),
       alive_(std::make_shared<bool>(true)) {}
 
@@ -158,6 +159,7 @@
     if (!error) Tick();
   });
   const auto now = base::MonotonicNow();
+  loop_watch_.RecordTick(now);
   replica_links_->Tick(now);
   acceptor_->Tick(now);
   ExpireDrains(now);
--- a/src/libs/node/control_node.h
+++ b/src/libs/node/control_node.h
@@ -20,6 +20,7 @@
 #include "node/departure_log.h"
 #include "node/entry_list_gate.h"
 #include "node/lookup.h"
+#include "node/loop_watch.h"
 #include "node/node_options.h"
 #include "node/order_log.h"
 #include "node/order_reply.h"
@@ -214,6 +215,7 @@
   std::unique_ptr<net::HttpListener> directory_listener_;
   std::unique_ptr<net::HttpListener> metrics_listener_;
   asio::steady_timer timer_;
+  LoopWatch loop_watch_;
   /// Checks whether all calls are answered once the node drains.
   asio::steady_timer drain_timer_;
   /// Set while the node drains.
--- a/src/libs/node/entry_node.cpp
+++ b/src/libs/node/entry_node.cpp
@@ -41,6 +41,7 @@
           base::ScaleBytes(options.node.memory_bytes, kMessageMemoryFraction))),
       timer_(loop),
       loop_delay_(kTick, base::MonotonicNow()),
+      loop_watch_(kTick, metrics_),
       catalog_fetcher_(static_cast<std::uint64_t>(
           static_cast<double>(options.node.link_bytes_per_second) * kCatalogLinkFraction)),
       catalog_timer_(loop),
@@ -128,6 +129,7 @@
   });
   const auto now = base::MonotonicNow();
   loop_delay_.RecordTick(now);
+  loop_watch_.RecordTick(now);
   replica_links_->Tick(now);
   ChooseFollowedReplica();
   RequestCatalog(now);
--- a/src/libs/node/entry_node.h
+++ b/src/libs/node/entry_node.h
@@ -16,6 +16,7 @@
 #include "node/entry_drain.h"
 #include "node/entry_roster.h"
 #include "node/loop_delay.h"
+#include "node/loop_watch.h"
 #include "node/node_options.h"
 #include "node/replica_links.h"
 #include "node/upstream_sync.h"
@@ -102,6 +103,7 @@
   std::unique_ptr<net::HttpListener> metrics_listener_;
   asio::steady_timer timer_;
   LoopDelay loop_delay_;
+  LoopWatch loop_watch_;
   /// Log index of the newest order summary that was applied.
   std::uint64_t orders_index_ = 0;
   distribution::CatalogFetcher catalog_fetcher_;
