Tell an answer that was reset from one that ended while the request is written

Cause: the kernel reports the error of a connection once. A write took the reset, HandleWritten left the outcome to the pending read, and the read saw an end of the stream without an error, which ends an answer without a length.

Change: the error of the write is kept. An end of the stream completes an answer only without one, or with EPIPE: that reset came behind the upstream's end of the stream, so the answer is whole. A connection whose write failed isn't used again.

Conclusion: other calls on the socket that take its error (the peek before a connection is used again) end the connection already.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -52,6 +52,7 @@
   output_ = std::move(request);
   done_ = std::move(done);
   reused_ = connected_;
+  write_error_ = {};
   interim_answers_ = 0;
   head_checked_ = !wants_body;
   parser_.Reset(output_.is_head);
@@ -103,6 +104,7 @@
 
 void UpstreamConnection::HandleWritten(asio::error_code error, std::size_t length) {
   writing_ = false;
+  write_error_ = error;
   if (!done_) return;
   if (error && length == 0) {
     return Fail(ExchangeOutcome::kNotSent, "lost before the request was written");
@@ -147,7 +149,7 @@
     parser_.Reset(output_.is_head);
   }
   if (!parser_.complete()) return;
-  Complete(bytes.empty() && parser_.keep_alive() && !writing_);
+  Complete(bytes.empty() && parser_.keep_alive() && !writing_ && !write_error_);
 }
 
 void UpstreamConnection::CheckHead() {
@@ -170,12 +172,20 @@
 
 void UpstreamConnection::HandleReadError(asio::error_code error) {
   if (!done_) return Close();
-  // An answer without a declared length is complete only if the stream ends without an error.
-  if (error == asio::error::eof && parser_.headers_complete() && parser_.ends_with_stream()) {
+  const bool is_sound_end = error == asio::error::eof && IsSoundEnd();
+  if (is_sound_end && parser_.headers_complete() && parser_.ends_with_stream()) {
     parser_.FeedEof();
     if (parser_.complete()) return Complete(false);
   }
-  Fail(ExchangeOutcome::kBroken, error.message());
+  const auto& cause = error == asio::error::eof && !is_sound_end ? write_error_ : error;
+  Fail(ExchangeOutcome::kBroken, cause.message());
+}
+
+// The kernel reports the error of a connection once. If a write has taken it, the reads see an end
+// of the stream, whatever ended the connection. EPIPE is no such error: it is what a write returns
+// after a reset that came behind the end of the upstream's stream, which is sound.
+bool UpstreamConnection::IsSoundEnd() const {
+  return !write_error_ || write_error_ == asio::error::broken_pipe;
 }
 
 void UpstreamConnection::ReadKeepAlive() {
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -112,6 +112,8 @@
   void HandleNoMemory();
   void HandleBytes(std::string_view bytes);
   void HandleReadError(asio::error_code error);
+  /// Whether the end of the stream that a read has reported is one that the upstream sent.
+  bool IsSoundEnd() const;
   void Complete(bool reusable);
   /// Ends the exchange without an answer. While the request is being written, waits until it is
   /// known whether a byte of it was written.
@@ -130,6 +132,8 @@
   bool connected_ = false;
   bool closed_ = false;
   bool writing_ = false;
+  /// Error of the write of the request, if it failed.
+  asio::error_code write_error_;
   /// End of the exchange that waits for the end of the write.
   std::optional<std::pair<ExchangeOutcome, std::string>> pending_failure_;
   bool reading_ = false;
--- a/tests/auto/http/client_test.cpp
+++ b/tests/auto/http/client_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "http/header.h"
@@ -93,6 +94,26 @@
   }
 }
 
+// Guards against a part of an answer that is taken for all of it: the connection is reset while the
+// request's body is being written.
+Test(client, tells_a_reset_from_the_end_while_the_request_is_being_written) {
+  const std::string large_body(12'000'000, 'b');
+  for (const int delay_ms : {0, 20, 100}) {
+    RawServer server([&](RawServer&, RawConnection& connection) {
+      connection.ReadHead();
+      connection.Send(Ok() + "\r\na part");
+      std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms));
+      connection.Reset();
+    });
+    for (int i = 0; i < 10; ++i) {
+      SyncClient client;
+      const Exchange exchange = client.Send(server.url(), large_body);
+      cr_expect(exchange.status == ExchangeStatus::kConnectionLost, "after %d ms: %s, body '%s'",
+                delay_ms, std::string(ToString(exchange.status)).c_str(), exchange.body.c_str());
+    }
+  }
+}
+
 // Guards against malformed fields of an answer that are passed on to the caller, whose parser may
 // refuse the answer or read it differently.
 Test(client, makes_fields_of_answers_well_formed) {
--- a/tests/auto/http/raw_connection.cpp
+++ b/tests/auto/http/raw_connection.cpp
@@ -70,6 +70,18 @@
   return message;
 }
 
+std::string RawConnection::ReadHead() {
+  while (buffer_.find("\r\n\r\n") == std::string::npos && ReadMore()) {
+  }
+  return buffer_.substr(0, buffer_.find("\r\n\r\n"));
+}
+
+void RawConnection::Reset() {
+  const linger at_once{1, 0};
+  setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  close(std::exchange(socket_, -1));
+}
+
 std::string RawConnection::ReadToEnd() {
   while (ReadMore()) {
   }
--- a/tests/auto/http/raw_connection.h
+++ b/tests/auto/http/raw_connection.h
@@ -22,6 +22,13 @@
   /// the connection first or nothing arrives for 5 s.
   std::string ReadMessage();
 
+  /// Reads a head and leaves what follows it unread. Returns less when the peer closes the
+  /// connection first or nothing arrives for 5 s.
+  std::string ReadHead();
+
+  /// Resets the connection.
+  void Reset();
+
   /// Reads until the peer closes the connection or nothing arrives for 5 s. Sets `is_closed`.
   std::string ReadToEnd();
 
