Refuse answers whose status is none of HTTP

Callers saw: an upstream in trouble answers with a status of 000 to 099 (or of two digits). The caller waits until its deadline and gets 504, as the status was taken for one of an interim answer with the final one still to come; wagtailpickd's client takes a 101 for the final answer. (The report is of systems that pass 000 on.)

Cause: whatever is below 200 counted as interim; libcurl ends an exchange at a 101.

Change: a status below 100 makes an answer unreadable, in net and in http::MessageFraming; wagtailpickd takes nothing below 200 as an answer. A 101 that nobody asked for stays an interim answer, as a final one behind it is served (leaving_races::a_leaving_answer_with_status_101). 600 to 999 stay failures of the upstream (RFC 9110, 15).

--- a/src/libs/http/exchange_handle.cpp
+++ b/src/libs/http/exchange_handle.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "http/framing.h"
+
 namespace wagtailpick::http {
 namespace {
 
@@ -84,12 +86,12 @@
 }
 
 void ExchangeHandle::Finish(CURLcode code) {
-  exchange_.status = Classify(code);
-  exchange_.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
-  exchange_.duration = base::MonotonicNow() - started_;
   long status = 0;
   curl_easy_getinfo(curl_, CURLINFO_RESPONSE_CODE, &status);
   exchange_.answer_status = static_cast<int>(status);
+  exchange_.status = Classify(code);
+  exchange_.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+  exchange_.duration = base::MonotonicNow() - started_;
   MakeWellFormed(exchange_.headers);
   done_(std::move(exchange_));
 }
@@ -105,7 +107,10 @@
   if (code == CURLE_OK) {
     // libcurl reports success also when the connection is closed within the headers.
     if (!headers_complete_) return ExchangeStatus::kConnectionLost;
-    return HasConflictingLengths() ? ExchangeStatus::kBadAnswer : ExchangeStatus::kComplete;
+    // libcurl takes an answer that switches to another protocol for the final one.
+    const bool is_final = exchange_.answer_status >= kFirstFinalStatus;
+    const bool is_sound = is_final && !HasConflictingLengths();
+    return is_sound ? ExchangeStatus::kComplete : ExchangeStatus::kBadAnswer;
   }
   if (send_count_ == 0) return ExchangeStatus::kNotSent;
   if (limit_exceeded_) return ExchangeStatus::kBadAnswer;
--- a/src/libs/http/framing.cpp
+++ b/src/libs/http/framing.cpp
@@ -35,9 +35,6 @@
 /// Largest size of a body or chunk in bytes.
 constexpr std::uint64_t kMaxSize = std::uint64_t{1} << 62U;
 
-constexpr int kFirstStatus = 100;
-constexpr int kSwitchingProtocols = 101;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -174,8 +171,7 @@
   }
   is_http_1_0_ = version.back() == '0';
   status_ = static_cast<int>(*status);
-  const bool is_status = status_ >= kFirstStatus && status_ != kSwitchingProtocols;
-  return is_status ? FramingError::kNone : FramingError::kStatus;
+  return status_ >= kFirstStatus ? FramingError::kNone : FramingError::kStatus;
 }
 
 FramingError MessageFraming::HandleField(std::string_view line) {
--- a/src/libs/http/framing.h
+++ b/src/libs/http/framing.h
@@ -32,8 +32,7 @@
   /// The method gives the bytes behind the head another meaning, or may have no body: CONNECT and
   /// TRACE.
   kMethod,
-  /// The status is not in the range from 100 to 999, or switches to a protocol that nobody asked
-  /// for.
+  /// The status is below 100.
   kStatus,
   /// A field has a name that is no token or a control character in its value, or a line begins with
   /// a blank.
@@ -56,6 +55,12 @@
 /// Returns `error` as an error code, whose message is "framing error " and its name.
 std::error_code ToErrorCode(FramingError error);
 
+/// Lowest status of an answer. One from 600 on is none of HTTP, but counts as a failure of the
+/// upstream (RFC 9110, 15).
+inline constexpr int kFirstStatus = 100;
+/// Lowest status that ends a request; those below it are of interim answers.
+inline constexpr int kFirstFinalStatus = 200;
+
 /// Finds the end of each message in a stream of HTTP/1.1 bytes, by the strict grammar of RFC 9112
 /// only. The HTTP parsers of the libraries are more tolerant; a message is accepted only where both
 /// see the same end. Keeps no more of a message than its current line.
--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -20,7 +20,6 @@
 /// Return values of http_parser callbacks.
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -29,7 +28,7 @@
 constexpr std::size_t kCapacityFactor = 16;
 
 bool HasNoBody(int status) {
-  return status < kFirstFinalStatus || status == kNoContent || status == kNotModified;
+  return status < http::kFirstFinalStatus || status == kNoContent || status == kNotModified;
 }
 
 }  // namespace
@@ -125,6 +124,7 @@
   if (kind_ == Kind::kResponse) {
     http::MakeWellFormed(response_.headers);
     response_.status = static_cast<int>(parser_.status_code);
+    if (response_.status < http::kFirstStatus) return Stop(ParseError::kMalformed);
     if (head_ || HasNoBody(response_.status)) return head_ ? kSkipBody : 0;
     const bool has_length =
         (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != UINT64_MAX;
--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -28,7 +28,6 @@
 constexpr base::Duration kDeadUpstreamTimeout = std::chrono::seconds(3);
 /// Assumed keep-alive time when the upstream sends no `Keep-Alive: timeout=` field.
 constexpr base::Duration kDefaultKeepAlive = std::chrono::seconds(5);
-constexpr int kFirstFinalStatus = 200;
 /// Limit of interim (1xx) answers to one request; upstreams send one or two at most.
 constexpr int kMaxInterimAnswers = 16;
 
@@ -141,7 +140,7 @@
       return Fail(ExchangeOutcome::kBroken, "malformed or oversized answer");
     }
     if (!parser_.complete()) return CheckHead();
-    if (parser_.response().status >= kFirstFinalStatus) break;
+    if (parser_.response().status >= http::kFirstFinalStatus) break;
     if (++interim_answers_ > kMaxInterimAnswers) {
       return Fail(ExchangeOutcome::kBroken,
                   "more than " + std::to_string(kMaxInterimAnswers) + " interim answers");
@@ -154,7 +153,7 @@
 
 void UpstreamConnection::CheckHead() {
   if (head_checked_ || !parser_.headers_complete()) return;
-  if (parser_.response().status < kFirstFinalStatus) return;
+  if (parser_.response().status < http::kFirstFinalStatus) return;
   head_checked_ = true;
   if (!wants_body(parser_.response())) Complete(false);
 }
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -60,6 +60,21 @@
   }
 }
 
+// Guards against an answer whose status is none that ends a request: a caller got it as an answer,
+// or waited until its deadline for another one.
+Test(relay, passes_on_no_answer_without_a_final_status) {
+  for (const std::string status : {"000", "001", "099", "20", "2000", "2x0", ""}) {
+    const auto text = "HTTP/1.1 " + status + " X\r\nId: 1\r\nContent-Length: 3\r\n\r\nEND";
+    FakeUpstream upstream([&](const std::string&, int) { return RawAnswer{text, false}; });
+    const RelayHost host({upstream.address()});
+    const auto start = std::chrono::steady_clock::now();
+    const auto answer = host.Exchange(Request("1"), kWait);
+    cr_expect(StatusOf(answer) == 502, "status '%s': %s", status.c_str(), answer.c_str());
+    cr_expect(std::chrono::steady_clock::now() - start < kRouteTimeout, "status '%s'",
+              status.c_str());
+  }
+}
+
 // Guards against surplus bytes on a kept connection that are taken for the next request's answer.
 Test(relay, drops_a_connection_with_more_bytes_than_one_answer) {
   FakeUpstream upstream([](const std::string& head, int) -> RawAnswer {
