End answers that have no body at their head

Callers saw: an answer of status 304 with a Content-Length, which HTTP allows, gave 504 at the deadline; the same with 204 and with interim answers.

Cause: only answers to HEAD were ended at their head; for 1xx, 204 and 304 the parser waited for the body that the fields announce.

Change: all four end at the head, whatever the fields say (RFC 9112, 6.3).

Evidence: http_parser_state::ends_answers_that_have_no_body_at_their_head failed before and passes; 101 with a Content-Length is refused at once (relay::passes_on_no_answer_without_a_final_status).

--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -125,7 +125,8 @@
     http::MakeWellFormed(response_.headers);
     response_.status = static_cast<int>(parser_.status_code);
     if (response_.status < http::kFirstStatus) return Stop(ParseError::kMalformed);
-    if (head_ || HasNoBody(response_.status)) return head_ ? kSkipBody : 0;
+    // Such an answer may state the length that its body would have; none follows.
+    if (head_ || HasNoBody(response_.status)) return kSkipBody;
     const bool has_length =
         (parser_.flags & F_CHUNKED) != 0 || parser_.content_length != UINT64_MAX;
     ends_with_stream_ = !has_length;
--- a/tests/auto/net/http_parser_state_test.cpp
+++ b/tests/auto/net/http_parser_state_test.cpp
@@ -63,6 +63,22 @@
   cr_expect(parser.error() == ParseError::kMalformed);
 }
 
+// Guards against a caller that waits until its deadline for a body that never comes: an answer may
+// state the length that its body would have.
+Test(http_parser_state, ends_answers_that_have_no_body_at_their_head) {
+  for (const std::string status : {"100", "101", "103", "199", "204", "304"}) {
+    for (const std::string field :
+         {"", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      auto parser = Parser(HttpParserState::Kind::kResponse);
+      const auto head = "HTTP/1.1 " + status + " X\r\n" + field + "\r\n";
+      const auto used = parser.Feed(head + "HTTP/1.1 200 OK\r\n");
+      cr_expect(parser.complete() && used == head.size(), "status %s, %s", status.c_str(),
+                field.c_str());
+      cr_expect(parser.response().body.empty());
+    }
+  }
+}
+
 // Hop-by-hop headers must not be forwarded, and the Content-Length must match the body.
 Test(http_text, omits_hop_by_hop_headers_and_sets_content_length) {
   const std::string text = RenderResponse(
--- a/tests/auto/relay/relay_test.cpp
+++ b/tests/auto/relay/relay_test.cpp
@@ -63,7 +63,7 @@
 // Guards against an answer whose status is none that ends a request: a caller got it as an answer,
 // or waited until its deadline for another one.
 Test(relay, passes_on_no_answer_without_a_final_status) {
-  for (const std::string status : {"000", "001", "099", "20", "2000", "2x0", ""}) {
+  for (const std::string status : {"000", "001", "099", "101", "20", "2000", "2x0", ""}) {
     const auto text = "HTTP/1.1 " + status + " X\r\nId: 1\r\nContent-Length: 3\r\n\r\nEND";
     FakeUpstream upstream([&](const std::string&, int) { return RawAnswer{text, false}; });
     const RelayHost host({upstream.address()});
