Keep an answer of libcurl's client that was whole before a reset

Callers of wagtailpickd saw: an upstream that answers an upload before it has read it, and then resets the connection, gave "may have run" (502) though its answer was whole.

Cause: libcurl goes on to write the request and reports the failed write as the end of the exchange, whatever has been received.

Change: after a failed write, an answer that is complete by its head or its length counts. One in chunks is still lost, as libcurl doesn't tell that the last chunk has come.

Evidence: client::keeps_an_answer_that_was_whole_before_a_reset failed before for all three answers ("Failed sending data to the peer") and passes, five runs of five; an answer without a length stays lost (client::tells_a_reset_from_the_end_while_the_request_is_being_written).

--- a/src/libs/http/exchange_handle.cpp
+++ b/src/libs/http/exchange_handle.cpp
@@ -84,7 +84,8 @@
   curl_easy_getinfo(curl_, CURLINFO_RESPONSE_CODE, &status);
   exchange_.answer_status = static_cast<int>(status);
   exchange_.status = Classify(code);
-  exchange_.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
+  const bool is_complete = exchange_.status == ExchangeStatus::kComplete;
+  exchange_.error = is_complete || code == CURLE_OK ? "" : curl_easy_strerror(code);
   exchange_.duration = base::MonotonicNow() - started_;
   done_(std::move(exchange_));
 }
@@ -106,6 +107,8 @@
   }
   if (send_count_ == 0) return ExchangeStatus::kNotSent;
   if (is_refused_) return ExchangeStatus::kBadAnswer;
+  // libcurl goes on to write the request after the whole answer has come.
+  if (code == CURLE_SEND_ERROR && HasWholeAnswer()) return ExchangeStatus::kComplete;
   switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
       return ExchangeStatus::kTimedOut;
@@ -121,6 +124,11 @@
   }
 }
 
+// The end of chunks isn't known here, as libcurl passes on only what they contain.
+bool ExchangeHandle::HasWholeAnswer() const {
+  return framing_.complete() && exchange_.answer_status >= kFirstFinalStatus;
+}
+
 std::size_t ExchangeHandle::OnBody(char* data, std::size_t size, std::size_t count, void* self) {
   auto* handle = static_cast<ExchangeHandle*>(self);
   const std::size_t bytes = size * count;
@@ -129,6 +137,7 @@
     return 0;
   }
   handle->exchange_.body.append(data, bytes);
+  if (handle->framing_.message_end() == MessageEnd::kLength) handle->framing_.Read({data, bytes});
   return bytes;
 }
 
--- a/src/libs/http/exchange_handle.h
+++ b/src/libs/http/exchange_handle.h
@@ -39,6 +39,8 @@
   void Prepare();
   void PrepareMethod();
   ExchangeStatus Classify(CURLcode code) const;
+  /// Whether the answer was complete, by its head or its length, whatever became of the request.
+  bool HasWholeAnswer() const;
   /// Handles a line of a head or trailer. Returns false if it makes the answer unreadable.
   bool HandleHeaderLine(std::string_view line);
 
--- a/tests/auto/http/client_test.cpp
+++ b/tests/auto/http/client_test.cpp
@@ -132,6 +132,27 @@
   }
 }
 
+// Guards against an answer that is lost although it was whole before the connection was reset: an
+// upstream may answer before it has read the whole request.
+Test(client, keeps_an_answer_that_was_whole_before_a_reset) {
+  const std::string large_body(12'000'000, 'b');
+  const std::string empty = "HTTP/1.1 204 No Content\r\n\r\n";
+  for (const auto& answer : {Whole(), Ok() + "Content-Length: 0\r\n\r\n", empty}) {
+    RawServer server([&](RawServer&, RawConnection& connection) {
+      connection.ReadHead();
+      connection.Send(answer);
+      // Without a pause, the kernel drops an answer that has not been read when the reset comes.
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      connection.Reset();
+    });
+    SyncClient client;
+    const Exchange exchange = client.Send(server.url(), large_body);
+    cr_expect(exchange.status == ExchangeStatus::kComplete, "%s: %s", answer.c_str(),
+              exchange.error.c_str());
+    cr_expect(exchange.body == (answer == Whole() ? "ok" : ""), "'%s'", exchange.body.c_str());
+  }
+}
+
 // Guards against sound answers that are refused: values may hold a tab and bytes above 127.
 Test(client, keeps_answers_with_unusual_but_sound_fields) {
   RawServer server([&](RawServer& self, RawConnection& connection) {
