Leave the blanks around values of fields out

Callers saw: a Host with a blank at its end, which HTTP allows, was answered 404; a Request-Id with one was taken for foreign in the answer of an upstream that echoes it without: 502, though the request has run.

Cause: http_parser drops the blanks before a value and keeps those behind it; RESTinio uses it, too.

Change: both daemons drop them (RFC 9112, 5.1).

Evidence: http_parser_state::leaves_the_blanks_around_values_out and server::leaves_the_blanks_around_values_out failed before and pass.

--- a/src/libs/http/header.cpp
+++ b/src/libs/http/header.cpp
@@ -31,13 +31,15 @@
   return (static_cast<unsigned char>(letter) < 0x20 && letter != '\t') || letter == 0x7f;
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  text.remove_prefix(std::min(text.find_first_not_of(kBlanks), text.size()));
+  return text.substr(0, text.find_last_not_of(kBlanks) + 1);
+}
+
 std::optional<Header> ParseFieldLine(std::string_view line) {
   const auto colon = line.find(':');
   if (colon == std::string_view::npos) return std::nullopt;
-  auto value = line.substr(colon + 1);
-  value.remove_prefix(std::min(value.find_first_not_of(kBlanks), value.size()));
-  value = value.substr(0, value.find_last_not_of(kBlanks) + 1);
-  Header field{std::string(line.substr(0, colon)), std::string(value)};
+  Header field{std::string(line.substr(0, colon)), std::string(TrimBlanks(line.substr(colon + 1)))};
   if (!IsWellFormed(field)) return std::nullopt;
   return field;
 }
--- a/src/libs/http/header.h
+++ b/src/libs/http/header.h
@@ -28,6 +28,9 @@
 /// Returns whether `letter` is a control character other than a tab.
 bool IsControl(char letter);
 
+/// Returns `text` without the blanks and tabs around it.
+std::string_view TrimBlanks(std::string_view text);
+
 /// Returns the field on `line`, without the blanks around its value; nothing if the name is no
 /// token or the value has a control character other than a tab (RFC 9112, 5).
 std::optional<Header> ParseFieldLine(std::string_view line);
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -52,7 +52,7 @@
   request.method = header.method().c_str();
   request.target = header.request_target();
   header.for_each_field([&](const auto& field) {
-    request.headers.push_back({field.name(), field.value()});
+    request.headers.push_back({field.name(), std::string(TrimBlanks(field.value()))});
   });
   request.body = handle->body();
   request.peer = handle->remote_endpoint().address().to_string();
--- a/src/libs/net/http_parser_state.cpp
+++ b/src/libs/net/http_parser_state.cpp
@@ -113,6 +113,7 @@
   // The framing has read these bytes before; what it refuses is refused in the end.
   if (!framing_.head_complete()) return kStop;
   headers_complete_ = true;
+  for (auto& header : headers()) header.value = http::TrimBlanks(header.value);
   keep_alive_ = http_should_keep_alive(&parser_) != 0;
   if (kind_ == Kind::kRequest) {
     request_.method = http_method_str(static_cast<http_method>(parser_.method));
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -209,6 +209,18 @@
   cr_expect(*header == "a b");
 }
 
+// Guards against blanks at the end of a value that count as part of it.
+Test(server, leaves_the_blanks_around_values_out) {
+  const auto running = StartServer([&](const Request& request, const ResponseSink& sink) {
+    const auto* value = FindHeader(request.headers, "X-A");
+    sink({200, {}, value == nullptr ? "none" : "'" + *value + "'"});
+  });
+  auto connection = RawConnection::Connect(running.port);
+  connection.Send("GET /x HTTP/1.1\r\nHost: a\r\nX-A: \t b c \t\r\n\r\n");
+  const auto answer = connection.ReadMessage();
+  cr_expect(answer.ends_with("'b c'"), "%s", answer.c_str());
+}
+
 // An incomplete request must not reach the handler.
 Test(server, does_not_handle_incomplete_requests) {
   std::atomic<int> handled = 0;
--- a/tests/auto/net/http_parser_state_test.cpp
+++ b/tests/auto/net/http_parser_state_test.cpp
@@ -64,6 +64,24 @@
   cr_expect(parser.error() == ParseError::kMalformed);
 }
 
+// Guards against blanks at the end of a value that count as part of it: HTTP allows them, and a
+// Host or an echoed id with one matched nothing.
+Test(http_parser_state, leaves_the_blanks_around_values_out) {
+  for (const auto kind : {HttpParserState::Kind::kRequest, HttpParserState::Kind::kResponse}) {
+    const bool is_request = kind == HttpParserState::Kind::kRequest;
+    const std::string text = std::string(is_request ? "GET / HTTP/1.1" : "HTTP/1.1 204 X") +
+                             "\r\nHost: \t h \t\r\nA:  \r\nB: c d \r\n\r\n";
+    auto parser = Parser(kind);
+    for (std::size_t at = 0; at < text.size(); ++at) parser.Feed(text.substr(at, 1));
+    cr_assert(parser.complete());
+    const auto& headers = is_request ? parser.request().headers : parser.response().headers;
+    cr_assert(headers.size() == 3, "%zu fields", headers.size());
+    cr_expect(headers[0].value == "h", "'%s'", headers[0].value.c_str());
+    cr_expect(headers[1].value.empty(), "'%s'", headers[1].value.c_str());
+    cr_expect(headers[2].value == "c d", "'%s'", headers[2].value.c_str());
+  }
+}
+
 // Guards against a caller that waits until its deadline for a body that never comes: an answer may
 // state the length that its body would have.
 Test(http_parser_state, ends_answers_that_have_no_body_at_their_head) {
