Sync the folder of a replica's cache after its rename

Cause: the rename of the newest cache wasn't durable, so the file before came back, and replicas serve their cache until a leader is elected. All other renames sync their folder.

Change: the cache's thread syncs the folder after the rename.

--- a/src/libs/node/state_cache.cpp
+++ b/src/libs/node/state_cache.cpp
@@ -7,7 +7,7 @@
 #include "cluster/report_codec.h"
 #include "cluster/suspect_codec.h"
 #include "logging/log.h"
-#include "storage/file_ops.h"
+#include "storage/file.h"
 #include "storage/record_log.h"
 
 namespace wagtailpick::node {
@@ -49,17 +49,21 @@
   }
 }
 
-base::Result<void> Write(const std::string& path, const std::string& bytes) {
-  const auto ops = storage::PosixFileOps();
-  BOOST_OUTCOME_TRY(file, storage::RecordLog::Create(ops, path + ".new"));
+// Without the sync of the folder, a loss of power brings the file before back, and with it a state
+// that entries have left behind.
+base::Result<void> Write(const storage::FileOpsPtr& files, const std::string& path,
+                         const std::string& bytes) {
+  BOOST_OUTCOME_TRY(file, storage::RecordLog::Create(files, path + ".new"));
   BOOST_OUTCOME_TRY(file.Append(bytes));
   BOOST_OUTCOME_TRY(file.Sync());
-  return ops->rename(path + ".new", path);
+  BOOST_OUTCOME_TRY(files->rename(path + ".new", path));
+  return files->sync_folder(storage::FolderOf(path));
 }
 
 }  // namespace
 
-StateCache::StateCache(std::string path) : path_(std::move(path)), loop_(kMaxQueuedSaves) {
+StateCache::StateCache(std::string path, storage::FileOpsPtr files)
+    : path_(std::move(path)), files_(std::move(files)), loop_(kMaxQueuedSaves) {
   loop_.set_on_failure([](const std::string& cause) {
     logging::Write(logging::Level::kWarning, "cache_not_written", cause);
   });
@@ -71,7 +75,7 @@
 std::optional<CachedState> StateCache::Load() const {
   std::optional<CachedState> state;
   const auto opened = storage::RecordLog::Open(
-      storage::PosixFileOps(), path_,
+      files_, path_,
       [&state](std::uint64_t /*offset*/, std::string_view bytes) -> base::Result<void> {
         BOOST_OUTCOME_TRY(decoded, Decode(std::string(bytes)));
         state = std::move(decoded);
@@ -86,8 +90,8 @@
 }
 
 void StateCache::Save(const CachedState& state) {
-  loop_.TryPost([path = path_, bytes = Encode(state)] {
-    const auto written = Write(path, bytes);
+  loop_.TryPost([files = files_, path = path_, bytes = Encode(state)] {
+    const auto written = Write(files, path, bytes);
     if (!written) {
       logging::Write(logging::Level::kWarning, "cache_not_written", written.error().message);
     }
--- a/src/libs/node/state_cache.h
+++ b/src/libs/node/state_cache.h
@@ -8,6 +8,7 @@
 #include "base/event_loop.h"
 #include "cluster/messages.h"
 #include "orders/order_state.h"
+#include "storage/file_ops.h"
 
 namespace wagtailpick::node {
 
@@ -24,7 +25,7 @@
 /// damaged file is ignored.
 class StateCache {
  public:
-  explicit StateCache(std::string path);
+  explicit StateCache(std::string path, storage::FileOpsPtr files = storage::PosixFileOps());
   ~StateCache();
   StateCache(const StateCache&) = delete;
   StateCache& operator=(const StateCache&) = delete;
@@ -38,6 +39,7 @@
 
  private:
   std::string path_;
+  storage::FileOpsPtr files_;
   base::EventLoop loop_;
 };
 
--- a/tests/auto/node/state_cache_test.cpp
+++ b/tests/auto/node/state_cache_test.cpp
@@ -5,8 +5,10 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "logging/log.h"
 #include "storage/file_ops.h"
@@ -58,3 +60,35 @@
   cr_expect(!cache.Load() && CountLines(lines) == 3, "deep nesting");
   std::filesystem::remove_all(folder);
 }
+
+// Guards against a cache that a loss of power replaces by the one before it: entries were told of a
+// state that they had left behind, and sent to a zone that had been evacuated.
+Test(state_cache, makes_the_name_of_a_new_file_durable) {
+  std::string folder = (std::filesystem::temp_directory_path() / "wagtailpick-XXXXXX").string();
+  cr_assert(mkdtemp(folder.data()) != nullptr);
+  const auto posix = storage::PosixFileOps();
+  const auto files = std::make_shared<storage::FileOps>(*posix);
+  std::vector<std::string> steps;
+  files->sync = [&](int file) {
+    steps.emplace_back("sync");
+    return posix->sync(file);
+  };
+  files->rename = [&](const std::string& from, const std::string& to) {
+    steps.push_back("rename to " + to);
+    return posix->rename(from, to);
+  };
+  files->sync_folder = [&](const std::string& path) {
+    steps.push_back("sync " + path);
+    return posix->sync_folder(path);
+  };
+  {
+    node::StateCache cache(folder + "/cache", files);
+    cache.Save({});
+  }
+  cr_assert(steps.size() >= 3, "%zu steps", steps.size());
+  const std::vector<std::string> last(steps.end() - 3, steps.end());
+  const std::vector<std::string> expected{"sync", "rename to " + folder + "/cache",
+                                          "sync " + folder};
+  cr_expect(last == expected, "%s, %s, %s", last[0].c_str(), last[1].c_str(), last[2].c_str());
+  std::filesystem::remove_all(folder);
+}
