Reset the connection of a request that is given up

Cause: the connection was closed, and the kernel goes on sending what a closed socket has taken.

Change: UpstreamConnection::Close resets the connection while an exchange is under way; deadlines, hedges, clients that leave and drains all give up by it. A connection whose exchange has ended is closed as before.

--- a/src/libs/net/upstream_connection.cpp
+++ b/src/libs/net/upstream_connection.cpp
@@ -240,12 +240,19 @@
 }
 
 void UpstreamConnection::Close() {
-  done_ = nullptr;
+  if (std::exchange(done_, nullptr) != nullptr) ResetOnClose();
   may_send = nullptr;
   wants_body = nullptr;
   CloseSocket();
 }
 
+// A socket that is only closed goes on sending what it has taken: a request that was given up while
+// the upstream couldn't be reached would arrive, and begin, later.
+void UpstreamConnection::ResetOnClose() {
+  asio::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void UpstreamConnection::CloseSocket() {
   if (closed_) return;
   closed_ = true;
--- a/src/libs/net/upstream_connection.h
+++ b/src/libs/net/upstream_connection.h
@@ -86,8 +86,9 @@
   /// closed: an answer that is not passed on may never end.
   std::function<bool(const http::Response& head)> wants_body;
 
-  /// Closes the connection without calling `done` for a running exchange. Most upstreams then
-  /// abandon its request.
+  /// Closes the connection without calling `done` for a running exchange, and resets it then: bytes
+  /// of the request that have not been delivered are not sent any more, and most upstreams abandon
+  /// it.
   void Close();
 
   /// Whether the connection has been opened. `Exchange` then writes its request at once.
@@ -121,6 +122,8 @@
   /// known whether a byte of it was written.
   void Fail(ExchangeOutcome outcome, std::string detail);
   void CloseSocket();
+  /// Makes the close of the socket discard what has not been delivered.
+  void ResetOnClose();
   /// Sets `keep_alive_` from the `Keep-Alive` field of the answer.
   void ReadKeepAlive();
 
--- a/tests/auto/net/upstream_connection_test.cpp
+++ b/tests/auto/net/upstream_connection_test.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "testing/run_loop.h"
 
@@ -20,6 +21,7 @@
 
 constexpr const char* kLoopback = "127.0.0.1";
 constexpr std::chrono::seconds kMaxTime{3};
+constexpr std::size_t kReadBytes = 65'536;
 
 /// Runs one exchange on a new connection to `port` and returns its result.
 std::optional<net::ExchangeResult> ExchangeOnce(asio::io_context& loop, std::uint16_t port,
@@ -81,6 +83,13 @@
     upstream_.close();
   }
   void Close() { upstream_.close(); }
+  /// Reads at the upstream to the end of its stream and returns how it ended.
+  asio::error_code EndOfUpstreamStream() {
+    asio::error_code error;
+    std::vector<char> bytes(kReadBytes);
+    while (!error) upstream_.read_some(asio::buffer(bytes), error);
+    return error;
+  }
   void RunFor(std::chrono::milliseconds time) { testing::RunFor(loop_, time); }
   std::optional<net::ExchangeOutcome> RunExchange() {
     const auto end = base::MonotonicNow() + kMaxTime;
@@ -159,6 +168,27 @@
   cr_expect(link.RunExchange() == net::ExchangeOutcome::kBroken);
 }
 
+// Guards against bytes of a request that reach an upstream after the request was given up: the
+// kernel goes on sending what a socket has taken when it is only closed.
+Test(upstream_connection, resets_the_connection_of_a_request_that_is_given_up) {
+  constexpr std::size_t kMoreThanBuffers = 64UL * 1024 * 1024;
+  Link link;
+  link.StartExchange(kMoreThanBuffers);
+  link.Accept();
+  link.RunFor(std::chrono::milliseconds(50));
+  link.connection()->Close();
+  cr_expect(link.EndOfUpstreamStream() == asio::error::connection_reset);
+}
+
+// Guards against a connection that is reset though its exchange has ended, so that the upstream
+// could take its answer for lost.
+Test(upstream_connection, closes_an_idle_connection_without_a_reset) {
+  Link link;
+  link.ExchangeOnce();
+  link.connection()->Close();
+  cr_expect(link.EndOfUpstreamStream() == asio::error::eof);
+}
+
 // Guards against a callback after the connection was closed while the end of its write was to be
 // handled.
 Test(upstream_connection, calls_nothing_back_after_its_close) {
