--- a/review/standins-3/restart_case.cpp
+++ b/review/standins-3/restart_case.cpp
@@ -272,7 +272,7 @@
     record.Write("server i-0 crashes");
     servers.Crash(first);
     SleepMs(kDownMs);
-    servers.Start(0, cold ? 0 : kRefuseMs, cold ? kColdStartMs : 0, kHeartbeatMs);
+    servers.Start(0, cold ? 0 : kRefuseMs, kColdStartMs, kHeartbeatMs);
   } else if (!cold) {
     kill(first, SIGUSR1);
   }
